base: ids, millisecond clock, results, enum names, endpoints

Cause: all packages need the same small types. Weighed: std::chrono types against one millisecond count; the house asks for one clock type of our own, and messages carry plain numbers.

--- /dev/null
+++ b/packages/base/src/clock.cpp
@@ -0,0 +1,42 @@
+#include "hibiscus/base/clock.hpp"
+
+#include "hibiscus/base/result.hpp"
+
+#include <chrono>
+
+namespace hibiscus::base {
+
+namespace {
+
+template <class Clock>
+millis read() {
+    const auto since = Clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
+} // namespace
+
+clock::clock(std::shared_ptr<const manual_time> time)
+    : source_(std::move(time)) {}
+
+millis clock::now() const {
+    return std::visit(
+        overloaded{
+            [](const machine&) { return read<std::chrono::steady_clock>(); },
+            [](const std::shared_ptr<const manual_time>& time) {
+                return time->now();
+            }},
+        source_);
+}
+
+millis clock::wall() const {
+    return std::visit(
+        overloaded{
+            [](const machine&) { return read<std::chrono::system_clock>(); },
+            [](const std::shared_ptr<const manual_time>& time) {
+                return time->now();
+            }},
+        source_);
+}
+
+} // namespace hibiscus::base
