wire: typed messages with JSON and CBOR

Ruled out: a hand-written codec; nlohmann-json has both forms. Its CBOR reader recurses, so nesting is bounded by a first pass.

--- /dev/null
+++ b/packages/wire/src/codec.cpp
@@ -0,0 +1,263 @@
+#include "hibiscus/wire/codec.hpp"
+
+#include "mapping.hpp"
+
+#include <array>
+#include <utility>
+
+namespace hibiscus::wire {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int max_depth = 32;
+
+/// Returns false as soon as a parse event nests deeper than max_depth.
+class depth_limit {
+public:
+    /// Returns true if `depth` is allowed.
+    bool operator()(int depth, json::parse_event_t event, json& parsed) {
+        (void)event;
+        (void)parsed;
+        too_deep_ = too_deep_ || depth > max_depth;
+        return !too_deep_;
+    }
+
+    /// Returns true if the input was nested too deeply.
+    bool too_deep() const { return too_deep_; }
+
+private:
+    bool too_deep_ = false;
+};
+
+/// Counts the nesting of CBOR without building anything, and stops early.
+class depth_counter : public json::json_sax_t {
+public:
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(std::int64_t) override { return true; }
+    bool number_unsigned(std::uint64_t) override { return true; }
+    bool number_float(double, const std::string&) override { return true; }
+    bool string(std::string&) override { return true; }
+    bool binary(json::binary_t&) override { return true; }
+    bool start_object(std::size_t) override { return ++depth_ <= max_depth; }
+    bool key(std::string&) override { return true; }
+    bool end_object() override { return leave(); }
+    bool start_array(std::size_t) override { return ++depth_ <= max_depth; }
+    bool end_array() override { return leave(); }
+    bool parse_error(std::size_t, const std::string&,
+                     const json::exception&) override {
+        return false;
+    }
+
+private:
+    bool leave() {
+        --depth_;
+        return true;
+    }
+
+    int depth_ = 0;
+};
+
+/// Runs `decode`, which throws the json library's errors, and returns what it
+/// returns or a decode_error. Here the library's exceptions end.
+template <class T, class F>
+base::result<T, decode_error> guarded(F decode) {
+    try {
+        return decode();
+    } catch (const json::exception& e) {
+        return decode_error{e.what()};
+    }
+}
+
+/// The names of the alternatives of a variant of messages, in their order.
+template <class V>
+struct variant_names;
+
+template <>
+struct variant_names<call_body> {
+    static constexpr std::array<const char*, 5> names{
+        "open_step", "pull_step", "learn_version", "run_request",
+        "place_sample"};
+};
+
+template <>
+struct variant_names<reply_body> {
+    static constexpr std::array<const char*, 5> names{
+        "step_answer", "pull_answer", "version_answer", "answer",
+        "place_answer"};
+};
+
+template <>
+struct variant_names<peer_message> {
+    static constexpr std::array<const char*, 8> names{
+        "heartbeat", "document_want", "document_offer", "call",
+        "reply",     "sample_report", "sample_ack",     "cancel_streams"};
+};
+
+template <class V>
+json variant_to_json(const V& v);
+
+template <class V>
+V variant_from_json(const json& j);
+
+} // namespace
+
+// The json library finds these by the namespace of their arguments.
+
+void to_json(json& j, const open_step& m) {
+    j = {{"trainer", m.trainer}, {"step", m.step}, {"request", m.request}};
+}
+
+void from_json(const json& j, open_step& m) {
+    j.at("trainer").get_to(m.trainer);
+    j.at("step").get_to(m.step);
+    j.at("request").get_to(m.request);
+}
+
+void to_json(json& j, const pull_step& m) {
+    j = {{"trainer", m.trainer}, {"step", m.step}, {"request", m.request}};
+}
+
+void from_json(const json& j, pull_step& m) {
+    j.at("trainer").get_to(m.trainer);
+    j.at("step").get_to(m.step);
+    j.at("request").get_to(m.request);
+}
+
+void to_json(json& j, const run_request& m) {
+    j = {{"request", m.request}};
+}
+
+void from_json(const json& j, run_request& m) {
+    j.at("request").get_to(m.request);
+}
+
+void to_json(json& j, const call& m) {
+    j = {{"id", m.id},
+         {"from", m.from},
+         {"deadline_ms", m.deadline_ms},
+         {"body", variant_to_json(m.body)}};
+}
+
+void from_json(const json& j, call& m) {
+    j.at("id").get_to(m.id);
+    j.at("from").get_to(m.from);
+    j.at("deadline_ms").get_to(m.deadline_ms);
+    m.body = variant_from_json<call_body>(j.at("body"));
+}
+
+void to_json(json& j, const reply& m) {
+    j = {{"id", m.id}, {"body", variant_to_json(m.body)}};
+}
+
+void from_json(const json& j, reply& m) {
+    j.at("id").get_to(m.id);
+    m.body = variant_from_json<reply_body>(j.at("body"));
+}
+
+namespace {
+
+template <class V>
+json variant_to_json(const V& v) {
+    json value = std::visit([](const auto& m) { return json(m); }, v);
+    return {{"kind", variant_names<V>::names[v.index()]},
+            {"value", std::move(value)}};
+}
+
+template <class V, std::size_t I = 0>
+V alternative_from_json(const std::string& kind, const json& value) {
+    if constexpr (I == std::variant_size_v<V>) {
+        throw json::other_error::create(501, "unknown kind " + kind, &value);
+    } else {
+        if (kind == variant_names<V>::names[I]) {
+            return value.template get<std::variant_alternative_t<I, V>>();
+        }
+        return alternative_from_json<V, I + 1>(kind, value);
+    }
+}
+
+template <class V>
+V variant_from_json(const json& j) {
+    return alternative_from_json<V>(j.at("kind").get<std::string>(),
+                                    j.at("value"));
+}
+
+} // namespace
+
+template <class T>
+std::string to_json(const T& message) {
+    // Bytes that are not UTF-8 are replaced: they are never ours, and an
+    // exception here would end the process.
+    return json(message).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+template <class T>
+base::result<T, decode_error> from_json(std::string_view text) {
+    return guarded<T>([&]() -> base::result<T, decode_error> {
+        depth_limit limit;
+        const json j = json::parse(text, std::ref(limit));
+        if (limit.too_deep()) {
+            return decode_error{"nested too deeply"};
+        }
+        return j.get<T>();
+    });
+}
+
+std::string to_cbor(const peer_message& message) {
+    json j = variant_to_json(message);
+    j["v"] = peer_protocol;
+    std::string bytes;
+    json::to_cbor(j, bytes);
+    return bytes;
+}
+
+base::result<peer_message, decode_error> from_cbor(std::string_view bytes) {
+    using result = base::result<peer_message, decode_error>;
+    return guarded<peer_message>([&]() -> result {
+        depth_counter counter;
+        if (!json::sax_parse(bytes.begin(), bytes.end(), &counter,
+                             json::input_format_t::cbor)) {
+            return decode_error{"not CBOR, or nested too deeply"};
+        }
+        const json j = json::from_cbor(bytes.begin(), bytes.end());
+        if (j.at("v").get<int>() != peer_protocol) {
+            return decode_error{"another version of the protocol"};
+        }
+        return variant_from_json<peer_message>(j);
+    });
+}
+
+#define HIBISCUS_CODEC(type)                                                   \
+    template std::string to_json(const type&);                                 \
+    template base::result<type, decode_error> from_json(std::string_view);
+
+HIBISCUS_CODEC(service_request)
+HIBISCUS_CODEC(answer)
+HIBISCUS_CODEC(step_request)
+HIBISCUS_CODEC(step_answer)
+HIBISCUS_CODEC(sample)
+HIBISCUS_CODEC(pull_request)
+HIBISCUS_CODEC(pull_answer)
+HIBISCUS_CODEC(version_request)
+HIBISCUS_CODEC(version_answer)
+HIBISCUS_CODEC(entries_answer)
+HIBISCUS_CODEC(problem)
+HIBISCUS_CODEC(log_page)
+HIBISCUS_CODEC(append_request)
+HIBISCUS_CODEC(append_answer)
+HIBISCUS_CODEC(instance)
+HIBISCUS_CODEC(instance_page)
+HIBISCUS_CODEC(config_record)
+HIBISCUS_CODEC(claim_record)
+HIBISCUS_CODEC(cancel_streams)
+HIBISCUS_CODEC(stream_start)
+HIBISCUS_CODEC(engine_poll)
+HIBISCUS_CODEC(engine_news)
+HIBISCUS_CODEC(version_order)
+HIBISCUS_CODEC(order_answer)
+
+#undef HIBISCUS_CODEC
+
+} // namespace hibiscus::wire
--- /dev/null
+++ b/packages/wire/src/mapping.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "hibiscus/wire/claims.hpp"
+#include "hibiscus/wire/peer.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace nlohmann {
+
+/// Maps ids to strings.
+template <class Tag>
+struct adl_serializer<hibiscus::base::id<Tag>> {
+    static void to_json(json& j, const hibiscus::base::id<Tag>& i) {
+        j = i.str();
+    }
+    static void from_json(const json& j, hibiscus::base::id<Tag>& i) {
+        i = hibiscus::base::id<Tag>(j.get<std::string>());
+    }
+};
+
+/// Maps enumerations that have a table of names to their names.
+template <class E>
+struct adl_serializer<
+    E, std::enable_if_t<hibiscus::base::has_enum_names<E>::value>> {
+    static void to_json(json& j, const E& e) {
+        j = std::string(hibiscus::base::name_of(e));
+    }
+    static void from_json(const json& j, E& e) {
+        const auto name = j.get<std::string>();
+        const auto value = hibiscus::base::from_name<E>(name);
+        if (!value) {
+            throw json::other_error::create(501, "unknown name " + name, &j);
+        }
+        e = *value;
+    }
+};
+
+/// Maps an optional to its value or null.
+template <class T>
+struct adl_serializer<std::optional<T>> {
+    static void to_json(json& j, const std::optional<T>& o) {
+        j = o ? json(*o) : json();
+    }
+    static void from_json(const json& j, std::optional<T>& o) {
+        o = j.is_null() ? std::optional<T>() : j.get<T>();
+    }
+};
+
+} // namespace nlohmann
+
+namespace hibiscus::wire {
+
+// The json library's macros write the pair of functions for each message.
+// NOLINTBEGIN
+#define HIBISCUS_WIRE(...) NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(__VA_ARGS__)
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(answer, id, result, why,
+                                                retry_after_ms, body, node,
+                                                attempt)
+HIBISCUS_WIRE(prompt_group, prompt, samples, max_tokens)
+HIBISCUS_WIRE(step_request, version, groups)
+HIBISCUS_WIRE(step_answer, result, why, retry_after_ms, slots)
+HIBISCUS_WIRE(chunk, seq, version, text)
+HIBISCUS_WIRE(sample, slot, attempt, engine, chunks)
+HIBISCUS_WIRE(pull_answer, pull, result, why, retry_after_ms, node, missing,
+              samples)
+HIBISCUS_WIRE(version_request, version)
+HIBISCUS_WIRE(version_answer, result, why, retry_after_ms, newest)
+HIBISCUS_WIRE(entry_address, node, zone, address)
+HIBISCUS_WIRE(entries_answer, ttl_ms, entries)
+HIBISCUS_WIRE(problem, why, where, expected)
+HIBISCUS_WIRE(log_record, offset, id, data)
+HIBISCUS_WIRE(log_page, first, end, records)
+HIBISCUS_WIRE(append_request, id, data)
+HIBISCUS_WIRE(append_answer, offset)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(instance, id, role, state,
+                                                group, zone, address,
+                                                peer_address)
+HIBISCUS_WIRE(instance_page, instances)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(config_record, schema,
+                                                publish_id, base, document,
+                                                revision)
+HIBISCUS_WIRE(claim_item, kind, key, epoch, created_ms, body)
+HIBISCUS_WIRE(claim_record, node, incarnation, sequence, starts_epoch, items)
+HIBISCUS_WIRE(stream_start, stream, trainer, prompt, max_tokens, priority, seed)
+HIBISCUS_WIRE(stream_cursor, stream, from)
+HIBISCUS_WIRE(engine_poll, streams, wait_ms)
+HIBISCUS_WIRE(stream_news, stream, state, chunks)
+HIBISCUS_WIRE(served_version, trainer, version)
+HIBISCUS_WIRE(engine_news, streams, running, queued, slots, serving)
+HIBISCUS_WIRE(fence, epoch, sequence)
+HIBISCUS_WIRE(version_order, trainer, version, number)
+HIBISCUS_WIRE(order_answer, verdict)
+HIBISCUS_WIRE(trainer_version, trainer, version)
+HIBISCUS_WIRE(engine_digest, engine, admitted, slots, healthy, serving)
+HIBISCUS_WIRE(heartbeat, node, incarnation, zone, address, peer_address, state,
+              revision, versions, engines)
+HIBISCUS_WIRE(document_want, from, revision)
+HIBISCUS_WIRE(document_offer, revision, document)
+HIBISCUS_WIRE(place_answer, result, why, retry_after_ms)
+HIBISCUS_WIRE(learn_version, trainer, version)
+HIBISCUS_WIRE(place_sample, engine, home, start)
+HIBISCUS_WIRE(stream_report, engine, stream, state, chunks, oldest, produced)
+HIBISCUS_WIRE(sample_report, from, streams)
+HIBISCUS_WIRE(sample_ack, streams)
+HIBISCUS_WIRE(cancel_streams, engine, streams)
+#undef HIBISCUS_WIRE
+// NOLINTEND
+
+/// Maps a caller's request; only the body may be left out.
+void to_json(nlohmann::json& j, const service_request& r);
+void from_json(const nlohmann::json& j, service_request& r);
+
+/// Maps a range to a pair of numbers, which keeps pulls short.
+void to_json(nlohmann::json& j, const slot_range& r);
+void from_json(const nlohmann::json& j, slot_range& r);
+
+/// Maps a pull; only the trainer's numbers are needed.
+void to_json(nlohmann::json& j, const pull_request& r);
+void from_json(const nlohmann::json& j, pull_request& r);
+
+} // namespace hibiscus::wire
