--- /dev/null
+++ b/packages/document/src/parse.cpp
@@ -0,0 +1,334 @@
+#include "hibiscus/document/parse.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace hibiscus::document {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int newest_schema = 1;
+constexpr std::size_t longest_name = 128;
+
+/// Reads the keys of one object and notes what is wrong with them. Every
+/// value that is wrong keeps its default, so that reading can go on and
+/// report the other errors too.
+class object_reader {
+public:
+    /// Constructs a reader of `object`, which stands at `path`.
+    object_reader(const json& object, std::string path, parse_errors& errors)
+        : object_(object), path_(std::move(path)), errors_(errors) {
+        if (!object_.is_object()) {
+            note(fault::wrong_type, "", "an object");
+        }
+    }
+
+    /// Notes the keys that were not asked for.
+    void finish() {
+        if (!object_.is_object()) {
+            return;
+        }
+        for (const auto& [key, value] : object_.items()) {
+            if (asked_.count(key) == 0) {
+                note(fault::unknown_key, key, "a key of the schema");
+            }
+        }
+    }
+
+    /// Reads a name, which must be there.
+    template <class Id>
+    void name(const char* key, Id& target) {
+        const json* value = find(key);
+        if (value == nullptr) {
+            note(fault::missing, key, "a name");
+            return;
+        }
+        if (!value->is_string() || value->get<std::string>().empty() ||
+            value->get<std::string>().size() > longest_name) {
+            note(fault::wrong_type, key, "a string of 1 to 128 bytes");
+            return;
+        }
+        target = Id(value->get<std::string>());
+    }
+
+    /// Reads a whole number from `low` to `high`, if it is there.
+    template <class T>
+    void integer(const char* key, T& target, T low, T high) {
+        const json* value = find(key);
+        if (value == nullptr) {
+            return;
+        }
+        const auto range = std::to_string(low) + " to " + std::to_string(high);
+        if (!value->is_number_integer()) {
+            note(fault::wrong_type, key, "a whole number, " + range);
+            return;
+        }
+        const double number = value->get<double>();
+        if (number < static_cast<double>(low) ||
+            number > static_cast<double>(high)) {
+            note(fault::out_of_range, key, range);
+            return;
+        }
+        target = value->get<T>();
+    }
+
+    /// Reads a number from `low` to `high`, if it is there.
+    void number(const char* key, double& target, double low, double high) {
+        const json* value = find(key);
+        if (value == nullptr) {
+            return;
+        }
+        if (!value->is_number()) {
+            note(fault::wrong_type, key, "a number");
+            return;
+        }
+        if (value->get<double>() < low || value->get<double>() > high) {
+            note(fault::out_of_range, key,
+                 std::to_string(low) + " to " + std::to_string(high));
+            return;
+        }
+        target = value->get<double>();
+    }
+
+    /// Reads true or false, if it is there.
+    void boolean(const char* key, bool& target) {
+        const json* value = find(key);
+        if (value == nullptr) {
+            return;
+        }
+        if (!value->is_boolean()) {
+            note(fault::wrong_type, key, "true or false");
+            return;
+        }
+        target = value->get<bool>();
+    }
+
+    /// Reads the name of an enumeration's value, if it is there.
+    template <class E>
+    void enumeration(const char* key, E& target) {
+        const json* value = find(key);
+        if (value == nullptr) {
+            return;
+        }
+        const auto named = value->is_string()
+                               ? base::from_name<E>(value->get<std::string>())
+                               : std::nullopt;
+        if (!named) {
+            note(fault::unknown_name, key, names_of<E>());
+            return;
+        }
+        target = *named;
+    }
+
+    /// Reads an array of objects, if it is there, with `read` for each.
+    template <class Row, class F>
+    void rows(const char* key, std::vector<Row>& target, F read) {
+        const json* value = find(key);
+        if (value == nullptr) {
+            return;
+        }
+        if (!value->is_array()) {
+            note(fault::wrong_type, key, "an array");
+            return;
+        }
+        for (std::size_t i = 0; i < value->size(); ++i) {
+            const auto path = join(key) + "/" + std::to_string(i);
+            object_reader reader((*value)[i], path, errors_);
+            target.push_back(read(reader));
+            reader.finish();
+        }
+    }
+
+    /// Reads an object, if it is there, with `read`.
+    template <class F>
+    void object(const char* key, F read) {
+        const json* value = find(key);
+        if (value == nullptr) {
+            return;
+        }
+        object_reader reader(*value, join(key), errors_);
+        read(reader);
+        reader.finish();
+    }
+
+private:
+    template <class E>
+    static std::string names_of() {
+        std::string text = "one of";
+        for (const auto& row : base::enum_names<E>::table) {
+            text += ' ';
+            text += row.name;
+        }
+        return text;
+    }
+
+    const json* find(const char* key) {
+        asked_.insert(key);
+        if (!object_.is_object()) {
+            return nullptr;
+        }
+        const auto at = object_.find(key);
+        return at == object_.end() ? nullptr : &*at;
+    }
+
+    std::string join(const std::string& key) const {
+        return key.empty() ? path_ : path_ + "/" + key;
+    }
+
+    void note(fault what, const std::string& key, std::string expected) {
+        errors_.push_back({what, join(key), std::move(expected)});
+    }
+
+    const json& object_;
+    std::string path_;
+    parse_errors& errors_;
+    std::set<std::string> asked_;
+};
+
+constexpr double max_weight = 1000.0;
+constexpr base::millis hour = 3600000;
+
+owner read_owner(object_reader& in) {
+    owner row;
+    in.name("name", row.name);
+    in.number("weight", row.weight, 0.001, max_weight);
+    return row;
+}
+
+pool read_pool(object_reader& in) {
+    pool row;
+    in.name("name", row.name);
+    in.name("owner", row.owner);
+    in.integer("slots_per_engine", row.slots_per_engine, 1, 4096);
+    in.number("queue_share", row.queue_share, 0.0, 16.0);
+    in.boolean("checks_fencing", row.checks_fencing);
+    in.number("swap_share", row.swap_share, 0.01, 1.0);
+    in.enumeration("placement", row.placement);
+    return row;
+}
+
+trainer read_trainer(object_reader& in) {
+    trainer row;
+    in.name("name", row.name);
+    in.name("owner", row.owner);
+    in.name("pool", row.pool);
+    in.number("weight", row.weight, 0.001, max_weight);
+    in.integer("priority", row.priority, -100, 100);
+    in.integer("staleness_bound", row.staleness_bound, 0, 1000);
+    return row;
+}
+
+service read_service(object_reader& in) {
+    service row;
+    in.name("name", row.name);
+    in.name("owner", row.owner);
+    in.integer("max_in_flight", row.max_in_flight, 1, 100000);
+    in.boolean("hedge", row.hedge);
+    return row;
+}
+
+void read_limits(object_reader& in, limits& target) {
+    in.integer("entries_ttl_ms", target.entries_ttl_ms, base::millis{100},
+               hour);
+    in.integer("claim_window_ms", target.claim_window_ms, base::millis{1000},
+               24 * hour);
+    in.integer("pull_wait_ms", target.pull_wait_ms, base::millis{10},
+               base::millis{60000});
+    in.number("retry_ratio", target.retry_ratio, 0.0, 1.0);
+    in.integer("order_life_ms", target.order_life_ms, base::millis{100},
+               base::millis{60000});
+}
+
+document read_document(object_reader& in) {
+    document d;
+    in.integer("schema", d.schema, 1, newest_schema);
+    in.rows("owners", d.owners, read_owner);
+    in.rows("pools", d.pools, read_pool);
+    in.rows("trainers", d.trainers, read_trainer);
+    in.rows("services", d.services, read_service);
+    in.object("limits", [&](object_reader& l) { read_limits(l, d.limit); });
+    in.finish();
+    return d;
+}
+
+/// Notes each name in `rows` that stands twice.
+template <class Row>
+void check_repeated(const std::vector<Row>& rows, const std::string& section,
+                    parse_errors& errors) {
+    std::set<std::string> seen;
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        const auto& name = rows[i].name.str();
+        if (!name.empty() && !seen.insert(name).second) {
+            errors.push_back({fault::repeated_name,
+                              section + "/" + std::to_string(i) + "/name",
+                              "a name that no other entry has"});
+        }
+    }
+}
+
+/// Notes each row whose `member` names none of `targets`.
+template <class Row, class Id, class Target>
+void check_refers(const std::vector<Row>& rows, const std::string& section,
+                  const char* key, Id Row::*member,
+                  const std::vector<Target>& targets, parse_errors& errors) {
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        const auto& name = rows[i].*member;
+        const bool known =
+            std::any_of(targets.begin(), targets.end(),
+                        [&](const Target& t) { return t.name == name; });
+        if (!name.empty() && !known) {
+            errors.push_back({fault::unknown_name,
+                              section + "/" + std::to_string(i) + "/" + key,
+                              std::string("the name of a ") + key});
+        }
+    }
+}
+
+void check_names(const document& d, parse_errors& errors) {
+    check_repeated(d.owners, "/owners", errors);
+    check_repeated(d.pools, "/pools", errors);
+    check_repeated(d.trainers, "/trainers", errors);
+    check_repeated(d.services, "/services", errors);
+    check_refers(d.pools, "/pools", "owner", &pool::owner, d.owners, errors);
+    check_refers(d.trainers, "/trainers", "owner", &trainer::owner, d.owners,
+                 errors);
+    check_refers(d.trainers, "/trainers", "pool", &trainer::pool, d.pools,
+                 errors);
+    check_refers(d.services, "/services", "owner", &service::owner, d.owners,
+                 errors);
+}
+
+/// Returns true if `root` says that it follows a schema of the future, whose
+/// other errors would be noise.
+bool newer_schema(const json& root) {
+    const auto at = root.is_object() ? root.find("schema") : root.end();
+    return root.is_object() && at != root.end() && at->is_number_integer() &&
+           at->get<double>() > newest_schema;
+}
+
+} // namespace
+
+base::result<document, parse_errors> parse(std::string_view text) {
+    const json root = json::parse(text, nullptr, false);
+    if (root.is_discarded()) {
+        return parse_errors{{fault::not_json, "", "JSON"}};
+    }
+    if (newer_schema(root)) {
+        return parse_errors{{fault::unknown_schema, "/schema",
+                             std::to_string(newest_schema) + " at most"}};
+    }
+    parse_errors errors;
+    object_reader reader(root, "", errors);
+    document d = read_document(reader);
+    check_names(d, errors);
+    if (!errors.empty()) {
+        return errors;
+    }
+    return d;
+}
+
+} // namespace hibiscus::document
