cluster: tables and the systems that run over them

Cause: homes of steps, engines and claims must be tested without sockets. Each takes messages and a time and returns effects. Ruled out: callbacks into I/O from these classes, which a fuzzer cannot reorder.

--- /dev/null
+++ b/packages/cluster/include/hibiscus/cluster/claim_fold.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "hibiscus/wire/claims.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hibiscus::cluster {
+
+/// What the stream of a shard says of a key.
+struct claim_row {
+    /// The epoch whose holder claimed the key.
+    wire::log_offset epoch = 0;
+    base::millis created_ms = 0;
+    /// The answer, once the stream has it.
+    std::optional<std::string> body;
+};
+
+/// The start of an epoch.
+struct shard_epoch {
+    wire::log_offset number = 0;
+    base::node_id node;
+    std::uint64_t incarnation = 0;
+};
+
+/// Folds the stream of one shard of keys. Of all claims for a key only the
+/// first that was made under the epoch then in force counts, so at most one
+/// holder ever may dispatch the request.
+class claim_fold {
+public:
+    /// Applies one record. Returns the keys whose claim it made valid. A
+    /// record at or before the last one is skipped, and so is the second copy
+    /// of one that was appended twice.
+    std::vector<base::request_id> apply(wire::log_offset offset,
+                                        const wire::claim_record& record);
+
+    /// Returns the claim of `key`, or null if there is none.
+    const claim_row* find(const base::request_id& key) const;
+
+    /// Returns the epoch in force, or null before the first.
+    const shard_epoch* epoch() const;
+
+    /// Drops the claims of requests made before `created_before_ms`, by the
+    /// time of day.
+    void forget(base::millis created_before_ms);
+
+    /// Returns the offset after the last record that was applied.
+    wire::log_offset next() const { return next_; }
+
+    /// Returns the number of claims held.
+    std::size_t size() const { return claims_.size(); }
+
+private:
+    bool repeated(const wire::claim_record& record);
+    bool apply_item(const wire::claim_item& item);
+
+    std::map<base::request_id, claim_row> claims_;
+    std::optional<shard_epoch> epoch_;
+    std::map<std::pair<base::node_id, std::uint64_t>, std::uint64_t> written_;
+    wire::log_offset next_ = 0;
+};
+
+} // namespace hibiscus::cluster
--- /dev/null
+++ b/packages/cluster/include/hibiscus/cluster/claim_home.hpp
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "hibiscus/cluster/claim_fold.hpp"
+#include "hibiscus/wire/answers.hpp"
+
+#include <set>
+#include <variant>
+
+namespace hibiscus::cluster {
+
+/// Names a caller that waits for an answer.
+using claim_waiter = std::uint64_t;
+
+/// The number of one shard of keys.
+using shard_number = std::uint32_t;
+
+/// Returns the shard that `key` belongs to.
+shard_number shard_of(const base::request_id& key, shard_number shards);
+
+/// Append a record to a shard's stream. The same id is used for each try.
+struct append_claims {
+    shard_number shard = 0;
+    base::append_id id;
+    wire::claim_record record;
+};
+
+/// Send a request to its service: its claim is the first and stands.
+struct dispatch_request {
+    wire::service_request request;
+    /// By the monotonic clock.
+    base::millis deadline = 0;
+};
+
+/// Answer a caller.
+struct answer_request {
+    claim_waiter waiter = 0;
+    wire::answer answer;
+};
+
+/// What a claim_home wants done.
+using claim_effect =
+    std::variant<append_claims, dispatch_request, answer_request>;
+
+/// Times that steer a claim_home, in ms.
+struct claim_times {
+    /// The least time between two appends of claims to one shard.
+    base::millis window = 10;
+    /// How long a refused caller waits.
+    base::millis refusal = 200;
+    /// How far a caller's clock may be ahead.
+    base::millis clock_skew = 5000;
+    /// How long claims are kept, by the time of day.
+    base::millis keep = 600000;
+};
+
+/// How an append ended.
+enum class append_outcome {
+    appended, ///< It is in the log.
+    refused,  ///< It is not, and will not be.
+    unknown   ///< It may be.
+};
+
+/// Runs the non-idempotent requests of the shards whose home this node is:
+/// claims each key in the log, and dispatches a request only after it has
+/// read back that its claim is the first.
+class claim_home {
+public:
+    /// Constructs a home without shards.
+    claim_home(base::node_id self, std::uint64_t incarnation,
+               claim_times times);
+
+    /// Changes how long claims are kept, in ms.
+    void set_keep(base::millis keep) { times_.keep = keep; }
+
+    /// Sets the shards that this node is home for. A new one begins with an
+    /// epoch record; an old one refuses what has not been claimed.
+    void assign(const std::set<shard_number>& shards);
+
+    /// Takes a caller's request. The answer comes through an effect.
+    /// `now` is monotonic, `wall` the time of day.
+    void submit(base::millis now, base::millis wall, claim_waiter waiter,
+                shard_number shard, const wire::service_request& request);
+
+    /// Takes over records of a shard's stream, in the order of offsets.
+    void read(base::millis now, shard_number shard, wire::log_offset offset,
+              const wire::claim_record& record);
+
+    /// Notes how the append of `id` to `shard` ended. A refused or unknown
+    /// one is tried again not before `retry_at`.
+    void appended(shard_number shard, const base::append_id& id,
+                  append_outcome outcome, base::millis retry_at);
+
+    /// Notes how a dispatched request ended.
+    void dispatched(shard_number shard, const wire::answer& answer);
+
+    /// Sends due appends, refuses what is past its deadline.
+    void tick(base::millis now, base::millis wall);
+
+    /// Returns the shards whose streams must be read, each with the offset to
+    /// read from.
+    std::vector<std::pair<shard_number, wire::log_offset>> reading() const;
+
+    /// Returns the number of requests between submission and answer.
+    std::size_t pending() const;
+
+    /// Returns what is to be done, in order, and forgets it.
+    std::vector<claim_effect> take_effects();
+
+private:
+    enum class stage { queued, appending, running };
+
+    struct pending_request {
+        wire::service_request request;
+        std::vector<claim_waiter> waiters;
+        base::millis deadline = 0;
+        stage at = stage::queued;
+    };
+
+    struct shard_row {
+        bool home = false;
+        claim_fold fold;
+        /// The epoch that this node holds; -1 if none.
+        wire::log_offset held = -1;
+        std::map<base::request_id, pending_request> pending;
+        std::vector<wire::claim_item> queue;
+        std::optional<append_claims> in_flight;
+        bool sent = false;
+        base::millis not_before = 0;
+        base::millis take_not_before = 0;
+        bool log_failing = false;
+    };
+
+    bool ready(const shard_row& row) const;
+    std::optional<wire::answer> known_answer(const shard_row& row,
+                                             const wire::service_request& r,
+                                             base::millis wall) const;
+    void answer_all(shard_row& row, const base::request_id& key,
+                    const wire::answer& answer);
+    void refuse_unclaimed(shard_row& row, wire::reason why);
+    void take_epoch(base::millis now, shard_row& row, const shard_epoch& epoch);
+    void start_claimed(base::millis now, shard_row& row,
+                       const base::request_id& key);
+    void release(shard_row& row, const base::request_id& key);
+    void expire(base::millis now, shard_row& row);
+    void send(base::millis now, shard_number shard, shard_row& row);
+
+    base::node_id self_;
+    std::uint64_t incarnation_;
+    claim_times times_;
+    std::map<shard_number, shard_row> shards_;
+    std::uint64_t appends_ = 0;
+    std::vector<claim_effect> effects_;
+};
+
+} // namespace hibiscus::cluster
+
+namespace hibiscus::base {
+
+template <>
+struct enum_names<cluster::append_outcome> {
+    static constexpr std::array<enum_name<cluster::append_outcome>, 3> table{{
+        {cluster::append_outcome::appended, "appended"},
+        {cluster::append_outcome::refused, "refused"},
+        {cluster::append_outcome::unknown, "unknown"},
+    }};
+};
+
+} // namespace hibiscus::base
--- /dev/null
+++ b/packages/cluster/include/hibiscus/cluster/engine_table.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "hibiscus/wire/peer.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hibiscus::cluster {
+
+/// An engine as this node sees it: from the instance list, from the digests
+/// of its home, and from what this node has placed on it since.
+struct engine_row {
+    base::engine_id id;
+    base::pool_id pool;
+    base::zone_id zone;
+    std::string address;
+    /// True if the instance list names it as leaving.
+    bool leaving = false;
+    /// The last digest of its home.
+    wire::engine_digest digest;
+    base::millis digest_at = 0;
+    /// Streams that this node has placed since the digest.
+    int placed_since = 0;
+
+    /// Returns the best estimate of the streams at the engine.
+    int load() const { return digest.admitted + placed_since; }
+};
+
+/// The engines that the instance list names.
+class engine_table {
+public:
+    /// Takes over a page of the instance list. Engines that it lacks are
+    /// dropped.
+    void update(const wire::instance_page& page);
+
+    /// Notes what an engine's home says of it.
+    void hear(base::millis now, const wire::engine_digest& digest);
+
+    /// Notes that this node has placed a stream on `engine`.
+    void note_placed(const base::engine_id& engine);
+
+    /// Returns the engine, or null if the list does not name it.
+    const engine_row* find(const base::engine_id& engine) const;
+
+    /// Returns the engines of a pool that may get new work, by their ids.
+    std::vector<const engine_row*> usable(const base::pool_id& pool) const;
+
+    /// Returns all engines by their ids.
+    const std::map<base::engine_id, engine_row>& all() const { return rows_; }
+
+private:
+    std::map<base::engine_id, engine_row> rows_;
+};
+
+} // namespace hibiscus::cluster
--- /dev/null
+++ b/packages/cluster/include/hibiscus/cluster/version_table.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "hibiscus/wire/peer.hpp"
+
+#include <map>
+#include <vector>
+
+namespace hibiscus::cluster {
+
+/// The newest weight version of each trainer that this node knows. Versions
+/// only grow, so nodes that exchange them agree without any order.
+class version_table {
+public:
+    /// Notes a version. Returns true if it is newer than the one known.
+    bool learn(const base::trainer_id& trainer, wire::weight_version version);
+
+    /// Returns the newest version known, 0 if there is none.
+    wire::weight_version newest(const base::trainer_id& trainer) const;
+
+    /// Returns all newest versions, in the order of the trainers.
+    std::vector<wire::trainer_version> all() const;
+
+private:
+    std::map<base::trainer_id, wire::weight_version> newest_;
+};
+
+} // namespace hibiscus::cluster
--- /dev/null
+++ b/packages/cluster/src/claim_home.cpp
@@ -0,0 +1,321 @@
+#include "hibiscus/cluster/claim_home.hpp"
+
+#include "hibiscus/base/hash.hpp"
+
+#include <algorithm>
+
+namespace hibiscus::cluster {
+
+namespace {
+
+constexpr base::millis takeover_pause = 2000;
+
+/// Returns the id under which a record is appended, however often.
+base::append_id id_of(const wire::claim_record& record) {
+    return base::append_id(record.node.str() + "/" +
+                           std::to_string(record.incarnation) + "/" +
+                           std::to_string(record.sequence));
+}
+
+} // namespace
+
+shard_number shard_of(const base::request_id& key, shard_number shards) {
+    return static_cast<shard_number>(base::stable_hash(key.str()) % shards);
+}
+
+claim_home::claim_home(base::node_id self, std::uint64_t incarnation,
+                       claim_times times)
+    : self_(std::move(self)), incarnation_(incarnation), times_(times) {}
+
+void claim_home::assign(const std::set<shard_number>& shards) {
+    for (const auto shard : shards) {
+        shards_[shard].home = true;
+    }
+    for (auto& [shard, row] : shards_) {
+        if (row.home && shards.count(shard) == 0) {
+            row.home = false;
+            row.held = -1;
+            refuse_unclaimed(row, wire::reason::home_moved);
+        }
+    }
+}
+
+bool claim_home::ready(const shard_row& row) const {
+    const auto* epoch = row.fold.epoch();
+    return row.home && epoch != nullptr && row.held == epoch->number;
+}
+
+std::optional<wire::answer>
+claim_home::known_answer(const shard_row& row, const wire::service_request& r,
+                         base::millis wall) const {
+    // Claims are forgotten after a time. A request that is older than that
+    // might have run unseen, so it must not run now.
+    if (r.created_ms < wall - times_.keep ||
+        r.created_ms > wall + times_.clock_skew) {
+        return wire::not_run(r.id, wire::reason::claim_window_passed, 0, self_);
+    }
+    if (!ready(row)) {
+        const auto why = row.log_failing ? wire::reason::log_unavailable
+                                         : wire::reason::not_ready;
+        return wire::not_run(r.id, why, times_.refusal, self_);
+    }
+    const auto* claim = row.fold.find(r.id);
+    if (claim == nullptr) {
+        if (row.log_failing) {
+            return wire::not_run(r.id, wire::reason::log_unavailable,
+                                 times_.refusal, self_);
+        }
+        return std::nullopt;
+    }
+    if (claim->body) {
+        return wire::answer{r.id,
+                            wire::outcome::completed,
+                            wire::reason::none,
+                            0,
+                            *claim->body,
+                            self_,
+                            1};
+    }
+    return wire::unknown(r.id, wire::reason::outcome_lost, self_);
+}
+
+void claim_home::submit(base::millis now, base::millis wall,
+                        claim_waiter waiter, shard_number shard,
+                        const wire::service_request& request) {
+    auto& row = shards_[shard];
+    const auto at = row.pending.find(request.id);
+    if (at != row.pending.end()) {
+        at->second.waiters.push_back(waiter);
+        return;
+    }
+    if (const auto known = known_answer(row, request, wall)) {
+        effects_.push_back(answer_request{waiter, *known});
+        return;
+    }
+    row.pending[request.id] = {
+        request, {waiter}, now + request.deadline_ms, stage::queued};
+    row.queue.push_back({wire::claim_kind::claim,
+                         request.id,
+                         row.held,
+                         request.created_ms,
+                         {}});
+}
+
+void claim_home::answer_all(shard_row& row, const base::request_id& key,
+                            const wire::answer& answer) {
+    const auto at = row.pending.find(key);
+    if (at == row.pending.end()) {
+        return;
+    }
+    for (const auto waiter : at->second.waiters) {
+        effects_.push_back(answer_request{waiter, answer});
+    }
+    row.pending.erase(at);
+}
+
+void claim_home::refuse_unclaimed(shard_row& row, wire::reason why) {
+    std::vector<base::request_id> refused;
+    for (const auto& [key, p] : row.pending) {
+        if (p.at != stage::running) {
+            refused.push_back(key);
+        }
+    }
+    for (const auto& key : refused) {
+        answer_all(row, key, wire::not_run(key, why, times_.refusal, self_));
+    }
+    row.queue.erase(std::remove_if(row.queue.begin(), row.queue.end(),
+                                   [](const wire::claim_item& i) {
+                                       return i.kind == wire::claim_kind::claim;
+                                   }),
+                    row.queue.end());
+}
+
+void claim_home::read(base::millis now, shard_number shard,
+                      wire::log_offset offset,
+                      const wire::claim_record& record) {
+    auto& row = shards_[shard];
+    if (offset < row.fold.next()) {
+        return;
+    }
+    const auto* before = row.fold.epoch();
+    const auto old = before != nullptr ? before->number : -1;
+    const auto claimed = row.fold.apply(offset, record);
+    const auto* after = row.fold.epoch();
+    if (after != nullptr && after->number != old) {
+        take_epoch(now, row, *after);
+    }
+    const auto* epoch = row.fold.epoch();
+    const bool ours = epoch != nullptr && epoch->node == self_ &&
+                      epoch->incarnation == incarnation_;
+    for (const auto& key : claimed) {
+        if (ours) {
+            start_claimed(now, row, key);
+        }
+    }
+}
+
+void claim_home::take_epoch(base::millis now, shard_row& row,
+                            const shard_epoch& epoch) {
+    const bool ours = epoch.node == self_ && epoch.incarnation == incarnation_;
+    row.held = ours && row.home ? epoch.number : -1;
+    if (!ours) {
+        refuse_unclaimed(row, wire::reason::home_moved);
+        row.take_not_before = now + takeover_pause;
+    }
+}
+
+void claim_home::start_claimed(base::millis now, shard_row& row,
+                               const base::request_id& key) {
+    const auto at = row.pending.find(key);
+    if (at == row.pending.end()) {
+        // The caller was told `not_run` while the append was on its way.
+        release(row, key);
+        return;
+    }
+    if (at->second.at == stage::running) {
+        return;
+    }
+    if (now >= at->second.deadline) {
+        answer_all(row, key,
+                   wire::not_run(key, wire::reason::deadline_passed,
+                                 times_.refusal, self_));
+        release(row, key);
+        return;
+    }
+    at->second.at = stage::running;
+    effects_.push_back(
+        dispatch_request{at->second.request, at->second.deadline});
+}
+
+void claim_home::release(shard_row& row, const base::request_id& key) {
+    const auto* claim = row.fold.find(key);
+    if (claim != nullptr) {
+        row.queue.push_back({wire::claim_kind::release,
+                             key,
+                             claim->epoch,
+                             claim->created_ms,
+                             {}});
+    }
+}
+
+void claim_home::appended(shard_number shard, const base::append_id& id,
+                          append_outcome outcome, base::millis retry_at) {
+    auto& row = shards_[shard];
+    if (!row.in_flight || row.in_flight->id != id) {
+        return;
+    }
+    row.sent = false;
+    row.log_failing = outcome != append_outcome::appended;
+    if (outcome == append_outcome::appended) {
+        row.in_flight.reset();
+        return;
+    }
+    row.not_before = std::max(row.not_before, retry_at);
+    if (outcome == append_outcome::refused) {
+        // Nothing of it is in the log, so its callers can be told at once.
+        refuse_unclaimed(row, wire::reason::log_unavailable);
+        auto items = std::move(row.in_flight->record.items);
+        row.in_flight.reset();
+        for (auto& item : items) {
+            if (item.kind != wire::claim_kind::claim) {
+                row.queue.push_back(std::move(item));
+            }
+        }
+    }
+}
+
+void claim_home::dispatched(shard_number shard, const wire::answer& answer) {
+    auto& row = shards_[shard];
+    const auto* claim = row.fold.find(answer.id);
+    if (answer.result == wire::outcome::not_run) {
+        release(row, answer.id);
+    } else if (answer.result == wire::outcome::completed && claim != nullptr) {
+        row.queue.push_back({wire::claim_kind::outcome, answer.id, claim->epoch,
+                             claim->created_ms, answer.body});
+    }
+    answer_all(row, answer.id, answer);
+}
+
+void claim_home::tick(base::millis now, base::millis wall) {
+    for (auto& [shard, row] : shards_) {
+        row.fold.forget(wall - 2 * times_.keep);
+        expire(now, row);
+        send(now, shard, row);
+    }
+}
+
+void claim_home::expire(base::millis now, shard_row& row) {
+    std::vector<base::request_id> late;
+    for (const auto& [key, p] : row.pending) {
+        if (p.at != stage::running && now >= p.deadline) {
+            late.push_back(key);
+        }
+    }
+    for (const auto& key : late) {
+        answer_all(row, key,
+                   wire::not_run(key, wire::reason::deadline_passed,
+                                 times_.refusal, self_));
+        row.queue.erase(std::remove_if(row.queue.begin(), row.queue.end(),
+                                       [&](const wire::claim_item& i) {
+                                           return i.key == key;
+                                       }),
+                        row.queue.end());
+    }
+}
+
+void claim_home::send(base::millis now, shard_number shard, shard_row& row) {
+    if (row.sent || now < row.not_before) {
+        return;
+    }
+    if (!row.in_flight) {
+        wire::claim_record record;
+        record.node = self_;
+        record.incarnation = incarnation_;
+        record.sequence = ++appends_;
+        if (row.home && row.held < 0 && now >= row.take_not_before) {
+            record.starts_epoch = true;
+            row.take_not_before = now + takeover_pause;
+        } else if (!row.queue.empty()) {
+            record.items = std::exchange(row.queue, {});
+        } else {
+            return;
+        }
+        const auto id = id_of(record);
+        row.in_flight = append_claims{shard, id, std::move(record)};
+    }
+    for (const auto& item : row.in_flight->record.items) {
+        const auto at = row.pending.find(item.key);
+        if (at != row.pending.end() && at->second.at == stage::queued) {
+            at->second.at = stage::appending;
+        }
+    }
+    row.sent = true;
+    row.not_before = now + times_.window;
+    effects_.push_back(*row.in_flight);
+}
+
+std::vector<std::pair<shard_number, wire::log_offset>>
+claim_home::reading() const {
+    std::vector<std::pair<shard_number, wire::log_offset>> result;
+    for (const auto& [shard, row] : shards_) {
+        if (row.home || !row.pending.empty() || row.in_flight ||
+            !row.queue.empty()) {
+            result.emplace_back(shard, row.fold.next());
+        }
+    }
+    return result;
+}
+
+std::size_t claim_home::pending() const {
+    std::size_t count = 0;
+    for (const auto& [shard, row] : shards_) {
+        count += row.pending.size();
+    }
+    return count;
+}
+
+std::vector<claim_effect> claim_home::take_effects() {
+    return std::exchange(effects_, {});
+}
+
+} // namespace hibiscus::cluster
