--- /dev/null
+++ b/packages/policy/include/hibiscus/policy/routing.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "hibiscus/base/clock.hpp"
+#include "hibiscus/base/ids.hpp"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace hibiscus::policy {
+
+/// An instance of a service that may be chosen.
+struct instance_choice {
+    std::string id;
+    std::string address;
+    base::zone_id zone;
+};
+
+/// Routes idempotent requests over the instances of services, by the better
+/// of two drawn at random, judged by this node's own requests in flight.
+/// Not safe for use by several threads at once.
+class service_router {
+public:
+    /// Constructs a router with a seeded source of chance.
+    explicit service_router(std::uint64_t seed);
+
+    /// Returns the index of the instance to use and counts the request as in
+    /// flight, or nothing if each has `max_in_flight` or there are none.
+    /// An instance in `avoid` is used only when there is no other.
+    std::optional<std::size_t>
+    begin(const std::vector<instance_choice>& instances, int max_in_flight,
+          const std::string& avoid, base::millis now);
+
+    /// Counts the end of a request to the instance `id`. One that could not
+    /// be reached is avoided for a while.
+    void end(const std::string& id, bool reached, base::millis now);
+
+    /// Returns the requests in flight to the instance `id`.
+    int in_flight(const std::string& id) const;
+
+private:
+    struct load_row {
+        int in_flight = 0;
+        int failures = 0;
+        base::millis ejected_until = 0;
+    };
+
+    std::vector<std::size_t>
+    open_instances(const std::vector<instance_choice>& instances,
+                   int max_in_flight, const std::string& avoid,
+                   base::millis now);
+
+    std::map<std::string, load_row> rows_;
+    std::mt19937_64 random_;
+};
+
+/// Allows retries up to a share of the requests, so that a failing service is
+/// not hit by a multiple of its load.
+class retry_budget {
+public:
+    /// Constructs a budget that allows `ratio` retries for each request, and
+    /// `reserve` more after a quiet time.
+    retry_budget(double ratio, double reserve);
+
+    /// Notes a request.
+    void deposit();
+
+    /// Returns true, and takes one retry from the budget, if it allows one.
+    bool withdraw();
+
+    /// Changes the ratio.
+    void set_ratio(double ratio) { ratio_ = ratio; }
+
+private:
+    double ratio_;
+    double reserve_;
+    double tokens_;
+};
+
+} // namespace hibiscus::policy
--- /dev/null
+++ b/packages/policy/src/routing.cpp
@@ -0,0 +1,90 @@
+#include "hibiscus/policy/routing.hpp"
+
+#include <algorithm>
+
+namespace hibiscus::policy {
+
+namespace {
+
+constexpr int failures_until_ejected = 2;
+constexpr base::millis ejection = 1000;
+
+} // namespace
+
+service_router::service_router(std::uint64_t seed) : random_(seed) {}
+
+std::vector<std::size_t>
+service_router::open_instances(const std::vector<instance_choice>& instances,
+                               int max_in_flight, const std::string& avoid,
+                               base::millis now) {
+    std::vector<std::size_t> open;
+    std::vector<std::size_t> ejected;
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+        const auto& row = rows_[instances[i].id];
+        if (row.in_flight >= max_in_flight || instances[i].id == avoid) {
+            continue;
+        }
+        (row.ejected_until > now ? ejected : open).push_back(i);
+    }
+    // When most instances look unhealthy the fault is more likely on this
+    // side, and the few others would be overrun. So half stay in use.
+    const std::size_t fewest = (instances.size() + 1) / 2;
+    while (open.size() < fewest && !ejected.empty()) {
+        open.push_back(ejected.back());
+        ejected.pop_back();
+    }
+    if (open.empty() && !avoid.empty()) {
+        return open_instances(instances, max_in_flight, "", now);
+    }
+    return open;
+}
+
+std::optional<std::size_t>
+service_router::begin(const std::vector<instance_choice>& instances,
+                      int max_in_flight, const std::string& avoid,
+                      base::millis now) {
+    const auto open = open_instances(instances, max_in_flight, avoid, now);
+    if (open.empty()) {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<std::size_t> index(0, open.size() - 1);
+    const auto a = open[index(random_)];
+    const auto b = open[index(random_)];
+    const bool b_emptier =
+        in_flight(instances[b].id) < in_flight(instances[a].id);
+    const auto chosen = b_emptier ? b : a;
+    ++rows_[instances[chosen].id].in_flight;
+    return chosen;
+}
+
+void service_router::end(const std::string& id, bool reached,
+                         base::millis now) {
+    auto& row = rows_[id];
+    row.in_flight = std::max(0, row.in_flight - 1);
+    row.failures = reached ? 0 : row.failures + 1;
+    if (row.failures >= failures_until_ejected) {
+        row.ejected_until = now + ejection;
+    }
+}
+
+int service_router::in_flight(const std::string& id) const {
+    const auto at = rows_.find(id);
+    return at == rows_.end() ? 0 : at->second.in_flight;
+}
+
+retry_budget::retry_budget(double ratio, double reserve)
+    : ratio_(ratio), reserve_(reserve), tokens_(reserve) {}
+
+void retry_budget::deposit() {
+    tokens_ = std::min(tokens_ + ratio_, reserve_);
+}
+
+bool retry_budget::withdraw() {
+    if (tokens_ < 1.0) {
+        return false;
+    }
+    tokens_ -= 1.0;
+    return true;
+}
+
+} // namespace hibiscus::policy
--- /dev/null
+++ b/packages/policy/test/routing_test.cpp
@@ -0,0 +1,56 @@
+#include "hibiscus/policy/routing.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hibiscus::policy {
+namespace {
+
+/// Two instances of one service.
+class routing_test : public ::testing::Test {
+protected:
+    /// Begins a request and returns the chosen instance's id, or "".
+    std::string begin(int max_in_flight, const std::string& avoid = "") {
+        const auto at = router_.begin(instances_, max_in_flight, avoid, now_);
+        return at ? instances_[*at].id : "";
+    }
+
+    service_router router_{7};
+    std::vector<instance_choice> instances_{{"a", "", base::zone_id("z")},
+                                            {"b", "", base::zone_id("z")}};
+    base::millis now_ = 1000;
+};
+
+TEST_F(routing_test, stops_at_the_limit_of_each_instance) {
+    EXPECT_NE(begin(1), "");
+    EXPECT_NE(begin(1), "");
+    EXPECT_EQ(begin(1), "");
+}
+
+TEST_F(routing_test, avoids_the_instance_of_the_last_attempt) {
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(begin(100, "a"), "b");
+    }
+}
+
+// One of two instances stops answering. Its callers would each wait for a
+// connection that never comes, so it gets no requests for a while.
+TEST_F(routing_test, an_unreachable_instance_is_left_out) {
+    router_.end("a", false, now_);
+    router_.end("a", false, now_);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(begin(100), "b");
+    }
+}
+
+TEST(retry_budget_test, allows_a_share_of_the_requests) {
+    retry_budget budget(0.1, 1.0);
+    EXPECT_TRUE(budget.withdraw());
+    EXPECT_FALSE(budget.withdraw());
+    for (int i = 0; i < 11; ++i) {
+        budget.deposit();
+    }
+    EXPECT_TRUE(budget.withdraw());
+}
+
+} // namespace
+} // namespace hibiscus::policy
