--- /dev/null
+++ b/packages/net/src/http_client.cpp
@@ -0,0 +1,216 @@
+#include "hibiscus/net/http_client.hpp"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace hibiscus::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace detail {
+
+constexpr std::size_t idle_per_target = 16;
+constexpr std::size_t largest_answer = 64 * 1024 * 1024;
+
+using stream_ptr = std::unique_ptr<beast::tcp_stream>;
+
+/// Open connections that wait for their next request.
+class idle_pool {
+public:
+    /// Returns a connection to `target`, or null if none waits.
+    stream_ptr take(const base::endpoint& target) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        auto& waiting = idle_[target];
+        if (waiting.empty()) {
+            return nullptr;
+        }
+        auto stream = std::move(waiting.back());
+        waiting.pop_back();
+        return stream;
+    }
+
+    /// Keeps a connection for the next request, unless enough wait.
+    void put(const base::endpoint& target, stream_ptr stream) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        auto& waiting = idle_[target];
+        if (waiting.size() < idle_per_target) {
+            waiting.push_back(std::move(stream));
+        }
+    }
+
+private:
+    std::mutex mutex_;
+    std::map<base::endpoint, std::vector<stream_ptr>> idle_;
+};
+
+/// One request on its way. Its handlers run in the connection's strand.
+class exchange : public std::enable_shared_from_this<exchange> {
+public:
+    exchange(asio::io_context& io, std::shared_ptr<idle_pool> pool,
+             base::endpoint target, base::millis connect_ms,
+             std::function<void(http_result)> done)
+        : io_(io), pool_(std::move(pool)), target_(std::move(target)),
+          connect_ms_(connect_ms), done_(std::move(done)) {}
+
+    /// Sends `request`, which has `timeout` ms in all.
+    void start(const http_request& request, base::millis timeout, reuse mode) {
+        message_.version(11);
+        message_.method_string(request.method);
+        message_.target(request.target);
+        message_.set(http::field::host, base::to_string(target_));
+        message_.set(http::field::content_type, request.content_type);
+        message_.keep_alive(true);
+        message_.body() = request.body;
+        message_.prepare_payload();
+        until_ = std::chrono::steady_clock::now() +
+                 std::chrono::milliseconds(timeout);
+        stream_ = mode == reuse::allowed ? pool_->take(target_) : nullptr;
+        reused_ = stream_ != nullptr;
+        if (reused_) {
+            asio::dispatch(stream_->get_executor(),
+                           [self = shared_from_this()] { self->write(); });
+        } else {
+            connect();
+        }
+    }
+
+private:
+    void connect() {
+        reused_ = false;
+        buffer_.clear();
+        stream_ = std::make_unique<beast::tcp_stream>(asio::make_strand(io_));
+        asio::dispatch(stream_->get_executor(), [self = shared_from_this()] {
+            self->connect_in_strand();
+        });
+    }
+
+    void connect_in_strand() {
+        beast::error_code error;
+        const auto ip = asio::ip::make_address(target_.ip, error);
+        if (error) {
+            finish(http_failure{delivery::not_sent});
+            return;
+        }
+        const auto limit = std::chrono::steady_clock::now() +
+                           std::chrono::milliseconds(connect_ms_);
+        stream_->expires_at(std::min(limit, until_));
+        stream_->async_connect(
+            tcp::endpoint(ip, target_.port),
+            [self = shared_from_this()](beast::error_code e) {
+                if (e) {
+                    self->finish(http_failure{delivery::not_sent});
+                } else {
+                    self->write();
+                }
+            });
+    }
+
+    void write() {
+        stream_->expires_at(until_);
+        http::async_write(
+            *stream_, message_,
+            [self = shared_from_this()](beast::error_code e, std::size_t) {
+                if (e) {
+                    self->failed();
+                } else {
+                    self->read();
+                }
+            });
+    }
+
+    void read() {
+        parser_.emplace();
+        parser_->body_limit(largest_answer);
+        http::async_read(
+            *stream_, buffer_, *parser_,
+            [self = shared_from_this()](beast::error_code e, std::size_t) {
+                if (e) {
+                    self->failed();
+                } else {
+                    self->answered();
+                }
+            });
+    }
+
+    /// A connection that waited may have been closed by the other side at any
+    /// time; the request then gets a new one. Only requests that may run
+    /// twice come here with a used connection.
+    void failed() {
+        const bool untouched = !parser_ || !parser_->got_some();
+        if (reused_ && untouched && std::chrono::steady_clock::now() < until_) {
+            connect();
+            return;
+        }
+        finish(http_failure{delivery::lost});
+    }
+
+    void answered() {
+        auto message = parser_->release();
+        http_response response;
+        response.status = static_cast<int>(message.result_int());
+        response.content_type = std::string(message[http::field::content_type]);
+        response.body = std::move(message.body());
+        if (message.keep_alive()) {
+            stream_->expires_never();
+            pool_->put(target_, std::move(stream_));
+        }
+        finish(std::move(response));
+    }
+
+    void finish(http_result result) {
+        auto done = std::exchange(done_, nullptr);
+        if (done) {
+            done(std::move(result));
+        }
+    }
+
+    asio::io_context& io_;
+    std::shared_ptr<idle_pool> pool_;
+    base::endpoint target_;
+    base::millis connect_ms_;
+    std::function<void(http_result)> done_;
+    std::chrono::steady_clock::time_point until_;
+    stream_ptr stream_;
+    bool reused_ = false;
+    beast::flat_buffer buffer_;
+    http::request<http::string_body> message_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+};
+
+} // namespace detail
+
+/// What all requests of a client share.
+class http_client::impl {
+public:
+    impl(asio::io_context& io, base::millis connect_ms)
+        : io_(io), connect_ms_(connect_ms),
+          pool_(std::make_shared<detail::idle_pool>()) {}
+
+    asio::io_context& io_;
+    base::millis connect_ms_;
+    std::shared_ptr<detail::idle_pool> pool_;
+};
+
+http_client::http_client(asio::io_context& io, base::millis connect_ms)
+    : impl_(std::make_shared<impl>(io, connect_ms)) {}
+
+void http_client::send(const base::endpoint& target, http_request request,
+                       base::millis timeout, reuse mode,
+                       std::function<void(http_result)> done) {
+    std::make_shared<detail::exchange>(impl_->io_, impl_->pool_, target,
+                                       impl_->connect_ms_, std::move(done))
+        ->start(request, timeout, mode);
+}
+
+} // namespace hibiscus::net
