platform: clients of the log service and the instance list

Cause: what must last goes through the platform. 429 and 503 mean that the record was not taken; every other failure after the first byte is unknown.

--- /dev/null
+++ b/packages/platform/include/hibiscus/platform/instance_client.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "hibiscus/net/http_client.hpp"
+#include "hibiscus/wire/platform.hpp"
+
+#include <functional>
+#include <optional>
+
+namespace hibiscus::platform {
+
+/// Reads the platform's list of instances.
+class instance_client {
+public:
+    /// Constructs a client of the service at `target`.
+    instance_client(net::http_client& http, base::endpoint target);
+
+    /// Reads the whole list; `done` gets nothing if it cannot be had.
+    void fetch(std::function<void(std::optional<wire::instance_page>)> done);
+
+private:
+    net::http_client& http_;
+    base::endpoint target_;
+};
+
+} // namespace hibiscus::platform
--- /dev/null
+++ b/packages/platform/src/log_client.cpp
@@ -0,0 +1,83 @@
+#include "hibiscus/platform/log_client.hpp"
+
+#include "hibiscus/wire/codec.hpp"
+
+namespace hibiscus::platform {
+
+namespace {
+
+constexpr base::millis append_timeout = 1500;
+constexpr base::millis read_margin = 1500;
+constexpr base::millis default_retry = 200;
+constexpr int status_ok = 200;
+constexpr int status_too_many = 429;
+constexpr int status_unavailable = 503;
+
+/// Returns the failure that an answer stands for. The service answers 429 or
+/// 503 only for what it did not take; of other errors nothing is known.
+log_failure failure_of(const net::http_response& response) {
+    const bool refused = response.status == status_too_many ||
+                         response.status == status_unavailable;
+    return {refused ? log_fault::refused : log_fault::unknown, default_retry};
+}
+
+/// Returns the message in a result, or the failure that it is.
+template <class T>
+std::variant<T, log_failure> decode(const net::http_result& result) {
+    const auto* response = std::get_if<net::http_response>(&result);
+    if (response == nullptr) {
+        const auto how = std::get<net::http_failure>(result).how;
+        return log_failure{how == net::delivery::not_sent ? log_fault::refused
+                                                          : log_fault::unknown,
+                           default_retry};
+    }
+    if (response->status != status_ok) {
+        return failure_of(*response);
+    }
+    auto read = wire::from_json<T>(response->body);
+    if (auto* value = base::value_if(read)) {
+        return std::move(*value);
+    }
+    return log_failure{log_fault::corrupt, default_retry};
+}
+
+std::string path_of(const std::string& stream) {
+    return "/v1/streams/" + stream + "/records";
+}
+
+} // namespace
+
+log_client::log_client(net::http_client& http, base::endpoint target)
+    : http_(http), target_(std::move(target)) {}
+
+void log_client::append(const std::string& stream, const base::append_id& id,
+                        std::string data,
+                        std::function<void(append_result)> done) {
+    net::http_request request;
+    request.method = "POST";
+    request.target = path_of(stream);
+    request.body = wire::to_json(wire::append_request{id, std::move(data)});
+    http_.send(target_, std::move(request), append_timeout, net::reuse::never,
+               [done = std::move(done)](const net::http_result& result) {
+                   done(decode<wire::append_answer>(result));
+               });
+}
+
+void log_client::read(const std::string& stream, wire::log_offset from,
+                      base::millis wait_ms,
+                      std::function<void(read_result)> done) {
+    net::http_request request;
+    request.target = path_of(stream) + "?from=" + std::to_string(from) +
+                     "&wait_ms=" + std::to_string(wait_ms);
+    http_.send(target_, std::move(request), wait_ms + read_margin,
+               net::reuse::allowed,
+               [done = std::move(done)](const net::http_result& result) {
+                   done(decode<wire::log_page>(result));
+               });
+}
+
+std::string claim_stream(std::uint32_t shard) {
+    return "claims-" + std::to_string(shard);
+}
+
+} // namespace hibiscus::platform
