node: hibiscusd

Cause: the packages below need one process that wires them: one control thread, a thread for peer links, traffic threads that read an immutable view.

--- /dev/null
+++ b/packages/node/include/hibiscus/node/callers_api.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "hibiscus/net/http.hpp"
+#include "hibiscus/node/control.hpp"
+
+#include <memory>
+#include <string>
+
+namespace hibiscus::node {
+
+/// Answers the callers' HTTP requests on traffic threads. Each path, method
+/// and body that is wrong gets a typed 4xx; see docs/API.md.
+class callers_api {
+public:
+    /// Constructs the API of a node.
+    callers_api(base::node_id self, control& state, const shared_view& shared,
+                service_gateway& services, metrics& counters);
+
+    /// Handles one request.
+    void handle(net::http_request request, net::http_responder respond);
+
+private:
+    void get(const net::http_request& request,
+             const net::http_responder& respond);
+    void run_service(const net::http_request& request,
+                     const net::http_responder& respond);
+    void trainer_call(const net::http_request& request,
+                      const std::vector<std::string>& path,
+                      const net::http_responder& respond);
+    void open_step(const net::http_request& request,
+                   const base::trainer_id& trainer, wire::step_number step,
+                   const net::http_responder& respond);
+    void pull(const net::http_request& request, const base::trainer_id& trainer,
+              wire::step_number step, const net::http_responder& respond);
+    void publish(const base::trainer_id& trainer, wire::weight_version version,
+                 const net::http_responder& respond);
+    void entries(const net::http_responder& respond);
+    bool takes_requests(wire::reason& why) const;
+
+    base::node_id self_;
+    control& control_;
+    const shared_view& shared_;
+    service_gateway& services_;
+    metrics& counters_;
+};
+
+} // namespace hibiscus::node
--- /dev/null
+++ b/packages/node/include/hibiscus/node/config_follower.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "hibiscus/document/config_fold.hpp"
+#include "hibiscus/net/peer_mesh.hpp"
+#include "hibiscus/node/decision_log.hpp"
+#include "hibiscus/node/metrics.hpp"
+#include "hibiscus/platform/log_client.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+
+namespace hibiscus::node {
+
+/// Keeps the document in force: folds the `config` stream, and gives to and
+/// takes from peers what the stream cannot give during an outage. Lives on
+/// the control thread.
+class config_follower {
+public:
+    /// Constructs a follower that calls `changed` after each change.
+    config_follower(base::node_id self, boost::asio::io_context& control,
+                    platform::log_client& log, net::peer_mesh& mesh,
+                    decision_log& lines, metrics& counters, base::clock clock,
+                    std::function<void()> changed);
+
+    /// Starts to read.
+    void start();
+
+    /// Notes the revision that a peer has in force; asks for a newer one.
+    void hear(const base::node_id& peer, wire::log_offset revision);
+
+    /// Answers a peer that asks for the document.
+    void wanted(const wire::document_want& message);
+
+    /// Takes a document from a peer, if it is newer.
+    void offered(const wire::document_offer& message);
+
+    /// Returns the document in force, or null before the first.
+    const document::revision* in_force() const { return fold_.in_force(); }
+
+    /// Returns the time of the last answer of the log, by the monotonic
+    /// clock; 0 before the first.
+    base::millis log_heard_at() const { return log_heard_at_; }
+
+private:
+    void read();
+    void took(const platform::read_result& result);
+    void apply(const wire::log_page& page);
+    void note_change();
+
+    base::node_id self_;
+    boost::asio::io_context& control_;
+    platform::log_client& log_;
+    net::peer_mesh& mesh_;
+    decision_log& lines_;
+    metrics& counters_;
+    base::clock clock_;
+    std::function<void()> changed_;
+    boost::asio::steady_timer retry_;
+    document::config_fold fold_;
+    wire::log_offset next_ = 0;
+    wire::log_offset announced_ = 0;
+    base::millis log_heard_at_ = 0;
+    base::millis asked_at_ = 0;
+};
+
+} // namespace hibiscus::node
--- /dev/null
+++ b/packages/node/src/callers_api.cpp
@@ -0,0 +1,345 @@
+#include "hibiscus/node/callers_api.hpp"
+
+#include "hibiscus/wire/codec.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace hibiscus::node {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_bad = 400;
+constexpr int status_not_found = 404;
+constexpr int status_bad_method = 405;
+constexpr int status_bad_type = 415;
+constexpr int status_too_many = 429;
+constexpr int status_unavailable = 503;
+constexpr int status_lost = 504;
+
+constexpr std::size_t longest_id = 128;
+constexpr base::millis longest_deadline = 600000;
+constexpr std::uint64_t most_slots = 65536;
+constexpr std::uint32_t most_tokens = 1000000;
+constexpr base::millis default_ttl = 1000;
+
+/// Returns the HTTP status that stands for an outcome.
+int status_of(wire::outcome result, wire::reason why) {
+    switch (result) {
+    case wire::outcome::completed:
+        return status_ok;
+    case wire::outcome::not_run:
+        return why == wire::reason::overloaded ? status_too_many
+                                               : status_unavailable;
+    case wire::outcome::unknown:
+        return status_lost;
+    }
+    return status_lost;
+}
+
+net::http_response problem(int status, const std::string& where,
+                           const std::string& expected) {
+    const wire::problem p{wire::reason::invalid_request, where, expected};
+    return {status, wire::to_json(p), "application/json"};
+}
+
+/// Returns true if `id` can be a part of a path.
+bool valid_id(const std::string& id) {
+    const auto allowed = [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+    };
+    return !id.empty() && id.size() <= longest_id && id != "." && id != ".." &&
+           std::all_of(id.begin(), id.end(), allowed);
+}
+
+std::vector<std::string> split(const std::string& target) {
+    std::vector<std::string> parts;
+    std::size_t at = 1;
+    const auto end = std::min(target.find('?'), target.size());
+    while (at <= end) {
+        const auto slash = std::min(target.find('/', at), end);
+        parts.push_back(target.substr(at, slash - at));
+        at = slash + 1;
+    }
+    return parts;
+}
+
+bool parse_number(const std::string& text, std::int64_t& number) {
+    const char* last = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), last, number);
+    return parsed.ec == std::errc() && parsed.ptr == last && number >= 0;
+}
+
+/// Returns what is wrong with a request to a service, or nothing.
+std::optional<wire::problem> check(const wire::service_request& r) {
+    const auto bad = wire::reason::invalid_request;
+    if (!valid_id(r.id.str())) {
+        return wire::problem{bad, "/id", "1 to 128 of A-Z a-z 0-9 - _ ."};
+    }
+    if (r.deadline_ms <= 0 || r.deadline_ms > longest_deadline) {
+        return wire::problem{bad, "/deadline_ms", "1 to 600000"};
+    }
+    if (!r.idempotent && r.created_ms <= 0) {
+        return wire::problem{bad, "/created_ms", "the time of day in ms"};
+    }
+    return std::nullopt;
+}
+
+/// Returns what is wrong with a step, or nothing.
+std::optional<wire::problem> check(const wire::step_request& r) {
+    const auto bad = wire::reason::invalid_request;
+    std::uint64_t slots = 0;
+    for (std::size_t i = 0; i < r.groups.size(); ++i) {
+        const auto at = "/groups/" + std::to_string(i);
+        slots += r.groups[i].samples;
+        if (r.groups[i].samples == 0 || slots > most_slots) {
+            return wire::problem{bad, at + "/samples",
+                                 "1 or more, 65536 in all"};
+        }
+        if (r.groups[i].max_tokens == 0 ||
+            r.groups[i].max_tokens > most_tokens) {
+            return wire::problem{bad, at + "/max_tokens", "1 to 1000000"};
+        }
+    }
+    if (r.groups.empty()) {
+        return wire::problem{bad, "/groups", "one group or more"};
+    }
+    if (r.version < 0) {
+        return wire::problem{bad, "/version", "0 or more"};
+    }
+    return std::nullopt;
+}
+
+/// Returns what is wrong with a pull, or nothing.
+std::optional<wire::problem> check(const wire::pull_request& r) {
+    const auto bad = wire::reason::invalid_request;
+    if (r.version < 0) {
+        return wire::problem{bad, "/version", "0 or more"};
+    }
+    for (const auto& range : r.received) {
+        if (range.first > range.last || range.last >= most_slots) {
+            return wire::problem{bad, "/received", "pairs [first, last]"};
+        }
+    }
+    if (r.wait_ms < 0) {
+        return wire::problem{bad, "/wait_ms", "0 or more"};
+    }
+    return std::nullopt;
+}
+
+/// Returns the message in a request's body; answers a 4xx and returns nothing
+/// if there is none.
+template <class T>
+std::optional<T> body_of(const net::http_request& request,
+                         const net::http_responder& respond) {
+    if (request.content_type.rfind("application/json", 0) != 0) {
+        respond(problem(status_bad_type, "/content-type", "application/json"));
+        return std::nullopt;
+    }
+    auto read = wire::from_json<T>(request.body);
+    auto* value = base::value_if(read);
+    if (value == nullptr) {
+        respond(problem(status_bad, "/body",
+                        std::get<wire::decode_error>(read).what));
+        return std::nullopt;
+    }
+    if (const auto wrong = check(*value)) {
+        respond({status_bad, wire::to_json(*wrong), "application/json"});
+        return std::nullopt;
+    }
+    return std::move(*value);
+}
+
+/// Returns a function that counts an answer and sends it.
+template <class T>
+std::function<void(T)> answering(metrics& counters, const char* kind,
+                                 net::http_responder respond) {
+    return [&counters, kind, respond = std::move(respond)](const T& answer) {
+        counters.count_answer(kind, std::string(base::name_of(answer.result)),
+                              std::string(base::name_of(answer.why)));
+        respond({status_of(answer.result, answer.why), wire::to_json(answer),
+                 "application/json"});
+    };
+}
+
+} // namespace
+
+callers_api::callers_api(base::node_id self, control& state,
+                         const shared_view& shared, service_gateway& services,
+                         metrics& counters)
+    : self_(std::move(self)), control_(state), shared_(shared),
+      services_(services), counters_(counters) {}
+
+void callers_api::handle(net::http_request request,
+                         net::http_responder respond) {
+    if (request.method == "GET") {
+        get(request, respond);
+        return;
+    }
+    const auto path = split(request.target);
+    if (path.size() == 2 && path[0] == "v1" && path[1] == "requests") {
+        run_service(request, respond);
+        return;
+    }
+    if (path.size() >= 5 && path[0] == "v1" && path[1] == "trainers") {
+        trainer_call(request, path, respond);
+        return;
+    }
+    respond(problem(status_not_found, "/target", "a path of docs/API.md"));
+}
+
+void callers_api::get(const net::http_request& request,
+                      const net::http_responder& respond) {
+    const auto& target = request.target;
+    if (target == "/healthz") {
+        respond({status_ok, "ok\n", "text/plain"});
+    } else if (target == "/readyz") {
+        wire::reason why{};
+        const bool ready = takes_requests(why) &&
+                           shared_.get()->state == wire::node_state::ready;
+        respond({ready ? status_ok : status_unavailable,
+                 std::string(base::name_of(shared_.get()->state)) + "\n",
+                 "text/plain"});
+    } else if (target == "/metrics") {
+        respond(
+            {status_ok, counters_.serialize(), "text/plain; version=0.0.4"});
+    } else if (target == "/v1/entries") {
+        entries(respond);
+    } else if (target == "/v1/status") {
+        control_.status([respond](std::string text) {
+            respond({status_ok, std::move(text), "application/json"});
+        });
+    } else {
+        respond(problem(status_not_found, "/target", "a path of docs/API.md"));
+    }
+}
+
+void callers_api::entries(const net::http_responder& respond) {
+    const auto v = shared_.get();
+    wire::entries_answer answer;
+    answer.ttl_ms =
+        v->config ? v->config->content.limit.entries_ttl_ms : default_ttl;
+    answer.entries = v->entries;
+    respond({status_ok, wire::to_json(answer), "application/json"});
+}
+
+bool callers_api::takes_requests(wire::reason& why) const {
+    const auto state = shared_.get()->state;
+    why = state == wire::node_state::isolated ? wire::reason::config_unknown
+                                              : wire::reason::not_ready;
+    return state == wire::node_state::ready ||
+           state == wire::node_state::draining;
+}
+
+void callers_api::run_service(const net::http_request& request,
+                              const net::http_responder& respond) {
+    if (request.method != "POST") {
+        respond(problem(status_bad_method, "/method", "POST"));
+        return;
+    }
+    const auto body = body_of<wire::service_request>(request, respond);
+    if (!body) {
+        return;
+    }
+    auto done = answering<wire::answer>(counters_, "service", respond);
+    wire::reason why{};
+    if (!takes_requests(why)) {
+        done(wire::not_run(body->id, why, default_ttl, self_));
+    } else if (body->idempotent) {
+        services_.run(*body, std::move(done));
+    } else {
+        control_.run(*body, std::move(done));
+    }
+}
+
+void callers_api::trainer_call(const net::http_request& request,
+                               const std::vector<std::string>& path,
+                               const net::http_responder& respond) {
+    const base::trainer_id trainer(path[2]);
+    std::int64_t number = 0;
+    if (!valid_id(path[2]) || !parse_number(path[4], number)) {
+        respond(problem(status_not_found, "/target",
+                        "a trainer's name and a number"));
+        return;
+    }
+    const bool put = request.method == "PUT";
+    const bool post = request.method == "POST";
+    if (path.size() == 5 && path[3] == "steps" && put) {
+        open_step(request, trainer, number, respond);
+    } else if (path.size() == 5 && path[3] == "versions" && put) {
+        publish(trainer, number, respond);
+    } else if (path.size() == 6 && path[3] == "steps" && path[5] == "pull" &&
+               post) {
+        pull(request, trainer, number, respond);
+    } else if (path[3] == "steps" || path[3] == "versions") {
+        respond(problem(status_bad_method, "/method",
+                        "PUT steps/N, PUT versions/N or POST steps/N/pull"));
+    } else {
+        respond(problem(status_not_found, "/target", "a path of docs/API.md"));
+    }
+}
+
+void callers_api::open_step(const net::http_request& request,
+                            const base::trainer_id& trainer,
+                            wire::step_number step,
+                            const net::http_responder& respond) {
+    const auto body = body_of<wire::step_request>(request, respond);
+    if (!body) {
+        return;
+    }
+    auto done = answering<wire::step_answer>(counters_, "step", respond);
+    wire::reason why{};
+    if (!takes_requests(why)) {
+        done({wire::outcome::not_run, why, default_ttl, 0});
+        return;
+    }
+    control_.open_step({trainer, step, *body}, std::move(done));
+}
+
+void callers_api::pull(const net::http_request& request,
+                       const base::trainer_id& trainer, wire::step_number step,
+                       const net::http_responder& respond) {
+    auto body = body_of<wire::pull_request>(request, respond);
+    if (!body) {
+        return;
+    }
+    auto done = answering<wire::pull_answer>(counters_, "pull", respond);
+    wire::reason why{};
+    if (!takes_requests(why)) {
+        wire::pull_answer answer;
+        answer.pull = body->pull;
+        answer.result = wire::outcome::not_run;
+        answer.why = why;
+        answer.retry_after_ms = default_ttl;
+        answer.node = self_;
+        done(std::move(answer));
+        return;
+    }
+    const auto v = shared_.get();
+    if (v->config) {
+        body->wait_ms =
+            std::min(body->wait_ms, v->config->content.limit.pull_wait_ms);
+    }
+    control_.pull({trainer, step, *body}, std::move(done));
+}
+
+void callers_api::publish(const base::trainer_id& trainer,
+                          wire::weight_version version,
+                          const net::http_responder& respond) {
+    auto done = answering<wire::version_answer>(counters_, "version", respond);
+    wire::reason why{};
+    if (!takes_requests(why)) {
+        done({wire::outcome::not_run, why, default_ttl, 0});
+        return;
+    }
+    const auto v = shared_.get();
+    if (v->config && v->config->content.find(trainer) == nullptr) {
+        done({wire::outcome::not_run, wire::reason::unknown_trainer,
+              default_ttl, 0});
+        return;
+    }
+    control_.publish({trainer, version}, std::move(done));
+}
+
+} // namespace hibiscus::node
--- /dev/null
+++ b/packages/node/src/control_status.cpp
@@ -0,0 +1,75 @@
+#include "hibiscus/node/control.hpp"
+
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+namespace hibiscus::node {
+
+namespace {
+
+using nlohmann::json;
+
+json members_to_json(const cluster::member_table& members) {
+    json rows = json::array();
+    for (const auto& [node, row] : members.all()) {
+        rows.push_back({{"node", node.str()},
+                        {"zone", row.last.zone.str()},
+                        {"address", row.last.address},
+                        {"state", base::name_of(row.last.state)},
+                        {"revision", row.last.revision},
+                        {"engines", row.last.engines.size()}});
+    }
+    return rows;
+}
+
+json engines_to_json(const cluster::engine_table& engines,
+                     const cluster::member_table& members) {
+    json rows = json::array();
+    for (const auto& [id, row] : engines.all()) {
+        json serving = json::object();
+        for (const auto& s : row.digest.serving) {
+            serving[s.trainer.str()] = s.version;
+        }
+        rows.push_back({{"engine", id.str()},
+                        {"pool", row.pool.str()},
+                        {"zone", row.zone.str()},
+                        {"home", members.home_of("engine/" + id.str()).str()},
+                        {"healthy", row.digest.healthy},
+                        {"leaving", row.leaving},
+                        {"admitted", row.digest.admitted},
+                        {"slots", row.digest.slots},
+                        {"serving", std::move(serving)}});
+    }
+    return rows;
+}
+
+json steps_to_json(const cluster::step_home& steps) {
+    json rows = json::array();
+    for (const auto& [key, step] : steps.steps()) {
+        rows.push_back({{"trainer", key.first.str()},
+                        {"step", key.second},
+                        {"slots", step.slots.size()},
+                        {"missing", step.missing}});
+    }
+    return rows;
+}
+
+} // namespace
+
+void control::status(std::function<void(std::string)> done) {
+    boost::asio::post(parts_.io, [this, d = std::move(done)] {
+        const auto* config = config_.in_force();
+        json out{{"node", self_.str()},
+                 {"zone", parts_.config.zone.str()},
+                 {"state", base::name_of(state_)},
+                 {"revision", config != nullptr ? config->number : 0},
+                 {"document", config != nullptr ? config->text : ""},
+                 {"pending_claims", claims_.pending()},
+                 {"nodes", members_to_json(members_)},
+                 {"engines", engines_to_json(samples_.engines(), members_)},
+                 {"steps", steps_to_json(samples_.steps())}};
+        d(out.dump(-1, ' ', false, json::error_handler_t::replace));
+    });
+}
+
+} // namespace hibiscus::node
--- /dev/null
+++ b/packages/node/src/daemon.cpp
@@ -0,0 +1,162 @@
+#include "hibiscus/node/daemon.hpp"
+
+#include "hibiscus/net/http_server.hpp"
+#include "hibiscus/node/callers_api.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+#include <vector>
+
+namespace hibiscus::node {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr base::millis connect_ms = 500;
+constexpr base::millis drain_check = 50;
+
+net::http_limits limits_of(const settings& s) {
+    net::http_limits limits;
+    limits.body_bytes = s.body_bytes;
+    limits.header_bytes = s.header_bytes;
+    limits.connections = static_cast<std::size_t>(s.connections);
+    return limits;
+}
+
+} // namespace
+
+/// Holds the parts in the order in which they depend on each other.
+class daemon::impl {
+public:
+    explicit impl(const settings& config)
+        : config_(config), lines_(config.node, config.log_level, clock_),
+          traffic_guard_(traffic_.get_executor()),
+          links_guard_(links_.get_executor()),
+          control_guard_(control_io_.get_executor()),
+          client_(traffic_, connect_ms), log_(client_, config.platform_log),
+          instances_(client_, config.platform_instances),
+          mesh_(links_, {}, peer_events()),
+          services_(std::make_shared<service_gateway>(config.node, client_,
+                                                      shared_, lines_, clock_)),
+          engines_(client_, clock_),
+          control_({config_, control_io_, clock_, lines_, counters_, shared_,
+                    mesh_, log_, instances_, *services_, engines_}),
+          api_(config.node, control_, shared_, *services_, counters_),
+          server_(
+              traffic_, limits_of(config),
+              [this](net::http_request request, net::http_responder respond) {
+                  api_.handle(std::move(request), std::move(respond));
+              }),
+          signals_(control_io_, SIGTERM, SIGINT), drain_timer_(control_io_) {}
+
+    std::optional<listen_error> run() {
+        if (!mesh_.listen(config_.listen_peers)) {
+            return listen_error{config_.listen_peers};
+        }
+        if (!server_.listen(config_.listen_callers)) {
+            return listen_error{config_.listen_callers};
+        }
+        lines_.event(severity::info, "listening",
+                     {{"callers", base::to_string(config_.listen_callers)},
+                      {"peers", base::to_string(config_.listen_peers)},
+                      {"startup_ms", clock_.now() - started_at_}});
+        signals_.async_wait(
+            [this](const boost::system::error_code& error, int) {
+                if (!error) {
+                    drain();
+                }
+            });
+        control_.start();
+        std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(config_.traffic_threads) + 1);
+        for (int i = 0; i < config_.traffic_threads; ++i) {
+            threads.emplace_back([this] { traffic_.run(); });
+        }
+        threads.emplace_back([this] { links_.run(); });
+        control_io_.run();
+        for (auto& t : threads) {
+            t.join();
+        }
+        return std::nullopt;
+    }
+
+private:
+    net::peer_events peer_events() {
+        return {
+            [this](wire::peer_message m) { control_.received(std::move(m)); },
+            [this](const wire::decode_error& error) {
+                counters_.count_event("peer_malformed");
+                lines_.event(severity::warn, "peer_malformed",
+                             {{"what", error.what}});
+            },
+            [this](const base::node_id& node, bool open) {
+                lines_.event(
+                    severity::info, "peer_link",
+                    {{"peer", node.str()}, {"open", std::int64_t{open}}});
+            }};
+    }
+
+    void drain() {
+        control_.drain([this] { wait_for_traffic(); });
+    }
+
+    /// Ends the threads once every request that came in has its answer.
+    void wait_for_traffic() {
+        if (server_.in_flight() == 0) {
+            lines_.event(severity::info, "stopped", {});
+            traffic_.stop();
+            links_.stop();
+            control_io_.stop();
+            return;
+        }
+        drain_timer_.expires_after(std::chrono::milliseconds(drain_check));
+        drain_timer_.async_wait([this](const boost::system::error_code& error) {
+            if (!error) {
+                wait_for_traffic();
+            }
+        });
+    }
+
+    using guard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+    base::clock clock_;
+    base::millis started_at_ = clock_.now();
+    settings config_;
+    decision_log lines_;
+    metrics counters_;
+    shared_view shared_;
+    asio::io_context traffic_;
+    asio::io_context links_{1};
+    asio::io_context control_io_{1};
+    guard traffic_guard_;
+    guard links_guard_;
+    guard control_guard_;
+    net::http_client client_;
+    platform::log_client log_;
+    platform::instance_client instances_;
+    net::peer_mesh mesh_;
+    std::shared_ptr<service_gateway> services_;
+    engine_gateway engines_;
+    control control_;
+    callers_api api_;
+    net::http_server server_;
+    asio::signal_set signals_;
+    asio::steady_timer drain_timer_;
+};
+
+daemon::daemon(const settings& config)
+    : impl_(std::make_unique<impl>(config)) {}
+
+daemon::~daemon() = default;
+
+std::optional<listen_error> daemon::run() {
+    return impl_->run();
+}
+
+} // namespace hibiscus::node
--- /dev/null
+++ b/packages/node/src/decision_log.cpp
@@ -0,0 +1,127 @@
+#include "hibiscus/node/decision_log.hpp"
+
+#include <log4cplus/asyncappender.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <nlohmann/json.hpp>
+
+namespace hibiscus::node {
+
+namespace {
+
+constexpr unsigned queued_lines = 8192;
+
+log4cplus::LogLevel level_of(severity level) {
+    switch (level) {
+    case severity::debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case severity::info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case severity::warn:
+        return log4cplus::WARN_LOG_LEVEL;
+    case severity::error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+    return log4cplus::INFO_LOG_LEVEL;
+}
+
+const char* name_of(severity level) {
+    switch (level) {
+    case severity::debug:
+        return "debug";
+    case severity::info:
+        return "info";
+    case severity::warn:
+        return "warn";
+    case severity::error:
+        return "error";
+    }
+    return "info";
+}
+
+severity severity_of(const std::string& name) {
+    for (const auto s : {severity::debug, severity::warn, severity::error}) {
+        if (name == name_of(s)) {
+            return s;
+        }
+    }
+    return severity::info;
+}
+
+} // namespace
+
+/// Holds the library's objects.
+class decision_log::impl {
+public:
+    impl(const base::node_id& node, const std::string& least, base::clock clock)
+        : node_(node.str()), clock_(std::move(clock)),
+          logger_(log4cplus::Logger::getInstance(node.str())) {
+        log4cplus::SharedAppenderPtr console(
+            new log4cplus::ConsoleAppender(true, true));
+        console->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+        log4cplus::SharedAppenderPtr queue(
+            new log4cplus::AsyncAppender(console, queued_lines));
+        logger_.addAppender(queue);
+        logger_.setAdditivity(false);
+        logger_.setLogLevel(level_of(severity_of(least)));
+    }
+
+    ~impl() { logger_.closeNestedAppenders(); }
+
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
+    bool enabled(severity level) const {
+        return logger_.isEnabledFor(level_of(level));
+    }
+
+    void write(severity level, nlohmann::json line) {
+        line["time_ms"] = clock_.wall();
+        line["node"] = node_;
+        line["level"] = name_of(level);
+        logger_.log(level_of(level),
+                    line.dump(-1, ' ', false,
+                              nlohmann::json::error_handler_t::replace));
+    }
+
+private:
+    log4cplus::Initializer library_;
+    std::string node_;
+    base::clock clock_;
+    log4cplus::Logger logger_;
+};
+
+decision_log::decision_log(const base::node_id& node, const std::string& least,
+                           base::clock clock)
+    : impl_(std::make_unique<impl>(node, least, std::move(clock))) {}
+
+decision_log::~decision_log() = default;
+
+void decision_log::write(const decision& d) {
+    if (!impl_->enabled(severity::info)) {
+        return;
+    }
+    impl_->write(severity::info, {{"event", "decision"},
+                                  {"kind", d.kind},
+                                  {"subject", d.subject},
+                                  {"candidates", d.candidates},
+                                  {"choice", d.choice},
+                                  {"reason", d.reason}});
+}
+
+void decision_log::event(severity level, const char* name,
+                         const std::vector<log_field>& fields) {
+    if (!impl_->enabled(level)) {
+        return;
+    }
+    nlohmann::json line{{"event", name}};
+    for (const auto& f : fields) {
+        line[f.name] =
+            f.is_number ? nlohmann::json(f.number) : nlohmann::json(f.text);
+    }
+    impl_->write(level, std::move(line));
+}
+
+} // namespace hibiscus::node
--- /dev/null
+++ b/packages/node/src/main.cpp
@@ -0,0 +1,46 @@
+#include "hibiscus/node/daemon.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <iostream>
+
+ABSL_FLAG(std::string, settings, "", "path of the YAML settings file");
+ABSL_FLAG(bool, check, false, "check the settings and exit");
+
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_listen = 1;
+constexpr int exit_settings = 2;
+
+} // namespace
+
+/// Runs one entry instance of hibiscustack. Exits with 0 after a graceful
+/// shutdown, 1 if an address cannot be had, 2 if a setting is wrong.
+int main(int argc, char** argv) {
+    absl::SetProgramUsageMessage(
+        "runs one entry instance: hibiscusd --settings=FILE");
+    absl::ParseCommandLine(argc, argv);
+    const auto loaded =
+        hibiscus::node::load_settings(absl::GetFlag(FLAGS_settings));
+    const auto* config = hibiscus::base::value_if(loaded);
+    if (config == nullptr) {
+        for (const auto& error :
+             std::get<hibiscus::node::setting_errors>(loaded)) {
+            std::cerr << hibiscus::node::to_string(error) << '\n';
+        }
+        return exit_settings;
+    }
+    if (absl::GetFlag(FLAGS_check)) {
+        return exit_ok;
+    }
+    hibiscus::node::daemon daemon(*config);
+    if (const auto error = daemon.run()) {
+        std::cerr << "cannot listen on "
+                  << hibiscus::base::to_string(error->address) << '\n';
+        return exit_listen;
+    }
+    return exit_ok;
+}
--- /dev/null
+++ b/packages/node/src/metrics.cpp
@@ -0,0 +1,54 @@
+#include "hibiscus/node/metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace hibiscus::node {
+
+/// Holds the library's objects.
+class metrics::impl {
+public:
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& answers =
+        prometheus::BuildCounter()
+            .Name("hibiscus_answers_total")
+            .Help("Answers to callers")
+            .Register(registry);
+    prometheus::Family<prometheus::Counter>& events =
+        prometheus::BuildCounter()
+            .Name("hibiscus_events_total")
+            .Help("Events that an operator may ask about")
+            .Register(registry);
+    prometheus::Family<prometheus::Gauge>& gauges =
+        prometheus::BuildGauge()
+            .Name("hibiscus_state")
+            .Help("What the node holds at the moment")
+            .Register(registry);
+};
+
+metrics::metrics() : impl_(std::make_unique<impl>()) {}
+
+metrics::~metrics() = default;
+
+void metrics::count_answer(const std::string& kind, const std::string& outcome,
+                           const std::string& reason) {
+    impl_->answers
+        .Add({{"kind", kind}, {"outcome", outcome}, {"reason", reason}})
+        .Increment();
+}
+
+void metrics::count_event(const std::string& name) {
+    impl_->events.Add({{"event", name}}).Increment();
+}
+
+void metrics::set(const std::string& name, double value) {
+    impl_->gauges.Add({{"what", name}}).Set(value);
+}
+
+std::string metrics::serialize() const {
+    return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
+}
+
+} // namespace hibiscus::node
--- /dev/null
+++ b/packages/node/src/peer_calls.cpp
@@ -0,0 +1,64 @@
+#include "hibiscus/node/peer_calls.hpp"
+
+#include <boost/asio/post.hpp>
+
+namespace hibiscus::node {
+
+peer_calls::peer_calls(base::node_id self, net::peer_mesh& mesh,
+                       boost::asio::io_context& control, base::clock clock)
+    : self_(std::move(self)), mesh_(mesh), control_(control),
+      clock_(std::move(clock)) {}
+
+void peer_calls::call(const base::node_id& to, wire::call_body body,
+                      base::millis deadline,
+                      std::function<void(call_result)> done) {
+    const auto id = ++last_;
+    pending_[id] = {to, clock_.now() + deadline, std::move(done)};
+    mesh_.send(to, wire::call{id, self_, deadline, std::move(body)},
+               [this, id] {
+                   boost::asio::post(control_, [this, id] {
+                       finish(id, call_failure::not_sent);
+                   });
+               });
+}
+
+void peer_calls::replied(wire::reply reply) {
+    finish(reply.id, std::move(reply.body));
+}
+
+void peer_calls::gone(const base::node_id& node) {
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, p] : pending_) {
+        if (p.to == node) {
+            ids.push_back(id);
+        }
+    }
+    for (const auto id : ids) {
+        finish(id, call_failure::lost);
+    }
+}
+
+void peer_calls::tick() {
+    const auto now = clock_.now();
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, p] : pending_) {
+        if (now >= p.until) {
+            ids.push_back(id);
+        }
+    }
+    for (const auto id : ids) {
+        finish(id, call_failure::lost);
+    }
+}
+
+void peer_calls::finish(std::uint64_t id, call_result result) {
+    const auto at = pending_.find(id);
+    if (at == pending_.end()) {
+        return;
+    }
+    auto done = std::move(at->second.done);
+    pending_.erase(at);
+    done(std::move(result));
+}
+
+} // namespace hibiscus::node
