ctl: hibiscusctl validate, publish, status

Cause: operators need to publish and to learn what became of it, also when the answer to the append was lost: a publish has an id and is asked for again by it.

--- /dev/null
+++ b/packages/ctl/src/commands.cpp
@@ -0,0 +1,221 @@
+#include "hibiscus/ctl/commands.hpp"
+
+#include "hibiscus/wire/codec.hpp"
+#include "session.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iomanip>
+#include <optional>
+#include <ostream>
+#include <sstream>
+
+namespace hibiscus::ctl {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int most_reads = 20;
+constexpr int most_appends = 3;
+constexpr int status_ok = 200;
+
+std::optional<std::string> read_file(const command_context& context,
+                                     const std::string& file) {
+    std::ifstream in(file);
+    if (!in) {
+        context.error << "cannot read " << file << '\n';
+        return std::nullopt;
+    }
+    std::stringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+/// Writes the errors of `text`. Returns true if there are none.
+bool check(const command_context& context, const std::string& text) {
+    const auto parsed = document::parse(text);
+    const auto* errors = std::get_if<document::parse_errors>(&parsed);
+    const bool valid = errors == nullptr;
+    json rows = json::array();
+    for (const auto& e : valid ? document::parse_errors{} : *errors) {
+        const auto fault = std::string(base::name_of(e.what));
+        rows.push_back(
+            {{"fault", fault}, {"path", e.path}, {"expected", e.expected}});
+        if (context.format == output_format::text) {
+            context.error << e.path << ": " << fault << ", expected "
+                          << e.expected << '\n';
+        }
+    }
+    if (context.format == output_format::json) {
+        context.out << json{{"valid", valid}, {"errors", rows}} << '\n';
+    }
+    return valid;
+}
+
+/// Folds the stream from `next` to its end. Returns false if it cannot be
+/// read.
+bool follow(session& s, const base::endpoint& log, document::config_fold& fold,
+            wire::log_offset& next) {
+    for (int i = 0; i < most_reads; ++i) {
+        const auto result = s.read(log, platform::config_stream, next, 0);
+        const auto* page = std::get_if<wire::log_page>(&result);
+        if (page == nullptr) {
+            return false;
+        }
+        next = std::max(next, page->first);
+        for (const auto& record : page->records) {
+            next = record.offset + 1;
+            const auto read = wire::from_json<wire::config_record>(record.data);
+            if (const auto* content = base::value_if(read)) {
+                fold.apply(record.offset, *content);
+            }
+        }
+        if (next >= page->end) {
+            return true;
+        }
+    }
+    return false;
+}
+
+exit_code tell_verdict(const command_context& context,
+                       const std::string& publish_id,
+                       const document::config_fold& fold) {
+    const auto verdict = fold.verdict(publish_id);
+    const auto name = std::string(base::name_of(verdict));
+    const auto* now = fold.in_force();
+    const auto number = now != nullptr ? now->number : 0;
+    if (context.format == output_format::json) {
+        context.out << json{{"publish", publish_id},
+                            {"verdict", name},
+                            {"revision", number}}
+                    << '\n';
+    } else {
+        context.out << "publish " << publish_id << ": " << name
+                    << "; in force: revision " << number << '\n';
+    }
+    switch (verdict) {
+    case document::publish_verdict::accepted:
+        return exit_code::done;
+    case document::publish_verdict::superseded:
+    case document::publish_verdict::invalid:
+        return exit_code::refused;
+    case document::publish_verdict::unknown:
+        return exit_code::unknown;
+    }
+    return exit_code::unknown;
+}
+
+void write_status_text(std::ostream& out, const json& s) {
+    out << "node " << s.value("node", "") << " in " << s.value("zone", "")
+        << ": " << s.value("state", "") << ", revision "
+        << s.value("revision", 0) << "\n\n";
+    out << std::left << std::setw(12) << "NODE" << std::setw(8) << "ZONE"
+        << std::setw(10) << "STATE" << std::setw(10) << "REVISION"
+        << "ADDRESS\n";
+    for (const auto& n : s.value("nodes", json::array())) {
+        out << std::setw(12) << n.value("node", "") << std::setw(8)
+            << n.value("zone", "") << std::setw(10) << n.value("state", "")
+            << std::setw(10) << n.value("revision", 0) << n.value("address", "")
+            << '\n';
+    }
+    out << '\n'
+        << std::setw(12) << "ENGINE" << std::setw(12) << "POOL" << std::setw(12)
+        << "HOME" << std::setw(10) << "HEALTHY" << std::setw(10) << "LOAD"
+        << "SERVING\n";
+    for (const auto& e : s.value("engines", json::array())) {
+        const auto load = std::to_string(e.value("admitted", 0)) + "/" +
+                          std::to_string(e.value("slots", 0));
+        out << std::setw(12) << e.value("engine", "") << std::setw(12)
+            << e.value("pool", "") << std::setw(12) << e.value("home", "")
+            << std::setw(10) << (e.value("healthy", false) ? "yes" : "no")
+            << std::setw(10) << load
+            << e.value("serving", json::object()).dump() << '\n';
+    }
+}
+
+} // namespace
+
+exit_code validate(const command_context& context, const std::string& file) {
+    const auto text = read_file(context, file);
+    if (!text) {
+        return exit_code::usage;
+    }
+    if (!check(context, *text)) {
+        return exit_code::refused;
+    }
+    if (context.format == output_format::text) {
+        context.out << file << ": valid\n";
+    }
+    return exit_code::done;
+}
+
+exit_code publish(const command_context& context, const std::string& file,
+                  const std::string& publish_id) {
+    const auto text = read_file(context, file);
+    if (!text) {
+        return exit_code::usage;
+    }
+    const auto parsed = document::parse(*text);
+    if (base::value_if(parsed) == nullptr) {
+        check(context, *text);
+        return exit_code::refused;
+    }
+    session s;
+    document::config_fold fold;
+    wire::log_offset next = 0;
+    if (!follow(s, context.log, fold, next)) {
+        context.error << "the log does not answer; nothing was published\n";
+        return exit_code::unavailable;
+    }
+    if (fold.verdict(publish_id) != document::publish_verdict::unknown) {
+        return tell_verdict(context, publish_id, fold);
+    }
+    const auto* now = fold.in_force();
+    const wire::config_record record{
+        1, publish_id, now != nullptr ? now->number : 0, *text, 0};
+    // An append whose answer was lost may have taken effect; the record's id
+    // makes a second copy harmless, so it is sent again.
+    for (int i = 0; i < most_appends; ++i) {
+        const auto result =
+            s.append(context.log, platform::config_stream,
+                     base::append_id(publish_id), wire::to_json(record));
+        if (std::holds_alternative<wire::append_answer>(result)) {
+            break;
+        }
+    }
+    if (!follow(s, context.log, fold, next)) {
+        context.error << "it is unknown whether publish " << publish_id
+                      << " took effect; ask again with --publish_id="
+                      << publish_id << '\n';
+        return exit_code::unknown;
+    }
+    return tell_verdict(context, publish_id, fold);
+}
+
+exit_code status(const command_context& context) {
+    session s;
+    net::http_request request;
+    request.target = "/v1/status";
+    const auto result = s.send(context.entry, std::move(request));
+    const auto* response = std::get_if<net::http_response>(&result);
+    if (response == nullptr || response->status != status_ok) {
+        context.error << "the entry does not answer\n";
+        return exit_code::unavailable;
+    }
+    const auto body = json::parse(response->body, nullptr, false);
+    if (!body.is_object()) {
+        context.error << "the entry's answer is not a status\n";
+        return exit_code::unavailable;
+    }
+    if (context.format == output_format::json) {
+        context.out << body.dump(2) << '\n';
+    } else {
+        write_status_text(context.out, body);
+    }
+    return exit_code::done;
+}
+
+} // namespace hibiscus::ctl
--- /dev/null
+++ b/packages/ctl/src/session.cpp
@@ -0,0 +1,53 @@
+#include "session.hpp"
+
+namespace hibiscus::ctl {
+
+namespace {
+
+constexpr base::millis connect_ms = 2000;
+constexpr base::millis timeout_ms = 5000;
+
+} // namespace
+
+session::session()
+    : guard_(io_.get_executor()), http_(io_, connect_ms),
+      thread_([this] { io_.run(); }) {}
+
+session::~session() {
+    io_.stop();
+    thread_.join();
+}
+
+net::http_result session::send(const base::endpoint& to,
+                               net::http_request request) {
+    std::promise<net::http_result> promise;
+    http_.send(to, std::move(request), timeout_ms, net::reuse::never,
+               [&](net::http_result r) { promise.set_value(std::move(r)); });
+    return promise.get_future().get();
+}
+
+platform::append_result session::append(const base::endpoint& log,
+                                        const std::string& stream,
+                                        const base::append_id& id,
+                                        const std::string& data) {
+    std::promise<platform::append_result> promise;
+    platform::log_client client(http_, log);
+    client.append(stream, id, data, [&](const platform::append_result& r) {
+        promise.set_value(r);
+    });
+    return promise.get_future().get();
+}
+
+platform::read_result session::read(const base::endpoint& log,
+                                    const std::string& stream,
+                                    wire::log_offset from,
+                                    base::millis wait_ms) {
+    std::promise<platform::read_result> promise;
+    platform::log_client client(http_, log);
+    client.read(stream, from, wait_ms, [&](platform::read_result r) {
+        promise.set_value(std::move(r));
+    });
+    return promise.get_future().get();
+}
+
+} // namespace hibiscus::ctl
