testing: stand-ins, clients, demo, whole-path test

Cause: outside systems are met through stand-ins that this repository writes. Clients check every sample's text against its versions and slots.

--- /dev/null
+++ b/testing/stand_ins/engine.cpp
@@ -0,0 +1,338 @@
+// Stands in for a model engine: continuous batching over a number of slots by
+// priority, a prefix cache of limited size, streams that are resumed and
+// cancelled by id, orders to serve a version (with or without a check of the
+// fencing number), and swaps that may fail. Lengths of samples come from the
+// stream's seed; a few run far longer than the rest. It does not model memory
+// of the KV cache per token, nor the time that a batch's size costs.
+
+#include "hibiscus/net/http_client.hpp"
+#include "hibiscus/wire/codec.hpp"
+#include "support/stand_in.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <list>
+#include <map>
+#include <random>
+
+ABSL_FLAG(std::string, address, "127.0.0.1:0", "where to listen");
+ABSL_FLAG(std::string, weights, "", "address of the weight store");
+ABSL_FLAG(int, slots, 8, "streams that run at a time");
+ABSL_FLAG(int, chunk_ms, 20, "time for one chunk of each running stream");
+ABSL_FLAG(int, prefill_chunks, 4, "chunk times that a new prefix costs");
+ABSL_FLAG(int, cached_prefixes, 16, "prefixes kept in the cache");
+ABSL_FLAG(bool, check_fencing, true, "refuse orders with an old number");
+ABSL_FLAG(double, fail_swaps, 0.0, "share of the swaps that fail");
+ABSL_FLAG(int, straggler_percent, 3,
+          "share of samples that run 5 times longer");
+
+namespace hibiscus::testing {
+namespace {
+
+using nlohmann::json;
+
+/// One stream from its start until it is stopped.
+struct stream_row {
+    wire::stream_start start;
+    std::vector<wire::chunk> chunks;
+    std::uint32_t length = 0;
+    int prefill = 0;
+    std::uint64_t arrival = 0;
+    wire::stream_state state = wire::stream_state::queued;
+};
+
+/// A poll that waits for news.
+struct waiting_poll {
+    wire::engine_poll poll;
+    base::millis until = 0;
+    net::http_responder respond;
+};
+
+constexpr std::uint32_t straggler_factor = 5;
+constexpr base::millis weights_timeout = 20000;
+
+/// The whole engine. Runs in one thread.
+class engine {
+public:
+    explicit engine(boost::asio::io_context& io)
+        : timer_(io), http_(io, 1000),
+          weights_(base::parse_endpoint(absl::GetFlag(FLAGS_weights))) {
+        tick();
+    }
+
+    /// Handles one request.
+    void handle(const net::http_request& request,
+                const net::http_responder& respond) {
+        if (request.target == "/v1/streams") {
+            start(request, respond);
+        } else if (request.target == "/v1/streams/stop") {
+            stop(request, respond);
+        } else if (request.target == "/v1/streams/poll") {
+            poll(request, respond);
+        } else if (request.target == "/v1/orders") {
+            order(request, respond);
+        } else if (request.target == "/v1/counts") {
+            respond({200,
+                     json{{"started", started_},
+                          {"finished", finished_},
+                          {"busy_slot_ms", busy_slot_ms_},
+                          {"alive_ms", clock_.now() - born_}}
+                         .dump(),
+                     "application/json"});
+        } else {
+            respond({404, "{}", "application/json"});
+        }
+    }
+
+private:
+    static net::http_response ok(std::string body) {
+        return {200, std::move(body), "application/json"};
+    }
+
+    void start(const net::http_request& request,
+               const net::http_responder& respond) {
+        auto read = wire::from_json<wire::stream_start>(request.body);
+        auto* message = base::value_if(read);
+        if (message == nullptr) {
+            respond({400, "{}", "application/json"});
+            return;
+        }
+        if (streams_.count(message->stream) == 0) {
+            ++started_;
+            stream_row row;
+            row.length = length_of(*message);
+            row.arrival = started_;
+            row.start = std::move(*message);
+            const auto id = row.start.stream;
+            streams_.emplace(id, std::move(row));
+        }
+        respond(ok("{}"));
+    }
+
+    static std::uint32_t length_of(const wire::stream_start& start) {
+        std::mt19937_64 random(start.seed);
+        std::uniform_int_distribution<std::uint32_t> chunks(
+            1 + start.max_tokens / 4, 1 + start.max_tokens / 2);
+        std::uniform_int_distribution<int> percent(0, 99);
+        const auto length = chunks(random);
+        const bool straggler =
+            percent(random) < absl::GetFlag(FLAGS_straggler_percent);
+        return straggler ? length * straggler_factor : length;
+    }
+
+    void stop(const net::http_request& request,
+              const net::http_responder& respond) {
+        const auto read = wire::from_json<wire::cancel_streams>(request.body);
+        if (const auto* message = base::value_if(read)) {
+            for (const auto& stream : message->streams) {
+                streams_.erase(stream);
+            }
+        }
+        respond(ok("{}"));
+    }
+
+    void poll(const net::http_request& request,
+              const net::http_responder& respond) {
+        auto read = wire::from_json<wire::engine_poll>(request.body);
+        auto* message = base::value_if(read);
+        if (message == nullptr) {
+            respond({400, "{}", "application/json"});
+            return;
+        }
+        const auto until = clock_.now() + message->wait_ms;
+        polls_.push_back({std::move(*message), until, respond});
+        answer_polls();
+    }
+
+    void answer_polls() {
+        for (std::size_t i = 0; i < polls_.size();) {
+            auto news = news_for(polls_[i].poll);
+            if (news.streams.empty() && clock_.now() < polls_[i].until) {
+                ++i;
+                continue;
+            }
+            polls_[i].respond(ok(wire::to_json(news)));
+            polls_.erase(polls_.begin() + static_cast<std::ptrdiff_t>(i));
+        }
+    }
+
+    wire::engine_news news_for(const wire::engine_poll& poll) const {
+        wire::engine_news news;
+        for (const auto& cursor : poll.streams) {
+            const auto at = streams_.find(cursor.stream);
+            if (at == streams_.end()) {
+                news.streams.push_back(
+                    {cursor.stream, wire::stream_state::missing, {}});
+                continue;
+            }
+            const auto& row = at->second;
+            if (row.chunks.size() > cursor.from ||
+                row.state == wire::stream_state::done) {
+                const auto from =
+                    std::min<std::size_t>(cursor.from, row.chunks.size());
+                news.streams.push_back(
+                    {cursor.stream,
+                     row.state,
+                     {row.chunks.begin() + static_cast<std::ptrdiff_t>(from),
+                      row.chunks.end()}});
+            }
+        }
+        news.slots = absl::GetFlag(FLAGS_slots);
+        for (const auto& [trainer, version] : serving_) {
+            news.serving.push_back({trainer, version});
+        }
+        return news;
+    }
+
+    void order(const net::http_request& request,
+               const net::http_responder& respond) {
+        const auto read = wire::from_json<wire::version_order>(request.body);
+        const auto* message = base::value_if(read);
+        if (message == nullptr) {
+            respond({400, "{}", "application/json"});
+            return;
+        }
+        const auto number =
+            std::make_pair(message->number.epoch, message->number.sequence);
+        if (absl::GetFlag(FLAGS_check_fencing) && number < highest_) {
+            answer_order(respond, wire::order_verdict::fenced);
+            return;
+        }
+        highest_ = std::max(highest_, number);
+        net::http_request fetch;
+        fetch.target = "/v1/weights/" + message->trainer.str() + "/" +
+                       std::to_string(message->version);
+        http_.send(weights_.value_or(base::endpoint{}), std::move(fetch),
+                   weights_timeout, net::reuse::allowed,
+                   [this, m = *message, respond](const net::http_result& r) {
+                       loaded(m, r, respond);
+                   });
+    }
+
+    void loaded(const wire::version_order& order,
+                const net::http_result& result,
+                const net::http_responder& respond) {
+        const auto* response = std::get_if<net::http_response>(&result);
+        std::uniform_real_distribution<double> share(0.0, 1.0);
+        const bool failed = response == nullptr || response->status != 200 ||
+                            share(random_) < absl::GetFlag(FLAGS_fail_swaps);
+        if (!failed) {
+            serving_[order.trainer] = order.version;
+        }
+        answer_order(respond, failed ? wire::order_verdict::failed
+                                     : wire::order_verdict::done);
+    }
+
+    static void answer_order(const net::http_responder& respond,
+                             wire::order_verdict verdict) {
+        respond(ok(wire::to_json(wire::order_answer{verdict})));
+    }
+
+    void tick() {
+        admit();
+        for (auto& [id, row] : streams_) {
+            if (row.state == wire::stream_state::running) {
+                busy_slot_ms_ += absl::GetFlag(FLAGS_chunk_ms);
+                advance(row);
+            }
+        }
+        answer_polls();
+        timer_.expires_after(
+            std::chrono::milliseconds(absl::GetFlag(FLAGS_chunk_ms)));
+        timer_.async_wait([this](const boost::system::error_code&) { tick(); });
+    }
+
+    void admit() {
+        std::vector<stream_row*> queued;
+        int running = 0;
+        for (auto& [id, row] : streams_) {
+            if (row.state == wire::stream_state::queued) {
+                queued.push_back(&row);
+            }
+            running += row.state == wire::stream_state::running ? 1 : 0;
+        }
+        std::sort(queued.begin(), queued.end(),
+                  [](const stream_row* a, const stream_row* b) {
+                      return std::make_pair(-a->start.priority, a->arrival) <
+                             std::make_pair(-b->start.priority, b->arrival);
+                  });
+        for (auto* row : queued) {
+            if (running++ >= absl::GetFlag(FLAGS_slots)) {
+                return;
+            }
+            row->state = wire::stream_state::running;
+            row->prefill = use_prefix(row->start.prompt)
+                               ? 0
+                               : absl::GetFlag(FLAGS_prefill_chunks);
+        }
+    }
+
+    /// Returns true if the prompt's prefix is in the cache, and puts it there.
+    bool use_prefix(const std::string& prompt) {
+        const auto at = std::find(cache_.begin(), cache_.end(), prompt);
+        const bool hit = at != cache_.end();
+        if (hit) {
+            cache_.erase(at);
+        }
+        cache_.push_front(prompt);
+        if (cache_.size() >
+            static_cast<std::size_t>(absl::GetFlag(FLAGS_cached_prefixes))) {
+            cache_.pop_back();
+        }
+        return hit;
+    }
+
+    void advance(stream_row& row) {
+        if (row.prefill > 0) {
+            --row.prefill;
+            return;
+        }
+        const auto version = serving_.find(row.start.trainer);
+        const auto number = version == serving_.end() ? 0 : version->second;
+        const auto seq = static_cast<std::uint32_t>(row.chunks.size());
+        row.chunks.push_back({seq, number,
+                              row.start.stream.str() + ":" +
+                                  std::to_string(seq) + ":v" +
+                                  std::to_string(number) + ";"});
+        if (row.chunks.size() >= row.length) {
+            row.state = wire::stream_state::done;
+            ++finished_;
+        }
+    }
+
+    base::clock clock_;
+    base::millis born_ = clock_.now();
+    boost::asio::steady_timer timer_;
+    net::http_client http_;
+    std::optional<base::endpoint> weights_;
+    std::map<base::stream_id, stream_row> streams_;
+    std::map<base::trainer_id, wire::weight_version> serving_;
+    std::pair<std::int64_t, std::int64_t> highest_{0, 0};
+    std::list<std::string> cache_;
+    std::vector<waiting_poll> polls_;
+    std::mt19937_64 random_{1};
+    std::uint64_t started_ = 0;
+    std::uint64_t finished_ = 0;
+    std::int64_t busy_slot_ms_ = 0;
+};
+
+} // namespace
+} // namespace hibiscus::testing
+
+int main(int argc, char** argv) {
+    absl::ParseCommandLine(argc, argv);
+    using hibiscus::testing::engine;
+    return hibiscus::testing::run_stand_in(
+        absl::GetFlag(FLAGS_address), [](boost::asio::io_context& io) {
+            auto e = std::make_shared<engine>(io);
+            return [e](const hibiscus::net::http_request& request,
+                       const hibiscus::net::http_responder& respond) {
+                e->handle(request, respond);
+            };
+        });
+}
--- /dev/null
+++ b/testing/stand_ins/log_service.cpp
@@ -0,0 +1,223 @@
+// Stands in for the platform's append-only log service: streams with offsets,
+// a limit of appends a second, retention by count, outages, and answers that
+// are lost after the append took effect. It keeps all in memory and does not
+// model replication, several writers' clocks, or disk.
+
+#include "hibiscus/wire/codec.hpp"
+#include "support/stand_in.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <map>
+#include <vector>
+
+ABSL_FLAG(std::string, address, "127.0.0.1:0", "where to listen");
+ABSL_FLAG(int, rate, 400, "appends a second before it refuses");
+ABSL_FLAG(int, retention, 1000000, "records kept in each stream");
+ABSL_FLAG(int, append_ms, 2, "how long an append takes");
+
+namespace hibiscus::testing {
+namespace {
+
+using nlohmann::json;
+
+/// A read that waits for the first record.
+struct waiting_read {
+    wire::log_offset from;
+    base::millis until;
+    net::http_responder respond;
+};
+
+/// One stream and those who wait for it.
+struct stream_row {
+    wire::log_offset first = 0;
+    std::deque<wire::log_record> records;
+    std::vector<waiting_read> waiting;
+
+    /// Returns the offset after the last record.
+    wire::log_offset end() const {
+        return first + static_cast<wire::log_offset>(records.size());
+    }
+};
+
+constexpr base::millis tick_ms = 5;
+constexpr std::size_t page_records = 500;
+
+/// The whole service. Runs in one thread.
+class log_service {
+public:
+    explicit log_service(boost::asio::io_context& io) : timer_(io), io_(io) {
+        tick();
+    }
+
+    /// Handles one request.
+    void handle(const net::http_request& request,
+                const net::http_responder& respond) {
+        const auto path = path_of(request.target);
+        if (path == "/v1/fault") {
+            set_fault(request, respond);
+            return;
+        }
+        if (path == "/v1/counts") {
+            respond(
+                {200, json{{"appends", appends_}}.dump(), "application/json"});
+            return;
+        }
+        if (outage_) {
+            respond({503, "{}", "application/json"});
+            return;
+        }
+        const std::string prefix = "/v1/streams/";
+        const std::string suffix = "/records";
+        if (path.rfind(prefix, 0) != 0 ||
+            path.size() < prefix.size() + suffix.size()) {
+            respond({404, "{}", "application/json"});
+            return;
+        }
+        const auto name = path.substr(
+            prefix.size(), path.size() - prefix.size() - suffix.size());
+        if (request.method == "POST") {
+            append(streams_[name], request, respond);
+        } else {
+            read(streams_[name], request, respond);
+        }
+    }
+
+private:
+    void set_fault(const net::http_request& request,
+                   const net::http_responder& respond) {
+        const auto body = json::parse(request.body, nullptr, false);
+        if (body.is_object()) {
+            outage_ = body.value("outage", outage_);
+            lose_answers_ = body.value("lose_answers", lose_answers_);
+            retention_ = body.value("retention", retention_);
+        }
+        respond({200, "{}", "application/json"});
+    }
+
+    void append(stream_row& stream, const net::http_request& request,
+                const net::http_responder& respond) {
+        const auto read = wire::from_json<wire::append_request>(request.body);
+        const auto* record = base::value_if(read);
+        if (record == nullptr) {
+            respond({400, "{}", "application/json"});
+            return;
+        }
+        const auto now = clock_.now();
+        allowance_ = std::min<double>(
+            absl::GetFlag(FLAGS_rate),
+            allowance_ + static_cast<double>(now - refilled_) *
+                             absl::GetFlag(FLAGS_rate) / 1000.0);
+        refilled_ = now;
+        if (allowance_ < 1.0) {
+            respond({429, "{}", "application/json"});
+            return;
+        }
+        allowance_ -= 1.0;
+        ++appends_;
+        const auto offset = stream.end();
+        stream.records.push_back({offset, record->id, record->data});
+        while (stream.records.size() > static_cast<std::size_t>(retention_)) {
+            stream.records.pop_front();
+            ++stream.first;
+        }
+        if (lose_answers_ > 0) {
+            --lose_answers_;
+            lost_.push_back(respond);
+            return;
+        }
+        answer_later(respond, wire::to_json(wire::append_answer{offset}));
+    }
+
+    void answer_later(const net::http_responder& respond,
+                      const std::string& body) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(io_);
+        timer->expires_after(
+            std::chrono::milliseconds(absl::GetFlag(FLAGS_append_ms)));
+        timer->async_wait(
+            [timer, respond, body](const boost::system::error_code&) {
+                respond({200, body, "application/json"});
+            });
+    }
+
+    void read(stream_row& stream, const net::http_request& request,
+              const net::http_responder& respond) {
+        const auto from = query_number(request.target, "from", 0);
+        const auto wait = query_number(request.target, "wait_ms", 0);
+        stream.waiting.push_back({from, clock_.now() + wait, respond});
+        answer_reads(stream);
+    }
+
+    void answer_reads(stream_row& stream) {
+        auto& waiting = stream.waiting;
+        for (std::size_t i = 0; i < waiting.size();) {
+            if (waiting[i].from >= stream.end() &&
+                clock_.now() < waiting[i].until && !outage_) {
+                ++i;
+                continue;
+            }
+            waiting[i].respond(page_of(stream, waiting[i].from));
+            waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(i));
+        }
+    }
+
+    net::http_response page_of(const stream_row& stream,
+                               wire::log_offset from) const {
+        if (outage_) {
+            return {503, "{}", "application/json"};
+        }
+        wire::log_page page;
+        page.first = stream.first;
+        page.end = stream.end();
+        const auto start = std::max(from, stream.first);
+        for (auto at = start;
+             at < stream.end() && page.records.size() < page_records; ++at) {
+            page.records.push_back(
+                stream.records[static_cast<std::size_t>(at - stream.first)]);
+        }
+        return {200, wire::to_json(page), "application/json"};
+    }
+
+    void tick() {
+        for (auto& [name, stream] : streams_) {
+            answer_reads(stream);
+        }
+        timer_.expires_after(std::chrono::milliseconds(tick_ms));
+        timer_.async_wait([this](const boost::system::error_code&) { tick(); });
+    }
+
+    base::clock clock_;
+    boost::asio::steady_timer timer_;
+    boost::asio::io_context& io_;
+    std::map<std::string, stream_row> streams_;
+    std::vector<net::http_responder> lost_;
+    bool outage_ = false;
+    int lose_answers_ = 0;
+    int retention_ = absl::GetFlag(FLAGS_retention);
+    double allowance_ = absl::GetFlag(FLAGS_rate);
+    base::millis refilled_ = clock_.now();
+    std::int64_t appends_ = 0;
+};
+
+} // namespace
+} // namespace hibiscus::testing
+
+int main(int argc, char** argv) {
+    absl::ParseCommandLine(argc, argv);
+    using hibiscus::testing::log_service;
+    std::shared_ptr<log_service> service;
+    return hibiscus::testing::run_stand_in(
+        absl::GetFlag(FLAGS_address), [&](boost::asio::io_context& io) {
+            service = std::make_shared<log_service>(io);
+            return [service](const hibiscus::net::http_request& request,
+                             const hibiscus::net::http_responder& respond) {
+                service->handle(request, respond);
+            };
+        });
+}
--- /dev/null
+++ b/testing/stand_ins/weight_store.cpp
@@ -0,0 +1,78 @@
+// Stands in for the platform's weight store, which hands out one set of
+// weights after the other at a limited rate. It keeps only the numbers of the
+// versions, not their bytes.
+
+#include "support/stand_in.hpp"
+
+#include "hibiscus/base/clock.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <set>
+
+ABSL_FLAG(std::string, address, "127.0.0.1:0", "where to listen");
+ABSL_FLAG(int, read_ms, 150, "how long one read takes");
+ABSL_FLAG(int, parallel, 4, "reads at a time; others wait their turn");
+
+namespace hibiscus::testing {
+namespace {
+
+/// The whole service. Runs in one thread.
+class weight_store {
+public:
+    explicit weight_store(boost::asio::io_context& io) : io_(io) {}
+
+    /// Handles one request.
+    void handle(const net::http_request& request,
+                const net::http_responder& respond) {
+        if (request.method == "PUT") {
+            versions_.insert(request.target);
+            respond({200, "{}", "application/json"});
+        } else if (versions_.count(request.target) == 0) {
+            respond({404, "{}", "application/json"});
+        } else {
+            read(respond);
+        }
+    }
+
+private:
+    void read(const net::http_responder& respond) {
+        const auto read_ms = absl::GetFlag(FLAGS_read_ms);
+        const auto spacing =
+            read_ms / std::max(1, absl::GetFlag(FLAGS_parallel));
+        const auto now = clock_.now();
+        const auto start = std::max(now, free_at_);
+        free_at_ = start + spacing;
+        auto timer = std::make_shared<boost::asio::steady_timer>(io_);
+        timer->expires_after(std::chrono::milliseconds(start - now + read_ms));
+        timer->async_wait([timer, respond](const boost::system::error_code&) {
+            respond({200, "{}", "application/json"});
+        });
+    }
+
+    boost::asio::io_context& io_;
+    base::clock clock_;
+    base::millis free_at_ = 0;
+    std::set<std::string> versions_;
+};
+
+} // namespace
+} // namespace hibiscus::testing
+
+int main(int argc, char** argv) {
+    absl::ParseCommandLine(argc, argv);
+    using hibiscus::testing::weight_store;
+    return hibiscus::testing::run_stand_in(
+        absl::GetFlag(FLAGS_address), [](boost::asio::io_context& io) {
+            auto store = std::make_shared<weight_store>(io);
+            return [store](const hibiscus::net::http_request& request,
+                           const hibiscus::net::http_responder& respond) {
+                store->handle(request, respond);
+            };
+        });
+}
--- /dev/null
+++ b/testing/support/caller.cpp
@@ -0,0 +1,101 @@
+#include "support/caller.hpp"
+
+#include <algorithm>
+#include <future>
+
+namespace hibiscus::testing {
+
+namespace {
+
+constexpr base::millis connect_ms = 500;
+constexpr base::millis entries_timeout = 1000;
+
+} // namespace
+
+std::vector<base::endpoint> parse_entries(const std::string& text) {
+    std::vector<base::endpoint> entries;
+    std::size_t at = 0;
+    while (at < text.size()) {
+        const auto comma = std::min(text.find(',', at), text.size());
+        if (const auto e = base::parse_endpoint(text.substr(at, comma - at))) {
+            entries.push_back(*e);
+        }
+        at = comma + 1;
+    }
+    return entries;
+}
+
+caller::caller(std::vector<base::endpoint> first)
+    : guard_(io_.get_executor()), http_(io_, connect_ms),
+      thread_([this] { io_.run(); }), first_(std::move(first)),
+      entries_(first_) {}
+
+caller::~caller() {
+    io_.stop();
+    thread_.join();
+}
+
+net::http_result caller::send_to(const base::endpoint& target,
+                                 net::http_request request,
+                                 base::millis timeout) {
+    std::promise<net::http_result> promise;
+    http_.send(target, std::move(request), timeout, net::reuse::allowed,
+               [&](net::http_result r) { promise.set_value(std::move(r)); });
+    return promise.get_future().get();
+}
+
+net::http_result caller::send(net::http_request request, base::millis timeout) {
+    refresh();
+    const auto target = next_entry();
+    auto result = send_to(target, std::move(request), timeout);
+    if (std::holds_alternative<net::http_failure>(result)) {
+        avoid(target);
+    }
+    return result;
+}
+
+base::endpoint caller::next_entry() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return entries_[next_++ % entries_.size()];
+}
+
+void caller::refresh() {
+    base::endpoint target;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (clock_.now() < fresh_until_) {
+            return;
+        }
+        fresh_until_ = clock_.now() + entries_timeout;
+        target = entries_[next_++ % entries_.size()];
+    }
+    net::http_request request;
+    request.target = "/v1/entries";
+    const auto answer = decode<wire::entries_answer>(
+        send_to(target, std::move(request), entries_timeout));
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<base::endpoint> found;
+    for (const auto& e :
+         answer ? answer->entries : std::vector<wire::entry_address>{}) {
+        if (const auto address = base::parse_endpoint(e.address)) {
+            found.push_back(*address);
+        }
+    }
+    if (found.empty()) {
+        entries_ = first_;
+        fresh_until_ = 0;
+    } else {
+        entries_ = std::move(found);
+        fresh_until_ = clock_.now() + answer->ttl_ms;
+    }
+}
+
+void caller::avoid(const base::endpoint& target) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (entries_.size() > 1) {
+        entries_.erase(std::remove(entries_.begin(), entries_.end(), target),
+                       entries_.end());
+    }
+}
+
+} // namespace hibiscus::testing
--- /dev/null
+++ b/testing/support/caller.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "hibiscus/net/http_client.hpp"
+#include "hibiscus/wire/codec.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace hibiscus::testing {
+
+/// Returns the addresses in `text`, which are divided by commas.
+std::vector<base::endpoint> parse_entries(const std::string& text);
+
+/// Calls hibiscustack as its documentation tells callers to: asks for the
+/// addresses, keeps the answer for its time to live, connects there, and goes
+/// to another address when one fails. Safe for several threads.
+class caller {
+public:
+    /// Constructs a caller that knows the addresses `first` to begin with.
+    explicit caller(std::vector<base::endpoint> first);
+
+    /// Ends its thread.
+    ~caller();
+
+    caller(const caller&) = delete;
+    caller& operator=(const caller&) = delete;
+
+    /// Sends a request to an entry and waits for what comes of it.
+    net::http_result send(net::http_request request, base::millis timeout);
+
+    /// Sends a request to `target` and waits for what comes of it.
+    net::http_result send_to(const base::endpoint& target,
+                             net::http_request request, base::millis timeout);
+
+    /// Sends `body` and returns the answer, or nothing if there is none or it
+    /// is not of the type T.
+    template <class T>
+    std::optional<T> ask(const std::string& method, const std::string& target,
+                         std::string body, base::millis timeout) {
+        net::http_request request;
+        request.method = method;
+        request.target = target;
+        request.body = std::move(body);
+        return decode<T>(send(std::move(request), timeout));
+    }
+
+    /// Returns the message in a result, or nothing.
+    template <class T>
+    static std::optional<T> decode(const net::http_result& result) {
+        const auto* response = std::get_if<net::http_response>(&result);
+        if (response == nullptr) {
+            return std::nullopt;
+        }
+        auto read = wire::from_json<T>(response->body);
+        auto* value = base::value_if(read);
+        return value != nullptr ? std::make_optional(std::move(*value))
+                                : std::nullopt;
+    }
+
+    /// Returns the time.
+    const base::clock& clock() const { return clock_; }
+
+private:
+    base::endpoint next_entry();
+    void refresh();
+    void avoid(const base::endpoint& target);
+
+    base::clock clock_;
+    boost::asio::io_context io_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+        guard_;
+    net::http_client http_;
+    std::thread thread_;
+    std::mutex mutex_;
+    std::vector<base::endpoint> first_;
+    std::vector<base::endpoint> entries_;
+    base::millis fresh_until_ = 0;
+    std::size_t next_ = 0;
+};
+
+} // namespace hibiscus::testing
--- /dev/null
+++ b/testing/support/process.cpp
@@ -0,0 +1,109 @@
+#include "support/process.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+extern char** environ; // NOLINT(readability-redundant-declaration)
+
+namespace hibiscus::testing {
+
+process::process(const std::vector<std::string>& arguments, std::string output)
+    : output_(std::move(output)) {
+    std::vector<char*> argv;
+    argv.reserve(arguments.size() + 1);
+    for (const auto& a : arguments) {
+        argv.push_back(const_cast<char*>(a.c_str()));
+    }
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 1, output_.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    const int error =
+        posix_spawn(&id_, argv[0], &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0) {
+        throw std::runtime_error("cannot start " + arguments[0]);
+    }
+}
+
+process::~process() {
+    if (running()) {
+        signal(SIGKILL);
+        wait(10000);
+    }
+}
+
+void process::signal(int number) const {
+    if (!exit_) {
+        ::kill(id_, number);
+    }
+}
+
+std::optional<int> process::wait(base::millis limit) {
+    eventually([this] { return !running(); }, limit);
+    return exit_;
+}
+
+bool process::running() {
+    if (exit_) {
+        return false;
+    }
+    int status = 0;
+    if (::waitpid(id_, &status, WNOHANG) != id_) {
+        return true;
+    }
+    exit_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return false;
+}
+
+std::string process::output() const {
+    std::ifstream in(output_);
+    std::stringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+std::optional<base::endpoint> process::listening(base::millis limit) const {
+    const std::string words = "listening on ";
+    std::optional<base::endpoint> found;
+    eventually(
+        [&] {
+            const auto text = output();
+            const auto at = text.find(words);
+            const auto end = text.find('\n', at);
+            if (at != std::string::npos && end != std::string::npos) {
+                const auto from = at + words.size();
+                found = base::parse_endpoint(text.substr(from, end - from));
+            }
+            return found.has_value();
+        },
+        limit);
+    return found;
+}
+
+std::uint16_t free_port(const std::string& ip) {
+    using tcp = boost::asio::ip::tcp;
+    boost::asio::io_context io;
+    tcp::acceptor acceptor(io,
+                           tcp::endpoint(boost::asio::ip::make_address(ip), 0));
+    return acceptor.local_endpoint().port();
+}
+
+void pause_for(base::millis ms) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+} // namespace hibiscus::testing
--- /dev/null
+++ b/testing/support/stand_in.cpp
@@ -0,0 +1,53 @@
+#include "support/stand_in.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace hibiscus::testing {
+
+int run_stand_in(
+    const std::string& address,
+    const std::function<net::http_handler(boost::asio::io_context&)>& make) {
+    boost::asio::io_context io(1);
+    const auto guard = boost::asio::make_work_guard(io);
+    net::http_limits limits;
+    limits.read_ms = 600000;
+    limits.body_bytes = 64 * 1024 * 1024;
+    net::http_server server(io, limits, make(io));
+    const auto wanted = base::parse_endpoint(address);
+    const auto got = wanted ? server.listen(*wanted) : std::nullopt;
+    if (!got) {
+        std::cerr << "cannot listen on " << address << '\n';
+        return 1;
+    }
+    std::cout << "listening on " << base::to_string(*got) << std::endl;
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait(
+        [&](const boost::system::error_code&, int) { io.stop(); });
+    io.run();
+    return 0;
+}
+
+std::int64_t query_number(const std::string& target, const std::string& key,
+                          std::int64_t fallback) {
+    const auto query = target.find('?');
+    if (query == std::string::npos) {
+        return fallback;
+    }
+    const auto at = ("&" + target.substr(query + 1)).find("&" + key + "=");
+    if (at == std::string::npos) {
+        return fallback;
+    }
+    const auto value = target.substr(query + 1 + at + key.size() + 1);
+    return std::strtoll(value.c_str(), nullptr, 10);
+}
+
+std::string path_of(const std::string& target) {
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace hibiscus::testing
--- /dev/null
+++ b/testing/support/system.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "hibiscus/wire/platform.hpp"
+#include "support/caller.hpp"
+#include "support/process.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hibiscus::testing {
+
+/// One hibiscusd of a test.
+struct node_process {
+    std::string name;
+    std::string zone;
+    base::endpoint callers;
+    base::endpoint peers;
+    std::unique_ptr<process> running;
+};
+
+/// The stand-ins and nodes of a test or demo, each a process of its own, in a
+/// folder of its own. All are killed with the object.
+class system {
+public:
+    /// Constructs an empty system. `programs` is the build folder.
+    explicit system(std::string programs);
+
+    /// Kills all processes and removes the folder, unless keep() was called.
+    ~system();
+
+    system(const system&) = delete;
+    system& operator=(const system&) = delete;
+
+    /// Keeps the folder with the processes' output.
+    void keep() { keep_ = true; }
+
+    /// Starts the log service, the instance list and the weight store.
+    /// `log_flags` go to the log service.
+    void start_platform(const std::vector<std::string>& log_flags = {});
+
+    /// Starts a hibiscusd on `ip` and lists it. Returns its place in nodes().
+    std::size_t start_node(const std::string& ip, const std::string& zone);
+
+    /// Starts the node again at its old addresses.
+    void restart_node(std::size_t index);
+
+    /// Starts a model engine of a pool and lists it. Returns its name.
+    std::string start_engine(const std::string& pool, const std::string& zone,
+                             const std::vector<std::string>& flags = {});
+
+    /// Starts an instance of a plain service and lists it. Returns its name.
+    std::string start_service(const std::string& service,
+                              const std::string& zone,
+                              const std::vector<std::string>& flags = {});
+
+    /// Starts a client ("trainer" or "app") with flags; it gets the entries'
+    /// addresses.
+    process& start_client(const std::string& kind, const std::string& name,
+                          const std::vector<std::string>& flags);
+
+    /// Changes the state of an instance in the list.
+    void list(const wire::instance& row);
+
+    /// Takes an instance out of the list.
+    void unlist(const std::string& id);
+
+    /// Publishes a document with hibiscusctl. Returns its exit code.
+    int publish(const std::string& document);
+
+    /// Runs hibiscusctl with arguments; returns exit code and output.
+    std::pair<int, std::string> ctl(const std::vector<std::string>& arguments);
+
+    /// Waits until all nodes that run are ready and see each other.
+    bool wait_ready(base::millis limit = 30000);
+
+    /// Returns the nodes.
+    std::vector<node_process>& nodes() { return nodes_; }
+
+    /// Returns the stand-in of that name: "log", "instances", "weights", or
+    /// the name of an engine or service.
+    process& stand_in(const std::string& name) { return *stand_ins_.at(name); }
+
+    /// Returns the address of the stand-in of that name.
+    const base::endpoint& address(const std::string& name) const {
+        return addresses_.at(name);
+    }
+
+    /// Returns the rows of the instance list that this object has made.
+    const std::map<std::string, wire::instance>& listed() const {
+        return listed_;
+    }
+
+    /// Returns the addresses of all nodes for callers.
+    std::vector<base::endpoint> entries() const;
+
+    /// Sends a request to a stand-in and returns the body of its answer, or
+    /// "" if there is none.
+    std::string ask(const std::string& name, const std::string& method,
+                    const std::string& target, const std::string& body = "");
+
+    /// Returns the path of a file in the system's folder.
+    std::string path(const std::string& file) const;
+
+private:
+    base::endpoint start_stand_in(const std::string& name,
+                                  const std::string& program,
+                                  const std::vector<std::string>& flags);
+    void launch(node_process& node);
+
+    std::string programs_;
+    std::string folder_;
+    bool keep_ = false;
+    std::map<std::string, std::unique_ptr<process>> stand_ins_;
+    std::map<std::string, base::endpoint> addresses_;
+    std::map<std::string, wire::instance> listed_;
+    std::vector<node_process> nodes_;
+    std::vector<std::unique_ptr<process>> clients_;
+    int counter_ = 0;
+    caller http_;
+};
+
+} // namespace hibiscus::testing
