--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,10 @@
 # The workspace's commands; see README.md.
 BUILD ?= build
 
+# Worktrees in other folders share the compiler cache.
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
+
 .PHONY: all install build format check lint test demo clean
 
 all: build
