cluster: claim_home answers in time and runs once where it did not

Ruled out: an append as a probe of the log, which would cost appends in an outage; the next request after the pause is the probe. Conclusion: a claim in flight is kept until the log has answered for it, and each caller is answered by its own deadline.

--- a/packages/cluster/include/hibiscus/cluster/claim_fold.hpp
+++ b/packages/cluster/include/hibiscus/cluster/claim_fold.hpp
@@ -46,6 +46,10 @@
     /// time of day.
     void forget(base::millis created_before_ms);
 
+    /// Returns the time of day before which claims may have been dropped. A
+    /// request made before it may have run unseen.
+    base::millis forgotten_before() const { return forgotten_before_; }
+
     /// Returns the offset after the last record that was applied.
     wire::log_offset next() const { return next_; }
 
@@ -60,6 +64,7 @@
     std::optional<shard_epoch> epoch_;
     std::map<std::pair<base::node_id, std::uint64_t>, std::uint64_t> written_;
     wire::log_offset next_ = 0;
+    base::millis forgotten_before_ = 0;
 };
 
 } // namespace hibiscus::cluster
--- a/packages/cluster/include/hibiscus/cluster/claim_home.hpp
+++ b/packages/cluster/include/hibiscus/cluster/claim_home.hpp
@@ -51,6 +51,9 @@
     base::millis clock_skew = 5000;
     /// How long claims are kept, by the time of day.
     base::millis keep = 600000;
+    /// How long past its deadline a caller waits for a request that runs; the
+    /// dispatch ends at the deadline itself and tells more.
+    base::millis answer_grace = 250;
 };
 
 /// How an append ended.
@@ -93,14 +96,15 @@
     /// Notes how a dispatched request ended.
     void dispatched(shard_number shard, const wire::answer& answer);
 
-    /// Sends due appends, refuses what is past its deadline.
+    /// Sends due appends, answers callers whose deadlines have passed.
     void tick(base::millis now, base::millis wall);
 
     /// Returns the shards whose streams must be read, each with the offset to
     /// read from.
     std::vector<std::pair<shard_number, wire::log_offset>> reading() const;
 
-    /// Returns the number of requests between submission and answer.
+    /// Returns the number of requests between submission and answer, and of
+    /// records that still have to reach the log while it takes any.
     std::size_t pending() const;
 
     /// Returns what is to be done, in order, and forgets it.
@@ -109,11 +113,20 @@
 private:
     enum class stage { queued, appending, running };
 
+    /// One caller that waits for a request, by the monotonic clock.
+    struct waiting_caller {
+        claim_waiter waiter = 0;
+        base::millis deadline = 0;
+    };
+
     struct pending_request {
         wire::service_request request;
-        std::vector<claim_waiter> waiters;
+        std::vector<waiting_caller> waiters;
+        /// The latest of the waiters' deadlines.
         base::millis deadline = 0;
         stage at = stage::queued;
+        /// The number of the record that carries the claim.
+        std::uint64_t sequence = 0;
     };
 
     struct shard_row {
@@ -123,25 +136,46 @@
         wire::log_offset held = -1;
         std::map<base::request_id, pending_request> pending;
         std::vector<wire::claim_item> queue;
+        /// Keys whose release is queued, or in the log but not read back.
+        std::set<base::request_id> releasing;
+        /// Outcomes that are queued, or in the log but not read back.
+        std::map<base::request_id, wire::claim_item> outcomes;
         std::optional<append_claims> in_flight;
         bool sent = false;
+        /// True if an earlier try of the append in flight may be in the log.
+        bool in_doubt = false;
+        /// The last record of this node that is in the log, and that was read.
+        std::uint64_t written = 0;
+        std::uint64_t read_back = 0;
         base::millis not_before = 0;
         base::millis take_not_before = 0;
         bool log_failing = false;
     };
 
     bool ready(const shard_row& row) const;
+    bool is_own(const wire::claim_record& record) const;
+    static bool refuses(const shard_row& row, base::millis now);
+    std::optional<wire::answer>
+    logged_answer(const shard_row& row, const base::request_id& key) const;
     std::optional<wire::answer> known_answer(const shard_row& row,
                                              const wire::service_request& r,
+                                             base::millis now,
                                              base::millis wall) const;
+    wire::answer completed(const base::request_id& key,
+                           const std::string& body) const;
     void answer_all(shard_row& row, const base::request_id& key,
                     const wire::answer& answer);
     void refuse_unclaimed(shard_row& row, wire::reason why);
     void take_epoch(base::millis now, shard_row& row, const shard_epoch& epoch);
     void start_claimed(base::millis now, shard_row& row,
                        const base::request_id& key);
+    void read_back(shard_row& row, const wire::claim_record& record);
+    void answer_rejected(shard_row& row, const wire::claim_record& record);
     void release(shard_row& row, const base::request_id& key);
     void expire(base::millis now, shard_row& row);
+    bool expire_waiters(base::millis now, const base::request_id& key,
+                        pending_request& p);
+    bool fill(base::millis now, shard_number shard, shard_row& row);
     void send(base::millis now, shard_number shard, shard_row& row);
 
     base::node_id self_;
--- a/packages/cluster/src/claim_fold.cpp
+++ b/packages/cluster/src/claim_fold.cpp
@@ -1,5 +1,7 @@
 #include "hibiscus/cluster/claim_fold.hpp"
 
+#include <algorithm>
+
 namespace hibiscus::cluster {
 
 std::vector<base::request_id>
@@ -71,6 +73,7 @@
 }
 
 void claim_fold::forget(base::millis created_before_ms) {
+    forgotten_before_ = std::max(forgotten_before_, created_before_ms);
     for (auto at = claims_.begin(); at != claims_.end();) {
         at = at->second.created_ms < created_before_ms ? claims_.erase(at)
                                                        : std::next(at);
--- a/packages/cluster/src/claim_home.cpp
+++ b/packages/cluster/src/claim_home.cpp
@@ -45,55 +45,85 @@
     return row.home && epoch != nullptr && row.held == epoch->number;
 }
 
+bool claim_home::is_own(const wire::claim_record& record) const {
+    return record.node == self_ && record.incarnation == incarnation_;
+}
+
+bool claim_home::refuses(const shard_row& row, base::millis now) {
+    // After a refused append nothing is queued, so no later append would show
+    // that the log is back: callers would be refused for ever. So those that
+    // come after the pause are taken, and their append is the test.
+    return row.log_failing && (row.in_flight || now < row.not_before);
+}
+
+wire::answer claim_home::completed(const base::request_id& key,
+                                   const std::string& body) const {
+    return {key, wire::outcome::completed, wire::reason::none, 0, body, self_,
+            1};
+}
+
+std::optional<wire::answer>
+claim_home::logged_answer(const shard_row& row,
+                          const base::request_id& key) const {
+    const auto own = row.outcomes.find(key);
+    if (own != row.outcomes.end()) {
+        return completed(key, own->second.body);
+    }
+    const auto* claim = row.fold.find(key);
+    if (claim != nullptr && claim->body) {
+        return completed(key, *claim->body);
+    }
+    return std::nullopt;
+}
+
 std::optional<wire::answer>
 claim_home::known_answer(const shard_row& row, const wire::service_request& r,
-                         base::millis wall) const {
+                         base::millis now, base::millis wall) const {
+    if (auto logged = logged_answer(row, r.id)) {
+        return logged;
+    }
     // Claims are forgotten after a time. A request that is older than that
-    // might have run unseen, so it must not run now.
+    // might have run unseen, so it must not run now. The fold's own limit
+    // counts too: operators may have made the time longer since.
     if (r.created_ms < wall - times_.keep ||
-        r.created_ms > wall + times_.clock_skew) {
+        r.created_ms < row.fold.forgotten_before()) {
+        return wire::unknown(r.id, wire::reason::claim_window_passed, self_);
+    }
+    if (r.created_ms > wall + times_.clock_skew) {
         return wire::not_run(r.id, wire::reason::claim_window_passed, 0, self_);
     }
     if (!ready(row)) {
-        const auto why = row.log_failing ? wire::reason::log_unavailable
-                                         : wire::reason::not_ready;
+        const auto why = refuses(row, now) ? wire::reason::log_unavailable
+                                           : wire::reason::not_ready;
         return wire::not_run(r.id, why, times_.refusal, self_);
     }
-    const auto* claim = row.fold.find(r.id);
-    if (claim == nullptr) {
-        if (row.log_failing) {
-            return wire::not_run(r.id, wire::reason::log_unavailable,
-                                 times_.refusal, self_);
-        }
-        return std::nullopt;
-    }
-    if (claim->body) {
-        return wire::answer{r.id,
-                            wire::outcome::completed,
-                            wire::reason::none,
-                            0,
-                            *claim->body,
-                            self_,
-                            1};
-    }
-    return wire::unknown(r.id, wire::reason::outcome_lost, self_);
+    if (row.fold.find(r.id) != nullptr && row.releasing.count(r.id) == 0) {
+        return wire::unknown(r.id, wire::reason::outcome_lost, self_);
+    }
+    if (refuses(row, now)) {
+        return wire::not_run(r.id, wire::reason::log_unavailable,
+                             times_.refusal, self_);
+    }
+    return std::nullopt;
 }
 
 void claim_home::submit(base::millis now, base::millis wall,
                         claim_waiter waiter, shard_number shard,
                         const wire::service_request& request) {
     auto& row = shards_[shard];
+    const auto deadline = now + request.deadline_ms;
     const auto at = row.pending.find(request.id);
     if (at != row.pending.end()) {
-        at->second.waiters.push_back(waiter);
+        at->second.waiters.push_back({waiter, deadline});
+        at->second.deadline = std::max(at->second.deadline, deadline);
         return;
     }
-    if (const auto known = known_answer(row, request, wall)) {
+    if (const auto known = known_answer(row, request, now, wall)) {
         effects_.push_back(answer_request{waiter, *known});
         return;
     }
     row.pending[request.id] = {
-        request, {waiter}, now + request.deadline_ms, stage::queued};
+        request, {{waiter, deadline}}, deadline, stage::queued, 0};
     row.queue.push_back({wire::claim_kind::claim,
                          request.id,
                          row.held,
@@ -107,8 +137,8 @@
     if (at == row.pending.end()) {
         return;
     }
-    for (const auto waiter : at->second.waiters) {
-        effects_.push_back(answer_request{waiter, answer});
+    for (const auto& caller : at->second.waiters) {
+        effects_.push_back(answer_request{caller.waiter, answer});
     }
     row.pending.erase(at);
 }
@@ -144,13 +174,46 @@
     if (after != nullptr && after->number != old) {
         take_epoch(now, row, *after);
     }
-    const auto* epoch = row.fold.epoch();
-    const bool ours = epoch != nullptr && epoch->node == self_ &&
-                      epoch->incarnation == incarnation_;
+    if (!is_own(record)) {
+        return;
+    }
     for (const auto& key : claimed) {
-        if (ours) {
-            start_claimed(now, row, key);
+        start_claimed(now, row, key);
+    }
+    read_back(row, record);
+}
+
+void claim_home::read_back(shard_row& row, const wire::claim_record& record) {
+    row.read_back = std::max(row.read_back, record.sequence);
+    for (const auto& item : record.items) {
+        if (item.kind == wire::claim_kind::release) {
+            row.releasing.erase(item.key);
+        } else if (item.kind == wire::claim_kind::outcome) {
+            row.outcomes.erase(item.key);
+        }
+    }
+    answer_rejected(row, record);
+}
+
+void claim_home::answer_rejected(shard_row& row,
+                                 const wire::claim_record& record) {
+    // A claim that was read back and does not stand never will. Nothing else
+    // would answer its caller before the deadline.
+    for (const auto& item : record.items) {
+        const auto at = row.pending.find(item.key);
+        if (item.kind != wire::claim_kind::claim || at == row.pending.end() ||
+            at->second.at != stage::appending ||
+            at->second.sequence != record.sequence) {
+            continue;
+        }
+        auto answer = wire::not_run(item.key, wire::reason::home_moved,
+                                    times_.refusal, self_);
+        if (const auto logged = logged_answer(row, item.key)) {
+            answer = *logged;
+        } else if (row.fold.find(item.key) != nullptr) {
+            answer = wire::unknown(item.key, wire::reason::outcome_lost, self_);
         }
+        answer_all(row, item.key, answer);
     }
 }
 
@@ -190,6 +253,7 @@
 void claim_home::release(shard_row& row, const base::request_id& key) {
     const auto* claim = row.fold.find(key);
     if (claim != nullptr) {
+        row.releasing.insert(key);
         row.queue.push_back({wire::claim_kind::release,
                              key,
                              claim->epoch,
@@ -207,19 +271,25 @@
     row.sent = false;
     row.log_failing = outcome != append_outcome::appended;
     if (outcome == append_outcome::appended) {
+        row.written = std::max(row.written, row.in_flight->record.sequence);
         row.in_flight.reset();
         return;
     }
     row.not_before = std::max(row.not_before, retry_at);
-    if (outcome == append_outcome::refused) {
-        // Nothing of it is in the log, so its callers can be told at once.
-        refuse_unclaimed(row, wire::reason::log_unavailable);
-        auto items = std::move(row.in_flight->record.items);
-        row.in_flight.reset();
-        for (auto& item : items) {
-            if (item.kind != wire::claim_kind::claim) {
-                row.queue.push_back(std::move(item));
-            }
+    // Once a try may have taken effect, a later refusal says nothing about the
+    // record. Written anew under another number, a release would count twice:
+    // the second could free a key that was claimed again and runs.
+    if (outcome == append_outcome::unknown || row.in_doubt) {
+        row.in_doubt = true;
+        return;
+    }
+    // Nothing of it is in the log, so its callers can be told at once.
+    refuse_unclaimed(row, wire::reason::log_unavailable);
+    auto items = std::move(row.in_flight->record.items);
+    row.in_flight.reset();
+    for (auto& item : items) {
+        if (item.kind != wire::claim_kind::claim) {
+            row.queue.push_back(std::move(item));
         }
     }
 }
@@ -230,8 +300,11 @@
     if (answer.result == wire::outcome::not_run) {
         release(row, answer.id);
     } else if (answer.result == wire::outcome::completed && claim != nullptr) {
-        row.queue.push_back({wire::claim_kind::outcome, answer.id, claim->epoch,
-                             claim->created_ms, answer.body});
+        const wire::claim_item item{wire::claim_kind::outcome, answer.id,
+                                    claim->epoch, claim->created_ms,
+                                    answer.body};
+        row.outcomes[answer.id] = item;
+        row.queue.push_back(item);
     }
     answer_all(row, answer.id, answer);
 }
@@ -245,50 +318,81 @@
 }
 
 void claim_home::expire(base::millis now, shard_row& row) {
-    std::vector<base::request_id> late;
-    for (const auto& [key, p] : row.pending) {
-        if (p.at != stage::running && now >= p.deadline) {
-            late.push_back(key);
+    std::set<base::request_id> late;
+    for (auto& [key, p] : row.pending) {
+        if (expire_waiters(now, key, p) && p.at != stage::running) {
+            late.insert(key);
         }
     }
+    if (late.empty()) {
+        return;
+    }
     for (const auto& key : late) {
-        answer_all(row, key,
-                   wire::not_run(key, wire::reason::deadline_passed,
-                                 times_.refusal, self_));
-        row.queue.erase(std::remove_if(row.queue.begin(), row.queue.end(),
-                                       [&](const wire::claim_item& i) {
-                                           return i.key == key;
-                                       }),
-                        row.queue.end());
+        row.pending.erase(key);
     }
+    // Only the claims go: the release of an earlier try must still be written.
+    row.queue.erase(std::remove_if(row.queue.begin(), row.queue.end(),
+                                   [&](const wire::claim_item& i) {
+                                       return i.kind ==
+                                                  wire::claim_kind::claim &&
+                                              late.count(i.key) != 0;
+                                   }),
+                    row.queue.end());
 }
 
-void claim_home::send(base::millis now, shard_number shard, shard_row& row) {
-    if (row.sent || now < row.not_before) {
-        return;
-    }
-    if (!row.in_flight) {
-        wire::claim_record record;
-        record.node = self_;
-        record.incarnation = incarnation_;
-        record.sequence = ++appends_;
-        if (row.home && row.held < 0 && now >= row.take_not_before) {
-            record.starts_epoch = true;
-            row.take_not_before = now + takeover_pause;
-        } else if (!row.queue.empty()) {
-            record.items = std::exchange(row.queue, {});
+bool claim_home::expire_waiters(base::millis now, const base::request_id& key,
+                                pending_request& p) {
+    const bool running = p.at == stage::running;
+    const auto why = wire::reason::deadline_passed;
+    const auto answer = running
+                            ? wire::unknown(key, why, self_)
+                            : wire::not_run(key, why, times_.refusal, self_);
+    const auto limit = running ? now - times_.answer_grace : now;
+    std::vector<waiting_caller> left;
+    for (const auto& caller : p.waiters) {
+        if (caller.deadline <= limit) {
+            effects_.push_back(answer_request{caller.waiter, answer});
         } else {
-            return;
+            left.push_back(caller);
         }
-        const auto id = id_of(record);
-        row.in_flight = append_claims{shard, id, std::move(record)};
     }
-    for (const auto& item : row.in_flight->record.items) {
+    p.waiters = std::move(left);
+    return p.waiters.empty();
+}
+
+bool claim_home::fill(base::millis now, shard_number shard, shard_row& row) {
+    wire::claim_record record;
+    record.node = self_;
+    record.incarnation = incarnation_;
+    if (row.home && row.held < 0 && now >= row.take_not_before) {
+        record.starts_epoch = true;
+        row.take_not_before = now + takeover_pause;
+    } else if (!row.queue.empty()) {
+        record.items = std::exchange(row.queue, {});
+    } else {
+        return false;
+    }
+    record.sequence = ++appends_;
+    for (auto& item : record.items) {
         const auto at = row.pending.find(item.key);
-        if (at != row.pending.end() && at->second.at == stage::queued) {
+        if (item.kind == wire::claim_kind::claim && at != row.pending.end()) {
+            // The epoch may have changed since the request was submitted.
+            item.epoch = row.held;
             at->second.at = stage::appending;
+            at->second.sequence = record.sequence;
         }
     }
+    const auto id = id_of(record);
+    row.in_flight = append_claims{shard, id, std::move(record)};
+    row.in_doubt = false;
+    return true;
+}
+
+void claim_home::send(base::millis now, shard_number shard, shard_row& row) {
+    if (row.sent || now < row.not_before ||
+        (!row.in_flight && !fill(now, shard, row))) {
+        return;
+    }
     row.sent = true;
     row.not_before = now + times_.window;
     effects_.push_back(*row.in_flight);
@@ -299,7 +403,7 @@
     std::vector<std::pair<shard_number, wire::log_offset>> result;
     for (const auto& [shard, row] : shards_) {
         if (row.home || !row.pending.empty() || row.in_flight ||
-            !row.queue.empty()) {
+            !row.queue.empty() || row.read_back < row.written) {
             result.emplace_back(shard, row.fold.next());
         }
     }
@@ -310,6 +414,9 @@
     std::size_t count = 0;
     for (const auto& [shard, row] : shards_) {
         count += row.pending.size();
+        if (!row.log_failing) {
+            count += row.queue.size() + (row.in_flight ? 1U : 0U);
+        }
     }
     return count;
 }
