document, node, ctl: fold kept apart from peers' documents; retention

Cause: a document adopted from a peer became the base by which records of the stream were judged, so accepted publishes read as superseded. And once retention had dropped the record that carried the document, a fresh fold judged later publishes against revision 0: hibiscusctl published with base 0 and called it accepted while nodes refused it. Now the fold has its own accepted revision; the higher of the two counts. The home repeats the accepted document with the offset that it covers; a fold that missed records waits for a repeat that covers what is gone. Ruled out: judging by the repeat alone. Publishes between its making and its append would be lost; they are held and judged after it. Conclusion: a fold says when it cannot know, and nobody builds on a guess. Left: if every node was away while retention passed, nothing in the log tells the revision and a publish is refused until a node that has it comes back.

--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -18,7 +18,6 @@
 
 using nlohmann::json;
 
-constexpr int most_reads = 20;
 constexpr int most_appends = 3;
 constexpr int status_ok = 200;
 
@@ -55,29 +54,30 @@
     return valid;
 }
 
-/// Folds the stream from `next` to its end. Returns false if it cannot be
-/// read.
-bool follow(session& s, const base::endpoint& log, document::config_fold& fold,
-            wire::log_offset& next) {
-    for (int i = 0; i < most_reads; ++i) {
-        const auto result = s.read(log, platform::config_stream, next, 0);
+/// Folds the stream from where `fold` stands to its end. Returns false if it
+/// cannot be read.
+bool follow(session& s, const base::endpoint& log,
+            document::config_fold& fold) {
+    while (true) {
+        const auto result =
+            s.read(log, platform::config_stream, fold.next(), 0);
         const auto* page = std::get_if<wire::log_page>(&result);
         if (page == nullptr) {
             return false;
         }
-        next = std::max(next, page->first);
+        fold.skip_to(page->first);
         for (const auto& record : page->records) {
-            next = record.offset + 1;
             const auto read = wire::from_json<wire::config_record>(record.data);
             if (const auto* content = base::value_if(read)) {
                 fold.apply(record.offset, *content);
+            } else {
+                fold.skip_invalid(record.offset);
             }
         }
-        if (next >= page->end) {
-            return true;
+        if (fold.next() >= page->end || page->records.empty()) {
+            return fold.next() >= page->end;
         }
     }
-    return false;
 }
 
 exit_code tell_verdict(const command_context& context,
@@ -165,17 +165,23 @@
     }
     session s;
     document::config_fold fold;
-    wire::log_offset next = 0;
-    if (!follow(s, context.log, fold, next)) {
+    if (!follow(s, context.log, fold)) {
         context.error << "the log does not answer; nothing was published\n";
         return exit_code::unavailable;
     }
     if (fold.verdict(publish_id) != document::publish_verdict::unknown) {
         return tell_verdict(context, publish_id, fold);
     }
-    const auto* now = fold.in_force();
+    if (!fold.complete()) {
+        // Old records are gone and no node has repeated the document yet. A
+        // publish without its true base would be refused by every node.
+        context.error << "the log does not show the revision in force; nothing "
+                         "was published; try again in some seconds\n";
+        return exit_code::unavailable;
+    }
+    const auto* now = fold.accepted();
     const wire::config_record record{
-        1, publish_id, now != nullptr ? now->number : 0, *text, 0};
+        1, publish_id, now != nullptr ? now->number : 0, *text, 0, 0};
     // An append whose answer was lost may have taken effect; the record's id
     // makes a second copy harmless, so it is sent again.
     for (int i = 0; i < most_appends; ++i) {
@@ -186,7 +192,7 @@
             break;
         }
     }
-    if (!follow(s, context.log, fold, next)) {
+    if (!follow(s, context.log, fold)) {
         context.error << "it is unknown whether publish " << publish_id
                       << " took effect; ask again with --publish_id="
                       << publish_id << '\n';
--- a/packages/document/include/hibiscus/document/config_fold.hpp
+++ b/packages/document/include/hibiscus/document/config_fold.hpp
@@ -3,8 +3,13 @@
 #include "hibiscus/document/parse.hpp"
 #include "hibiscus/wire/platform.hpp"
 
+#include <algorithm>
+#include <deque>
 #include <map>
 #include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace hibiscus::document {
 
@@ -25,13 +30,24 @@
 };
 
 /// Folds the `config` stream. All nodes that fold the same records have the
-/// same document in force, so no other agreement is needed.
+/// same document in force, so no other agreement is needed. What a peer hands
+/// over is kept apart from the fold; the higher revision of the two counts.
 class config_fold {
 public:
     /// Applies one record. Records are applied in the order of their offsets;
     /// a record at or before the last one is skipped.
     void apply(wire::log_offset offset, const wire::config_record& record);
 
+    /// Notes that retention dropped the records before `first`. If some of
+    /// them were not applied, what follows is judged only once a repeated
+    /// record tells which revision it builds on.
+    void skip_to(wire::log_offset first);
+
+    /// Passes over the record at `offset`, which no node can read.
+    void skip_invalid(wire::log_offset offset) {
+        next_ = std::max(next_, offset + 1);
+    }
+
     /// Takes over a document that a peer has accepted. Returns true if it is
     /// newer than the one in force; an older one changes nothing.
     bool adopt(wire::log_offset number, const std::string& text);
@@ -39,6 +55,21 @@
     /// Returns the document in force, or null before the first.
     const revision* in_force() const;
 
+    /// Returns true unless records are missing that decide what is accepted.
+    bool complete() const { return !missing_from_; }
+
+    /// Returns the revision that the stream has accepted, or null before the
+    /// first. The next publish must name it as its base.
+    const revision* accepted() const;
+
+    /// Returns the record that repeats the accepted document, so that the
+    /// records before next() are not needed any more. Only if complete().
+    wire::config_record repeat() const;
+
+    /// Returns the offset from which on the stream explains itself, 0 if only
+    /// from its start.
+    wire::log_offset covered() const { return covered_; }
+
     /// Returns what became of the publish `publish_id`.
     publish_verdict verdict(const std::string& publish_id) const;
 
@@ -46,11 +77,21 @@
     wire::log_offset next() const { return next_; }
 
 private:
-    publish_verdict judge(wire::log_offset offset,
-                          const wire::config_record& record);
-
-    std::optional<revision> in_force_;
+    void judge(wire::log_offset offset, const wire::config_record& record);
+    void take_repeat(wire::log_offset offset,
+                     const wire::config_record& record);
+    void resume(const wire::config_record& repeat);
+    void note(const std::string& publish_id, publish_verdict verdict);
+
+    std::optional<revision> accepted_;
+    std::optional<revision> adopted_;
+    std::string accepted_publish_;
     std::map<std::string, publish_verdict> verdicts_;
+    std::deque<std::string> verdict_order_;
+    /// The first offset after the records that are missing.
+    std::optional<wire::log_offset> missing_from_;
+    std::vector<std::pair<wire::log_offset, wire::config_record>> waiting_;
+    wire::log_offset covered_ = 0;
     wire::log_offset next_ = 0;
 };
 
--- a/packages/document/src/config_fold.cpp
+++ b/packages/document/src/config_fold.cpp
@@ -2,59 +2,169 @@
 
 #include "hibiscus/base/result.hpp"
 
+#include <algorithm>
+
 namespace hibiscus::document {
 
+namespace {
+
+/// Verdicts kept for operators who ask again; at 17,000 changes a day those
+/// of about six hours.
+constexpr std::size_t most_verdicts = 4096;
+
+bool is_repeat(const wire::config_record& record) {
+    return record.revision != 0 || record.covers != 0;
+}
+
+wire::log_offset number_of(const std::optional<revision>& r) {
+    return r ? r->number : 0;
+}
+
+/// Returns the revision of that number and text, or nothing if the text is no
+/// document.
+std::optional<revision> make_revision(wire::log_offset number,
+                                      const std::string& text) {
+    auto parsed = parse(text);
+    auto* content = base::value_if(parsed);
+    if (content == nullptr) {
+        return std::nullopt;
+    }
+    return revision{number, text, std::move(*content)};
+}
+
+} // namespace
+
 void config_fold::apply(wire::log_offset offset,
                         const wire::config_record& record) {
     if (offset < next_) {
         return;
     }
     next_ = offset + 1;
+    if (is_repeat(record)) {
+        take_repeat(offset, record);
+    } else if (missing_from_) {
+        waiting_.emplace_back(offset, record);
+    } else {
+        judge(offset, record);
+    }
+}
+
+void config_fold::skip_to(wire::log_offset first) {
+    if (first <= next_) {
+        return;
+    }
+    // A publish among the lost records may have been accepted. Judged against
+    // the revision before them, later ones would be refused here and accepted
+    // elsewhere, and this node would never agree with the others again.
+    if (number_of(accepted_) > number_of(adopted_)) {
+        adopted_ = std::move(accepted_);
+    }
+    accepted_.reset();
+    waiting_.clear();
+    missing_from_ = first;
+    next_ = first;
+}
+
+void config_fold::take_repeat(wire::log_offset offset,
+                              const wire::config_record& record) {
+    if (record.covers > offset) {
+        return;
+    }
+    if (missing_from_ && record.covers >= *missing_from_) {
+        resume(record);
+    }
+    if (!missing_from_) {
+        covered_ = std::max(covered_, record.covers);
+    }
+    if (!record.publish_id.empty()) {
+        note(record.publish_id, publish_verdict::accepted);
+    }
+}
+
+void config_fold::resume(const wire::config_record& repeat) {
+    if (repeat.revision != 0) {
+        accepted_ = make_revision(repeat.revision, repeat.document);
+        if (!accepted_) {
+            return;
+        }
+        accepted_publish_ = repeat.publish_id;
+    }
+    missing_from_.reset();
+    // Publishes may have come between the repeat's making and its append.
+    for (const auto& [offset, record] : std::exchange(waiting_, {})) {
+        if (offset >= repeat.covers) {
+            judge(offset, record);
+        }
+    }
+}
+
+void config_fold::judge(wire::log_offset offset,
+                        const wire::config_record& record) {
     // An append whose answer was lost is sent again with the same id, and the
     // operator would see the second one refused as superseded by the first.
     // The first record decides.
-    if (verdicts_.count(record.publish_id) != 0 && record.revision == 0) {
+    if (verdicts_.count(record.publish_id) != 0) {
         return;
     }
-    const auto verdict = judge(offset, record);
-    verdicts_.emplace(record.publish_id, verdict);
+    if (record.base != number_of(accepted_)) {
+        note(record.publish_id, publish_verdict::superseded);
+        return;
+    }
+    // Offsets start at 0 and revision 0 means none, hence one more.
+    auto made = make_revision(offset + 1, record.document);
+    if (!made) {
+        note(record.publish_id, publish_verdict::invalid);
+        return;
+    }
+    accepted_ = std::move(made);
+    accepted_publish_ = record.publish_id;
+    note(record.publish_id, publish_verdict::accepted);
 }
 
-publish_verdict config_fold::judge(wire::log_offset offset,
-                                   const wire::config_record& record) {
-    if (record.revision != 0) {
-        adopt(record.revision, record.document);
-        return publish_verdict::accepted;
-    }
-    const wire::log_offset current = in_force_ ? in_force_->number : 0;
-    if (record.base != current) {
-        return publish_verdict::superseded;
+void config_fold::note(const std::string& publish_id, publish_verdict verdict) {
+    if (!verdicts_.emplace(publish_id, verdict).second) {
+        return;
     }
-    auto parsed = parse(record.document);
-    auto* content = base::value_if(parsed);
-    if (content == nullptr) {
-        return publish_verdict::invalid;
+    verdict_order_.push_back(publish_id);
+    if (verdict_order_.size() > most_verdicts) {
+        verdicts_.erase(verdict_order_.front());
+        verdict_order_.pop_front();
     }
-    // Offsets start at 0 and revision 0 means none, hence one more.
-    in_force_ = revision{offset + 1, record.document, std::move(*content)};
-    return publish_verdict::accepted;
 }
 
 bool config_fold::adopt(wire::log_offset number, const std::string& text) {
-    if (in_force_ && in_force_->number >= number) {
+    const auto* now = in_force();
+    if (now != nullptr && now->number >= number) {
         return false;
     }
-    auto parsed = parse(text);
-    auto* content = base::value_if(parsed);
-    if (content == nullptr) {
+    auto made = make_revision(number, text);
+    if (!made) {
         return false;
     }
-    in_force_ = revision{number, text, std::move(*content)};
+    adopted_ = std::move(made);
     return true;
 }
 
 const revision* config_fold::in_force() const {
-    return in_force_ ? &*in_force_ : nullptr;
+    if (number_of(adopted_) > number_of(accepted_)) {
+        return &*adopted_;
+    }
+    return accepted();
+}
+
+const revision* config_fold::accepted() const {
+    return accepted_ ? &*accepted_ : nullptr;
+}
+
+wire::config_record config_fold::repeat() const {
+    wire::config_record record;
+    record.covers = next_;
+    if (accepted_) {
+        record.publish_id = accepted_publish_;
+        record.document = accepted_->text;
+        record.revision = accepted_->number;
+    }
+    return record;
 }
 
 publish_verdict config_fold::verdict(const std::string& publish_id) const {
--- a/packages/document/test/config_fold_test.cpp
+++ b/packages/document/test/config_fold_test.cpp
@@ -12,7 +12,7 @@
     /// Applies a publish at the next offset and returns its verdict.
     publish_verdict publish(const std::string& id, wire::log_offset base,
                             const std::string& text = empty_document) {
-        fold_.apply(offset_++, {1, id, base, text, 0});
+        fold_.apply(offset_++, {1, id, base, text, 0, 0});
         return fold_.verdict(id);
     }
 
@@ -56,5 +56,66 @@
     EXPECT_EQ(fold_.in_force()->number, 2);
 }
 
+// A fresh node gets the document from a peer while it still reads the stream.
+// Judged against the newer document, the publishes of before would all be
+// shown as superseded, and an operator would publish an accepted change again.
+TEST_F(config_fold_test, a_document_from_a_peer_changes_no_verdict) {
+    EXPECT_TRUE(fold_.adopt(2, empty_document));
+    EXPECT_EQ(publish("a", 0), publish_verdict::accepted);
+    EXPECT_EQ(fold_.in_force()->number, 2);
+    EXPECT_EQ(publish("b", 1), publish_verdict::accepted);
+    EXPECT_EQ(publish("c", 2), publish_verdict::accepted);
+    EXPECT_EQ(fold_.in_force()->number, 3);
+}
+
+// The log drops old records while publishes go on. A node that starts then
+// must judge like those that read all, or it would keep another document.
+TEST_F(config_fold_test, a_fresh_node_resumes_from_a_repeated_record) {
+    publish("a", 0);
+    publish("b", 1);
+    const auto repeat = fold_.repeat();
+    EXPECT_EQ(publish("c", 2), publish_verdict::accepted);
+    EXPECT_EQ(publish("d", 2), publish_verdict::superseded);
+    fold_.apply(offset_, repeat);
+
+    config_fold fresh;
+    fresh.skip_to(2);
+    fresh.apply(2, {1, "c", 2, empty_document, 0, 0});
+    fresh.apply(3, {1, "d", 2, empty_document, 0, 0});
+    EXPECT_FALSE(fresh.complete());
+    EXPECT_EQ(fresh.verdict("c"), publish_verdict::unknown);
+    fresh.apply(4, repeat);
+    ASSERT_TRUE(fresh.complete());
+    EXPECT_EQ(fresh.in_force()->number, 3);
+    EXPECT_EQ(fresh.verdict("b"), publish_verdict::accepted);
+    EXPECT_EQ(fresh.verdict("c"), publish_verdict::accepted);
+    EXPECT_EQ(fresh.verdict("d"), publish_verdict::superseded);
+    EXPECT_EQ(fresh.covered(), fold_.covered());
+}
+
+// The repeated record was made before records that are gone: a publish that
+// was accepted may be among them. Going by it would be a step back.
+TEST_F(config_fold_test, a_repeat_that_covers_too_little_is_not_enough) {
+    publish("a", 0);
+    const auto repeat = fold_.repeat();
+    config_fold fresh;
+    fresh.skip_to(2);
+    fresh.apply(2, repeat);
+    EXPECT_FALSE(fresh.complete());
+    EXPECT_EQ(fresh.in_force(), nullptr);
+}
+
+// A node was paused so long that the log dropped what it had not read. It goes
+// on with the document that it has, and does not judge by it.
+TEST_F(config_fold_test, a_node_that_missed_records_keeps_its_document) {
+    publish("a", 0);
+    fold_.skip_to(5);
+    offset_ = 5;
+    EXPECT_EQ(publish("late", 1), publish_verdict::unknown);
+    ASSERT_NE(fold_.in_force(), nullptr);
+    EXPECT_EQ(fold_.in_force()->number, 1);
+    EXPECT_TRUE(fold_.adopt(4, empty_document));
+}
+
 } // namespace
 } // namespace hibiscus::document
--- a/packages/node/include/hibiscus/node/config_follower.hpp
+++ b/packages/node/include/hibiscus/node/config_follower.hpp
@@ -27,6 +27,10 @@
     /// Starts to read.
     void start();
 
+    /// Repeats the accepted document in the stream if retention may drop what
+    /// a fresh node needs. `home` is true at the one node that does so first.
+    void tick(bool home);
+
     /// Notes the revision that a peer has in force; asks for a newer one.
     void hear(const base::node_id& peer, wire::log_offset revision);
 
@@ -48,6 +52,8 @@
     void took(const platform::read_result& result);
     void apply(const wire::log_page& page);
     void note_change();
+    bool repeat_due(bool home) const;
+    void repeat();
 
     base::node_id self_;
     boost::asio::io_context& control_;
@@ -59,8 +65,13 @@
     std::function<void()> changed_;
     boost::asio::steady_timer retry_;
     document::config_fold fold_;
-    wire::log_offset next_ = 0;
     wire::log_offset announced_ = 0;
+    /// What the last page said of the stream.
+    wire::log_offset first_ = 0;
+    base::millis uncovered_since_ = 0;
+    wire::log_offset covered_ = 0;
+    base::millis covered_at_ = 0;
+    base::millis repeated_at_ = 0;
     base::millis log_heard_at_ = 0;
     base::millis asked_at_ = 0;
 };
--- a/packages/node/src/config_follower.cpp
+++ b/packages/node/src/config_follower.cpp
@@ -1,5 +1,6 @@
 #include "hibiscus/node/config_follower.hpp"
 
+#include "hibiscus/base/hash.hpp"
 #include "hibiscus/wire/codec.hpp"
 
 #include <boost/asio/post.hpp>
@@ -14,6 +15,13 @@
 constexpr base::millis read_wait = 1000;
 constexpr base::millis least_pause = 200;
 constexpr base::millis ask_again = 500;
+/// Records without a repeat of the document, before retention is known.
+constexpr wire::log_offset most_uncovered = 64;
+/// Time without a repeat, for a log that drops records by their age.
+constexpr base::millis repeat_age = 300000;
+constexpr base::millis repeat_pause = 2000;
+constexpr base::millis takeover_pause = 5000;
+constexpr std::uint64_t takeover_spread = 10000;
 
 } // namespace
 
@@ -32,7 +40,7 @@
 }
 
 void config_follower::read() {
-    log_.read(platform::config_stream, next_, read_wait,
+    log_.read(platform::config_stream, fold_.next(), read_wait,
               [this](platform::read_result result) {
                   boost::asio::post(control_,
                                     [this, r = std::move(result)] { took(r); });
@@ -58,15 +66,21 @@
 }
 
 void config_follower::apply(const wire::log_page& page) {
-    next_ = std::max(next_, page.first);
+    first_ = page.first;
+    if (page.first > fold_.next()) {
+        counters_.count_event("config_records_missed");
+        lines_.event(severity::warn, "config_records_missed",
+                     {{"from", fold_.next()}, {"first", page.first}});
+    }
+    fold_.skip_to(page.first);
     for (const auto& record : page.records) {
-        next_ = record.offset + 1;
         const auto read = wire::from_json<wire::config_record>(record.data);
         const auto* content = base::value_if(read);
         if (content == nullptr) {
             counters_.count_event("config_record_invalid");
             lines_.event(severity::warn, "config_record_invalid",
                          {{"offset", record.offset}});
+            fold_.skip_invalid(record.offset);
             continue;
         }
         fold_.apply(record.offset, *content);
@@ -79,6 +93,58 @@
     note_change();
 }
 
+void config_follower::tick(bool home) {
+    const auto now = clock_.now();
+    if (fold_.covered() != covered_ || covered_at_ == 0) {
+        covered_ = fold_.covered();
+        covered_at_ = now;
+    }
+    if (first_ <= fold_.covered()) {
+        uncovered_since_ = now;
+    }
+    if (repeat_due(home) && now - repeated_at_ >= repeat_pause) {
+        repeated_at_ = now;
+        repeat();
+    }
+}
+
+bool config_follower::repeat_due(bool home) const {
+    if (!fold_.complete() || fold_.next() <= fold_.covered()) {
+        return false;
+    }
+    const auto now = clock_.now();
+    if (!home) {
+        // The home may be a fresh node that is itself in need of the record.
+        // Others step in, spread out, so that not all of them append.
+        const auto patience =
+            takeover_pause +
+            static_cast<base::millis>(base::stable_hash(self_.str()) %
+                                      takeover_spread);
+        return first_ > fold_.covered() && now - uncovered_since_ > patience;
+    }
+    // Half of what the log keeps is left as a margin. Before anything was
+    // dropped nobody knows how much that is.
+    const auto kept = fold_.next() - first_;
+    const auto since = fold_.next() - fold_.covered();
+    return since >= most_uncovered || (first_ > 0 && since > kept / 2) ||
+           now - covered_at_ >= repeat_age;
+}
+
+void config_follower::repeat() {
+    const auto record = fold_.repeat();
+    const base::append_id id("repeat/" + self_.str() + "/" +
+                             std::to_string(record.revision) + "/" +
+                             std::to_string(record.covers));
+    lines_.event(severity::info, "config_repeated",
+                 {{"revision", record.revision}, {"covers", record.covers}});
+    log_.append(platform::config_stream, id, wire::to_json(record),
+                [this](const platform::append_result& result) {
+                    if (std::holds_alternative<platform::log_failure>(result)) {
+                        counters_.count_event("log_append_failed");
+                    }
+                });
+}
+
 void config_follower::note_change() {
     const auto* now = fold_.in_force();
     if (now == nullptr || now->number == announced_) {
--- a/packages/node/src/control.cpp
+++ b/packages/node/src/control.cpp
@@ -65,6 +65,7 @@
         members_changed();
     }
     calls_.tick();
+    config_.tick(members_.is_home("config"));
     claims_.tick();
     samples_.tick();
     finish_drain();
--- a/packages/wire/include/hibiscus/wire/platform.hpp
+++ b/packages/wire/include/hibiscus/wire/platform.hpp
@@ -69,6 +69,9 @@
     /// Set when a home repeats an accepted record before retention drops it:
     /// the revision that the document already has.
     log_offset revision = 0;
+    /// Set with it: the revision was in force after the records before this
+    /// offset.
+    log_offset covers = 0;
 };
 
 } // namespace hibiscus::wire
--- a/packages/wire/src/mapping.hpp
+++ b/packages/wire/src/mapping.hpp
@@ -81,7 +81,7 @@
 HIBISCUS_WIRE(instance_page, instances)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(config_record, schema,
                                                 publish_id, base, document,
-                                                revision)
+                                                revision, covers)
 HIBISCUS_WIRE(claim_item, kind, key, epoch, created_ms, body)
 HIBISCUS_WIRE(claim_record, node, incarnation, sequence, starts_epoch, items)
 HIBISCUS_WIRE(stream_start, stream, trainer, prompt, max_tokens, priority, seed)
