--- a/packages/cluster/include/hibiscus/cluster/claim_fold.hpp
+++ b/packages/cluster/include/hibiscus/cluster/claim_fold.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hibiscus::cluster {
@@ -36,6 +37,20 @@
     std::vector<base::request_id> apply(wire::log_offset offset,
                                         const wire::claim_record& record);
 
+    /// Notes that retention dropped the records before `first`, and that the
+    /// stream ends at `end` now. If some of them were not applied, what
+    /// follows counts once a snapshot that covers them was read. If there is
+    /// none up to `end`, requests made before `created_before_ms`, by the time
+    /// of day, may have run unseen.
+    void skip_to(wire::log_offset first, wire::log_offset end,
+                 base::millis created_before_ms);
+
+    /// Returns what has been applied, in parts of at most `most` claims.
+    std::vector<wire::claim_snapshot> snapshot(std::size_t most) const;
+
+    /// Returns the offset from which on the stream explains itself.
+    wire::log_offset covered() const { return covered_; }
+
     /// Returns the claim of `key`, or null if there is none.
     const claim_row* find(const base::request_id& key) const;
 
@@ -57,12 +72,43 @@
     std::size_t size() const { return claims_.size(); }
 
 private:
-    bool repeated(const wire::claim_record& record);
+    /// The last record of a writer.
+    struct writer_row {
+        std::uint64_t sequence = 0;
+        wire::log_offset at = 0;
+    };
+
+    /// The snapshot whose parts are being read.
+    struct partial_snapshot {
+        wire::log_offset covers = 0;
+        base::node_id node;
+        std::uint64_t incarnation = 0;
+        std::map<std::uint32_t, wire::claim_snapshot> parts;
+    };
+
+    /// What is held back while records are missing.
+    struct missing_records {
+        wire::log_offset first = 0;
+        wire::log_offset end = 0;
+        base::millis created_before_ms = 0;
+        std::vector<std::pair<wire::log_offset, wire::claim_record>> waiting;
+    };
+
+    std::vector<base::request_id> apply_now(wire::log_offset offset,
+                                            const wire::claim_record& record);
+    bool repeated(wire::log_offset offset, const wire::claim_record& record);
     bool apply_item(const wire::claim_item& item);
+    void collect(const wire::claim_record& record);
+    void restore(const partial_snapshot& complete);
+    void resume(wire::log_offset from);
+    void give_up();
 
     std::map<base::request_id, claim_row> claims_;
     std::optional<shard_epoch> epoch_;
-    std::map<std::pair<base::node_id, std::uint64_t>, std::uint64_t> written_;
+    std::map<std::pair<base::node_id, std::uint64_t>, writer_row> written_;
+    std::optional<missing_records> missing_;
+    partial_snapshot partial_;
+    wire::log_offset covered_ = 0;
     wire::log_offset next_ = 0;
     base::millis forgotten_before_ = 0;
 };
--- a/packages/cluster/include/hibiscus/cluster/claim_home.hpp
+++ b/packages/cluster/include/hibiscus/cluster/claim_home.hpp
@@ -3,6 +3,7 @@
 #include "hibiscus/cluster/claim_fold.hpp"
 #include "hibiscus/wire/answers.hpp"
 
+#include <deque>
 #include <set>
 #include <variant>
 
@@ -54,6 +55,10 @@
     /// How long past its deadline a caller waits for a request that runs; the
     /// dispatch ends at the deadline itself and tells more.
     base::millis answer_grace = 250;
+    /// Records of a shard without a snapshot, before retention is known.
+    wire::log_offset snapshot_records = 256;
+    /// Time without a snapshot, for a log that drops records by their age.
+    base::millis snapshot_age = 300000;
 };
 
 /// How an append ended.
@@ -84,6 +89,11 @@
     void submit(base::millis now, base::millis wall, claim_waiter waiter,
                 shard_number shard, const wire::service_request& request);
 
+    /// Notes what the log keeps of a shard's stream. Called before the records
+    /// of the same page are read.
+    void bounds(base::millis now, base::millis wall, shard_number shard,
+                wire::log_offset first, wire::log_offset end);
+
     /// Takes over records of a shard's stream, in the order of offsets.
     void read(base::millis now, shard_number shard, wire::log_offset offset,
               const wire::claim_record& record);
@@ -147,6 +157,13 @@
         /// The last record of this node that is in the log, and that was read.
         std::uint64_t written = 0;
         std::uint64_t read_back = 0;
+        /// The lowest offset that the log still has.
+        wire::log_offset first = 0;
+        /// Parts of a snapshot that have still to be written.
+        std::deque<wire::claim_snapshot> parts;
+        wire::log_offset covered = 0;
+        base::millis covered_at = 0;
+        base::millis snapshot_at = 0;
         base::millis not_before = 0;
         base::millis take_not_before = 0;
         bool log_failing = false;
@@ -175,6 +192,9 @@
     void expire(base::millis now, shard_row& row);
     bool expire_waiters(base::millis now, const base::request_id& key,
                         pending_request& p);
+    void forget(base::millis wall, shard_row& row);
+    bool snapshot_due(base::millis now, const shard_row& row) const;
+    void make_snapshot(base::millis now, shard_row& row);
     bool fill(base::millis now, shard_number shard, shard_row& row);
     void send(base::millis now, shard_number shard, shard_row& row);
 
--- a/packages/cluster/src/claim_fold.cpp
+++ b/packages/cluster/src/claim_fold.cpp
@@ -1,17 +1,33 @@
 #include "hibiscus/cluster/claim_fold.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace hibiscus::cluster {
 
 std::vector<base::request_id>
 claim_fold::apply(wire::log_offset offset, const wire::claim_record& record) {
-    std::vector<base::request_id> claimed;
     if (offset < next_) {
-        return claimed;
+        return {};
     }
     next_ = offset + 1;
-    if (repeated(record)) {
+    if (!missing_) {
+        collect(record);
+        return apply_now(offset, record);
+    }
+    missing_->waiting.emplace_back(offset, record);
+    collect(record);
+    if (missing_ && next_ >= missing_->end) {
+        give_up();
+    }
+    return {};
+}
+
+std::vector<base::request_id>
+claim_fold::apply_now(wire::log_offset offset,
+                      const wire::claim_record& record) {
+    std::vector<base::request_id> claimed;
+    if (repeated(offset, record)) {
         return claimed;
     }
     if (record.starts_epoch) {
@@ -25,18 +41,130 @@
     return claimed;
 }
 
-bool claim_fold::repeated(const wire::claim_record& record) {
+bool claim_fold::repeated(wire::log_offset offset,
+                          const wire::claim_record& record) {
     // A late copy of a release would free a key that was claimed again since,
     // and the request would run twice. A writer has one append on its way at a
     // time, so a number that does not grow is a copy.
     auto& last = written_[{record.node, record.incarnation}];
-    if (record.sequence <= last) {
+    if (record.sequence <= last.sequence) {
         return true;
     }
-    last = record.sequence;
+    last = {record.sequence, offset};
     return false;
 }
 
+void claim_fold::skip_to(wire::log_offset first, wire::log_offset end,
+                         base::millis created_before_ms) {
+    if (first <= next_) {
+        return;
+    }
+    // A claim among the lost records may stand for a request that ran. Until a
+    // snapshot tells, no key can be said to be free.
+    next_ = first;
+    epoch_.reset();
+    partial_ = {};
+    missing_ = missing_records{first, end, created_before_ms, {}};
+    if (first >= end) {
+        give_up();
+    }
+}
+
+void claim_fold::collect(const wire::claim_record& record) {
+    if (!record.snapshot || record.snapshot->covers < partial_.covers ||
+        (missing_ && record.snapshot->covers < missing_->first)) {
+        return;
+    }
+    const auto& part = *record.snapshot;
+    if (part.covers != partial_.covers || record.node != partial_.node ||
+        record.incarnation != partial_.incarnation) {
+        partial_ = {part.covers, record.node, record.incarnation, {}};
+    }
+    partial_.parts[part.part] = missing_ ? part : wire::claim_snapshot{};
+    if (partial_.parts.size() < part.parts) {
+        return;
+    }
+    covered_ = std::max(covered_, part.covers);
+    const auto complete = std::exchange(partial_, {});
+    partial_.covers = complete.covers;
+    if (missing_) {
+        restore(complete);
+    }
+}
+
+void claim_fold::restore(const partial_snapshot& complete) {
+    claims_.clear();
+    written_.clear();
+    for (const auto& [number, part] : complete.parts) {
+        for (const auto& item : part.claims) {
+            const bool known = item.kind == wire::claim_kind::outcome;
+            claims_[item.key] = {item.epoch, item.created_ms,
+                                 known ? std::make_optional(item.body)
+                                       : std::nullopt};
+        }
+        for (const auto& w : part.writers) {
+            written_[{w.node, w.incarnation}] = {w.sequence, w.at};
+        }
+        if (part.epoch >= 0) {
+            epoch_ = shard_epoch{part.epoch, part.holder, part.incarnation};
+        }
+        forgotten_before_ = std::max(forgotten_before_, part.forgotten_before);
+    }
+    resume(complete.covers);
+}
+
+void claim_fold::resume(wire::log_offset from) {
+    const auto waiting = std::move(missing_->waiting);
+    missing_.reset();
+    for (const auto& [offset, record] : waiting) {
+        if (offset >= from) {
+            apply_now(offset, record);
+        }
+    }
+}
+
+void claim_fold::give_up() {
+    forgotten_before_ =
+        std::max(forgotten_before_, missing_->created_before_ms);
+    resume(missing_->first);
+}
+
+std::vector<wire::claim_snapshot> claim_fold::snapshot(std::size_t most) const {
+    wire::claim_snapshot head;
+    head.covers = next_;
+    head.forgotten_before = forgotten_before_;
+    auto oldest = next_;
+    if (epoch_) {
+        head.epoch = epoch_->number;
+        head.holder = epoch_->node;
+        head.incarnation = epoch_->incarnation;
+        oldest = epoch_->number;
+    }
+    std::vector<wire::claim_snapshot> parts{head};
+    for (const auto& [key, row] : claims_) {
+        oldest = std::min(oldest, row.epoch);
+        if (parts.back().claims.size() >= most) {
+            parts.push_back(head);
+        }
+        parts.back().claims.push_back(
+            {row.body ? wire::claim_kind::outcome : wire::claim_kind::claim,
+             key, row.epoch, row.created_ms, row.body.value_or("")});
+    }
+    // A copy of a record can only do harm to claims of its writer's epochs. A
+    // writer whose last record is older than all of them has none left.
+    for (const auto& [writer, last] : written_) {
+        if (last.at >= oldest) {
+            parts.front().writers.push_back(
+                {writer.first, writer.second, last.sequence, last.at});
+        }
+    }
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        parts[i].part = static_cast<std::uint32_t>(i);
+        parts[i].parts = static_cast<std::uint32_t>(parts.size());
+    }
+    return parts;
+}
+
 bool claim_fold::apply_item(const wire::claim_item& item) {
     const auto at = claims_.find(item.key);
     switch (item.kind) {
--- a/packages/cluster/src/claim_home.cpp
+++ b/packages/cluster/src/claim_home.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr base::millis takeover_pause = 2000;
+constexpr base::millis snapshot_pause = 1000;
+constexpr std::size_t claims_per_part = 256;
 
 /// Returns the id under which a record is appended, however often.
 base::append_id id_of(const wire::claim_record& record) {
@@ -160,6 +162,24 @@
                     row.queue.end());
 }
 
+void claim_home::bounds(base::millis now, base::millis wall, shard_number shard,
+                        wire::log_offset first, wire::log_offset end) {
+    auto& row = shards_[shard];
+    row.first = first;
+    if (first <= row.fold.next()) {
+        return;
+    }
+    // Records were lost unread, a later epoch perhaps among them. Nothing that
+    // was not dispatched may be now.
+    row.held = -1;
+    row.take_not_before = now;
+    row.releasing.clear();
+    row.parts.clear();
+    row.read_back = std::max(row.read_back, row.written);
+    refuse_unclaimed(row, wire::reason::not_ready);
+    row.fold.skip_to(first, end, wall + times_.clock_skew);
+}
+
 void claim_home::read(base::millis now, shard_number shard,
                       wire::log_offset offset,
                       const wire::claim_record& record) {
@@ -286,6 +306,9 @@
     // Nothing of it is in the log, so its callers can be told at once.
     refuse_unclaimed(row, wire::reason::log_unavailable);
     auto items = std::move(row.in_flight->record.items);
+    if (row.in_flight->record.snapshot) {
+        row.parts.push_front(std::move(*row.in_flight->record.snapshot));
+    }
     row.in_flight.reset();
     for (auto& item : items) {
         if (item.kind != wire::claim_kind::claim) {
@@ -311,12 +334,52 @@
 
 void claim_home::tick(base::millis now, base::millis wall) {
     for (auto& [shard, row] : shards_) {
-        row.fold.forget(wall - 2 * times_.keep);
+        forget(wall, row);
         expire(now, row);
+        make_snapshot(now, row);
         send(now, shard, row);
     }
 }
 
+void claim_home::forget(base::millis wall, shard_row& row) {
+    const auto before = wall - 2 * times_.keep;
+    row.fold.forget(before);
+    for (auto at = row.outcomes.begin(); at != row.outcomes.end();) {
+        at = at->second.created_ms < before ? row.outcomes.erase(at)
+                                            : std::next(at);
+    }
+}
+
+bool claim_home::snapshot_due(base::millis now, const shard_row& row) const {
+    if (!ready(row) || !row.parts.empty() ||
+        now - row.snapshot_at < snapshot_pause) {
+        return false;
+    }
+    const auto kept = row.fold.next() - row.first;
+    const auto since = row.fold.next() - row.fold.covered();
+    const auto least = std::max(times_.snapshot_records,
+                                static_cast<wire::log_offset>(row.fold.size()));
+    // Half of what the log keeps is left as a margin. Before anything was
+    // dropped nobody knows how much that is; then a snapshot costs at most one
+    // claim for each record.
+    return since >= least || (row.first > 0 && since > kept / 2) ||
+           now - row.covered_at >= times_.snapshot_age;
+}
+
+void claim_home::make_snapshot(base::millis now, shard_row& row) {
+    if (row.covered != row.fold.covered() || row.covered_at == 0) {
+        row.covered = row.fold.covered();
+        row.covered_at = now;
+    }
+    if (!snapshot_due(now, row)) {
+        return;
+    }
+    row.snapshot_at = now;
+    for (auto& part : row.fold.snapshot(claims_per_part)) {
+        row.parts.push_back(std::move(part));
+    }
+}
+
 void claim_home::expire(base::millis now, shard_row& row) {
     std::set<base::request_id> late;
     for (auto& [key, p] : row.pending) {
@@ -367,8 +430,12 @@
     if (row.home && row.held < 0 && now >= row.take_not_before) {
         record.starts_epoch = true;
         row.take_not_before = now + takeover_pause;
-    } else if (!row.queue.empty()) {
+    } else if (!row.queue.empty() || !row.parts.empty()) {
         record.items = std::exchange(row.queue, {});
+        if (!row.parts.empty()) {
+            record.snapshot = std::move(row.parts.front());
+            row.parts.pop_front();
+        }
     } else {
         return false;
     }
--- a/packages/cluster/test/claim_fold_test.cpp
+++ b/packages/cluster/test/claim_fold_test.cpp
@@ -15,7 +15,7 @@
                                         std::uint64_t sequence, bool epoch,
                                         std::vector<wire::claim_item> items) {
         return fold_.apply(offset_++, {base::node_id(node), 1, sequence, epoch,
-                                       std::move(items)});
+                                       std::move(items), std::nullopt});
     }
 
     /// Returns an item for `key` under `epoch`.
@@ -72,5 +72,40 @@
     EXPECT_NE(fold_.find(key), nullptr);
 }
 
+// Retention drops the records of a claim that has run. A fresh home that took
+// the key for free would run it again.
+TEST_F(claim_fold_test, a_snapshot_stands_for_the_records_that_are_gone) {
+    apply("a", 1, true, {});
+    apply("a", 2, false, {item(wire::claim_kind::claim, 0)});
+    apply("a", 3, false, {item(wire::claim_kind::outcome, 0)});
+    const auto parts = fold_.snapshot(10);
+    ASSERT_EQ(parts.size(), 1U);
+
+    claim_fold fresh;
+    fresh.skip_to(3, 6, 5000);
+    const wire::claim_item late{wire::claim_kind::claim,
+                                base::request_id("late"), 0, 0, ""};
+    fresh.apply(3, {base::node_id("a"), 1, 4, false, {late}, std::nullopt});
+    fresh.apply(4, {base::node_id("a"), 1, 5, false, {}, parts[0]});
+    ASSERT_NE(fresh.find(key), nullptr);
+    EXPECT_TRUE(fresh.find(key)->body.has_value());
+    EXPECT_NE(fresh.find(late.key), nullptr);
+    ASSERT_NE(fresh.epoch(), nullptr);
+    EXPECT_EQ(fresh.epoch()->number, 0);
+    EXPECT_EQ(fresh.forgotten_before(), 0);
+}
+
+// The log dropped records and holds no whole snapshot of them. Any request
+// that was made before may have run, so the fold must not call its key free.
+TEST_F(claim_fold_test, lost_records_without_a_snapshot_bar_older_requests) {
+    claim_fold fresh;
+    fresh.skip_to(3, 4, 5000);
+    EXPECT_EQ(fresh.forgotten_before(), 0);
+    fresh.apply(3, {base::node_id("b"), 1, 1, true, {}, std::nullopt});
+    EXPECT_EQ(fresh.forgotten_before(), 5000);
+    ASSERT_NE(fresh.epoch(), nullptr);
+    EXPECT_EQ(fresh.epoch()->number, 3);
+}
+
 } // namespace
 } // namespace hibiscus::cluster
--- a/packages/node/src/claim_runner.cpp
+++ b/packages/node/src/claim_runner.cpp
@@ -140,6 +140,7 @@
         read_not_before_[shard] = clock_.now() + least_pause;
         return;
     }
+    home_.bounds(clock_.now(), clock_.wall(), shard, page->first, page->end);
     for (const auto& record : page->records) {
         const auto read = wire::from_json<wire::claim_record>(record.data);
         const auto* content = base::value_if(read);
--- a/packages/wire/include/hibiscus/wire/claims.hpp
+++ b/packages/wire/include/hibiscus/wire/claims.hpp
@@ -2,6 +2,9 @@
 
 #include "hibiscus/wire/platform.hpp"
 
+#include <optional>
+#include <vector>
+
 namespace hibiscus::wire {
 
 /// What a claim record says about a key.
@@ -22,6 +25,33 @@
     std::string body;
 };
 
+/// The last record of one writer of a shard's stream.
+struct claim_writer {
+    base::node_id node;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    /// The offset of that record.
+    log_offset at = 0;
+};
+
+/// A part of what the records before `covers` say, so that they are not
+/// needed any more.
+struct claim_snapshot {
+    log_offset covers = 0;
+    /// Which part this is, from 0, and how many there are.
+    std::uint32_t part = 0;
+    std::uint32_t parts = 1;
+    /// The epoch in force; -1 if none.
+    log_offset epoch = -1;
+    base::node_id holder;
+    std::uint64_t incarnation = 0;
+    /// Claims of requests made before this time of day may be missing.
+    base::millis forgotten_before = 0;
+    std::vector<claim_writer> writers;
+    /// Claims that stand; as an outcome if the answer is known.
+    std::vector<claim_item> claims;
+};
+
 /// A record of a shard's stream.
 struct claim_record {
     base::node_id node;
@@ -32,6 +62,7 @@
     /// True if the record makes its writer the shard's holder.
     bool starts_epoch = false;
     std::vector<claim_item> items;
+    std::optional<claim_snapshot> snapshot;
 };
 
 } // namespace hibiscus::wire
--- a/packages/wire/src/mapping.hpp
+++ b/packages/wire/src/mapping.hpp
@@ -83,7 +83,12 @@
                                                 publish_id, base, document,
                                                 revision, covers)
 HIBISCUS_WIRE(claim_item, kind, key, epoch, created_ms, body)
-HIBISCUS_WIRE(claim_record, node, incarnation, sequence, starts_epoch, items)
+HIBISCUS_WIRE(claim_writer, node, incarnation, sequence, at)
+HIBISCUS_WIRE(claim_snapshot, covers, part, parts, epoch, holder, incarnation,
+              forgotten_before, writers, claims)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(claim_record, node, incarnation,
+                                                sequence, starts_epoch, items,
+                                                snapshot)
 HIBISCUS_WIRE(stream_start, stream, trainer, prompt, max_tokens, priority, seed)
 HIBISCUS_WIRE(stream_cursor, stream, from)
 HIBISCUS_WIRE(engine_poll, streams, wait_ms)
