cluster, document: stateful fuzzing of claims and of the config fold

Generated commands drive claim homes and config folds before a log that delays, repeats, refuses, loses answers and drops records; the oracle knows only submissions, runs, answers and the log. make fuzz SECONDS=n explores and prints the seed that reproduces. Ruled out: epoch records that name the epoch before; a fold that lost it could then never take the shard. Conclusion: at most once now rests on records whose writer knows they are new.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,11 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: all install build format check lint test demo clean
+.PHONY: all install build format check lint test demo fuzz clean
+
+# How long `make fuzz` explores; SEED=n begins with a seed it printed.
+SECONDS ?= 60
+FUZZERS ?= cluster document
 
 all: build
 
@@ -33,5 +37,12 @@
 demo: build
 	$(BUILD)/testing/hibiscus_demo --programs=$(BUILD)
 
+fuzz: build
+	for p in $(FUZZERS); do \
+	    HIBISCUS_FUZZ_SECONDS=$(SECONDS) \
+	    $(if $(SEED),HIBISCUS_FUZZ_SEED=$(SEED)) \
+	    $(BUILD)/packages/$$p/$${p}_test --gtest_filter='*fuzz*' || exit 1; \
+	done
+
 clean:
 	rm -rf $(BUILD)
--- a/cmake/hibiscus_package.cmake
+++ b/cmake/hibiscus_package.cmake
@@ -27,7 +27,8 @@
   file(GLOB tests CONFIGURE_DEPENDS test/*_test.cpp)
   if(tests)
     add_executable(${name}_test ${tests})
-    target_include_directories(${name}_test PRIVATE src test)
+    target_include_directories(${name}_test PRIVATE src test
+      ${CMAKE_SOURCE_DIR}/testing)
     target_link_libraries(${name}_test PRIVATE
       hibiscus_${name} ${ARG_PRIVATE_DEPS} GTest::gtest GTest::gtest_main
       rapidcheck Threads::Threads)
--- a/packages/cluster/include/hibiscus/cluster/claim_fold.hpp
+++ b/packages/cluster/include/hibiscus/cluster/claim_fold.hpp
@@ -41,9 +41,11 @@
     /// stream ends at `end` now. If some of them were not applied, what
     /// follows counts once a snapshot that covers them was read. If there is
     /// none up to `end`, requests made before `created_before_ms`, by the time
-    /// of day, may have run unseen.
+    /// of day, may have run unseen, and no epoch counts until `self` starts
+    /// one with a record of a higher number.
     void skip_to(wire::log_offset first, wire::log_offset end,
-                 base::millis created_before_ms);
+                 base::millis created_before_ms,
+                 const wire::claim_writer& self);
 
     /// Returns what has been applied, in parts of at most `most` claims.
     std::vector<wire::claim_snapshot> snapshot(std::size_t most) const;
@@ -91,11 +93,13 @@
         wire::log_offset first = 0;
         wire::log_offset end = 0;
         base::millis created_before_ms = 0;
+        wire::claim_writer self;
         std::vector<std::pair<wire::log_offset, wire::claim_record>> waiting;
     };
 
     std::vector<base::request_id> apply_now(wire::log_offset offset,
                                             const wire::claim_record& record);
+    void start_epoch(wire::log_offset offset, const wire::claim_record& record);
     bool repeated(wire::log_offset offset, const wire::claim_record& record);
     bool apply_item(const wire::claim_item& item);
     void collect(const wire::claim_record& record);
@@ -107,6 +111,9 @@
     std::optional<shard_epoch> epoch_;
     std::map<std::pair<base::node_id, std::uint64_t>, writer_row> written_;
     std::optional<missing_records> missing_;
+    /// Set while nobody can tell which epoch is in force: the writer whose
+    /// next epoch record is certain to be no copy.
+    std::optional<wire::claim_writer> uncertain_;
     partial_snapshot partial_;
     wire::log_offset covered_ = 0;
     wire::log_offset next_ = 0;
--- a/packages/cluster/include/hibiscus/cluster/claim_home.hpp
+++ b/packages/cluster/include/hibiscus/cluster/claim_home.hpp
@@ -157,6 +157,9 @@
         /// The last record of this node that is in the log, and that was read.
         std::uint64_t written = 0;
         std::uint64_t read_back = 0;
+        /// Records of this node up to this number may be copies of some that
+        /// were lost unread.
+        std::uint64_t barrier = 0;
         /// The lowest offset that the log still has.
         wire::log_offset first = 0;
         /// Parts of a snapshot that have still to be written.
@@ -183,13 +186,16 @@
     void answer_all(shard_row& row, const base::request_id& key,
                     const wire::answer& answer);
     void refuse_unclaimed(shard_row& row, wire::reason why);
-    void take_epoch(base::millis now, shard_row& row, const shard_epoch& epoch);
+    void take_epoch(base::millis now, shard_row& row, wire::log_offset offset,
+                    const wire::claim_record& record);
     void start_claimed(base::millis now, shard_row& row,
                        const base::request_id& key);
     void read_back(shard_row& row, const wire::claim_record& record);
     void answer_rejected(shard_row& row, const wire::claim_record& record);
     void release(shard_row& row, const base::request_id& key);
     void expire(base::millis now, shard_row& row);
+    static void drop_claims(shard_row& row,
+                            const std::set<base::request_id>& keys);
     bool expire_waiters(base::millis now, const base::request_id& key,
                         pending_request& p);
     void forget(base::millis wall, shard_row& row);
--- a/packages/cluster/src/claim_fold.cpp
+++ b/packages/cluster/src/claim_fold.cpp
@@ -5,6 +5,13 @@
 
 namespace hibiscus::cluster {
 
+namespace {
+
+/// Writers without claims that a snapshot still names.
+constexpr std::size_t most_idle_writers = 256;
+
+} // namespace
+
 std::vector<base::request_id>
 claim_fold::apply(wire::log_offset offset, const wire::claim_record& record) {
     if (offset < next_) {
@@ -31,7 +38,7 @@
         return claimed;
     }
     if (record.starts_epoch) {
-        epoch_ = shard_epoch{offset, record.node, record.incarnation};
+        start_epoch(offset, record);
     }
     for (const auto& item : record.items) {
         if (apply_item(item)) {
@@ -41,6 +48,20 @@
     return claimed;
 }
 
+void claim_fold::start_epoch(wire::log_offset offset,
+                             const wire::claim_record& record) {
+    // After a loss this may be a copy of a record that is gone. Those who read
+    // the first one drop it and go on under another epoch; a holder by this
+    // fold would then run what they run.
+    if (uncertain_ && (record.node != uncertain_->node ||
+                       record.incarnation != uncertain_->incarnation ||
+                       record.sequence <= uncertain_->sequence)) {
+        return;
+    }
+    uncertain_.reset();
+    epoch_ = shard_epoch{offset, record.node, record.incarnation};
+}
+
 bool claim_fold::repeated(wire::log_offset offset,
                           const wire::claim_record& record) {
     // A late copy of a release would free a key that was claimed again since,
@@ -55,7 +76,8 @@
 }
 
 void claim_fold::skip_to(wire::log_offset first, wire::log_offset end,
-                         base::millis created_before_ms) {
+                         base::millis created_before_ms,
+                         const wire::claim_writer& self) {
     if (first <= next_) {
         return;
     }
@@ -64,7 +86,8 @@
     next_ = first;
     epoch_.reset();
     partial_ = {};
-    missing_ = missing_records{first, end, created_before_ms, {}};
+    uncertain_.reset();
+    missing_ = missing_records{first, end, created_before_ms, self, {}};
     if (first >= end) {
         give_up();
     }
@@ -126,6 +149,7 @@
 void claim_fold::give_up() {
     forgotten_before_ =
         std::max(forgotten_before_, missing_->created_before_ms);
+    uncertain_ = missing_->self;
     resume(missing_->first);
 }
 
@@ -150,14 +174,20 @@
             {row.body ? wire::claim_kind::outcome : wire::claim_kind::claim,
              key, row.epoch, row.created_ms, row.body.value_or("")});
     }
-    // A copy of a record can only do harm to claims of its writer's epochs. A
-    // writer whose last record is older than all of them has none left.
+    // A fold that lacks a writer takes a late copy of its record for new. So
+    // all writers stay that have claims, and of the others the latest, whose
+    // copies may still be on their way.
+    std::vector<wire::claim_writer> writers;
     for (const auto& [writer, last] : written_) {
-        if (last.at >= oldest) {
-            parts.front().writers.push_back(
-                {writer.first, writer.second, last.sequence, last.at});
-        }
+        writers.push_back(
+            {writer.first, writer.second, last.sequence, last.at});
+    }
+    std::sort(writers.begin(), writers.end(),
+              [](const auto& a, const auto& b) { return a.at > b.at; });
+    while (writers.size() > most_idle_writers && writers.back().at < oldest) {
+        writers.pop_back();
     }
+    parts.front().writers = std::move(writers);
     for (std::size_t i = 0; i < parts.size(); ++i) {
         parts[i].part = static_cast<std::uint32_t>(i);
         parts[i].parts = static_cast<std::uint32_t>(parts.size());
@@ -169,6 +199,11 @@
     const auto at = claims_.find(item.key);
     switch (item.kind) {
     case wire::claim_kind::claim:
+        // Without an epoch to judge by, each claim may be one that runs.
+        if (uncertain_ && at == claims_.end()) {
+            claims_[item.key] = {item.epoch, item.created_ms, std::nullopt};
+            return false;
+        }
         // A holder that was paused may append under its old epoch after a new
         // one began; the new holder has answered for the key by then.
         if (at != claims_.end() || !epoch_ || item.epoch != epoch_->number) {
--- a/packages/cluster/src/claim_home.cpp
+++ b/packages/cluster/src/claim_home.cpp
@@ -177,7 +177,9 @@
     row.parts.clear();
     row.read_back = std::max(row.read_back, row.written);
     refuse_unclaimed(row, wire::reason::not_ready);
-    row.fold.skip_to(first, end, wall + times_.clock_skew);
+    row.barrier = appends_;
+    row.fold.skip_to(first, end, wall + times_.clock_skew,
+                     {self_, incarnation_, appends_, 0});
 }
 
 void claim_home::read(base::millis now, shard_number shard,
@@ -192,7 +194,7 @@
     const auto claimed = row.fold.apply(offset, record);
     const auto* after = row.fold.epoch();
     if (after != nullptr && after->number != old) {
-        take_epoch(now, row, *after);
+        take_epoch(now, row, offset, record);
     }
     if (!is_own(record)) {
         return;
@@ -238,12 +240,19 @@
 }
 
 void claim_home::take_epoch(base::millis now, shard_row& row,
-                            const shard_epoch& epoch) {
-    const bool ours = epoch.node == self_ && epoch.incarnation == incarnation_;
+                            wire::log_offset offset,
+                            const wire::claim_record& record) {
+    const auto& epoch = *row.fold.epoch();
+    // Only a record that this node is sure to have sent but once makes it the
+    // holder: others may have seen an earlier copy and dropped this one.
+    const bool ours = epoch.number == offset && is_own(record) &&
+                      record.sequence > row.barrier;
     row.held = ours && row.home ? epoch.number : -1;
     if (!ours) {
         refuse_unclaimed(row, wire::reason::home_moved);
-        row.take_not_before = now + takeover_pause;
+        const bool self =
+            epoch.node == self_ && epoch.incarnation == incarnation_;
+        row.take_not_before = self ? now : now + takeover_pause;
     }
 }
 
@@ -265,6 +274,10 @@
         release(row, key);
         return;
     }
+    if (at->second.at == stage::queued) {
+        // The claim of an earlier try came first; a second one is not needed.
+        drop_claims(row, {key});
+    }
     at->second.at = stage::running;
     effects_.push_back(
         dispatch_request{at->second.request, at->second.deadline});
@@ -393,12 +406,17 @@
     for (const auto& key : late) {
         row.pending.erase(key);
     }
+    drop_claims(row, late);
+}
+
+void claim_home::drop_claims(shard_row& row,
+                             const std::set<base::request_id>& keys) {
     // Only the claims go: the release of an earlier try must still be written.
     row.queue.erase(std::remove_if(row.queue.begin(), row.queue.end(),
                                    [&](const wire::claim_item& i) {
                                        return i.kind ==
                                                   wire::claim_kind::claim &&
-                                              late.count(i.key) != 0;
+                                              keys.count(i.key) != 0;
                                    }),
                     row.queue.end());
 }
@@ -442,7 +460,8 @@
     record.sequence = ++appends_;
     for (auto& item : record.items) {
         const auto at = row.pending.find(item.key);
-        if (item.kind == wire::claim_kind::claim && at != row.pending.end()) {
+        if (item.kind == wire::claim_kind::claim && at != row.pending.end() &&
+            at->second.at == stage::queued) {
             // The epoch may have changed since the request was submitted.
             item.epoch = row.held;
             at->second.at = stage::appending;
--- a/packages/cluster/test/claim_fold_test.cpp
+++ b/packages/cluster/test/claim_fold_test.cpp
@@ -82,7 +82,7 @@
     ASSERT_EQ(parts.size(), 1U);
 
     claim_fold fresh;
-    fresh.skip_to(3, 6, 5000);
+    fresh.skip_to(3, 6, 5000, {base::node_id("b"), 1, 0, 0});
     const wire::claim_item late{wire::claim_kind::claim,
                                 base::request_id("late"), 0, 0, ""};
     fresh.apply(3, {base::node_id("a"), 1, 4, false, {late}, std::nullopt});
@@ -99,7 +99,7 @@
 // that was made before may have run, so the fold must not call its key free.
 TEST_F(claim_fold_test, lost_records_without_a_snapshot_bar_older_requests) {
     claim_fold fresh;
-    fresh.skip_to(3, 4, 5000);
+    fresh.skip_to(3, 4, 5000, {base::node_id("b"), 1, 0, 0});
     EXPECT_EQ(fresh.forgotten_before(), 0);
     fresh.apply(3, {base::node_id("b"), 1, 1, true, {}, std::nullopt});
     EXPECT_EQ(fresh.forgotten_before(), 5000);
@@ -107,5 +107,20 @@
     EXPECT_EQ(fresh.epoch()->number, 3);
 }
 
+// An append of an epoch record is sent twice and the first copy is dropped by
+// retention unread. Those who read it drop the second; a node that went by it
+// would hold the shard beside the true holder.
+TEST_F(claim_fold_test, after_a_loss_a_copy_of_an_epoch_record_starts_none) {
+    claim_fold fresh;
+    fresh.skip_to(3, 4, 5000, {base::node_id("b"), 1, 7, 0});
+    fresh.apply(3, {base::node_id("b"), 1, 7, true, {}, std::nullopt});
+    EXPECT_EQ(fresh.epoch(), nullptr);
+    fresh.apply(4, {base::node_id("a"), 1, 9, true, {}, std::nullopt});
+    EXPECT_EQ(fresh.epoch(), nullptr);
+    fresh.apply(5, {base::node_id("b"), 1, 8, true, {}, std::nullopt});
+    ASSERT_NE(fresh.epoch(), nullptr);
+    EXPECT_EQ(fresh.epoch()->number, 5);
+}
+
 } // namespace
 } // namespace hibiscus::cluster
