ctl, document: hibiscusctl diff and explain

Exit code 5: the logs say nothing about it. Ruled out: a diff of the JSON texts, which shows reordering as a change.

--- a/packages/ctl/include/hibiscus/ctl/commands.hpp
+++ b/packages/ctl/include/hibiscus/ctl/commands.hpp
@@ -5,6 +5,7 @@
 
 #include <iosfwd>
 #include <string>
+#include <vector>
 
 namespace hibiscus::ctl {
 
@@ -14,7 +15,8 @@
     refused = 1,     ///< The document is invalid, or another one came first.
     usage = 2,       ///< The command line is wrong.
     unavailable = 3, ///< Nothing was changed: no answer could be had.
-    unknown = 4      ///< It is not known whether the publish took effect.
+    unknown = 4,     ///< It is not known whether the publish took effect.
+    not_found = 5    ///< The logs say nothing about it.
 };
 
 /// How output is written.
@@ -38,6 +40,14 @@
 exit_code publish(const command_context& context, const std::string& file,
                   const std::string& publish_id);
 
+/// Writes what a publish of the document would change in the one in force.
+exit_code diff(const command_context& context, const std::string& file);
+
+/// Writes what the nodes' log files say about a request, sample or engine:
+/// which node decided what, and why.
+exit_code explain(const command_context& context, const std::string& name,
+                  const std::vector<std::string>& logs);
+
 /// Writes the state of the system as the entry sees it.
 exit_code status(const command_context& context);
 
--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -1,5 +1,7 @@
 #include "hibiscus/ctl/commands.hpp"
 
+#include "hibiscus/ctl/explain.hpp"
+#include "hibiscus/document/diff.hpp"
 #include "hibiscus/wire/codec.hpp"
 #include "session.hpp"
 
@@ -108,6 +110,28 @@
     return exit_code::unknown;
 }
 
+void write_diff(const command_context& context, wire::log_offset number,
+                const std::vector<document::change>& changes) {
+    if (context.format == output_format::json) {
+        json rows = json::array();
+        for (const auto& c : changes) {
+            rows.push_back({{"change", std::string(base::name_of(c.what))},
+                            {"path", c.path},
+                            {"before", c.before},
+                            {"after", c.after}});
+        }
+        context.out << json{{"revision", number}, {"changes", rows}} << '\n';
+        return;
+    }
+    context.out << "against revision " << number << ": " << changes.size()
+                << " changes\n";
+    for (const auto& c : changes) {
+        context.out << base::name_of(c.what) << ' ' << c.path << ": "
+                    << (c.before.empty() ? "-" : c.before) << " -> "
+                    << (c.after.empty() ? "-" : c.after) << '\n';
+    }
+}
+
 void write_status_text(std::ostream& out, const json& s) {
     out << "node " << s.value("node", "") << " in " << s.value("zone", "")
         << ": " << s.value("state", "") << ", revision "
@@ -201,6 +225,53 @@
     return tell_verdict(context, publish_id, fold);
 }
 
+exit_code diff(const command_context& context, const std::string& file) {
+    const auto text = read_file(context, file);
+    if (!text) {
+        return exit_code::usage;
+    }
+    const auto parsed = document::parse(*text);
+    const auto* wanted = base::value_if(parsed);
+    if (wanted == nullptr) {
+        check(context, *text);
+        return exit_code::refused;
+    }
+    session s;
+    document::config_fold fold;
+    if (!follow(s, context.log, fold) || !fold.complete()) {
+        context.error << "the log does not show the revision in force\n";
+        return exit_code::unavailable;
+    }
+    const auto* now = fold.accepted();
+    const auto changes = document::diff(
+        now != nullptr ? now->content : document::document{}, *wanted);
+    write_diff(context, now != nullptr ? now->number : 0, changes);
+    return exit_code::done;
+}
+
+exit_code explain(const command_context& context, const std::string& name,
+                  const std::vector<std::string>& logs) {
+    std::vector<explanation> found;
+    for (const auto& file : logs) {
+        std::ifstream in(file);
+        if (!in) {
+            context.error << "cannot read " << file << '\n';
+            return exit_code::usage;
+        }
+        collect(in, name, found);
+    }
+    const bool any = !found.empty();
+    if (context.format == output_format::json) {
+        write_json(context.out, std::move(found));
+    } else {
+        write_text(context.out, std::move(found));
+    }
+    if (!any) {
+        context.error << "the logs say nothing about " << name << '\n';
+    }
+    return any ? exit_code::done : exit_code::not_found;
+}
+
 exit_code status(const command_context& context) {
     session s;
     net::http_request request;
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -15,6 +15,8 @@
 ABSL_FLAG(std::string, output, "text", "text or json");
 ABSL_FLAG(std::string, publish_id, "",
           "name of a publish; give it again to ask what became of it");
+ABSL_FLAG(std::vector<std::string>, logs, {},
+          "log files of the nodes, divided by commas, for explain");
 
 namespace {
 
@@ -24,12 +26,16 @@
 constexpr const char* usage =
     "operates hibiscustack.\n\n"
     "  hibiscusctl validate FILE   checks a document\n"
+    "  hibiscusctl diff FILE       shows what a publish of FILE would change\n"
     "  hibiscusctl publish FILE    publishes a document and waits for the "
     "verdict\n"
     "  hibiscusctl status          shows nodes, engines and the revision in "
-    "force\n\n"
+    "force\n"
+    "  hibiscusctl explain NAME    shows which node decided what about a "
+    "request,\n"
+    "                              sample or engine, and why, from --logs\n\n"
     "Exit codes: 0 done, 1 refused, 2 usage, 3 unavailable (nothing was "
-    "changed), 4 unknown.";
+    "changed), 4 unknown,\n5 the logs say nothing about it.";
 
 /// Returns a name for a publish that no other operator has.
 std::string new_publish_id() {
@@ -61,6 +67,14 @@
                   return ctl::publish(c, args[0],
                                       id.empty() ? new_publish_id() : id);
               }}},
+            {"diff",
+             {1, [](const command_context& c,
+                    const auto& args) { return ctl::diff(c, args[0]); }}},
+            {"explain",
+             {1,
+              [](const command_context& c, const auto& args) {
+                  return ctl::explain(c, args[0], absl::GetFlag(FLAGS_logs));
+              }}},
             {"status", {0, [](const command_context& c, const auto&) {
                             return ctl::status(c);
                         }}}};
