testing: a fault proxy between any two parties

The integration tests need connections that fail as a network's do: cut, silent for good while new ones work, cut after N bytes in either direction, refused, late, closed in one direction, and an answer dropped after its request took effect. A rule can hold for a number of connections, so that "the first fails, the second works" needs no timing.

system::put_proxy_before(name) puts it before an engine, a service, a node's peer address or a platform's service; the nodes are not told.

Ruled out: faults inside the stand-ins, since those end a request cleanly and never leave a connection open without a word.

--- /dev/null
+++ b/testing/fault_proxy/main.cpp
@@ -0,0 +1,166 @@
+// A TCP proxy that a test puts between two parties and tells to fail. Its
+// faults are those of a network: it does not change, reorder or repeat bytes.
+//
+// GET  /v1/proxy  {"address": "IP:PORT", "links": N}
+// POST /v1/cut    closes all open connections
+// POST /v1/freeze makes all open connections silent; new ones work
+// POST /v1/rule   sets what happens to new connections, see rule
+
+#include "fault_proxy/link.hpp"
+#include "support/stand_in.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <list>
+
+ABSL_FLAG(std::string, address, "127.0.0.1:0", "where to take orders");
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "where to accept connections");
+ABSL_FLAG(std::string, target, "", "where connections go to");
+
+namespace hibiscus::testing {
+namespace {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+using tcp = asio::ip::tcp;
+
+tcp::endpoint endpoint_of(const std::string& text) {
+    const auto e = base::parse_endpoint(text).value_or(base::endpoint{});
+    return {asio::ip::make_address(e.ip), e.port};
+}
+
+/// Reads a rule from a test's order; what is left out has no effect.
+rule rule_of(const json& order) {
+    rule r;
+    r.refuse = order.value("refuse", false);
+    r.delay_ms = order.value("delay_ms", base::millis{0});
+    r.to_target = order.value("to_target", std::int64_t{-1});
+    r.to_client = order.value("to_client", std::int64_t{-1});
+    r.times = order.value("times", -1);
+    const auto action = order.value("action", std::string("cut"));
+    r.then = base::from_name<fault_action>(action).value_or(fault_action::cut);
+    return r;
+}
+
+/// The whole proxy. Runs in one thread.
+class fault_proxy {
+public:
+    fault_proxy(asio::io_context& io, const std::string& listen,
+                const std::string& target)
+        : io_(io), acceptor_(io), address_(endpoint_of(listen)),
+          target_(endpoint_of(target)) {
+        open();
+    }
+
+    /// Handles one order of a test.
+    void handle(const net::http_request& request,
+                const net::http_responder& respond) {
+        const auto order = json::parse(request.body, nullptr, false);
+        if (request.target == "/v1/cut") {
+            each([](link& l) { l.cut(); });
+        } else if (request.target == "/v1/freeze") {
+            each([](link& l) { l.freeze(); });
+        } else if (request.target == "/v1/rule" && order.is_object()) {
+            obey(rule_of(order));
+        } else if (request.target != "/v1/proxy") {
+            respond({404, "{}"});
+            return;
+        }
+        respond({200, state()});
+    }
+
+private:
+    std::string state() {
+        std::size_t open = 0;
+        each([&](link& l) { open += l.closed() ? 0 : 1; });
+        const base::endpoint at{address_.address().to_string(),
+                                address_.port()};
+        return json{{"address", base::to_string(at)},
+                    {"links", open},
+                    {"accepted", accepted_}}
+            .dump();
+    }
+
+    void open() {
+        acceptor_.open(address_.protocol());
+        acceptor_.set_option(asio::socket_base::reuse_address(true));
+        acceptor_.bind(address_);
+        acceptor_.listen();
+        address_ = acceptor_.local_endpoint();
+        accept();
+    }
+
+    void obey(const rule& r) {
+        rule_ = r;
+        if (rule_.refuse && acceptor_.is_open()) {
+            acceptor_.close();
+        } else if (!rule_.refuse && !acceptor_.is_open()) {
+            open();
+        }
+    }
+
+    void accept() {
+        acceptor_.async_accept(
+            [this](const boost::system::error_code& error, tcp::socket client) {
+                if (error) {
+                    return;
+                }
+                ++accepted_;
+                auto l =
+                    std::make_shared<link>(io_, std::move(client), next_rule());
+                links_.push_back(l);
+                l->start(target_);
+                accept();
+            });
+    }
+
+    /// Returns the rule of the next connection, and counts it down.
+    rule next_rule() {
+        if (rule_.times == 0) {
+            return {};
+        }
+        if (rule_.times > 0) {
+            --rule_.times;
+        }
+        return rule_;
+    }
+
+    template <class F>
+    void each(F f) {
+        links_.remove_if(
+            [](const std::weak_ptr<link>& l) { return l.expired(); });
+        for (const auto& weak : links_) {
+            if (auto l = weak.lock()) {
+                f(*l);
+            }
+        }
+    }
+
+    asio::io_context& io_;
+    tcp::acceptor acceptor_;
+    tcp::endpoint address_;
+    tcp::endpoint target_;
+    rule rule_;
+    std::list<std::weak_ptr<link>> links_;
+    int accepted_ = 0;
+};
+
+} // namespace
+} // namespace hibiscus::testing
+
+int main(int argc, char** argv) {
+    absl::ParseCommandLine(argc, argv);
+    using hibiscus::testing::fault_proxy;
+    return hibiscus::testing::run_stand_in(
+        absl::GetFlag(FLAGS_address), [](boost::asio::io_context& io) {
+            auto proxy = std::make_shared<fault_proxy>(
+                io, absl::GetFlag(FLAGS_listen), absl::GetFlag(FLAGS_target));
+            return [proxy](const hibiscus::net::http_request& request,
+                           const hibiscus::net::http_responder& respond) {
+                proxy->handle(request, respond);
+            };
+        });
+}
--- a/testing/support/system.cpp
+++ b/testing/support/system.cpp
@@ -43,8 +43,7 @@
 base::endpoint system::start_stand_in(const std::string& name,
                                       const std::string& program,
                                       const std::vector<std::string>& flags) {
-    std::vector<std::string> arguments{programs_ + "/testing/stand_in_" +
-                                       program};
+    std::vector<std::string> arguments{programs_ + "/testing/" + program};
     arguments.insert(arguments.end(), flags.begin(), flags.end());
     auto started = std::make_unique<process>(arguments, path(name + ".out"));
     const auto address = started->listening();
@@ -54,9 +53,46 @@
 }
 
 void system::start_platform(const std::vector<std::string>& log_flags) {
-    start_stand_in("log", "log_service", log_flags);
-    start_stand_in("instances", "instance_list", {});
-    start_stand_in("weights", "weight_store", {});
+    start_stand_in("log", "stand_in_log_service", log_flags);
+    start_stand_in("instances", "stand_in_instance_list", {});
+    start_stand_in("weights", "stand_in_weight_store", {});
+}
+
+const base::endpoint& system::platform_address(const std::string& name) const {
+    const auto at = proxied_.find(name);
+    return at != proxied_.end() ? at->second : address(name);
+}
+
+base::endpoint system::start_proxy(const std::string& name,
+                                   const base::endpoint& target) {
+    start_stand_in("proxy-" + name, "fault_proxy",
+                   {"--target=" + base::to_string(target)});
+    const auto state = nlohmann::json::parse(order(name, "proxy"));
+    return base::parse_endpoint(state.value("address", ""))
+        .value_or(base::endpoint{});
+}
+
+base::endpoint system::put_proxy_before(const std::string& name) {
+    const auto row = listed_.find(name);
+    if (row == listed_.end()) {
+        proxied_[name] = start_proxy(name, address(name));
+        return proxied_[name];
+    }
+    auto changed = row->second;
+    auto& used = changed.role == wire::instance_role::entry
+                     ? changed.peer_address
+                     : changed.address;
+    auto proxy = start_proxy(
+        name, base::parse_endpoint(used).value_or(base::endpoint{}));
+    used = base::to_string(proxy);
+    list(changed);
+    return proxy;
+}
+
+std::string system::order(const std::string& name, const std::string& what,
+                          const std::string& body) {
+    return ask("proxy-" + name, what == "proxy" ? "GET" : "POST", "/v1/" + what,
+               body);
 }
 
 void system::list(const wire::instance& row) {
@@ -79,9 +115,10 @@
         << "node: " << node.name << "\nzone: " << zone
         << "\nlisten:\n  callers: " << base::to_string(node.callers)
         << "\n  peers: " << base::to_string(node.peers)
-        << "\nplatform:\n  log: " << base::to_string(address("log"))
-        << "\n  instances: " << base::to_string(address("instances"))
-        << "\n  weights: " << base::to_string(address("weights")) << "\n";
+        << "\nplatform:\n  log: " << base::to_string(platform_address("log"))
+        << "\n  instances: " << base::to_string(platform_address("instances"))
+        << "\n  weights: " << base::to_string(platform_address("weights"))
+        << "\n";
     launch(node);
     list({node.name, wire::instance_role::entry, wire::instance_state::live, "",
           base::zone_id(zone), base::to_string(node.callers),
@@ -109,7 +146,7 @@
     auto name = "engine" + std::to_string(++counter_);
     auto all = flags;
     all.push_back("--weights=" + base::to_string(address("weights")));
-    const auto at = start_stand_in(name, "engine", all);
+    const auto at = start_stand_in(name, "stand_in_engine", all);
     list({name, wire::instance_role::engine, wire::instance_state::live, pool,
           base::zone_id(zone), base::to_string(at), ""});
     return name;
@@ -119,7 +156,7 @@
                                   const std::string& zone,
                                   const std::vector<std::string>& flags) {
     auto name = service + std::to_string(++counter_);
-    const auto at = start_stand_in(name, "plain_service", flags);
+    const auto at = start_stand_in(name, "stand_in_plain_service", flags);
     list({name, wire::instance_role::service, wire::instance_state::live,
           service, base::zone_id(zone), base::to_string(at), ""});
     return name;
--- a/testing/support/system.hpp
+++ b/testing/support/system.hpp
@@ -60,6 +60,22 @@
     process& start_client(const std::string& kind, const std::string& name,
                           const std::vector<std::string>& flags);
 
+    /// Starts a fault proxy before the party `name` and makes the nodes use
+    /// it: for an engine or a service by its row in the list, for a node
+    /// ("n1") by its peer address in the list, for "log", "instances" or
+    /// "weights" by the settings of nodes that are started later. Returns the
+    /// proxy's address; its name for ask() and order() is "proxy-" + name.
+    base::endpoint put_proxy_before(const std::string& name);
+
+    /// Starts a fault proxy before `target`, which nobody uses yet.
+    base::endpoint start_proxy(const std::string& name,
+                               const base::endpoint& target);
+
+    /// Gives the fault proxy before `name` an order ("cut", "freeze" or
+    /// "rule" with a body; see fault_proxy/main.cpp). Returns its state.
+    std::string order(const std::string& name, const std::string& what,
+                      const std::string& body = "{}");
+
     /// Changes the state of an instance in the list.
     void list(const wire::instance& row);
 
@@ -108,12 +124,15 @@
                                   const std::string& program,
                                   const std::vector<std::string>& flags);
     void launch(node_process& node);
+    const base::endpoint& platform_address(const std::string& name) const;
 
     std::string programs_;
     std::string folder_;
     bool keep_ = false;
     std::map<std::string, std::unique_ptr<process>> stand_ins_;
     std::map<std::string, base::endpoint> addresses_;
+    /// The proxies' addresses that nodes get in place of the platform's.
+    std::map<std::string, base::endpoint> proxied_;
     std::map<std::string, wire::instance> listed_;
     std::vector<node_process> nodes_;
     std::vector<std::unique_ptr<process>> clients_;
