net, node: a refusal is true also after a used connection broke

An open_step or pull whose call to the home was lost was called not_run; the home may have opened the step. It is unknown unless no byte left.

Ruled out: Beast's need_eof() to detect an answer without a length; it is also true for 'Connection: close' with one, and http_test.refuses_a_body_over_the_limit showed it.

--- a/packages/net/include/hibiscus/net/http.hpp
+++ b/packages/net/include/hibiscus/net/http.hpp
@@ -25,6 +25,9 @@
     int status = 200;
     std::string body;
     std::string content_type = "application/json";
+    /// Set by a client: an earlier send of the request, of which nothing more
+    /// is known, came before the one that was answered.
+    bool repeated = false;
 };
 
 /// How far a request got that has no answer.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -99,7 +99,7 @@
         beast::error_code error;
         const auto ip = asio::ip::make_address(target_.ip, error);
         if (error) {
-            finish(http_failure{delivery::not_sent});
+            unreachable();
             return;
         }
         const auto limit = std::chrono::steady_clock::now() +
@@ -109,14 +109,22 @@
             tcp::endpoint(ip, target_.port),
             [self = shared_from_this()](beast::error_code e) {
                 if (e) {
-                    self->finish(http_failure{delivery::not_sent});
+                    self->unreachable();
                 } else {
                     self->write();
                 }
             });
     }
 
+    /// No connection can be had. The request may still have arrived by an
+    /// earlier, used one that then broke; to call it not sent would make the
+    /// caller run it a second time.
+    void unreachable() {
+        finish(http_failure{sends_ > 0 ? delivery::lost : delivery::not_sent});
+    }
+
     void write() {
+        ++sends_;
         stream_->expires_at(until_);
         http::async_write(
             *stream_, message_,
@@ -157,7 +165,16 @@
 
     void answered() {
         auto message = parser_->release();
+        // An answer without a length ends where its connection does, so a cut
+        // looks like its end; the caller would take a prefix for the whole.
+        constexpr unsigned no_content = 204;
+        if (!message.has_content_length() && !message.chunked() &&
+            message.result_int() != no_content) {
+            finish(http_failure{delivery::lost});
+            return;
+        }
         http_response response;
+        response.repeated = sends_ > 1;
         response.status = static_cast<int>(message.result_int());
         response.content_type = std::string(message[http::field::content_type]);
         response.body = std::move(message.body());
@@ -183,6 +200,8 @@
     std::chrono::steady_clock::time_point until_;
     stream_ptr stream_;
     bool reused_ = false;
+    /// How often the request began to leave.
+    int sends_ = 0;
     beast::flat_buffer buffer_;
     http::request<http::string_body> message_;
     std::optional<http::response_parser<http::string_body>> parser_;
--- a/packages/node/src/control_calls.cpp
+++ b/packages/node/src/control_calls.cpp
@@ -21,11 +21,19 @@
     return reply != nullptr ? std::get_if<T>(reply) : nullptr;
 }
 
+/// Returns the answer of type T for a call that has no reply. Only a call of
+/// which no byte left was certainly not run: the home may have done what a
+/// lost one asks, and a caller who trusts the refusal would be misled.
 template <class T>
-T refused(wire::reason why) {
+T unanswered(const call_result& result) {
+    const auto* failure = std::get_if<call_failure>(&result);
+    const bool never_left =
+        failure != nullptr && *failure == call_failure::not_sent;
     T answer;
-    answer.result = wire::outcome::not_run;
-    answer.why = why;
+    answer.result =
+        never_left ? wire::outcome::not_run : wire::outcome::unknown;
+    answer.why = never_left ? wire::reason::home_unreachable
+                            : wire::reason::connection_lost;
     answer.retry_after_ms = refusal;
     return answer;
 }
@@ -121,8 +129,7 @@
                 [done = std::move(done)](const call_result& result) {
                     const auto* a = answer_in<wire::step_answer>(result);
                     done(a != nullptr ? *a
-                                      : refused<wire::step_answer>(
-                                            wire::reason::home_unreachable));
+                                      : unanswered<wire::step_answer>(result));
                 });
 }
 
@@ -149,8 +156,7 @@
                         done(*a);
                         return;
                     }
-                    auto answer = refused<wire::pull_answer>(
-                        wire::reason::home_unreachable);
+                    auto answer = unanswered<wire::pull_answer>(result);
                     answer.pull = pull;
                     done(std::move(answer));
                 });
--- a/packages/node/src/service_gateway.cpp
+++ b/packages/node/src/service_gateway.cpp
@@ -123,8 +123,10 @@
         failed(a, std::get<net::http_failure>(result).how);
         return;
     }
+    a->may_have_run = a->may_have_run || response->repeated;
     if (response->status == status_overloaded) {
-        // A backend server says 503 only for what it did not start.
+        // A backend server says 503 only for what it did not start. That is
+        // true of this send; an earlier one may have run.
         failed(a, net::delivery::not_sent);
         return;
     }
--- /dev/null
+++ b/testing/integration/traffic_fixture.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "support/system.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+
+namespace hibiscus::testing {
+
+/// The build folder, from the flag --programs.
+extern std::string programs; // NOLINT
+
+/// The document of the traffic tests; each service is a plain one.
+constexpr const char* traffic_document = R"({"schema": 1,
+    "owners": [{"name": "campus"}],
+    "pools": [{"name": "tagging", "owner": "campus"}],
+    "trainers": [{"name": "tagger", "owner": "campus", "pool": "tagging",
+                  "staleness_bound": 1}],
+    "services": [{"name": "ledger", "owner": "campus"},
+                 {"name": "hedged", "owner": "campus", "hedge": true}],
+    "limits": {"entries_ttl_ms": 500, "pull_wait_ms": 1000}})";
+
+/// What tests of traffic share: a system, callers that speak to one entry,
+/// and the service's own record of what ran.
+class traffic_test : public ::testing::Test {
+protected:
+    traffic_test() : system_(programs), caller_({{"127.0.0.1", 1}}) {}
+
+    /// Starts `count` nodes, each in a zone of its own.
+    void start_nodes(int count) {
+        for (int i = 1; i <= count; ++i) {
+            const auto number = std::to_string(i);
+            system_.start_node("127.0.0." + number, "z" + number);
+        }
+    }
+
+    /// Publishes the document and waits until the nodes follow it and know
+    /// `services` instances of the ledger.
+    void make_ready() {
+        ASSERT_EQ(system_.publish(traffic_document), 0);
+        ASSERT_TRUE(system_.wait_ready());
+        for (std::size_t i = 0; i < system_.nodes().size(); ++i) {
+            ASSERT_TRUE(eventually([&] {
+                const auto a = run(i, request("warm-up", true));
+                return a && a->result == wire::outcome::completed;
+            }));
+        }
+    }
+
+    /// Returns a request to the ledger.
+    static wire::service_request request(const std::string& id, bool idempotent,
+                                         base::millis deadline = 3000) {
+        return {base::request_id(id), base::service_id("ledger"),
+                idempotent,           deadline,
+                base::clock().wall(), "body"};
+    }
+
+    /// Sends `body` to the node of that place in the list.
+    net::http_result send(std::size_t node, const std::string& method,
+                          const std::string& target, std::string body,
+                          base::millis timeout = 20000) {
+        net::http_request r;
+        r.method = method;
+        r.target = target;
+        r.body = std::move(body);
+        return caller_.send_to(system_.nodes()[node].callers, std::move(r),
+                               timeout);
+    }
+
+    /// Runs a request at a node; returns its answer, if one came.
+    std::optional<wire::answer> run(std::size_t node,
+                                    const wire::service_request& r) {
+        return caller::decode<wire::answer>(
+            send(node, "POST", "/v1/requests", wire::to_json(r)));
+    }
+
+    /// Returns how often the instance `service` ran `key`.
+    int runs_of(const std::string& service, const std::string& key) {
+        const auto runs = nlohmann::json::parse(
+            system_.ask(service, "GET", "/v1/runs"), nullptr, false);
+        return runs.is_object() ? runs.value(key, 0) : -1;
+    }
+
+    system system_;
+    caller caller_;
+};
+
+} // namespace hibiscus::testing
--- /dev/null
+++ b/testing/integration/traffic_refusal_test.cpp
@@ -0,0 +1,103 @@
+#include "integration/traffic_fixture.hpp"
+
+namespace hibiscus::testing {
+namespace {
+
+/// One place at which a connection to a backend server fails.
+struct cut_place {
+    const char* name;
+    const char* rule;
+};
+
+/// Before the connection, within the request's line, headers and body, after
+/// the request, and within the answer's line, headers and body.
+constexpr cut_place cut_places[] = {
+    {"refused", R"({"refuse": true})"},
+    {"cut before the request", R"({"to_target": 0})"},
+    {"cut after 1 byte", R"({"to_target": 1})"},
+    {"cut in the headers", R"({"to_target": 60})"},
+    {"cut in the body", R"({"to_target": 300})"},
+    {"cut before the answer", R"({"to_client": 0})"},
+    {"cut in the status line", R"({"to_client": 5})"},
+    {"cut in the answer's headers", R"({"to_client": 40})"},
+    {"cut in the answer's body", R"({"to_client": 80})"},
+    {"half closed in the answer",
+     R"({"to_client": 80, "action": "half_close"})"},
+};
+
+/// One node and one instance of the ledger behind a fault proxy.
+class traffic_refusal_test : public traffic_test {
+protected:
+    void SetUp() override {
+        system_.start_platform();
+        start_nodes(1);
+        service_ = system_.start_service("ledger", "z1");
+        system_.put_proxy_before(service_);
+        make_ready();
+    }
+
+    /// Sets the rule for new connections and ends those of before.
+    void fail(const std::string& rule) {
+        system_.order(service_, "rule", rule);
+        system_.order(service_, "cut");
+    }
+
+    /// Returns a request whose body is longer than its headers, so that the
+    /// places are where their names say.
+    static wire::service_request long_request(const std::string& id,
+                                              bool idempotent) {
+        auto r = request(id, idempotent, 1500);
+        r.body = std::string(400, 'x');
+        return r;
+    }
+
+    std::string service_;
+};
+
+// The connection to the backend server fails at some byte. The caller reads
+// `not_run` and, as it may, sends the sync again under another id; had the
+// first one run after all, the student would be charged twice.
+TEST_F(traffic_refusal_test, what_is_called_not_run_was_not_run) {
+    int number = 0;
+    for (const auto& place : cut_places) {
+        for (const bool idempotent : {true, false}) {
+            fail(place.rule);
+            const auto key = "cut-" + std::to_string(++number);
+            const auto answer = run(0, long_request(key, idempotent));
+            ASSERT_TRUE(answer.has_value()) << place.name;
+            EXPECT_NE(answer->result, wire::outcome::completed) << place.name;
+            const auto runs = runs_of(service_, key);
+            if (answer->result == wire::outcome::not_run) {
+                EXPECT_EQ(runs, 0) << place.name;
+                EXPECT_GT(answer->retry_after_ms, 0) << place.name;
+            }
+            if (!idempotent) {
+                EXPECT_LE(runs, 1) << place.name;
+            }
+        }
+    }
+}
+
+// One connection fails at some byte, the next one works. A lookup may be sent
+// again, so its caller sees nothing of the fault but the time it takes, and
+// never a part of an answer.
+TEST_F(traffic_refusal_test, a_lookup_survives_a_cut_at_any_byte) {
+    int number = 0;
+    for (const auto& place : cut_places) {
+        auto rule = nlohmann::json::parse(place.rule);
+        if (rule.contains("refuse")) {
+            continue;
+        }
+        rule["times"] = 1;
+        fail(rule.dump());
+        const auto key = "again-" + std::to_string(++number);
+        const auto answer = run(0, long_request(key, true));
+        ASSERT_TRUE(answer.has_value()) << place.name;
+        EXPECT_EQ(answer->result, wire::outcome::completed) << place.name;
+        EXPECT_EQ(answer->body, "ran " + key + " with " + std::string(400, 'x'))
+            << place.name;
+    }
+}
+
+} // namespace
+} // namespace hibiscus::testing
