--- a/testing/stand_ins/app.cpp
+++ b/testing/stand_ins/app.cpp
@@ -1,7 +1,8 @@
 // Stands in for an application: looks things up and syncs a ledger, several
 // callers at a time. A sync is retried with the same id, as its caller cannot
-// run it twice. It keeps every answer and prints what it saw as one line of
-// JSON. It does not model think time that depends on answers.
+// run it twice. It prints what it saw as one line of JSON; with --answers it
+// keeps the answer to each try in a file, for the oracle. It does not model
+// think time that depends on answers.
 
 #include "support/caller.hpp"
 #include "support/process.hpp"
@@ -11,7 +12,9 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <fstream>
 #include <iostream>
+#include <mutex>
 #include <thread>
 
 ABSL_FLAG(std::string, name, "app", "name of the application");
@@ -20,7 +23,9 @@
 ABSL_FLAG(int, callers, 4, "callers at a time");
 ABSL_FLAG(int, seconds, 10, "how long to call");
 ABSL_FLAG(int, pause_ms, 20, "time between two calls of a caller");
-ABSL_FLAG(int, sync_every, 5, "one call of so many is a sync");
+ABSL_FLAG(int, sync_every, 5, "one call of so many is a sync; 0 for none");
+ABSL_FLAG(std::string, answers, "", "file that keeps each answer, if set");
+ABSL_FLAG(int, most_tries, 20, "tries of a request before it is given up");
 ABSL_FLAG(int, deadline_ms, 3000, "deadline of a call");
 
 namespace hibiscus::testing {
@@ -29,7 +34,8 @@
 using nlohmann::json;
 
 constexpr base::millis margin = 1000;
-constexpr int most_tries = 20;
+/// A sync whose outcome is lost stays so; asking on would tell nothing.
+constexpr int most_unknown = 20;
 
 /// What the callers saw.
 struct tally {
@@ -45,17 +51,48 @@
     std::vector<std::string> not_run;
 };
 
+/// The file that keeps each answer. Safe for several threads.
+class answer_file {
+public:
+    /// Opens the file `path`, or keeps nothing if it is empty.
+    explicit answer_file(const std::string& path) {
+        if (!path.empty()) {
+            out_.open(path);
+        }
+    }
+
+    /// Adds the answer to one try.
+    void keep(const wire::service_request& request,
+              const std::optional<wire::answer>& answer, base::millis at,
+              base::millis took) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        out_ << json{{"id", request.id.str()},
+                     {"at", at},
+                     {"took_ms", took},
+                     {"result", answer ? base::name_of(answer->result) : ""},
+                     {"why", answer ? base::name_of(answer->why) : ""},
+                     {"retry_after_ms", answer ? answer->retry_after_ms : 0}}
+             << std::endl;
+    }
+
+private:
+    std::mutex mutex_;
+    std::ofstream out_;
+};
+
 /// One caller with a tally of its own.
 class one_caller {
 public:
-    one_caller(caller& shared, int number) : caller_(shared), number_(number) {}
+    one_caller(caller& shared, answer_file& answers, int number)
+        : caller_(shared), answers_(answers), number_(number) {}
 
     /// Calls until the time is over.
     void run() {
         const auto until =
             caller_.clock().now() + 1000 * absl::GetFlag(FLAGS_seconds);
         for (int i = 0; caller_.clock().now() < until; ++i) {
-            call(i, i % absl::GetFlag(FLAGS_sync_every) == 0);
+            const int every = absl::GetFlag(FLAGS_sync_every);
+            call(i, every > 0 && i % every == 0);
             pause_for(absl::GetFlag(FLAGS_pause_ms));
         }
     }
@@ -86,16 +123,24 @@
     std::optional<wire::answer>
     until_known(const wire::service_request& request) {
         std::optional<wire::answer> last;
-        for (int i = 0; i < most_tries; ++i) {
+        int unknown = 0;
+        for (int i = 0; i < absl::GetFlag(FLAGS_most_tries); ++i) {
+            const auto begin = caller_.clock().now();
             auto answer = caller_.ask<wire::answer>(
                 "POST", "/v1/requests", wire::to_json(request),
                 request.deadline_ms + margin);
+            answers_.keep(request, answer, caller_.clock().wall(),
+                          caller_.clock().now() - begin);
             if (answer && answer->result == wire::outcome::completed) {
                 return answer;
             }
             tally_.refused += answer ? 1 : 0;
             if (answer) {
                 last = answer;
+                unknown += answer->result == wire::outcome::unknown ? 1 : 0;
+            }
+            if (!request.idempotent && unknown >= most_unknown) {
+                return last;
             }
             pause_for(answer
                           ? std::max<base::millis>(answer->retry_after_ms, 20)
@@ -127,6 +172,7 @@
     }
 
     caller& caller_;
+    answer_file& answers_;
     int number_;
     tally tally_;
 };
@@ -181,10 +227,11 @@
     using hibiscus::testing::one_caller;
     hibiscus::testing::caller shared(
         hibiscus::testing::parse_entries(absl::GetFlag(FLAGS_entries)));
+    hibiscus::testing::answer_file answers(absl::GetFlag(FLAGS_answers));
     std::vector<std::unique_ptr<one_caller>> callers;
     std::vector<std::thread> threads;
     for (int i = 0; i < absl::GetFlag(FLAGS_callers); ++i) {
-        callers.push_back(std::make_unique<one_caller>(shared, i));
+        callers.push_back(std::make_unique<one_caller>(shared, answers, i));
         threads.emplace_back([c = callers.back().get()] { c->run(); });
     }
     for (auto& t : threads) {
--- /dev/null
+++ b/testing/stand_ins/cache_events.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "hibiscus/base/clock.hpp"
+#include "hibiscus/base/enum_names.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <string>
+
+namespace hibiscus::testing {
+
+/// What happened to a prefix in an engine's cache.
+enum class cache_event_kind { stored, evicted };
+
+} // namespace hibiscus::testing
+
+namespace hibiscus::base {
+
+template <>
+struct enum_names<testing::cache_event_kind> {
+    static constexpr std::array<enum_name<testing::cache_event_kind>, 2> table{{
+        {testing::cache_event_kind::stored, "stored"},
+        {testing::cache_event_kind::evicted, "evicted"},
+    }};
+};
+
+} // namespace hibiscus::base
+
+namespace hibiscus::testing {
+
+/// The events of an engine's prefix cache, which are published late. Some are
+/// lost; their sequence numbers are missing, so that a reader sees the gap.
+/// Repeated and reordered events are not modelled.
+class cache_events {
+public:
+    /// Constructs a list whose events are seen after `lag_ms`, except for
+    /// `gap_percent` of them.
+    cache_events(base::millis lag_ms, int gap_percent)
+        : lag_ms_(lag_ms), gap_percent_(gap_percent) {}
+
+    /// Adds an event.
+    void note(base::millis now, cache_event_kind kind,
+              const std::string& prefix) {
+        ++last_;
+        std::uniform_int_distribution<int> percent(0, 99);
+        if (percent(random_) >= gap_percent_) {
+            rows_.push_back({last_, now, kind, prefix});
+        }
+        if (rows_.size() > most_rows) {
+            rows_.pop_front();
+        }
+    }
+
+    /// Returns the events from the sequence number `from` on that can be seen.
+    nlohmann::json page(std::int64_t from, base::millis now) const {
+        auto events = nlohmann::json::array();
+        auto next = from;
+        for (const auto& row : rows_) {
+            if (row.sequence >= from && row.at + lag_ms_ <= now) {
+                events.push_back({{"sequence", row.sequence},
+                                  {"kind", base::name_of(row.kind)},
+                                  {"prefix", row.prefix}});
+                next = std::max(next, row.sequence + 1);
+            }
+        }
+        return {{"next", next}, {"events", std::move(events)}};
+    }
+
+private:
+    static constexpr std::size_t most_rows = 10000;
+
+    struct event_row {
+        std::int64_t sequence;
+        base::millis at;
+        cache_event_kind kind;
+        std::string prefix;
+    };
+
+    base::millis lag_ms_;
+    int gap_percent_;
+    std::int64_t last_ = 0;
+    std::deque<event_row> rows_;
+    std::mt19937_64 random_{2};
+};
+
+} // namespace hibiscus::testing
--- a/testing/stand_ins/engine.cpp
+++ b/testing/stand_ins/engine.cpp
@@ -1,12 +1,19 @@
 // Stands in for a model engine: continuous batching over a number of slots by
-// priority, a prefix cache of limited size, streams that are resumed and
-// cancelled by id, orders to serve a version (with or without a check of the
-// fencing number), and swaps that may fail. Lengths of samples come from the
-// stream's seed; a few run far longer than the rest. It does not model memory
-// of the KV cache per token, nor the time that a batch's size costs.
+// priority, a prefix cache of limited size with events that come late and
+// with gaps, streams that are resumed and cancelled by id and moved by export
+// and import of their KV cache, a role, load reports that lag, orders to serve
+// a version (with or without a check of the fencing number), and swaps that
+// may fail. Lengths of samples come from the stream's seed; a few run far
+// longer than the rest. For the oracle it records which versions produced each
+// stream. Faults are switched by POST /v1/fault: "freeze" (it answers nothing
+// and makes no progress), "crash" (it forgets everything but the record, as a
+// restart would), "fail_swaps" (the share of swaps that fail).
+// It does not model memory of the KV cache per token, the time that a batch's
+// size costs, the bytes of an exported cache, or adapters.
 
 #include "hibiscus/net/http_client.hpp"
 #include "hibiscus/wire/codec.hpp"
+#include "stand_ins/cache_events.hpp"
 #include "support/stand_in.hpp"
 
 #include <absl/flags/flag.h>
@@ -16,9 +23,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <deque>
 #include <list>
 #include <map>
 #include <random>
+#include <utility>
 
 ABSL_FLAG(std::string, address, "127.0.0.1:0", "where to listen");
 ABSL_FLAG(std::string, weights, "", "address of the weight store");
@@ -30,6 +39,11 @@
 ABSL_FLAG(double, fail_swaps, 0.0, "share of the swaps that fail");
 ABSL_FLAG(int, straggler_percent, 3,
           "share of samples that run 5 times longer");
+ABSL_FLAG(int, load_lag_ms, 100, "how old the reported load is");
+ABSL_FLAG(int, event_lag_ms, 200, "how late cache events are published");
+ABSL_FLAG(int, event_gap_percent, 5, "share of cache events that are lost");
+ABSL_FLAG(int, kv_move_ms, 50, "how long an export or import takes");
+ABSL_FLAG(std::string, role, "mixed", "mixed, prefill or decode");
 
 namespace hibiscus::testing {
 namespace {
@@ -42,6 +56,8 @@
     std::vector<wire::chunk> chunks;
     std::uint32_t length = 0;
     int prefill = 0;
+    /// True if its KV cache came with it.
+    bool cached = false;
     std::uint64_t arrival = 0;
     wire::stream_state state = wire::stream_state::queued;
 };
@@ -53,6 +69,13 @@
     net::http_responder respond;
 };
 
+/// The load at a time.
+struct load_report {
+    base::millis at = 0;
+    int running = 0;
+    int queued = 0;
+};
+
 constexpr std::uint32_t straggler_factor = 5;
 constexpr base::millis weights_timeout = 20000;
 
@@ -68,28 +91,160 @@
     /// Handles one request.
     void handle(const net::http_request& request,
                 const net::http_responder& respond) {
-        if (request.target == "/v1/streams") {
+        const auto path = path_of(request.target);
+        if (path == "/v1/fault") {
+            set_fault(request, respond);
+        } else if (path == "/v1/counts") {
+            respond(ok(counts().dump()));
+        } else if (path == "/v1/record") {
+            respond(ok(json(record_).dump()));
+        } else if (frozen_) {
+            held_.emplace_back(request, respond);
+        } else {
+            serve(path, request, respond);
+        }
+    }
+
+private:
+    void serve(const std::string& path, const net::http_request& request,
+               const net::http_responder& respond) {
+        if (path == "/v1/streams") {
             start(request, respond);
-        } else if (request.target == "/v1/streams/stop") {
+        } else if (path == "/v1/streams/stop") {
             stop(request, respond);
-        } else if (request.target == "/v1/streams/poll") {
+        } else if (path == "/v1/streams/poll") {
             poll(request, respond);
-        } else if (request.target == "/v1/orders") {
+        } else if (path == "/v1/streams/export") {
+            export_stream(request, respond);
+        } else if (path == "/v1/streams/import") {
+            import_stream(request, respond);
+        } else if (path == "/v1/orders") {
             order(request, respond);
-        } else if (request.target == "/v1/counts") {
-            respond({200,
-                     json{{"started", started_},
-                          {"finished", finished_},
-                          {"busy_slot_ms", busy_slot_ms_},
-                          {"alive_ms", clock_.now() - born_}}
-                         .dump(),
-                     "application/json"});
+        } else if (path == "/v1/role") {
+            change_role(request, respond);
+        } else if (path == "/v1/cache_events") {
+            const auto from = query_number(request.target, "from", 0);
+            respond(ok(events_.page(from, clock_.now()).dump()));
         } else {
             respond({404, "{}", "application/json"});
         }
     }
 
-private:
+    json counts() const {
+        return {{"started", started_},
+                {"finished", finished_},
+                {"busy_slot_ms", busy_slot_ms_},
+                {"alive_ms", clock_.now() - born_}};
+    }
+
+    void set_fault(const net::http_request& request,
+                   const net::http_responder& respond) {
+        const auto body = json::parse(request.body, nullptr, false);
+        if (body.is_object()) {
+            fail_swaps_ = body.value("fail_swaps", fail_swaps_);
+            frozen_ = body.value("freeze", frozen_);
+            if (body.value("crash", false)) {
+                streams_.clear();
+                serving_.clear();
+                cache_.clear();
+                highest_ = {0, 0};
+            }
+        }
+        respond(ok("{}"));
+        if (!frozen_) {
+            for (auto& [held, answer] : std::exchange(held_, {})) {
+                serve(path_of(held.target), held, answer);
+            }
+        }
+    }
+
+    /// Returns true if the number of an order is too old; remembers it if not.
+    bool fenced(const std::pair<std::int64_t, std::int64_t>& number) {
+        if (absl::GetFlag(FLAGS_check_fencing) && number < highest_) {
+            return true;
+        }
+        highest_ = std::max(highest_, number);
+        return false;
+    }
+
+    void change_role(const net::http_request& request,
+                     const net::http_responder& respond) {
+        const auto body = json::parse(request.body, nullptr, false);
+        if (!body.is_object()) {
+            respond({400, "{}", "application/json"});
+            return;
+        }
+        const auto number = body.value("number", json::object());
+        const bool old = fenced({number.value("epoch", std::int64_t{0}),
+                                 number.value("sequence", std::int64_t{0})});
+        if (!old) {
+            role_ = body.value("role", role_);
+        }
+        answer_order(respond, old ? wire::order_verdict::fenced
+                                  : wire::order_verdict::done);
+    }
+
+    void export_stream(const net::http_request& request,
+                       const net::http_responder& respond) {
+        const auto body = json::parse(request.body, nullptr, false);
+        const auto at = body.is_object()
+                            ? streams_.find(base::stream_id(
+                                  body.value("stream", std::string())))
+                            : streams_.end();
+        if (at == streams_.end() || at->second.prefill > 0) {
+            respond({404, "{}", "application/json"});
+            return;
+        }
+        json chunks = json::array();
+        for (const auto& c : at->second.chunks) {
+            chunks.push_back(
+                {{"seq", c.seq}, {"version", c.version}, {"text", c.text}});
+        }
+        const json moved{{"start", wire::to_json(at->second.start)},
+                         {"length", at->second.length},
+                         {"chunks", std::move(chunks)}};
+        streams_.erase(at);
+        answer_moved(respond, moved.dump());
+    }
+
+    void import_stream(const net::http_request& request,
+                       const net::http_responder& respond) {
+        const auto body = json::parse(request.body, nullptr, false);
+        const auto read = wire::from_json<wire::stream_start>(
+            body.is_object() ? body.value("start", std::string()) : "");
+        const auto* message = base::value_if(read);
+        if (message == nullptr) {
+            respond({400, "{}", "application/json"});
+            return;
+        }
+        stream_row row;
+        row.start = *message;
+        row.length = body.value("length", std::uint32_t{1});
+        row.cached = true;
+        row.arrival = ++started_;
+        auto& lines = record_[message->stream.str()].emplace_back();
+        for (const auto& c : body.value("chunks", json::array())) {
+            row.chunks.push_back({c.value("seq", std::uint32_t{0}),
+                                  c.value("version", std::int64_t{0}),
+                                  c.value("text", std::string())});
+            lines.push_back(row.chunks.back().version);
+        }
+        streams_.insert_or_assign(message->stream, std::move(row));
+        answer_moved(respond, "{}");
+    }
+
+    void answer_moved(const net::http_responder& respond,
+                      const std::string& body) {
+        auto timer =
+            std::make_shared<boost::asio::steady_timer>(timer_.get_executor());
+        timer->expires_after(
+            std::chrono::milliseconds(absl::GetFlag(FLAGS_kv_move_ms)));
+        timer->async_wait(
+            [timer, respond, body](const boost::system::error_code&) {
+                respond(ok(body));
+            });
+    }
+
     static net::http_response ok(std::string body) {
         return {200, std::move(body), "application/json"};
     }
@@ -102,8 +257,16 @@
             respond({400, "{}", "application/json"});
             return;
         }
-        if (streams_.count(message->stream) == 0) {
+        if (role_ == "decode") {
+            respond({503, "{}", "application/json"});
+            return;
+        }
+        const auto known = streams_.find(message->stream);
+        if (known != streams_.end()) {
+            known->second.start.priority = message->priority;
+        } else {
             ++started_;
+            record_[message->stream.str()].emplace_back();
             stream_row row;
             row.length = length_of(*message);
             row.arrival = started_;
@@ -183,6 +346,8 @@
             }
         }
         news.slots = absl::GetFlag(FLAGS_slots);
+        news.running = loads_.empty() ? 0 : loads_.front().running;
+        news.queued = loads_.empty() ? 0 : loads_.front().queued;
         for (const auto& [trainer, version] : serving_) {
             news.serving.push_back({trainer, version});
         }
@@ -199,11 +364,10 @@
         }
         const auto number =
             std::make_pair(message->number.epoch, message->number.sequence);
-        if (absl::GetFlag(FLAGS_check_fencing) && number < highest_) {
+        if (fenced(number)) {
             answer_order(respond, wire::order_verdict::fenced);
             return;
         }
-        highest_ = std::max(highest_, number);
         net::http_request fetch;
         fetch.target = "/v1/weights/" + message->trainer.str() + "/" +
                        std::to_string(message->version);
@@ -220,7 +384,7 @@
         const auto* response = std::get_if<net::http_response>(&result);
         std::uniform_real_distribution<double> share(0.0, 1.0);
         const bool failed = response == nullptr || response->status != 200 ||
-                            share(random_) < absl::GetFlag(FLAGS_fail_swaps);
+                            share(random_) < fail_swaps_;
         if (!failed) {
             serving_[order.trainer] = order.version;
         }
@@ -234,6 +398,15 @@
     }
 
     void tick() {
+        if (!frozen_) {
+            advance_all();
+        }
+        timer_.expires_after(
+            std::chrono::milliseconds(absl::GetFlag(FLAGS_chunk_ms)));
+        timer_.async_wait([this](const boost::system::error_code&) { tick(); });
+    }
+
+    void advance_all() {
         admit();
         for (auto& [id, row] : streams_) {
             if (row.state == wire::stream_state::running) {
@@ -241,10 +414,23 @@
                 advance(row);
             }
         }
+        note_load();
         answer_polls();
-        timer_.expires_after(
-            std::chrono::milliseconds(absl::GetFlag(FLAGS_chunk_ms)));
-        timer_.async_wait([this](const boost::system::error_code&) { tick(); });
+    }
+
+    /// Keeps the loads that are younger than the lag, and one before.
+    void note_load() {
+        load_report now;
+        now.at = clock_.now();
+        for (const auto& [id, row] : streams_) {
+            now.running += row.state == wire::stream_state::running ? 1 : 0;
+            now.queued += row.state == wire::stream_state::queued ? 1 : 0;
+        }
+        loads_.push_back(now);
+        const auto limit = now.at - absl::GetFlag(FLAGS_load_lag_ms);
+        while (loads_.size() > 1 && loads_[1].at <= limit) {
+            loads_.pop_front();
+        }
     }
 
     void admit() {
@@ -266,7 +452,7 @@
                 return;
             }
             row->state = wire::stream_state::running;
-            row->prefill = use_prefix(row->start.prompt)
+            row->prefill = row->cached || use_prefix(row->start.prompt)
                                ? 0
                                : absl::GetFlag(FLAGS_prefill_chunks);
         }
@@ -280,8 +466,13 @@
             cache_.erase(at);
         }
         cache_.push_front(prompt);
+        if (!hit) {
+            events_.note(clock_.now(), cache_event_kind::stored, prompt);
+        }
         if (cache_.size() >
             static_cast<std::size_t>(absl::GetFlag(FLAGS_cached_prefixes))) {
+            events_.note(clock_.now(), cache_event_kind::evicted,
+                         cache_.back());
             cache_.pop_back();
         }
         return hit;
@@ -292,6 +483,9 @@
             --row.prefill;
             return;
         }
+        if (role_ == "prefill") {
+            return; // It waits for its export.
+        }
         const auto version = serving_.find(row.start.trainer);
         const auto number = version == serving_.end() ? 0 : version->second;
         const auto seq = static_cast<std::uint32_t>(row.chunks.size());
@@ -299,6 +493,7 @@
                               row.start.stream.str() + ":" +
                                   std::to_string(seq) + ":v" +
                                   std::to_string(number) + ";"});
+        record_[row.start.stream.str()].back().push_back(number);
         if (row.chunks.size() >= row.length) {
             row.state = wire::stream_state::done;
             ++finished_;
@@ -314,6 +509,17 @@
     std::map<base::trainer_id, wire::weight_version> serving_;
     std::pair<std::int64_t, std::int64_t> highest_{0, 0};
     std::list<std::string> cache_;
+    cache_events events_{absl::GetFlag(FLAGS_event_lag_ms),
+                         absl::GetFlag(FLAGS_event_gap_percent)};
+    std::deque<load_report> loads_;
+    /// For each stream and each time that it was started, the version of each
+    /// chunk.
+    std::map<std::string, std::vector<std::vector<wire::weight_version>>>
+        record_;
+    std::string role_ = absl::GetFlag(FLAGS_role);
+    double fail_swaps_ = absl::GetFlag(FLAGS_fail_swaps);
+    bool frozen_ = false;
+    std::vector<std::pair<net::http_request, net::http_responder>> held_;
     std::vector<waiting_poll> polls_;
     std::mt19937_64 random_{1};
     std::uint64_t started_ = 0;
--- a/testing/stand_ins/instance_list.cpp
+++ b/testing/stand_ins/instance_list.cpp
@@ -1,5 +1,7 @@
 // Stands in for the platform's list of instances, which lags behind the
-// truth. It does not model health checks: a row stays until it is changed.
+// truth. Faults are switched by POST /v1/fault: "outage" (reads are refused
+// with 503) and "lag_ms". It does not model health checks: a row stays until
+// it is changed. Nor does it model lists that differ between readers.
 
 #include "hibiscus/wire/codec.hpp"
 #include "support/stand_in.hpp"
@@ -28,7 +30,10 @@
         if (path == "/v1/fault") {
             const auto body =
                 nlohmann::json::parse(request.body, nullptr, false);
-            outage_ = body.is_object() && body.value("outage", false);
+            if (body.is_object()) {
+                outage_ = body.value("outage", outage_);
+                lag_ms_ = body.value("lag_ms", lag_ms_);
+            }
             respond({200, "{}", "application/json"});
         } else if (request.method == "POST" && path == "/v1/instances") {
             change(request, respond);
@@ -68,7 +73,7 @@
     }
 
     std::string seen() {
-        const auto limit = clock_.now() - absl::GetFlag(FLAGS_lag_ms);
+        const auto limit = clock_.now() - lag_ms_;
         while (history_.size() > 1 && history_[1].first <= limit) {
             history_.pop_front();
         }
@@ -82,6 +87,7 @@
     std::map<std::string, wire::instance> rows_;
     std::deque<std::pair<base::millis, std::string>> history_;
     bool outage_ = false;
+    base::millis lag_ms_ = absl::GetFlag(FLAGS_lag_ms);
 };
 
 } // namespace
--- a/testing/stand_ins/log_service.cpp
+++ b/testing/stand_ins/log_service.cpp
@@ -1,7 +1,11 @@
 // Stands in for the platform's append-only log service: streams with offsets,
-// a limit of appends a second, retention by count, outages, and answers that
-// are lost after the append took effect. It keeps all in memory and does not
-// model replication, several writers' clocks, or disk.
+// a limit of appends a second, and retention by count. Faults are switched by
+// POST /v1/fault: "outage" (all is refused with 503), "slow_ms" (each append
+// and read takes so much longer), "lose_answers" (so many appends take effect
+// and are not answered), "drop_appends" (so many neither take effect nor are
+// answered), "rate" (appends a second) and "retention" (records a stream).
+// It keeps all in memory and does not model replication, several writers'
+// clocks, disk, or records that are read out of order.
 
 #include "hibiscus/wire/codec.hpp"
 #include "support/stand_in.hpp"
@@ -30,6 +34,8 @@
 /// A read that waits for the first record.
 struct waiting_read {
     wire::log_offset from;
+    /// Not answered before this time, unless the service is out.
+    base::millis not_before;
     base::millis until;
     net::http_responder respond;
 };
@@ -96,6 +102,9 @@
         if (body.is_object()) {
             outage_ = body.value("outage", outage_);
             lose_answers_ = body.value("lose_answers", lose_answers_);
+            drop_appends_ = body.value("drop_appends", drop_appends_);
+            slow_ms_ = body.value("slow_ms", slow_ms_);
+            rate_ = body.value("rate", rate_);
             retention_ = body.value("retention", retention_);
         }
         respond({200, "{}", "application/json"});
@@ -109,17 +118,15 @@
             respond({400, "{}", "application/json"});
             return;
         }
-        const auto now = clock_.now();
-        allowance_ = std::min<double>(
-            absl::GetFlag(FLAGS_rate),
-            allowance_ + static_cast<double>(now - refilled_) *
-                             absl::GetFlag(FLAGS_rate) / 1000.0);
-        refilled_ = now;
-        if (allowance_ < 1.0) {
+        if (drop_appends_ > 0) {
+            --drop_appends_;
+            lost_.push_back(respond);
+            return;
+        }
+        if (!within_rate()) {
             respond({429, "{}", "application/json"});
             return;
         }
-        allowance_ -= 1.0;
         ++appends_;
         const auto offset = stream.end();
         stream.records.push_back({offset, record->id, record->data});
@@ -135,11 +142,25 @@
         answer_later(respond, wire::to_json(wire::append_answer{offset}));
     }
 
+    /// Takes one append out of the allowance, if there is one.
+    bool within_rate() {
+        const auto now = clock_.now();
+        allowance_ = std::min<double>(
+            rate_,
+            allowance_ + static_cast<double>(now - refilled_) * rate_ / 1000.0);
+        refilled_ = now;
+        if (allowance_ < 1.0) {
+            return false;
+        }
+        allowance_ -= 1.0;
+        return true;
+    }
+
     void answer_later(const net::http_responder& respond,
                       const std::string& body) {
         auto timer = std::make_shared<boost::asio::steady_timer>(io_);
-        timer->expires_after(
-            std::chrono::milliseconds(absl::GetFlag(FLAGS_append_ms)));
+        timer->expires_after(std::chrono::milliseconds(
+            absl::GetFlag(FLAGS_append_ms) + slow_ms_));
         timer->async_wait(
             [timer, respond, body](const boost::system::error_code&) {
                 respond({200, body, "application/json"});
@@ -150,15 +171,20 @@
               const net::http_responder& respond) {
         const auto from = query_number(request.target, "from", 0);
         const auto wait = query_number(request.target, "wait_ms", 0);
-        stream.waiting.push_back({from, clock_.now() + wait, respond});
+        const auto now = clock_.now();
+        stream.waiting.push_back(
+            {from, now + slow_ms_, now + slow_ms_ + wait, respond});
         answer_reads(stream);
     }
 
     void answer_reads(stream_row& stream) {
         auto& waiting = stream.waiting;
         for (std::size_t i = 0; i < waiting.size();) {
-            if (waiting[i].from >= stream.end() &&
-                clock_.now() < waiting[i].until && !outage_) {
+            const auto now = clock_.now();
+            const bool early =
+                now < waiting[i].not_before ||
+                (waiting[i].from >= stream.end() && now < waiting[i].until);
+            if (early && !outage_) {
                 ++i;
                 continue;
             }
@@ -199,6 +225,9 @@
     std::vector<net::http_responder> lost_;
     bool outage_ = false;
     int lose_answers_ = 0;
+    int drop_appends_ = 0;
+    base::millis slow_ms_ = 0;
+    double rate_ = absl::GetFlag(FLAGS_rate);
     int retention_ = absl::GetFlag(FLAGS_retention);
     double allowance_ = absl::GetFlag(FLAGS_rate);
     base::millis refilled_ = clock_.now();
--- a/testing/stand_ins/plain_service.cpp
+++ b/testing/stand_ins/plain_service.cpp
@@ -1,6 +1,8 @@
 // Stands in for a plain service beside the model engines. It records each run
 // of each key, so that a test can tell what ran twice and what ran after a
-// refusal. It does not model work of uneven length.
+// refusal. Faults are switched by POST /v1/fault: "refuse" (all is refused
+// with 503 before it runs), "lose_answers" (so many requests run and are not
+// answered) and "run_ms". It does not model work of uneven length.
 
 #include "support/stand_in.hpp"
 
@@ -12,6 +14,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <vector>
 
 ABSL_FLAG(std::string, address, "127.0.0.1:0", "where to listen");
 ABSL_FLAG(int, run_ms, 5, "how long a run takes");
@@ -31,6 +34,8 @@
         const std::string prefix = "/v1/run/";
         if (request.target == "/v1/runs") {
             respond({200, nlohmann::json(runs_).dump(), "application/json"});
+        } else if (request.target == "/v1/fault") {
+            set_fault(request, respond);
         } else if (request.method == "POST" &&
                    request.target.rfind(prefix, 0) == 0) {
             run(request.target.substr(prefix.size()), request.body, respond);
@@ -40,17 +45,32 @@
     }
 
 private:
+    void set_fault(const net::http_request& request,
+                   const net::http_responder& respond) {
+        const auto body = nlohmann::json::parse(request.body, nullptr, false);
+        if (body.is_object()) {
+            refuse_ = body.value("refuse", refuse_);
+            lose_answers_ = body.value("lose_answers", lose_answers_);
+            run_ms_ = body.value("run_ms", run_ms_);
+        }
+        respond({200, "{}", "application/json"});
+    }
+
     void run(const std::string& key, const std::string& body,
              const net::http_responder& respond) {
-        if (running_ >= absl::GetFlag(FLAGS_capacity)) {
+        if (refuse_ || running_ >= absl::GetFlag(FLAGS_capacity)) {
             respond({503, "{}", "application/json"});
             return;
         }
-        ++running_;
         ++runs_[key];
+        if (lose_answers_ > 0) {
+            --lose_answers_;
+            lost_.push_back(respond);
+            return;
+        }
+        ++running_;
         auto timer = std::make_shared<boost::asio::steady_timer>(io_);
-        timer->expires_after(
-            std::chrono::milliseconds(absl::GetFlag(FLAGS_run_ms)));
+        timer->expires_after(std::chrono::milliseconds(run_ms_));
         timer->async_wait([this, timer, key, body,
                            respond](const boost::system::error_code&) {
             --running_;
@@ -60,6 +80,10 @@
 
     boost::asio::io_context& io_;
     int running_ = 0;
+    bool refuse_ = false;
+    int lose_answers_ = 0;
+    int run_ms_ = absl::GetFlag(FLAGS_run_ms);
+    std::vector<net::http_responder> lost_;
     std::map<std::string, int> runs_;
 };
 
--- a/testing/stand_ins/trainer.cpp
+++ b/testing/stand_ins/trainer.cpp
@@ -1,7 +1,8 @@
 // Stands in for a trainer: opens steps, pulls their samples, trains, and
 // publishes a version. It opens the next step before it trains, so that
 // samples are generated meanwhile. It checks each sample and prints what it
-// saw as one line of JSON. It does not model several pullers in parallel.
+// saw as one line of JSON; with --answers it keeps every sample that it took
+// in a file, for the oracle. It does not model several pullers in parallel.
 
 #include "support/caller.hpp"
 #include "support/process.hpp"
@@ -11,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <fstream>
 #include <iostream>
 #include <set>
 
@@ -23,6 +25,7 @@
 ABSL_FLAG(int, max_tokens, 40, "longest usual sample, in chunks times two");
 ABSL_FLAG(int, train_ms, 600, "how long training takes");
 ABSL_FLAG(int, bound, 1, "staleness bound of the document");
+ABSL_FLAG(std::string, answers, "", "file that keeps each sample, if set");
 ABSL_FLAG(int, give_up_ms, 120000, "longest time for one step");
 
 namespace hibiscus::testing {
@@ -53,7 +56,11 @@
         : name_(absl::GetFlag(FLAGS_name)),
           caller_(parse_entries(absl::GetFlag(FLAGS_entries))),
           weights_(base::parse_endpoint(absl::GetFlag(FLAGS_weights))
-                       .value_or(base::endpoint{})) {}
+                       .value_or(base::endpoint{})) {
+        if (!absl::GetFlag(FLAGS_answers).empty()) {
+            answers_.open(absl::GetFlag(FLAGS_answers));
+        }
+    }
 
     /// Trains all steps and prints what it saw.
     void run() {
@@ -176,13 +183,21 @@
                             std::to_string(s.slot) + "/" +
                             std::to_string(s.attempt);
         std::uint32_t seq = 0;
+        json versions = json::array();
         bool told_true = !s.chunks.empty();
         for (const auto& c : s.chunks) {
             oldest = std::min(oldest, c.version);
+            versions.push_back(c.version);
             const auto text = stream + ":" + std::to_string(seq) + ":v" +
                               std::to_string(c.version) + ";";
             told_true = told_true && c.seq == seq++ && c.text == text;
         }
+        answers_ << json{{"stream", stream},
+                         {"at", caller_.clock().wall()},
+                         {"engine", s.engine.str()},
+                         {"at_version", version_},
+                         {"versions", std::move(versions)}}
+                 << std::endl;
         tally_.untrue += told_true ? 0 : 1;
         tally_.staleness_sum += version_ - oldest;
         tally_.stale += version_ - oldest > absl::GetFlag(FLAGS_bound) ? 1 : 0;
@@ -208,6 +223,7 @@
     base::endpoint weights_;
     wire::weight_version version_ = 0;
     std::int64_t pull_ = 0;
+    std::ofstream answers_;
     tally tally_;
 };
 
--- a/testing/stand_ins/weight_store.cpp
+++ b/testing/stand_ins/weight_store.cpp
@@ -1,6 +1,9 @@
 // Stands in for the platform's weight store, which hands out one set of
-// weights after the other at a limited rate. It keeps only the numbers of the
-// versions, not their bytes.
+// weights after the other at a limited rate. Faults are switched by POST
+// /v1/fault: "outage" (all is refused with 503), "fail_share" (the share of
+// the reads that end with 500) and "read_ms". It keeps only the numbers of the
+// versions, not their bytes, and does not model reads that break in the
+// middle.
 
 #include "support/stand_in.hpp"
 
@@ -9,10 +12,12 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <chrono>
 #include <memory>
+#include <random>
 #include <set>
 
 ABSL_FLAG(std::string, address, "127.0.0.1:0", "where to listen");
@@ -30,7 +35,11 @@
     /// Handles one request.
     void handle(const net::http_request& request,
                 const net::http_responder& respond) {
-        if (request.method == "PUT") {
+        if (request.target == "/v1/fault") {
+            set_fault(request, respond);
+        } else if (outage_) {
+            respond({503, "{}", "application/json"});
+        } else if (request.method == "PUT") {
             versions_.insert(request.target);
             respond({200, "{}", "application/json"});
         } else if (versions_.count(request.target) == 0) {
@@ -41,23 +50,40 @@
     }
 
 private:
+    void set_fault(const net::http_request& request,
+                   const net::http_responder& respond) {
+        const auto body = nlohmann::json::parse(request.body, nullptr, false);
+        if (body.is_object()) {
+            outage_ = body.value("outage", outage_);
+            fail_share_ = body.value("fail_share", fail_share_);
+            read_ms_ = body.value("read_ms", read_ms_);
+        }
+        respond({200, "{}", "application/json"});
+    }
+
     void read(const net::http_responder& respond) {
-        const auto read_ms = absl::GetFlag(FLAGS_read_ms);
         const auto spacing =
-            read_ms / std::max(1, absl::GetFlag(FLAGS_parallel));
+            read_ms_ / std::max(1, absl::GetFlag(FLAGS_parallel));
+        std::uniform_real_distribution<double> share(0.0, 1.0);
+        const int status = share(random_) < fail_share_ ? 500 : 200;
         const auto now = clock_.now();
         const auto start = std::max(now, free_at_);
         free_at_ = start + spacing;
         auto timer = std::make_shared<boost::asio::steady_timer>(io_);
-        timer->expires_after(std::chrono::milliseconds(start - now + read_ms));
-        timer->async_wait([timer, respond](const boost::system::error_code&) {
-            respond({200, "{}", "application/json"});
-        });
+        timer->expires_after(std::chrono::milliseconds(start - now + read_ms_));
+        timer->async_wait(
+            [timer, respond, status](const boost::system::error_code&) {
+                respond({status, "{}", "application/json"});
+            });
     }
 
     boost::asio::io_context& io_;
     base::clock clock_;
     base::millis free_at_ = 0;
+    base::millis read_ms_ = absl::GetFlag(FLAGS_read_ms);
+    bool outage_ = false;
+    double fail_share_ = 0.0;
+    std::mt19937_64 random_{3};
     std::set<std::string> versions_;
 };
 
