--- /dev/null
+++ b/testing/integration/api_examples_test.cpp
@@ -0,0 +1,235 @@
+#include "support/system.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace hibiscus::testing {
+
+extern std::string programs; // NOLINT
+
+namespace {
+
+using nlohmann::json;
+
+/// One example of docs/API.md.
+struct example {
+    /// The stand-in that it goes to; empty for an entry.
+    std::string target;
+    std::string method;
+    std::string path;
+    std::string content_type;
+    std::string body;
+    int status = 0;
+    std::string expected;
+};
+
+constexpr const char* source = HIBISCUS_SOURCE_DIR;
+
+std::string read_file(const std::string& path) {
+    std::ifstream in(path);
+    std::stringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+/// Returns the fenced blocks of `page` whose language is http, each with the
+/// words after the language.
+std::vector<std::pair<std::string, std::string>>
+http_blocks(const std::string& page) {
+    std::vector<std::pair<std::string, std::string>> blocks;
+    std::istringstream lines(page);
+    std::string line;
+    bool inside = false;
+    while (std::getline(lines, line)) {
+        if (inside && line == "```") {
+            inside = false;
+        } else if (inside) {
+            blocks.back().second += line + "\n";
+        } else if (line.rfind("```http", 0) == 0) {
+            inside = true;
+            blocks.emplace_back(line.substr(7), "");
+        }
+    }
+    return blocks;
+}
+
+/// Splits a block into its first line, its content type and its body.
+void split_block(const std::string& block, std::string& first,
+                 std::string& content_type, std::string& body) {
+    std::istringstream lines(block);
+    std::string line;
+    const std::string header = "Content-Type: ";
+    std::getline(lines, first);
+    while (std::getline(lines, line) && !line.empty()) {
+        if (line.rfind(header, 0) == 0) {
+            content_type = line.substr(header.size());
+        }
+    }
+    std::string separator;
+    while (std::getline(lines, line)) {
+        body += separator + line;
+        separator = "\n";
+    }
+}
+
+std::vector<example> examples_of(const std::string& page) {
+    const auto blocks = http_blocks(page);
+    std::vector<example> found;
+    for (std::size_t i = 0; i + 1 < blocks.size(); i += 2) {
+        example e;
+        e.target = blocks[i].first.empty() ? "" : blocks[i].first.substr(1);
+        std::string first;
+        split_block(blocks[i].second, first, e.content_type, e.body);
+        e.method = first.substr(0, first.find(' '));
+        e.path = first.substr(first.find(' ') + 1);
+        std::string unused;
+        split_block(blocks[i + 1].second, first, unused, e.expected);
+        e.status = std::atoi(first.substr(first.find(' ') + 1).c_str());
+        found.push_back(e);
+    }
+    return found;
+}
+
+/// Fields whose values differ from run to run; only their types are compared.
+bool varies(const std::string& key) {
+    static const std::set<std::string> keys{
+        "node", "zone",    "address", "home",     "engine",        "text",
+        "seq",  "version", "engines", "document", "slot",          "running",
+        "data", "ttl_ms",  "queued",  "attempt",  "retry_after_ms"};
+    return keys.count(key) != 0;
+}
+
+/// Returns where `actual` is not of the form of `expected`, or "".
+std::string difference(const json& expected, const json& actual,
+                       const std::string& path, const std::string& key) {
+    if (expected.is_object()) {
+        for (const auto& [name, value] : expected.items()) {
+            auto inner = path;
+            inner.append("/").append(name);
+            if (!actual.is_object() || !actual.contains(name)) {
+                return inner + " is missing";
+            }
+            auto wrong = difference(value, actual[name], inner, name);
+            if (!wrong.empty()) {
+                return wrong;
+            }
+        }
+        return "";
+    }
+    if (expected.is_array()) {
+        if (!actual.is_array() || expected.empty() != actual.empty()) {
+            return path + " has another length";
+        }
+        return expected.empty() ? ""
+                                : difference(expected[0], actual[0], path, key);
+    }
+    const bool same_type =
+        (expected.is_number() && actual.is_number()) ||
+        std::string(expected.type_name()) == actual.type_name();
+    const bool any = varies(key) || expected == "...";
+    const bool same = any ? same_type : expected == actual;
+    return same ? "" : path + " is " + actual.dump();
+}
+
+/// Three nodes with the backend servers of examples/cascadia.json.
+class api_examples_test : public ::testing::Test {
+protected:
+    api_examples_test() : system_(programs), http_({{"127.0.0.1", 1}}) {
+        system_.start_platform();
+        for (const char* zone : {"1", "2", "3"}) {
+            system_.start_node(std::string("127.0.0.") + zone,
+                               std::string("z") + zone);
+        }
+        engine_ = system_.start_engine("job-tagging", "z1");
+        system_.start_engine("job-tagging", "z2");
+        service_ = system_.start_service("balance", "z1");
+        system_.start_service("ledger", "z2");
+        system_.ask("weights", "PUT", "/v1/weights/job-tagger/1", "{}");
+    }
+
+    base::endpoint address_of(const std::string& target) {
+        if (target.empty()) {
+            return system_.entries().front();
+        }
+        if (target == "engine") {
+            return system_.address(engine_);
+        }
+        return system_.address(target == "service" ? service_ : target);
+    }
+
+    /// Returns what is wrong with the answer to `e`, or "".
+    std::string run(const example& e) {
+        net::http_request request;
+        request.method = e.method;
+        request.target = e.path;
+        request.content_type = e.content_type;
+        request.body = e.body;
+        const std::string now = "$NOW_MS";
+        const auto at = request.body.find(now);
+        if (at != std::string::npos) {
+            request.body.replace(at, now.size(),
+                                 std::to_string(base::clock().wall()));
+        }
+        const auto result = http_.send_to(address_of(e.target), request, 10000);
+        const auto* answer = std::get_if<net::http_response>(&result);
+        if (answer == nullptr) {
+            return "no answer";
+        }
+        if (answer->status != e.status) {
+            return std::to_string(answer->status) + " " + answer->body;
+        }
+        const auto expected = json::parse(e.expected, nullptr, false);
+        if (expected.is_discarded()) {
+            return answer->body.rfind(e.expected, 0) == 0 ? "" : answer->body;
+        }
+        const auto actual = json::parse(answer->body, nullptr, false);
+        const auto wrong = difference(expected, actual, "", "");
+        return wrong.empty() ? "" : wrong + " in " + answer->body;
+    }
+
+    system system_;
+    caller http_;
+    std::string engine_;
+    std::string service_;
+};
+
+TEST_F(api_examples_test, every_example_of_the_page_is_answered_as_it_says) {
+    ASSERT_EQ(system_.publish(
+                  read_file(std::string(source) + "/examples/cascadia.json")),
+              0);
+    ASSERT_TRUE(system_.wait_ready());
+    const auto examples =
+        examples_of(read_file(std::string(source) + "/docs/API.md"));
+    ASSERT_GE(examples.size(), 25U);
+    for (const auto& e : examples) {
+        // A list that lags or weights that are still loaded may need a while.
+        std::string wrong;
+        eventually([&] { return (wrong = run(e)).empty(); }, 20000);
+        EXPECT_EQ(wrong, "")
+            << e.target << " " << e.method << " " << e.path << "\n"
+            << e.body;
+    }
+}
+
+TEST_F(api_examples_test, the_example_documents_are_valid) {
+    for (const char* name : {"cascadia", "veritas"}) {
+        const auto [code, output] = system_.ctl(
+            {"validate", std::string(source) + "/examples/" + name + ".json"});
+        EXPECT_EQ(code, 0) << output;
+    }
+}
+
+TEST_F(api_examples_test, the_example_settings_are_accepted) {
+    process daemon(
+        {programs + "/packages/node/hibiscusd", "--check",
+         "--settings=" + std::string(source) + "/examples/hibiscusd.yaml"},
+        system_.path("check.out"));
+    EXPECT_EQ(daemon.wait(20000), 0) << daemon.output();
+}
+
+} // namespace
+} // namespace hibiscus::testing
