--- /dev/null
+++ b/testing/integration/api_pages_test.cpp
@@ -0,0 +1,103 @@
+#include "hibiscus/wire/answers.hpp"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+namespace hibiscus::testing {
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string read_file(const fs::path& path) {
+    std::ifstream in(path);
+    std::stringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+/// Returns what the first group of `pattern` matches in the sources under
+/// `folder`.
+std::set<std::string> found_in(const fs::path& folder,
+                               const std::string& pattern) {
+    const std::regex expression(pattern);
+    std::set<std::string> found;
+    for (const auto& file : fs::recursive_directory_iterator(folder)) {
+        if (file.path().extension() != ".cpp") {
+            continue;
+        }
+        const auto text = read_file(file.path());
+        for (std::sregex_iterator at(text.begin(), text.end(), expression), end;
+             at != end; ++at) {
+            found.insert((*at)[1].str());
+        }
+    }
+    return found;
+}
+
+/// The pages and sources of this repository.
+class api_pages_test : public ::testing::Test {
+protected:
+    void expect_row(const std::string& name) const {
+        EXPECT_NE(page_.find("| `" + name + "` |"), std::string::npos) << name;
+    }
+
+    const fs::path source_ = HIBISCUS_SOURCE_DIR;
+    const std::string page_ = read_file(source_ / "docs/OPERATIONS.md");
+};
+
+TEST_F(api_pages_test, operations_explains_every_reason) {
+    for (const auto& row : base::enum_names<wire::reason>::table) {
+        expect_row(std::string(row.name));
+    }
+}
+
+TEST_F(api_pages_test, operations_explains_every_event) {
+    const auto events = found_in(
+        source_ / "packages",
+        "(?:count_event\\(|event\\(\\s*severity::[a-z]+,)\\s*\"([a-z_]+)\"");
+    ASSERT_GE(events.size(), 10U);
+    for (const auto& event : events) {
+        expect_row(event);
+    }
+}
+
+TEST_F(api_pages_test, operations_explains_every_gauge) {
+    const auto gauges = found_in(source_ / "packages/node/src",
+                                 "counters_?\\.set\\(\"([a-z_]+)\"");
+    ASSERT_GE(gauges.size(), 5U);
+    for (const auto& gauge : gauges) {
+        expect_row("hibiscus_state{what=\"" + gauge + "\"}");
+    }
+}
+
+TEST_F(api_pages_test, operations_explains_every_setting) {
+    const auto keys =
+        found_in(source_ / "packages/node/src",
+                 "(?:in|m)\\.(?:name|address|integer|word)\\(\"([a-z_]+)\"");
+    ASSERT_GE(keys.size(), 10U);
+    for (const auto& key : keys) {
+        EXPECT_TRUE(page_.find("." + key + "` |") != std::string::npos ||
+                    page_.find("| `" + key + "` |") != std::string::npos)
+            << key;
+    }
+}
+
+TEST_F(api_pages_test, operations_explains_every_key_of_the_document) {
+    const auto keys = found_in(
+        source_ / "packages/document/src",
+        "in\\.(?:name|number|integer|boolean|enumeration)\\(\"([a-z_]+)\"");
+    ASSERT_GE(keys.size(), 15U);
+    for (const auto& key : keys) {
+        EXPECT_TRUE(page_.find("." + key + "`") != std::string::npos ||
+                    page_.find("| `" + key + "` |") != std::string::npos)
+            << key;
+    }
+}
+
+} // namespace
+} // namespace hibiscus::testing
--- a/testing/support/failure_run.cpp
+++ b/testing/support/failure_run.cpp
@@ -103,7 +103,9 @@
     std::cout << "measured: longest gap lookup_ms="
               << longest_gap(kept, "lookup-")
               << " sync_ms=" << longest_gap(kept, "sync-") << " sample_ms="
-              << longest_sample_gap(system_.path("trainer.jsonl")) << std::endl;
+              << longest_sample_gap(system_.path("trainer.jsonl"))
+              << "; longest wait lookup_ms=" << longest_wait(kept, "lookup-")
+              << " sync_ms=" << longest_wait(kept, "sync-") << std::endl;
     return found;
 }
 
--- a/testing/support/failure_run.hpp
+++ b/testing/support/failure_run.hpp
@@ -44,7 +44,7 @@
     /// been completed.
     bool completes(const std::string& prefix, int count = 5);
 
-    /// Waits for the clients, prints the longest gaps in their service, and
+    /// Waits for the clients, prints the longest gaps and waits, and
     /// returns everything that was broken.
     std::vector<violation> finish();
 
--- a/testing/support/oracle.cpp
+++ b/testing/support/oracle.cpp
@@ -97,6 +97,21 @@
     return longest_between(std::move(times));
 }
 
+base::millis longest_wait(const std::vector<kept_answer>& answers,
+                          const std::string& prefix) {
+    std::map<std::string, base::millis> begun;
+    base::millis longest = 0;
+    for (const auto& a : answers) {
+        if (a.id.rfind(prefix, 0) == 0) {
+            const auto at = begun.emplace(a.id, a.at - a.took_ms).first;
+            if (a.result == "completed") {
+                longest = std::max(longest, a.at - at->second);
+            }
+        }
+    }
+    return longest;
+}
+
 base::millis longest_sample_gap(const std::string& file) {
     std::vector<base::millis> times;
     for (const auto& row : objects_of(read_file(file))) {
--- a/testing/support/oracle.hpp
+++ b/testing/support/oracle.hpp
@@ -79,6 +79,11 @@
 base::millis longest_gap(const std::vector<kept_answer>& answers,
                          const std::string& prefix);
 
+/// Returns the longest time from the first try of a request, whose id begins
+/// with `prefix`, to its completion, in ms.
+base::millis longest_wait(const std::vector<kept_answer>& answers,
+                          const std::string& prefix);
+
 /// Returns the longest time between two samples in the file that a trainer
 /// keeps, in ms.
 base::millis longest_sample_gap(const std::string& file);
