node: engine chooser in a file of its own

Ruled out: a chooser in policy, since it reads the engine table and writes log lines. Run: ctest -R 'whole_path|placement'.

--- /dev/null
+++ b/packages/node/include/hibiscus/node/engine_chooser.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "hibiscus/cluster/engine_table.hpp"
+#include "hibiscus/cluster/step_home.hpp"
+#include "hibiscus/cluster/version_table.hpp"
+#include "hibiscus/document/document.hpp"
+#include "hibiscus/node/decision_log.hpp"
+#include "hibiscus/policy/placement.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace hibiscus::node {
+
+/// Chooses the engine of each slot by the policy that the document names for
+/// the pool, and writes a log line for each choice. Lives on the control
+/// thread.
+class engine_chooser {
+public:
+    /// Returns the document in force, or null.
+    using document_function = std::function<const document::document*()>;
+
+    /// Constructs a chooser of the node `self` among `engines`.
+    engine_chooser(const base::node_id& self, cluster::engine_table& engines,
+                   const cluster::version_table& versions, decision_log& lines,
+                   document_function document);
+
+    /// Returns an engine for a slot and counts the slot there, or nothing if
+    /// none can take it now.
+    std::optional<cluster::placement>
+    choose(const cluster::placement_query& query);
+
+private:
+    /// The policy that runs for a pool, with its state.
+    struct pool_policy {
+        document::placement_kind kind = document::placement_kind::random_choice;
+        policy::placement_policy placement = policy::random_choice{};
+    };
+
+    std::vector<policy::candidate> candidates(const document::trainer& trainer,
+                                              const document::pool& pool) const;
+    pool_policy& policy_of(const document::pool& pool);
+    void write_line(const document::trainer& trainer,
+                    const std::vector<policy::candidate>& open,
+                    const policy::candidate& chosen,
+                    document::placement_kind kind);
+
+    cluster::engine_table& engines_;
+    const cluster::version_table& versions_;
+    decision_log& lines_;
+    document_function document_;
+    std::map<base::pool_id, pool_policy> policies_;
+    std::mt19937_64 random_;
+};
+
+} // namespace hibiscus::node
--- a/packages/node/include/hibiscus/node/sample_runner.hpp
+++ b/packages/node/include/hibiscus/node/sample_runner.hpp
@@ -6,15 +6,14 @@
 #include "hibiscus/cluster/step_home.hpp"
 #include "hibiscus/cluster/version_table.hpp"
 #include "hibiscus/node/decision_log.hpp"
+#include "hibiscus/node/engine_chooser.hpp"
 #include "hibiscus/node/engine_gateway.hpp"
 #include "hibiscus/node/metrics.hpp"
 #include "hibiscus/node/peer_calls.hpp"
 #include "hibiscus/platform/log_client.hpp"
-#include "hibiscus/policy/placement.hpp"
 
 #include <functional>
 #include <map>
-#include <random>
 #include <set>
 
 namespace hibiscus::node {
@@ -84,10 +83,6 @@
     const cluster::step_home& steps() const { return steps_; }
 
 private:
-    std::optional<cluster::placement>
-    choose_engine(const cluster::placement_query& query);
-    std::vector<policy::candidate> candidates(const document::trainer& trainer,
-                                              const document::pool& pool) const;
     std::optional<int> bound_of(const base::trainer_id& trainer) const;
 
     void carry_out();
@@ -120,12 +115,9 @@
     document_function document_;
     cluster::version_table versions_;
     cluster::engine_table engines_;
+    engine_chooser chooser_;
     cluster::step_home steps_;
     cluster::engine_home homed_;
-    std::map<base::pool_id,
-             std::pair<document::placement_kind, policy::placement_policy>>
-        policies_;
-    std::mt19937_64 random_;
     std::map<cluster::waiter_id, pull_function> waiters_;
     cluster::waiter_id last_waiter_ = 0;
     std::set<base::engine_id> polling_;
--- a/packages/node/src/sample_runner.cpp
+++ b/packages/node/src/sample_runner.cpp
@@ -1,11 +1,7 @@
 #include "hibiscus/node/sample_runner.hpp"
 
-#include "hibiscus/base/hash.hpp"
-
 #include <boost/asio/post.hpp>
 
-#include <algorithm>
-
 namespace hibiscus::node {
 
 namespace {
@@ -14,7 +10,6 @@
 constexpr base::millis poll_pause = 40;
 constexpr base::millis place_deadline = 1000;
 constexpr base::millis epoch_retry = 300;
-constexpr int straggler_priority = 1000;
 
 std::string engine_key(const base::engine_id& engine) {
     return "engine/" + engine.str();
@@ -24,17 +19,6 @@
     return "trainer/" + trainer.str();
 }
 
-/// Returns the version in a digest, or 0.
-wire::weight_version version_in(const wire::engine_digest& digest,
-                                const base::trainer_id& trainer) {
-    for (const auto& row : digest.serving) {
-        if (row.trainer == trainer) {
-            return row.version;
-        }
-    }
-    return 0;
-}
-
 } // namespace
 
 sample_runner::sample_runner(const base::node_id& self,
@@ -48,14 +32,14 @@
       mesh_(mesh), log_(log), gateway_(engines), lines_(lines),
       counters_(counters), clock_(std::move(clock)),
       document_(std::move(document)),
+      chooser_(self, engines_, versions_, lines, document_),
       steps_(
           self, cluster::step_times{},
           [this](const cluster::placement_query& q) {
-              return choose_engine(q);
+              return chooser_.choose(q);
           },
           [this](const base::trainer_id& t) { return bound_of(t); }),
-      homed_(self, cluster::engine_times{}),
-      random_(base::stable_hash(self.str())) {}
+      homed_(self, cluster::engine_times{}) {}
 
 wire::step_answer sample_runner::open(const wire::open_step& message) {
     versions_.learn(message.trainer, message.request.version);
@@ -182,57 +166,6 @@
                           : std::nullopt;
 }
 
-std::vector<policy::candidate>
-sample_runner::candidates(const document::trainer& trainer,
-                          const document::pool& pool) const {
-    // What starts outside the bound can only be thrown away at its end.
-    const auto oldest = std::max<wire::weight_version>(
-        1, versions_.newest(trainer.name) - trainer.staleness_bound);
-    const auto capacity =
-        static_cast<int>((1.0 + pool.queue_share) * pool.slots_per_engine);
-    std::vector<policy::candidate> found;
-    for (const auto* row : engines_.usable(pool.name)) {
-        if (version_in(row->digest, trainer.name) >= oldest) {
-            found.push_back({row->id, row->load(), capacity});
-        }
-    }
-    return found;
-}
-
-std::optional<cluster::placement>
-sample_runner::choose_engine(const cluster::placement_query& query) {
-    const auto* document = document_();
-    const auto* trainer =
-        document != nullptr ? document->find(query.trainer) : nullptr;
-    const auto* pool =
-        trainer != nullptr ? document->find(trainer->pool) : nullptr;
-    if (pool == nullptr) {
-        return std::nullopt;
-    }
-    auto& [kind, policy] = policies_[pool->name];
-    if (kind != pool->placement) {
-        kind = pool->placement;
-        policy = policy::make_placement(pool->placement);
-    }
-    const auto open = candidates(*trainer, *pool);
-    const auto* chosen = policy::choose(policy, open, *query.prompt, random_);
-    if (chosen == nullptr) {
-        return std::nullopt;
-    }
-    decision d{"place",
-               trainer->name.str(),
-               {},
-               chosen->engine.str(),
-               std::string(base::name_of(kind))};
-    for (const auto& c : open) {
-        d.candidates.push_back(c.engine.str() + ":" + std::to_string(c.load));
-    }
-    lines_.write(d);
-    engines_.note_placed(chosen->engine);
-    const int extra = query.straggler ? straggler_priority : 0;
-    return cluster::placement{chosen->engine, trainer->priority + extra};
-}
-
 void sample_runner::carry_out() {
     for (const auto& effect : steps_.take_effects()) {
         std::visit([this](const auto& e) { run(e); }, effect);
