bench: variants compared on real processes

Cause: nothing measured the decisions. The program runs each variant once a round with the round's seed, so that samples have the same lengths on all sides and other load on the machine falls on all alike; medians count. It writes a table, JSON and SVG. The trainer stand-in also tells the time from a step's opening to its last sample; start_node() takes further settings. Ruled out: one long-lived system whose document changes between runs, because the newest version of a trainer never goes back and caches would carry over.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: all install build format check lint test demo clean
+.PHONY: all install build format check lint test demo bench clean
 
 all: build
 
@@ -33,5 +33,15 @@
 demo: build
 	$(BUILD)/testing/hibiscus_demo --programs=$(BUILD)
 
+# Compares placement policies on both workloads; see docs/MEASUREMENTS.md.
+ROUNDS ?= 5
+COMPARISON ?= placement
+bench: build
+	for w in cascadia veritas; do \
+	    $(BUILD)/testing/hibiscus_bench --programs=$(BUILD) --workload=$$w \
+	        --comparison=$(COMPARISON) --rounds=$(ROUNDS) \
+	        --commit=$$(git rev-parse --short HEAD) || exit 1; \
+	done
+
 clean:
 	rm -rf $(BUILD)
--- /dev/null
+++ b/testing/bench/main.cpp
@@ -0,0 +1,96 @@
+// Compares variants of a decision on real processes. In each round all
+// variants run once with the same seed, so that what else the machine does
+// meanwhile falls on all of them alike; the medians over the rounds count.
+
+#include "report.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <fstream>
+#include <iostream>
+
+ABSL_FLAG(std::string, programs, "build", "the build folder");
+ABSL_FLAG(std::string, results, "bench/results", "folder for the results");
+ABSL_FLAG(std::string, comparison, "placement", "placement or admission");
+ABSL_FLAG(std::string, workload, "cascadia", "cascadia or veritas");
+ABSL_FLAG(std::string, commit, "unknown", "the commit that is measured");
+ABSL_FLAG(int, seed, 1, "seed of the first round");
+ABSL_FLAG(int, rounds, 5, "runs of each variant");
+ABSL_FLAG(int, steps, 4, "steps of each trainer in a run");
+
+namespace hibiscus::testing {
+namespace {
+
+void write_file(const std::string& path, const std::string& text) {
+    std::ofstream(path) << text;
+    std::cout << "bench: wrote " << path << std::endl;
+}
+
+bench_settings settings_of_flags() {
+    bench_settings how;
+    how.comparison = absl::GetFlag(FLAGS_comparison);
+    how.workload = absl::GetFlag(FLAGS_workload);
+    how.commit = absl::GetFlag(FLAGS_commit);
+    how.first_seed = absl::GetFlag(FLAGS_seed);
+    how.rounds = absl::GetFlag(FLAGS_rounds);
+    how.steps = absl::GetFlag(FLAGS_steps);
+    return how;
+}
+
+/// Runs one variant and notes its measures.
+void measure_one(const bench_settings& how, const workload& load,
+                 const variant& side, int seed, variant_runs& row) {
+    auto seen =
+        run_once(absl::GetFlag(FLAGS_programs), load, side, how.steps, seed);
+    std::cout << "bench: seed " << seed << " " << side.name;
+    if (seen.empty()) {
+        ++row.failed;
+        std::cout << " failed: a sample or an answer is missing" << std::endl;
+        return;
+    }
+    std::cout << " idle " << seen.at(measure::trainer_idle) << " staleness "
+              << seen.at(measure::staleness) << std::endl;
+    row.runs.push_back(std::move(seen));
+}
+
+int run() {
+    const auto how = settings_of_flags();
+    const auto load = make_workload(how.workload);
+    const auto sides = make_variants(how.comparison);
+    if (load.name.empty() || sides.empty()) {
+        std::cerr << "bench: unknown workload or comparison" << std::endl;
+        return 2;
+    }
+    std::vector<variant_runs> all;
+    all.reserve(sides.size());
+    for (const auto& side : sides) {
+        all.push_back({side.name, {}, 0});
+    }
+    for (int round = 0; round < how.rounds; ++round) {
+        for (std::size_t i = 0; i < sides.size(); ++i) {
+            // No variant is always the first of a round.
+            const auto at =
+                (i + static_cast<std::size_t>(round)) % sides.size();
+            measure_one(how, load, sides[at], how.first_seed + round, all[at]);
+        }
+    }
+    std::cout << to_table(all);
+    const auto base = absl::GetFlag(FLAGS_results) + "/" + how.comparison +
+                      "-" + how.workload;
+    write_file(base + ".json", to_json(how, all));
+    write_file(base + ".svg", to_svg(how, all));
+    int failed = 0;
+    for (const auto& row : all) {
+        failed += row.failed;
+    }
+    return failed == 0 ? 0 : 1;
+}
+
+} // namespace
+} // namespace hibiscus::testing
+
+int main(int argc, char** argv) {
+    absl::ParseCommandLine(argc, argv);
+    return hibiscus::testing::run();
+}
--- /dev/null
+++ b/testing/bench/scenario.cpp
@@ -0,0 +1,161 @@
+#include "scenario.hpp"
+
+#include "hibiscus/base/hash.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace hibiscus::testing {
+
+namespace {
+
+using document::placement_kind;
+using nlohmann::json;
+
+constexpr double no_refusals = 50.0;
+constexpr std::uint32_t straggler_factor = 5;
+
+/// Returns the chunks of a sample as the engine stand-in draws them.
+std::uint32_t length_of(const std::string& stream, int max_tokens,
+                        int straggler_percent) {
+    std::mt19937_64 random(base::stable_hash(stream));
+    const auto longest = static_cast<std::uint32_t>(max_tokens);
+    std::uniform_int_distribution<std::uint32_t> chunks(1 + longest / 4,
+                                                        1 + longest / 2);
+    std::uniform_int_distribution<int> percent(0, 99);
+    const auto length = chunks(random);
+    return percent(random) < straggler_percent ? length * straggler_factor
+                                               : length;
+}
+
+/// Returns how long the longest sample of a step runs.
+base::millis longest_of(const workload& load, const trainer_load& trainer,
+                        int step, int seed) {
+    std::uint32_t longest = 0;
+    for (int slot = 0; slot < trainer.groups * trainer.group_size; ++slot) {
+        const auto stream = seeded_name(trainer, seed) + "/" +
+                            std::to_string(step) + "/" + std::to_string(slot) +
+                            "/0";
+        longest = std::max(longest, length_of(stream, trainer.max_tokens,
+                                              load.straggler_percent));
+    }
+    int chunk_ms = load.engines.front().chunk_ms;
+    for (const auto& kind : load.engines) {
+        chunk_ms = std::min(chunk_ms, kind.chunk_ms);
+    }
+    return static_cast<base::millis>(longest) * chunk_ms;
+}
+
+/// Print tagging: three zones, a heavy trainer beside two small ones, and two
+/// engines of an older kind.
+workload cascadia() {
+    workload w;
+    w.name = "cascadia";
+    w.engines = {{8, 20}, {2, 30}};
+    w.trainers = {{"tagger", 24, 4, 40, 500, 1.0},
+                  {"auditor", 6, 4, 40, 700, 1.0},
+                  {"router", 4, 4, 24, 300, 1.0}};
+    return w;
+}
+
+/// Verdict drafting: four zones, two trainers, longer drafts with more
+/// stragglers, and weights that change more often.
+workload veritas() {
+    workload w;
+    w.name = "veritas";
+    w.zones = 4;
+    w.nodes = 8;
+    w.engines = {{8, 20}, {2, 30}};
+    w.straggler_percent = 5;
+    w.trainers = {{"drafter", 16, 6, 48, 300, 1.0},
+                  {"checker", 6, 4, 32, 300, 1.0}};
+    return w;
+}
+
+/// Through the engine's home, which refuses beyond its queue, against direct
+/// placement by the reports alone, at three lags of the reports.
+std::vector<variant> admission_variants() {
+    std::vector<variant> sides;
+    for (const base::millis lag : {100, 1000, 3000}) {
+        const auto text = std::to_string(lag) + "ms";
+        sides.push_back(
+            {"home_" + text, placement_kind::power_of_two, 0.5, lag});
+        sides.push_back(
+            {"direct_" + text, placement_kind::power_of_two, no_refusals, lag});
+    }
+    return sides;
+}
+
+} // namespace
+
+workload make_workload(const std::string& name) {
+    if (name == "cascadia") {
+        return cascadia();
+    }
+    return name == "veritas" ? veritas() : workload{};
+}
+
+std::vector<variant> make_variants(const std::string& comparison) {
+    if (comparison == "admission") {
+        return admission_variants();
+    }
+    std::vector<variant> sides;
+    if (comparison == "placement") {
+        for (const auto& row : base::enum_names<placement_kind>::table) {
+            sides.push_back({std::string(row.name), row.value, 1.0, 500});
+        }
+    }
+    return sides;
+}
+
+std::string seeded_name(const trainer_load& trainer, int seed) {
+    return trainer.name + "-" + std::to_string(seed);
+}
+
+std::string make_document(const workload& load, const variant& side, int seed) {
+    json trainers = json::array();
+    for (const auto& t : load.trainers) {
+        trainers.push_back({{"name", seeded_name(t, seed)},
+                            {"owner", "owner-" + t.name},
+                            {"pool", "shared"},
+                            {"weight", t.weight},
+                            {"staleness_bound", load.staleness_bound}});
+    }
+    json owners = json::array();
+    for (const auto& t : load.trainers) {
+        owners.push_back({{"name", "owner-" + t.name}});
+    }
+    const json d{
+        {"schema", 1},
+        {"owners", owners},
+        {"pools",
+         {{{"name", "shared"},
+           {"owner", owners[0]["name"]},
+           {"slots_per_engine", load.slots},
+           {"queue_share", side.queue_share},
+           {"placement", base::name_of(side.placement)}}}},
+        {"trainers", trainers},
+        {"services", {{{"name", "ledger"}, {"owner", owners[0]["name"]}}}},
+        {"limits", {{"entries_ttl_ms", 1000}}}};
+    return d.dump();
+}
+
+double idle_floor(const workload& load, int steps, int seed) {
+    double idle = 0;
+    double total = 0;
+    for (const auto& trainer : load.trainers) {
+        for (int step = 1; step <= steps; ++step) {
+            // The first step is opened when nothing is being trained.
+            const auto hidden = step == 1 ? 0 : trainer.train_ms;
+            const auto waits = std::max<base::millis>(
+                0, longest_of(load, trainer, step, seed) - hidden);
+            idle += static_cast<double>(waits);
+            total += static_cast<double>(waits + trainer.train_ms);
+        }
+    }
+    return total > 0 ? idle / total : 0.0;
+}
+
+} // namespace hibiscus::testing
--- a/testing/stand_ins/trainer.cpp
+++ b/testing/stand_ins/trainer.cpp
@@ -44,6 +44,8 @@
     base::millis idle = 0;
     std::int64_t staleness_sum = 0;
     std::vector<base::millis> step_ms;
+    /// From each step's opening to its last sample.
+    std::vector<base::millis> completion_ms;
 };
 
 /// One trainer. Runs in the main thread.
@@ -60,13 +62,16 @@
         publish();
         const auto begin = caller_.clock().now();
         const int steps = absl::GetFlag(FLAGS_steps);
+        opened_at_ = begin;
         open(1);
         for (int step = 1; step <= steps; ++step) {
             const auto waiting = caller_.clock().now();
             collect(step);
             tally_.idle += caller_.clock().now() - waiting;
             tally_.step_ms.push_back(caller_.clock().now() - waiting);
+            tally_.completion_ms.push_back(caller_.clock().now() - opened_at_);
             ++tally_.steps;
+            opened_at_ = caller_.clock().now();
             if (step < steps) {
                 open(step + 1);
             }
@@ -199,7 +204,8 @@
                           {"idle_ms", tally_.idle},
                           {"total_ms", total},
                           {"staleness_sum", tally_.staleness_sum},
-                          {"step_ms", tally_.step_ms}}
+                          {"step_ms", tally_.step_ms},
+                          {"completion_ms", tally_.completion_ms}}
                   << std::endl;
     }
 
@@ -208,6 +214,7 @@
     base::endpoint weights_;
     wire::weight_version version_ = 0;
     std::int64_t pull_ = 0;
+    base::millis opened_at_ = 0;
     tally tally_;
 };
 
--- a/testing/support/system.cpp
+++ b/testing/support/system.cpp
@@ -69,7 +69,8 @@
     ask("instances", "DELETE", "/v1/instances/" + id);
 }
 
-std::size_t system::start_node(const std::string& ip, const std::string& zone) {
+std::size_t system::start_node(const std::string& ip, const std::string& zone,
+                               const std::string& more) {
     node_process node;
     node.name = "n" + std::to_string(nodes_.size() + 1);
     node.zone = zone;
@@ -81,7 +82,8 @@
         << "\n  peers: " << base::to_string(node.peers)
         << "\nplatform:\n  log: " << base::to_string(address("log"))
         << "\n  instances: " << base::to_string(address("instances"))
-        << "\n  weights: " << base::to_string(address("weights")) << "\n";
+        << "\n  weights: " << base::to_string(address("weights")) << "\n"
+        << more;
     launch(node);
     list({node.name, wire::instance_role::entry, wire::instance_state::live, "",
           base::zone_id(zone), base::to_string(node.callers),
--- a/testing/support/system.hpp
+++ b/testing/support/system.hpp
@@ -41,7 +41,9 @@
     void start_platform(const std::vector<std::string>& log_flags = {});
 
     /// Starts a hibiscusd on `ip` and lists it. Returns its place in nodes().
-    std::size_t start_node(const std::string& ip, const std::string& zone);
+    /// `more` is YAML that is added to its settings.
+    std::size_t start_node(const std::string& ip, const std::string& zone,
+                           const std::string& more = "");
 
     /// Starts the node again at its old addresses.
     void restart_node(std::size_t index);
