cluster: step_home by due order, and nine faults of it mended

Also: a tick and a report looked at all slots of all steps. Slots are now kept in the order in which they are due, and straggler handling is a variant. Ruled out: one queue for all steps, since a step that is dropped would have to be searched in it.

--- a/packages/cluster/include/hibiscus/cluster/step_home.hpp
+++ b/packages/cluster/include/hibiscus/cluster/step_home.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hibiscus/cluster/step_table.hpp"
 #include "hibiscus/wire/peer.hpp"
 
 #include <functional>
@@ -14,40 +15,6 @@
 /// or a peer's call.
 using waiter_id = std::uint64_t;
 
-/// What is known of one slot of a step.
-enum class slot_phase {
-    waiting,  ///< No stream runs for it.
-    placed,   ///< A stream runs, or is being started, at an engine.
-    finished, ///< The sample is here and not known to be received.
-    received  ///< The trainer has it.
-};
-
-/// One slot of a step.
-struct slot_row {
-    slot_phase phase = slot_phase::waiting;
-    std::uint32_t group = 0;
-    std::uint32_t attempt = 0;
-    base::engine_id engine;
-    base::millis placed_at = 0;
-    /// When its stream was last heard of.
-    base::millis heard_at = 0;
-    /// Not placed again before this time.
-    base::millis not_before = 0;
-    std::optional<wire::weight_version> oldest;
-    std::vector<wire::chunk> chunks;
-};
-
-/// A step at its trainer's home.
-struct step_row {
-    base::trainer_id trainer;
-    wire::step_number number = 0;
-    wire::step_request request;
-    std::vector<slot_row> slots;
-    base::millis opened_at = 0;
-    /// The slots that are not received.
-    std::uint32_t missing = 0;
-};
-
 /// Asks the placement policy for an engine.
 struct placement_query {
     base::trainer_id trainer;
@@ -92,12 +59,43 @@
 /// What a step_home wants done.
 using step_effect = std::variant<place_stream, cancel_stream, answer_pull>;
 
+/// Leaves the last slots of a step as they are.
+struct straggler_none {};
+
+/// Repeats the start of the last slots of a step with a higher priority, so
+/// that engines run them before streams that hold up nothing yet.
+struct straggler_raise_priority {};
+
+/// Raises the priority and generates a slot anew on another engine if its
+/// stream has not begun where it is.
+struct straggler_move {};
+
+/// What is done about the last slots of a step, which hold it up.
+using straggler_policy =
+    std::variant<straggler_none, straggler_raise_priority, straggler_move>;
+
+/// Returns what is done about a trainer's stragglers.
+using straggler_function =
+    std::function<straggler_policy(const base::trainer_id&)>;
+
 /// Times that steer a step_home, in ms.
 struct step_times {
-    /// A stream that is not heard of for so long is placed again.
+    /// A stream that is not heard of for so long is asked for again, and
+    /// given up after as long once more.
     base::millis silence = 2500;
-    /// How long to wait after a refusal without a time of its own.
+    /// How long to wait after a refusal without a time of its own, and
+    /// before engines that were all full are asked again.
     base::millis retry = 50;
+    /// How long the first step of a trainer that is new here waits for
+    /// reports of streams that the former home has started.
+    base::millis adoption = 0;
+    /// How long after its end a pull may still be answered with samples.
+    base::millis pull_margin = 250;
+    /// A longer time between two ticks means that the process was paused.
+    base::millis pause = 1500;
+    /// How long after a pause no samples are delivered, until the peers have
+    /// told the newest versions.
+    base::millis refresh = 1000;
 };
 
 /// Owns the steps of the trainers whose home this node is. It holds nothing
@@ -105,17 +103,17 @@
 /// the rest again.
 class step_home {
 public:
-    /// Constructs an empty home that asks `place` for engines and `bound` for
-    /// the staleness bounds.
+    /// Constructs an empty home that asks `place` for engines, `bound` for
+    /// the staleness bounds and `stragglers` for what is done about them.
     step_home(base::node_id self, step_times times, placement_function place,
-              bound_function bound);
+              bound_function bound, straggler_function stragglers = {});
 
     /// Opens a step; opening it again changes nothing. Of each trainer the
     /// newest steps are kept.
     wire::step_answer open(base::millis now, const wire::open_step& message);
 
-    /// Answers a pull, at once or through an effect later. An earlier pull of
-    /// the same trainer and step that still waits is answered `superseded`.
+    /// Answers a pull, at once or through an effect later. Of two pulls of
+    /// the same trainer and step the earlier is answered `superseded`.
     void pull(base::millis now, waiter_id waiter,
               const wire::pull_step& message);
 
@@ -135,6 +133,11 @@
     void learn(base::millis now, const base::trainer_id& trainer,
                wire::weight_version newest);
 
+    /// Asks again at the next tick for the streams at engines for which
+    /// `moved` returns true: their home has changed.
+    void ask_again(base::millis now,
+                   const std::function<bool(const base::engine_id&)>& moved);
+
     /// Drops the steps of trainers for which `is_home` returns false and
     /// answers their pulls `home_moved`.
     void release(const std::function<bool(const base::trainer_id&)>& is_home);
@@ -146,14 +149,9 @@
     std::vector<step_effect> take_effects();
 
     /// Returns the steps, for status pages.
-    const std::map<std::pair<base::trainer_id, wire::step_number>, step_row>&
-    steps() const {
-        return steps_;
-    }
+    const step_table& steps() const { return steps_; }
 
 private:
-    using step_key = std::pair<base::trainer_id, wire::step_number>;
-
     struct waiting_pull {
         waiter_id waiter = 0;
         step_key step;
@@ -161,25 +159,35 @@
         base::millis until = 0;
     };
 
-    struct slot_place {
-        step_row* step = nullptr;
-        slot_row* slot = nullptr;
-    };
-
-    slot_place find(const base::stream_id& stream);
     void trim(const base::trainer_id& trainer);
-    void mark_received(step_row& step,
+    void mark_received(base::millis now, step_row& step,
                        const std::vector<wire::slot_range>& ranges);
-    bool too_old(const step_row& step, const slot_row& slot,
-                 wire::weight_version newest) const;
-    void regenerate(step_row& step, slot_row& slot);
-    void report_one(base::millis now, const wire::stream_report& report,
+    bool too_old(const base::trainer_id& trainer,
+                 std::optional<wire::weight_version> oldest) const;
+    void cancel(const step_row& step, wire::slot_index index);
+    void regenerate(base::millis now, step_row& step, wire::slot_index index);
+    step_row* report_one(base::millis now, const wire::stream_report& report,
+                         std::vector<base::stream_id>& finished);
+    bool adopt(base::millis now, step_row& step, const stream_name& name,
+               const wire::stream_report& report);
+    void not_wanted(const wire::stream_report& report,
                     std::vector<base::stream_id>& finished);
+    void take_report(base::millis now, step_row& step, wire::slot_index index,
+                     const wire::stream_report& report);
     void place_waiting(base::millis now, step_row& step);
-    bool place_slot(base::millis now, step_row& step, std::size_t index);
-    void retry_silent(base::millis now, step_row& step);
-    bool try_answer(const waiting_pull& waiting, bool last_chance);
-    void answer_waiting(base::millis now);
+    bool place_slot(base::millis now, step_row& step, wire::slot_index index);
+    void check_silent(base::millis now, step_row& step);
+    void ask_again(base::millis now, step_row& step, wire::slot_index index,
+                   int priority);
+    void mind_stragglers(base::millis now, step_row& step);
+    void move_straggler(base::millis now, step_row& step,
+                        wire::slot_index index);
+    bool awake(base::millis now) const;
+    bool try_answer(base::millis now, const waiting_pull& waiting);
+    bool may_deliver(base::millis now, const waiting_pull& waiting);
+    std::vector<wire::sample> samples_for(base::millis now, step_row& step,
+                                          const wire::pull_request& request);
+    void answer_waiting(base::millis now, const step_key& step);
     void refuse_pull(const waiting_pull& waiting, wire::reason why);
     wire::weight_version newest(const base::trainer_id& trainer) const;
 
@@ -187,16 +195,16 @@
     step_times times_;
     placement_function place_;
     bound_function bound_;
-    std::map<step_key, step_row> steps_;
+    straggler_function stragglers_;
+    step_table steps_;
+    /// The highest step of each trainer that was dropped as too early.
+    std::map<base::trainer_id, wire::step_number> dropped_;
     std::map<base::trainer_id, wire::weight_version> newest_;
-    std::vector<waiting_pull> pulls_;
+    /// At most one pull waits for each step.
+    std::map<step_key, waiting_pull> pulls_;
     std::vector<step_effect> effects_;
+    std::optional<base::millis> ticked_at_;
+    base::millis refreshed_at_ = 0;
 };
 
-/// Returns the id of the stream that generates a slot: all homes derive the
-/// same one, so that a new home finds what the old one started.
-base::stream_id stream_of(const base::trainer_id& trainer,
-                          wire::step_number step, wire::slot_index slot,
-                          std::uint32_t attempt);
-
 } // namespace hibiscus::cluster
--- /dev/null
+++ b/packages/cluster/include/hibiscus/cluster/stream_name.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "hibiscus/wire/engine.hpp"
+
+#include <optional>
+
+namespace hibiscus::cluster {
+
+/// The parts of a stream's id.
+struct stream_name {
+    base::trainer_id trainer;
+    wire::step_number step = 0;
+    wire::slot_index slot = 0;
+    std::uint32_t attempt = 0;
+};
+
+/// Returns the id of the stream that generates a slot: all homes derive the
+/// same one, so that a new home finds what the old one started.
+base::stream_id stream_of(const base::trainer_id& trainer,
+                          wire::step_number step, wire::slot_index slot,
+                          std::uint32_t attempt);
+
+/// Returns the parts of an id that stream_of() made, or nothing for another.
+std::optional<stream_name> parse_stream(const base::stream_id& id);
+
+} // namespace hibiscus::cluster
--- a/packages/cluster/src/step_home.cpp
+++ b/packages/cluster/src/step_home.cpp
@@ -1,106 +1,81 @@
 #include "hibiscus/cluster/step_home.hpp"
 
-#include "hibiscus/base/hash.hpp"
 #include "hibiscus/base/result.hpp"
 
 #include <algorithm>
-#include <charconv>
 
 namespace hibiscus::cluster {
 
 namespace {
 
 constexpr std::size_t steps_kept = 4;
-constexpr std::uint32_t straggler_share = 10;
 constexpr std::size_t max_samples_default = 256;
-
-/// The parts of a stream's id.
-struct stream_name {
-    base::trainer_id trainer;
-    wire::step_number step = 0;
-    wire::slot_index slot = 0;
-    std::uint32_t attempt = 0;
-};
-
-/// Reads the number after the last '/' of `text` and cuts it off. Returns
-/// false if there is none.
-template <class T>
-bool cut_number(std::string_view& text, T& number) {
-    const auto slash = text.rfind('/');
-    if (slash == std::string_view::npos) {
-        return false;
+constexpr base::millis unknown_trainer_retry = 1000;
+
+/// Returns the oldest version in `chunks`, or nothing if they are not a whole
+/// text from its beginning.
+std::optional<wire::weight_version>
+oldest_in(const std::vector<wire::chunk>& chunks) {
+    std::optional<wire::weight_version> oldest;
+    std::uint32_t next = 0;
+    for (const auto& c : chunks) {
+        if (c.seq != next++) {
+            return std::nullopt;
+        }
+        oldest = std::min(oldest.value_or(c.version), c.version);
     }
-    const auto digits = text.substr(slash + 1);
-    text = text.substr(0, slash);
-    const char* last = digits.data() + digits.size();
-    const auto parsed = std::from_chars(digits.data(), last, number);
-    return parsed.ec == std::errc() && parsed.ptr == last;
+    return oldest;
 }
 
-std::optional<stream_name> parse_stream(const base::stream_id& id) {
-    stream_name name;
-    std::string_view text = id.str();
-    if (!cut_number(text, name.attempt) || !cut_number(text, name.slot) ||
-        !cut_number(text, name.step)) {
-        return std::nullopt;
+/// Returns a bit for each slot that `ranges` name.
+std::vector<bool> listed_in(const std::vector<wire::slot_range>& ranges,
+                            std::size_t slots) {
+    std::vector<bool> listed(slots, false);
+    for (const auto& range : ranges) {
+        const auto end =
+            std::min<std::size_t>(std::size_t{range.last} + 1, slots);
+        for (std::size_t i = range.first; i < end; ++i) {
+            listed[i] = true;
+        }
     }
-    name.trainer = base::trainer_id(std::string(text));
-    return name;
-}
-
-/// Returns the order that starts the stream of a slot's present attempt.
-wire::stream_start start_of(const step_row& step, std::size_t index,
-                            int priority) {
-    const auto& slot = step.slots[index];
-    const auto& group = step.request.groups[slot.group];
-    const auto stream =
-        stream_of(step.trainer, step.number,
-                  static_cast<wire::slot_index>(index), slot.attempt);
-    return {stream,           step.trainer, group.prompt,
-            group.max_tokens, priority,     base::stable_hash(stream.str())};
+    return listed;
 }
 
 } // namespace
 
-base::stream_id stream_of(const base::trainer_id& trainer,
-                          wire::step_number step, wire::slot_index slot,
-                          std::uint32_t attempt) {
-    return base::stream_id(trainer.str() + "/" + std::to_string(step) + "/" +
-                           std::to_string(slot) + "/" +
-                           std::to_string(attempt));
-}
-
 step_home::step_home(base::node_id self, step_times times,
-                     placement_function place, bound_function bound)
+                     placement_function place, bound_function bound,
+                     straggler_function stragglers)
     : self_(std::move(self)), times_(times), place_(std::move(place)),
-      bound_(std::move(bound)) {}
+      bound_(std::move(bound)), stragglers_(std::move(stragglers)) {}
 
 wire::step_answer step_home::open(base::millis now,
                                   const wire::open_step& message) {
     wire::step_answer answer;
+    answer.result = wire::outcome::not_run;
+    const auto dropped = dropped_.find(message.trainer);
     if (!bound_(message.trainer)) {
-        answer.result = wire::outcome::not_run;
         answer.why = wire::reason::unknown_trainer;
-        answer.retry_after_ms = 1000;
+        answer.retry_after_ms = unknown_trainer_retry;
         return answer;
     }
-    learn(now, message.trainer, message.request.version);
-    auto& step = steps_[{message.trainer, message.step}];
-    if (step.slots.empty()) {
-        step.trainer = message.trainer;
-        step.number = message.step;
-        step.request = message.request;
-        step.opened_at = now;
-        for (std::uint32_t g = 0; g < message.request.groups.size(); ++g) {
-            slot_row slot;
-            slot.group = g;
-            step.slots.insert(step.slots.end(),
-                              message.request.groups[g].samples, slot);
-        }
-        step.missing = static_cast<std::uint32_t>(step.slots.size());
+    if (dropped != dropped_.end() && message.step <= dropped->second) {
+        answer.why = wire::reason::superseded;
+        answer.retry_after_ms = unknown_trainer_retry;
+        return answer;
     }
+    learn(now, message.trainer, message.request.version);
+    const auto next = steps_.lower_bound({message.trainer, INT64_MIN});
+    const bool is_new =
+        next == steps_.end() || next->first.first != message.trainer;
+    const auto due = is_new ? now + times_.adoption : now;
+    const auto at =
+        steps_
+            .try_emplace({message.trainer, message.step}, message.trainer,
+                         message.step, message.request, due)
+            .first;
     answer.result = wire::outcome::completed;
-    answer.slots = static_cast<std::uint32_t>(step.slots.size());
+    answer.slots = static_cast<std::uint32_t>(at->second.slots().size());
     trim(message.trainer);
     return answer;
 }
@@ -110,9 +85,15 @@
     const auto last = steps_.upper_bound({trainer, INT64_MAX});
     auto count = static_cast<std::size_t>(std::distance(first, last));
     for (auto at = first; at != last && count > steps_kept; --count) {
-        for (auto& slot : at->second.slots) {
-            regenerate(at->second, slot);
+        for (const auto index : at->second.placed()) {
+            cancel(at->second, index);
         }
+        const auto waiting = pulls_.find(at->first);
+        if (waiting != pulls_.end()) {
+            refuse_pull(waiting->second, wire::reason::unknown_step);
+            pulls_.erase(waiting);
+        }
+        dropped_[trainer] = at->first.second;
         at = steps_.erase(at);
     }
 }
@@ -123,136 +104,191 @@
     waiting_pull waiting{waiter, key, message.request,
                          now + message.request.wait_ms};
     learn(now, message.trainer, message.request.version);
-    for (const auto& earlier : pulls_) {
-        if (earlier.step == key) {
-            refuse_pull(earlier, wire::reason::superseded);
+    const auto earlier = pulls_.find(key);
+    if (earlier != pulls_.end()) {
+        // The pulls of one trainer may come by two entries and change order
+        // on the way; the trainer takes only the answer to its latest.
+        if (earlier->second.request.pull > message.request.pull) {
+            refuse_pull(waiting, wire::reason::superseded);
+            return;
         }
+        refuse_pull(earlier->second, wire::reason::superseded);
+        pulls_.erase(earlier);
     }
-    pulls_.erase(
-        std::remove_if(pulls_.begin(), pulls_.end(),
-                       [&](const waiting_pull& p) { return p.step == key; }),
-        pulls_.end());
     const auto at = steps_.find(key);
     if (at == steps_.end()) {
         refuse_pull(waiting, wire::reason::unknown_step);
         return;
     }
-    mark_received(at->second, message.request.received);
-    if (!try_answer(waiting, message.request.wait_ms <= 0)) {
-        pulls_.push_back(std::move(waiting));
+    mark_received(now, at->second, message.request.received);
+    if (!try_answer(now, waiting)) {
+        pulls_.emplace(key, std::move(waiting));
     }
 }
 
 void step_home::abandon(waiter_id waiter) {
-    pulls_.erase(std::remove_if(
-                     pulls_.begin(), pulls_.end(),
-                     [&](const waiting_pull& p) { return p.waiter == waiter; }),
-                 pulls_.end());
+    for (auto at = pulls_.begin(); at != pulls_.end();) {
+        at = at->second.waiter == waiter ? pulls_.erase(at) : std::next(at);
+    }
 }
 
-void step_home::mark_received(step_row& step,
+void step_home::mark_received(base::millis now, step_row& step,
                               const std::vector<wire::slot_range>& ranges) {
-    for (const auto& range : ranges) {
-        const std::size_t end = std::min<std::size_t>(
-            std::size_t{range.last} + 1, step.slots.size());
-        for (std::size_t i = range.first; i < end; ++i) {
-            auto& slot = step.slots[i];
-            if (slot.phase == slot_phase::received) {
-                continue;
-            }
-            regenerate(step, slot);
-            slot.phase = slot_phase::received;
-            --step.missing;
+    const auto listed = listed_in(ranges, step.slots().size());
+    for (wire::slot_index i = 0; i < listed.size(); ++i) {
+        const bool known = step.slots()[i].phase == slot_phase::received;
+        if (listed[i] && !known) {
+            cancel(step, i);
+            step.receive(i);
+        } else if (!listed[i] && known) {
+            // The trainer has lost what it had, for instance by a restart. It
+            // alone knows, and without this it would wait for ever.
+            step.wait(i, now);
         }
     }
 }
 
-bool step_home::too_old(const step_row& step, const slot_row& slot,
-                        wire::weight_version newest) const {
-    const auto bound = bound_(step.trainer);
-    return bound && slot.oldest && *slot.oldest < newest - *bound;
+bool step_home::too_old(const base::trainer_id& trainer,
+                        std::optional<wire::weight_version> oldest) const {
+    const auto bound = bound_(trainer);
+    return bound && oldest && *oldest < newest(trainer) - *bound;
 }
 
-void step_home::regenerate(step_row& step, slot_row& slot) {
+void step_home::cancel(const step_row& step, wire::slot_index index) {
+    const auto& slot = step.slots()[index];
     if (slot.phase == slot_phase::placed) {
-        const auto index =
-            static_cast<wire::slot_index>(&slot - step.slots.data());
         effects_.push_back(
-            cancel_stream{slot.engine, stream_of(step.trainer, step.number,
+            cancel_stream{slot.engine, stream_of(step.trainer(), step.number(),
                                                  index, slot.attempt)});
     }
-    if (slot.phase != slot_phase::waiting) {
-        ++slot.attempt;
+}
+
+void step_home::regenerate(base::millis now, step_row& step,
+                           wire::slot_index index) {
+    cancel(step, index);
+    step.wait(index, now);
+}
+
+std::vector<base::stream_id>
+step_home::report(base::millis now, const wire::sample_report& report) {
+    std::vector<base::stream_id> finished;
+    std::set<step_key> touched;
+    for (const auto& one : report.streams) {
+        const auto* step = report_one(now, one, finished);
+        if (step != nullptr && !step->finished().empty()) {
+            touched.emplace(step->trainer(), step->number());
+        }
+    }
+    for (const auto& key : touched) {
+        answer_waiting(now, key);
     }
-    slot.phase = slot_phase::waiting;
-    slot.oldest.reset();
-    slot.chunks.clear();
+    return finished;
 }
 
-step_home::slot_place step_home::find(const base::stream_id& stream) {
-    const auto name = parse_stream(stream);
+step_row* step_home::report_one(base::millis now,
+                                const wire::stream_report& report,
+                                std::vector<base::stream_id>& finished) {
+    const auto name = parse_stream(report.stream);
     if (!name) {
-        return {};
+        return nullptr;
     }
     const auto at = steps_.find({name->trainer, name->step});
-    if (at == steps_.end() || name->slot >= at->second.slots.size()) {
-        return {};
+    if (at == steps_.end()) {
+        // Either the step was dropped, or the trainer has moved: then the
+        // streams belong to its new home and must not be stopped.
+        const auto dropped = dropped_.find(name->trainer);
+        if (dropped != dropped_.end() && name->step <= dropped->second) {
+            not_wanted(report, finished);
+        }
+        return nullptr;
     }
-    auto& slot = at->second.slots[name->slot];
-    if (slot.attempt != name->attempt || slot.phase != slot_phase::placed) {
-        return {};
+    auto& step = at->second;
+    if (name->slot >= step.slots().size()) {
+        return nullptr;
     }
-    return {&at->second, &slot};
+    const auto& slot = step.slots()[name->slot];
+    const bool ours = slot.phase == slot_phase::placed &&
+                      slot.attempt == name->attempt &&
+                      slot.engine == report.engine;
+    if (!ours && !adopt(now, step, *name, report)) {
+        not_wanted(report, finished);
+        return nullptr;
+    }
+    if (report.state == wire::stream_state::done) {
+        finished.push_back(report.stream);
+    }
+    take_report(now, step, name->slot, report);
+    return &step;
 }
 
-std::vector<base::stream_id>
-step_home::report(base::millis now, const wire::sample_report& report) {
-    std::vector<base::stream_id> finished;
-    for (const auto& one : report.streams) {
-        report_one(now, one, finished);
+bool step_home::adopt(base::millis now, step_row& step, const stream_name& name,
+                      const wire::stream_report& report) {
+    const auto& slot = step.slots()[name.slot];
+    if (slot.phase != slot_phase::waiting || slot.attempt > name.attempt ||
+        report.state == wire::stream_state::missing) {
+        return false;
     }
-    answer_waiting(now);
-    return finished;
+    // The trainer's former home has started this stream.
+    step.place(name.slot, report.engine, name.attempt, 0, now,
+               now + times_.silence);
+    if (report.state != wire::stream_state::done) {
+        // The engine's home must send its reports here from now on.
+        effects_.push_back(
+            place_stream{report.engine, step.start_of(name.slot)});
+    }
+    return true;
 }
 
-void step_home::report_one(base::millis now, const wire::stream_report& report,
+void step_home::not_wanted(const wire::stream_report& report,
                            std::vector<base::stream_id>& finished) {
+    // It would take an engine's slot until its end, or be told for ever.
     if (report.state == wire::stream_state::done) {
         finished.push_back(report.stream);
+    } else {
+        effects_.push_back(cancel_stream{report.engine, report.stream});
     }
-    const auto place = find(report.stream);
-    if (place.slot == nullptr) {
-        // The stream is of an attempt that was given up, or of a step that is
-        // over. It would take an engine's slot until its end.
-        if (report.state != wire::stream_state::done) {
-            effects_.push_back(cancel_stream{report.engine, report.stream});
-        }
+}
+
+void step_home::take_report(base::millis now, step_row& step,
+                            wire::slot_index index,
+                            const wire::stream_report& report) {
+    step.hear(index, now, report.produced > 0, report.oldest);
+    if (report.state == wire::stream_state::missing ||
+        too_old(step.trainer(), report.oldest)) {
+        regenerate(now, step, index);
         return;
     }
-    auto& slot = *place.slot;
-    slot.heard_at = now;
-    slot.oldest = report.oldest;
-    if (report.state == wire::stream_state::missing) {
-        regenerate(*place.step, slot);
+    if (report.state != wire::stream_state::done) {
         return;
     }
-    if (too_old(*place.step, slot, newest(place.step->trainer))) {
-        regenerate(*place.step, slot);
+    const auto oldest = oldest_in(report.chunks);
+    if (!oldest || too_old(step.trainer(), oldest)) {
+        regenerate(now, step, index);
         return;
     }
-    if (report.state == wire::stream_state::done) {
-        slot.chunks = report.chunks;
-        slot.phase = slot_phase::finished;
-    }
+    step.hear(index, now, true, oldest);
+    step.finish(index, report.chunks);
 }
 
 void step_home::refused(base::millis now, const base::stream_id& stream,
                         base::millis retry_after) {
-    const auto place = find(stream);
-    if (place.slot != nullptr) {
-        place.slot->phase = slot_phase::waiting;
-        place.slot->not_before =
-            now + (retry_after > 0 ? retry_after : times_.retry);
+    const auto name = parse_stream(stream);
+    if (!name) {
+        return;
+    }
+    const auto at = steps_.find({name->trainer, name->step});
+    if (at == steps_.end() || name->slot >= at->second.slots().size()) {
+        return;
+    }
+    const auto& slot = at->second.slots()[name->slot];
+    if (slot.phase == slot_phase::placed && slot.attempt == name->attempt) {
+        // Unknown to the home that refused, the stream may run. The slot gets
+        // another attempt, so that no report of the one fills the other.
+        if (slot.producing) {
+            cancel(at->second, name->slot);
+        }
+        at->second.wait(name->slot,
+                        now + (retry_after > 0 ? retry_after : times_.retry));
     }
 }
 
@@ -265,14 +301,16 @@
     known = newest;
     for (auto at = steps_.lower_bound({trainer, INT64_MIN});
          at != steps_.end() && at->first.first == trainer; ++at) {
-        for (auto& slot : at->second.slots) {
-            if (slot.phase != slot_phase::received &&
-                too_old(at->second, slot, newest)) {
-                regenerate(at->second, slot);
+        auto& step = at->second;
+        for (wire::slot_index i = 0; i < step.slots().size(); ++i) {
+            const auto& slot = step.slots()[i];
+            const bool here = slot.phase == slot_phase::placed ||
+                              slot.phase == slot_phase::finished;
+            if (here && too_old(trainer, slot.oldest)) {
+                regenerate(now, step, i);
             }
         }
     }
-    answer_waiting(now);
 }
 
 wire::weight_version step_home::newest(const base::trainer_id& trainer) const {
@@ -280,110 +318,174 @@
     return at == newest_.end() ? 0 : at->second;
 }
 
+void step_home::ask_again(
+    base::millis now,
+    const std::function<bool(const base::engine_id&)>& moved) {
+    for (auto& [key, step] : steps_) {
+        for (const auto index : step.placed()) {
+            const auto& slot = step.slots()[index];
+            if (slot.heard_at && moved(slot.engine)) {
+                ask_again(now, step, index, slot.priority);
+            }
+        }
+    }
+}
+
 void step_home::release(
     const std::function<bool(const base::trainer_id&)>& is_home) {
     for (auto at = steps_.begin(); at != steps_.end();) {
         at = is_home(at->first.first) ? std::next(at) : steps_.erase(at);
     }
+    for (auto at = dropped_.begin(); at != dropped_.end();) {
+        at = is_home(at->first) ? std::next(at) : dropped_.erase(at);
+    }
     for (auto at = pulls_.begin(); at != pulls_.end();) {
-        if (is_home(at->step.first)) {
+        if (is_home(at->first.first)) {
             ++at;
             continue;
         }
-        refuse_pull(*at, wire::reason::home_moved);
+        refuse_pull(at->second, wire::reason::home_moved);
         at = pulls_.erase(at);
     }
 }
 
 void step_home::tick(base::millis now) {
+    if (!awake(now)) {
+        refreshed_at_ = now + times_.refresh;
+    }
+    ticked_at_ = now;
     for (auto& [key, step] : steps_) {
-        if (step.missing > 0) {
-            retry_silent(now, step);
+        if (step.missing() > 0) {
+            check_silent(now, step);
             place_waiting(now, step);
+            mind_stragglers(now, step);
         }
     }
-    answer_waiting(now);
+    for (auto at = pulls_.begin(); at != pulls_.end();) {
+        const bool ended = now >= at->second.until;
+        at = ended && try_answer(now, at->second) ? pulls_.erase(at)
+                                                  : std::next(at);
+    }
 }
 
-void step_home::retry_silent(base::millis now, step_row& step) {
-    for (std::size_t i = 0; i < step.slots.size(); ++i) {
-        auto& slot = step.slots[i];
-        if (slot.phase != slot_phase::placed ||
-            now - slot.heard_at <= times_.silence) {
-            continue;
-        }
-        // The engine's home or the engine itself is gone. The same silence
-        // again means that the engine is; until then its new home finds the
-        // stream by its id and nothing is generated twice.
-        const bool asked_again = slot.placed_at < slot.heard_at;
-        if (asked_again) {
-            slot.placed_at = now;
-            slot.heard_at = now;
-            effects_.push_back(place_stream{slot.engine, start_of(step, i, 0)});
+void step_home::check_silent(base::millis now, step_row& step) {
+    while (const auto index = step.due_placed(now)) {
+        const auto& slot = step.slots()[*index];
+        if (slot.heard_at && now - *slot.heard_at < times_.silence) {
+            step.check_at(*index, *slot.heard_at + times_.silence);
+        } else if (slot.heard_at) {
+            // The engine's home or the engine itself is gone. The same
+            // silence again means that the engine is; until then its new home
+            // finds the stream by its id and nothing is generated twice.
+            ask_again(now, step, *index, slot.priority);
         } else {
-            regenerate(step, slot);
+            regenerate(now, step, *index);
         }
     }
 }
 
+void step_home::ask_again(base::millis now, step_row& step,
+                          wire::slot_index index, int priority) {
+    step.ask_again(index, priority, now, now + times_.silence);
+    effects_.push_back(
+        place_stream{step.slots()[index].engine, step.start_of(index)});
+}
+
 void step_home::place_waiting(base::millis now, step_row& step) {
-    for (std::size_t i = 0; i < step.slots.size(); ++i) {
-        const auto& slot = step.slots[i];
-        if (slot.phase == slot_phase::waiting && slot.not_before <= now &&
-            !place_slot(now, step, i)) {
+    if (now < step.place_not_before) {
+        return;
+    }
+    while (const auto index = step.due_waiting(now)) {
+        if (!place_slot(now, step, *index)) {
+            step.place_not_before = now + times_.retry;
             return;
         }
     }
 }
 
 bool step_home::place_slot(base::millis now, step_row& step,
-                           std::size_t index) {
-    auto& slot = step.slots[index];
-    const auto& group = step.request.groups[slot.group];
-    const bool straggler = step.missing * straggler_share <= step.slots.size();
-    const auto chosen = place_({step.trainer, &group.prompt, straggler});
+                           wire::slot_index index) {
+    const auto chosen =
+        place_({step.trainer(), &step.prompt_of(index), step.is_ending()});
     if (!chosen) {
         return false;
     }
-    slot.phase = slot_phase::placed;
-    slot.engine = chosen->engine;
-    slot.placed_at = now;
-    slot.heard_at = now;
-    effects_.push_back(
-        place_stream{chosen->engine, start_of(step, index, chosen->priority)});
+    step.place(index, chosen->engine, step.slots()[index].attempt,
+               chosen->priority, now, now + times_.silence);
+    effects_.push_back(place_stream{chosen->engine, step.start_of(index)});
     return true;
 }
 
-bool step_home::try_answer(const waiting_pull& waiting, bool last_chance) {
+bool step_home::awake(base::millis now) const {
+    return !ticked_at_ || now - *ticked_at_ <= times_.pause;
+}
+
+bool step_home::try_answer(base::millis now, const waiting_pull& waiting) {
     auto& step = steps_.at(waiting.step);
-    const std::size_t most = waiting.request.max_samples > 0
-                                 ? waiting.request.max_samples
-                                 : max_samples_default;
-    wire::pull_answer answer;
-    for (std::size_t i = 0; i < step.slots.size(); ++i) {
-        const auto& slot = step.slots[i];
-        if (slot.phase == slot_phase::finished &&
-            answer.samples.size() < most) {
-            answer.samples.push_back({static_cast<wire::slot_index>(i),
-                                      slot.attempt, slot.engine, slot.chunks});
-        }
+    const bool ended = now >= waiting.until;
+    if (step.finished().empty() && step.missing() > 0 && !ended) {
+        return false;
+    }
+    if (!may_deliver(now, waiting)) {
+        return true;
     }
-    if (answer.samples.empty() && step.missing > 0 && !last_chance) {
+    wire::pull_answer answer;
+    answer.samples = samples_for(now, step, waiting.request);
+    if (answer.samples.empty() && step.missing() > 0 && !ended) {
         return false;
     }
     answer.pull = waiting.request.pull;
     answer.result = wire::outcome::completed;
     answer.node = self_;
     answer.missing =
-        step.missing - static_cast<std::uint32_t>(answer.samples.size());
+        step.missing() - static_cast<std::uint32_t>(answer.samples.size());
     effects_.push_back(answer_pull{waiting.waiter, std::move(answer)});
     return true;
 }
 
-void step_home::answer_waiting(base::millis now) {
-    for (auto at = pulls_.begin(); at != pulls_.end();) {
-        at = try_answer(*at, now >= at->until) ? pulls_.erase(at)
-                                               : std::next(at);
+bool step_home::may_deliver(base::millis now, const waiting_pull& waiting) {
+    if (!bound_(waiting.step.first)) {
+        refuse_pull(waiting, wire::reason::unknown_trainer);
+        return false;
+    }
+    // A publisher waits for this node's answer no longer than a pull can
+    // live. A process that was paused may hold a pull of before, or read one
+    // from its socket, and not know the version that was acknowledged
+    // meanwhile: the trainer would get a sample outside its bound.
+    if (now > waiting.until + times_.pull_margin) {
+        refuse_pull(waiting, wire::reason::deadline_passed);
+        return false;
+    }
+    if (!awake(now) || now < refreshed_at_) {
+        refuse_pull(waiting, wire::reason::not_ready);
+        return false;
+    }
+    return true;
+}
+
+std::vector<wire::sample>
+step_home::samples_for(base::millis now, step_row& step,
+                       const wire::pull_request& request) {
+    const std::size_t most =
+        request.max_samples > 0 ? request.max_samples : max_samples_default;
+    std::vector<wire::sample> samples;
+    const std::vector<wire::slot_index> finished(step.finished().begin(),
+                                                 step.finished().end());
+    for (const auto index : finished) {
+        const auto& slot = step.slots()[index];
+        if (too_old(step.trainer(), slot.oldest)) {
+            regenerate(now, step, index);
+        } else if (samples.size() < most) {
+            samples.push_back({index, slot.attempt, slot.engine, slot.chunks});
+        }
+    }
+    return samples;
+}
+
+void step_home::answer_waiting(base::millis now, const step_key& step) {
+    const auto at = pulls_.find(step);
+    if (at != pulls_.end() && try_answer(now, at->second)) {
+        pulls_.erase(at);
     }
 }
 
--- a/packages/node/src/control_status.cpp
+++ b/packages/node/src/control_status.cpp
@@ -48,8 +48,8 @@
     for (const auto& [key, step] : steps.steps()) {
         rows.push_back({{"trainer", key.first.str()},
                         {"step", key.second},
-                        {"slots", step.slots.size()},
-                        {"missing", step.missing}});
+                        {"slots", step.slots().size()},
+                        {"missing", step.missing()}});
     }
     return rows;
 }
