--- a/packages/cluster/include/hibiscus/cluster/engine_home.hpp
+++ b/packages/cluster/include/hibiscus/cluster/engine_home.hpp
@@ -2,6 +2,7 @@
 
 #include "hibiscus/wire/peer.hpp"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <variant>
@@ -16,6 +17,10 @@
     /// Streams admitted beyond the slots.
     int queue = 0;
     bool leaving = false;
+    /// True if the engine refuses an order with an old fencing number.
+    bool checks_fencing = true;
+    /// The longest that an order is on its way, in ms.
+    base::millis order_life = 5000;
     /// The trainers that draw from the engine's pool.
     std::vector<base::trainer_id> trainers;
 };
@@ -26,33 +31,47 @@
     /// The trainer's home, which gets the reports.
     base::node_id reporter;
     wire::stream_state state = wire::stream_state::queued;
-    /// True once the engine has said that it has the stream.
+    /// True once the engine may have the stream.
     bool started = false;
-    std::vector<wire::chunk> chunks;
+    /// How many chunks are known.
+    std::uint32_t produced = 0;
     std::optional<wire::weight_version> oldest;
-    base::millis reported_at = 0;
+    /// The whole text, once it is done.
+    std::vector<wire::chunk> chunks;
+    /// When it is reported next.
+    base::millis report_at = 0;
+    /// When it was done.
+    base::millis done_at = 0;
 };
 
-/// An order to an engine that is on its way.
-struct pending_order {
+/// An order to an engine that is on its way, or was carried out and does not
+/// show yet in what the engine says that it serves.
+struct sent_order {
     wire::version_order order;
     base::millis sent_at = 0;
+    /// When the engine said that it was carried out.
+    std::optional<base::millis> done_at;
 };
 
 /// An engine at its home.
 struct homed_engine {
     engine_traits traits;
-    /// When this node became the engine's home.
-    base::millis since = 0;
-    /// When it last answered; 0 before the first time.
+    /// When it last answered, or when this node became its home.
     base::millis heard_at = 0;
+    /// True once it has told this home what it serves.
+    bool heard = false;
     int failures = 0;
     std::vector<wire::served_version> serving;
     std::map<base::stream_id, stream_row> streams;
-    std::optional<pending_order> order;
+    std::optional<sent_order> order;
     /// No order is sent before this time.
     base::millis order_not_before = 0;
     int order_failures = 0;
+    /// The epoch under which it may be ordered; 0 without one.
+    std::int64_t epoch = 0;
+    std::int64_t sequence = 0;
+    /// True while an epoch that will count for it is being appended.
+    bool epoch_asked = false;
 
     /// Returns the streams that are not done.
     int admitted() const;
@@ -99,32 +118,49 @@
     base::millis report = 250;
     /// An engine that has not answered for so long is unhealthy.
     base::millis silence = 1500;
+    /// Streams of an engine that has not answered for so long are given up.
+    base::millis dead = 3000;
     /// How long a refused placement waits.
     base::millis refusal = 100;
-    /// The longest that an order is on its way.
-    base::millis order_life = 5000;
     /// The first pause after a failed order; it doubles up to 32 times that.
     base::millis order_backoff = 200;
+    /// How long an engine may take to show an order that it carried out.
+    base::millis order_shows = 2000;
+    /// How long an engine whose turn to swap has not come is not asked about.
+    base::millis turn = 100;
+    /// How long a finished stream is kept for a trainer's home that does not
+    /// acknowledge it.
+    base::millis keep_done = 30000;
+    /// A longer time between two ticks means that the process was paused.
+    base::millis pause = 1000;
 };
 
+/// Returns true if it is an engine's turn to swap to a version.
+using swap_function = std::function<bool(base::millis, const base::engine_id&,
+                                         const wire::trainer_version&)>;
+
 /// Owns the admission and the orders of the engines whose home this node is.
 /// It knows the streams it has admitted exactly, whatever the lag of the
 /// engines' own reports.
 class engine_home {
 public:
-    /// Constructs an empty home of the node `self`.
-    engine_home(base::node_id self, engine_times times);
+    /// Constructs an empty home of the node `self` that asks `may_swap` for
+    /// the turn of each engine; without it all swap at once.
+    engine_home(base::node_id self, engine_times times,
+                swap_function may_swap = {});
 
     /// Sets the engines that this node is home for. Streams of others are
     /// left to their new home.
     void assign(base::millis now,
                 const std::map<base::engine_id, engine_traits>& engines);
 
-    /// Admits a stream, finds the one of that id, or refuses.
+    /// Admits a stream, finds the one of that id, or refuses. A known stream
+    /// that is asked for with a higher priority is started again with it.
     wire::place_answer place(base::millis now,
                              const wire::place_sample& message);
 
-    /// Stops streams that are no longer wanted.
+    /// Stops streams that are no longer wanted, unless another home has asked
+    /// for them since.
     void cancel(const wire::cancel_streams& message);
 
     /// Forgets finished streams whose report has arrived.
@@ -140,8 +176,8 @@
     /// Notes that an engine did not answer.
     void poll_failed(const base::engine_id& engine);
 
-    /// Notes whether the engine has taken a stream. If not, the slot goes
-    /// elsewhere.
+    /// Notes whether the engine said that it has a stream. If not, it is asked
+    /// with the next poll.
     void start_ended(const base::engine_id& engine,
                      const base::stream_id& stream, bool started);
 
@@ -173,22 +209,32 @@
 
 private:
     bool healthy(base::millis now, const homed_engine& engine) const;
-    void take_news(homed_engine& engine, const wire::stream_news& news);
+    void take_news(base::millis now, homed_engine& engine,
+                   const wire::stream_news& news);
     void report_streams(base::millis now, const base::engine_id& id,
                         homed_engine& engine);
+    void add_report(const base::engine_id& engine, const base::stream_id& id,
+                    const stream_row& row);
+    void forgive_pause(base::millis now);
+    void ask_epoch(base::millis now);
     void order_version(base::millis now, const base::engine_id& id,
                        homed_engine& engine,
                        const std::vector<wire::trainer_version>& wanted);
+    static std::vector<const wire::trainer_version*>
+    swaps_due(const homed_engine& engine,
+              const std::vector<wire::trainer_version>& wanted);
+    void check_order(base::millis now, homed_engine& engine) const;
+    void back_off(base::millis now, homed_engine& engine) const;
 
     base::node_id self_;
     engine_times times_;
+    swap_function may_swap_;
     std::map<base::engine_id, homed_engine> engines_;
     std::map<base::node_id, wire::sample_report> reports_;
-    std::int64_t epoch_ = 0;
-    std::int64_t sequence_ = 0;
     bool epoch_wanted_ = false;
     bool epoch_asked_ = false;
     base::millis epoch_not_before_ = 0;
+    std::optional<base::millis> ticked_at_;
     std::vector<engine_effect> effects_;
 };
 
--- a/packages/cluster/src/engine_home.cpp
+++ b/packages/cluster/src/engine_home.cpp
@@ -7,7 +7,14 @@
 namespace {
 
 constexpr int failures_until_unhealthy = 2;
-constexpr int backoff_doublings = 5;
+
+/// Returns true if `chunks` are a whole text from its beginning.
+bool is_whole(const std::vector<wire::chunk>& chunks) {
+    std::uint32_t next = 0;
+    return !chunks.empty() &&
+           std::all_of(chunks.begin(), chunks.end(),
+                       [&](const wire::chunk& c) { return c.seq == next++; });
+}
 
 } // namespace
 
@@ -28,8 +35,9 @@
     return 0;
 }
 
-engine_home::engine_home(base::node_id self, engine_times times)
-    : self_(std::move(self)), times_(times) {}
+engine_home::engine_home(base::node_id self, engine_times times,
+                         swap_function may_swap)
+    : self_(std::move(self)), times_(times), may_swap_(std::move(may_swap)) {}
 
 void engine_home::assign(
     base::millis now, const std::map<base::engine_id, engine_traits>& engines) {
@@ -39,14 +47,15 @@
     for (const auto& [id, traits] : engines) {
         const auto [at, fresh] = engines_.try_emplace(id);
         at->second.traits = traits;
-        if (fresh) {
-            at->second.since = now;
-            // An order of the former home may still be on its way. One with a
-            // later number makes an engine that checks refuse it; where the
-            // engine does not check, waiting out its life does the same.
-            at->second.order_not_before = now + times_.order_life;
-            epoch_wanted_ = true;
+        if (!fresh) {
+            continue;
         }
+        at->second.heard_at = now;
+        // An order of the former home may still be on its way. One with a
+        // later number makes an engine that checks refuse it; where the
+        // engine does not check, waiting out its life does the same.
+        at->second.order_not_before =
+            traits.checks_fencing ? now : now + traits.order_life;
     }
 }
 
@@ -60,8 +69,14 @@
     auto& engine = at->second;
     const auto known = engine.streams.find(message.start.stream);
     if (known != engine.streams.end()) {
-        known->second.reporter = message.home;
-        known->second.reported_at = 0;
+        auto& row = known->second;
+        row.reporter = message.home;
+        row.report_at = now;
+        if (message.start.priority > row.start.priority &&
+            row.state != wire::stream_state::done) {
+            row.start.priority = message.start.priority;
+            effects_.push_back(start_at_engine{message.engine, row.start});
+        }
         return {wire::outcome::completed, wire::reason::none, 0};
     }
     if (engine.traits.leaving || !healthy(now, engine)) {
@@ -75,7 +90,7 @@
     stream_row row;
     row.start = message.start;
     row.reporter = message.home;
-    row.reported_at = now;
+    row.report_at = now + times_.report;
     engine.streams.emplace(message.start.stream, std::move(row));
     effects_.push_back(start_at_engine{message.engine, message.start});
     return {wire::outcome::completed, wire::reason::none, 0};
@@ -85,7 +100,15 @@
     const auto at = engines_.find(message.engine);
     for (const auto& stream : message.streams) {
         if (at != engines_.end()) {
-            at->second.streams.erase(stream);
+            auto& streams = at->second.streams;
+            const auto row = streams.find(stream);
+            // A trainer's former home may wake from a pause and stop what is
+            // no longer its own; the present home would lose the sample.
+            if (row != streams.end() && !message.home.empty() &&
+                row->second.reporter != message.home) {
+                continue;
+            }
+            streams.erase(stream);
         }
         effects_.push_back(stop_at_engine{message.engine, stream});
     }
@@ -94,7 +117,10 @@
 void engine_home::acknowledge(const wire::sample_ack& message) {
     for (const auto& stream : message.streams) {
         for (auto& [id, engine] : engines_) {
-            engine.streams.erase(stream);
+            if (engine.streams.erase(stream) > 0) {
+                // The engine keeps the text until it is told to forget it.
+                effects_.push_back(stop_at_engine{id, stream});
+            }
         }
     }
 }
@@ -109,8 +135,7 @@
         // An engine that is asked for a stream before its start has arrived
         // says that it is missing, and the slot would be given up.
         if (row.started && row.state != wire::stream_state::done) {
-            poll.streams.push_back(
-                {id, static_cast<std::uint32_t>(row.chunks.size())});
+            poll.streams.push_back({id, row.produced});
         }
     }
     return poll;
@@ -123,14 +148,15 @@
         return;
     }
     at->second.heard_at = now;
+    at->second.heard = true;
     at->second.failures = 0;
     at->second.serving = news.serving;
     for (const auto& one : news.streams) {
-        take_news(at->second, one);
+        take_news(now, at->second, one);
     }
 }
 
-void engine_home::take_news(homed_engine& engine,
+void engine_home::take_news(base::millis now, homed_engine& engine,
                             const wire::stream_news& news) {
     const auto at = engine.streams.find(news.stream);
     if (at == engine.streams.end() ||
@@ -138,17 +164,34 @@
         return;
     }
     auto& row = at->second;
+    if (news.state == wire::stream_state::done && !is_whole(news.chunks)) {
+        // The parts that came before may be those of another run of the same
+        // stream: the engine restarted, or another home stopped and started
+        // it. Put together they would be a text that nobody produced, so a
+        // finished text is read in one answer, from its beginning.
+        row.produced = 0;
+        return;
+    }
     for (const auto& c : news.chunks) {
-        // Answers to two polls may overlap; a chunk counts once, in its place.
-        if (c.seq == row.chunks.size()) {
-            row.chunks.push_back(c);
+        // Answers to two polls may overlap; a chunk counts once.
+        if (c.seq == row.produced) {
+            ++row.produced;
             row.oldest = std::min(row.oldest.value_or(c.version), c.version);
         }
     }
     row.state = news.state;
+    if (news.state == wire::stream_state::done) {
+        row.chunks = news.chunks;
+        row.produced = static_cast<std::uint32_t>(row.chunks.size());
+        row.oldest = row.chunks.front().version;
+        for (const auto& c : row.chunks) {
+            row.oldest = std::min(*row.oldest, c.version);
+        }
+        row.done_at = now;
+    }
     if (news.state == wire::stream_state::done ||
         news.state == wire::stream_state::missing) {
-        row.reported_at = 0;
+        row.report_at = now;
     }
 }
 
@@ -160,75 +203,45 @@
 }
 
 void engine_home::start_ended(const base::engine_id& engine,
-                              const base::stream_id& stream, bool started) {
+                              const base::stream_id& stream, bool /*started*/) {
     const auto at = engines_.find(engine);
     if (at == engines_.end()) {
         return;
     }
     const auto row = at->second.streams.find(stream);
-    if (row == at->second.streams.end()) {
-        return;
-    }
-    row->second.started = started;
-    if (!started) {
-        row->second.state = wire::stream_state::missing;
-        row->second.reported_at = 0;
+    if (row != at->second.streams.end()) {
+        // Without an answer the engine may have the stream all the same. Taken
+        // for missing it would run unseen and keep a slot from others; the
+        // next poll tells.
+        row->second.started = true;
     }
 }
 
-void engine_home::ordered(base::millis now, const base::engine_id& engine,
-                          std::optional<wire::order_verdict> verdict) {
-    const auto at = engines_.find(engine);
-    if (at == engines_.end()) {
-        return;
-    }
-    auto& row = at->second;
-    row.order.reset();
-    if (verdict == wire::order_verdict::done) {
-        row.order_failures = 0;
-        return;
-    }
-    // A swap that fails at once would be ordered again at once and keep the
-    // engine from its streams; it serves what it has meanwhile.
-    const int doublings = std::min(row.order_failures++, backoff_doublings);
-    row.order_not_before = now + (times_.order_backoff << doublings);
-    if (verdict == wire::order_verdict::fenced) {
-        epoch_wanted_ = true;
-    }
+bool engine_home::healthy(base::millis now, const homed_engine& engine) const {
+    return engine.failures < failures_until_unhealthy &&
+           now - engine.heard_at <= times_.silence;
 }
 
-void engine_home::epoch_taken(std::int64_t epoch) {
-    epoch_ = epoch;
-    sequence_ = 0;
-    epoch_asked_ = false;
-    for (auto& [id, engine] : engines_) {
-        engine.order_not_before =
-            std::min(engine.order_not_before, engine.since);
+void engine_home::forgive_pause(base::millis now) {
+    if (ticked_at_ && now - *ticked_at_ > times_.pause) {
+        // This process stood still, not its engines. Their streams would all
+        // be given up at once.
+        for (auto& [id, engine] : engines_) {
+            engine.heard_at = now;
+        }
     }
-}
-
-void engine_home::epoch_failed(base::millis retry_at) {
-    epoch_asked_ = false;
-    epoch_wanted_ = true;
-    epoch_not_before_ = retry_at;
-}
-
-bool engine_home::healthy(base::millis now, const homed_engine& engine) const {
-    return engine.failures < failures_until_unhealthy && engine.heard_at > 0 &&
-           now - engine.heard_at <= times_.silence;
+    ticked_at_ = now;
 }
 
 void engine_home::tick(base::millis now,
                        const std::vector<wire::trainer_version>& wanted) {
-    if (epoch_wanted_ && !epoch_asked_ && now >= epoch_not_before_) {
-        epoch_wanted_ = false;
-        epoch_asked_ = true;
-        effects_.push_back(take_epoch{});
-    }
+    forgive_pause(now);
     for (auto& [id, engine] : engines_) {
         report_streams(now, id, engine);
+        check_order(now, engine);
         order_version(now, id, engine, wanted);
     }
+    ask_epoch(now);
     for (auto& [node, report] : reports_) {
         effects_.push_back(send_report{node, std::move(report)});
     }
@@ -237,22 +250,27 @@
 
 void engine_home::report_streams(base::millis now, const base::engine_id& id,
                                  homed_engine& engine) {
+    const bool dead = now - engine.heard_at > times_.dead;
     for (auto at = engine.streams.begin(); at != engine.streams.end();) {
         auto& row = at->second;
-        if (row.reported_at != 0 && now - row.reported_at < times_.report) {
+        const bool done = row.state == wire::stream_state::done;
+        if (dead && !done) {
+            // Called running any longer, the slot would never be generated
+            // elsewhere and its step would not end.
+            row.state = wire::stream_state::missing;
+            row.report_at = now;
+        }
+        if (now < row.report_at) {
             ++at;
             continue;
         }
-        row.reported_at = now;
-        wire::stream_report report{
-            id, at->first,  row.state,
-            {}, row.oldest, static_cast<std::uint32_t>(row.chunks.size())};
-        if (row.state == wire::stream_state::done) {
-            report.chunks = row.chunks;
+        if (done && now - row.done_at > times_.keep_done) {
+            effects_.push_back(stop_at_engine{id, at->first});
+            at = engine.streams.erase(at);
+            continue;
         }
-        auto& batch = reports_[row.reporter];
-        batch.from = self_;
-        batch.streams.push_back(std::move(report));
+        row.report_at = now + times_.report;
+        add_report(id, at->first, row);
         // A missing stream is told once; if that is lost, the trainer's home
         // notices the silence.
         at = row.state == wire::stream_state::missing ? engine.streams.erase(at)
@@ -260,35 +278,22 @@
     }
 }
 
-void engine_home::order_version(
-    base::millis now, const base::engine_id& id, homed_engine& engine,
-    const std::vector<wire::trainer_version>& wanted) {
-    if (epoch_ == 0 || epoch_asked_ || engine.order ||
-        now < engine.order_not_before || engine.heard_at == 0) {
-        return;
-    }
-    for (const auto& w : wanted) {
-        const auto& served = engine.traits.trainers;
-        const bool ours =
-            std::find(served.begin(), served.end(), w.trainer) != served.end();
-        if (!ours || engine.version_of(w.trainer) >= w.version) {
-            continue;
-        }
-        const wire::version_order order{
-            w.trainer, w.version, {epoch_, ++sequence_}};
-        engine.order = pending_order{order, now};
-        effects_.push_back(order_engine{id, order, now + times_.order_life});
-        return;
-    }
+void engine_home::add_report(const base::engine_id& engine,
+                             const base::stream_id& id, const stream_row& row) {
+    auto& batch = reports_[row.reporter];
+    batch.from = self_;
+    batch.streams.push_back(
+        {engine, id, row.state, row.chunks, row.oldest, row.produced});
 }
 
 std::vector<wire::engine_digest> engine_home::digests(base::millis now) const {
     std::vector<wire::engine_digest> rows;
     rows.reserve(engines_.size());
     for (const auto& [id, engine] : engines_) {
+        const bool reachable = healthy(now, engine);
         rows.push_back({id, engine.admitted(), engine.traits.slots,
-                        healthy(now, engine) && !engine.traits.leaving,
-                        engine.serving});
+                        reachable && engine.heard && !engine.traits.leaving,
+                        engine.serving, reachable});
     }
     return rows;
 }
--- a/packages/wire/include/hibiscus/wire/peer.hpp
+++ b/packages/wire/include/hibiscus/wire/peer.hpp
@@ -30,6 +30,8 @@
     int slots = 0;
     bool healthy = false;
     std::vector<served_version> serving;
+    /// False if its home cannot speak to it; another node may.
+    bool reachable = true;
 };
 
 /// Says that a node is alive and what it knows. Sent to each peer.
@@ -138,6 +140,8 @@
 struct sample_report {
     base::node_id from;
     std::vector<stream_report> streams;
+    /// True if the trainer's former home passes it on.
+    bool forwarded = false;
 };
 
 /// Acknowledges that reports of finished streams arrived.
@@ -149,6 +153,8 @@
 struct cancel_streams {
     base::engine_id engine;
     std::vector<base::stream_id> streams;
+    /// The trainer's home that no longer wants them.
+    base::node_id home;
 };
 
 /// Everything that nodes say to each other.
--- a/packages/wire/src/mapping.hpp
+++ b/packages/wire/src/mapping.hpp
@@ -94,7 +94,9 @@
 HIBISCUS_WIRE(version_order, trainer, version, number)
 HIBISCUS_WIRE(order_answer, verdict)
 HIBISCUS_WIRE(trainer_version, trainer, version)
-HIBISCUS_WIRE(engine_digest, engine, admitted, slots, healthy, serving)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(engine_digest, engine, admitted,
+                                                slots, healthy, serving,
+                                                reachable)
 HIBISCUS_WIRE(heartbeat, node, incarnation, zone, address, peer_address, state,
               revision, versions, engines)
 HIBISCUS_WIRE(document_want, from, revision)
@@ -103,9 +105,11 @@
 HIBISCUS_WIRE(learn_version, trainer, version)
 HIBISCUS_WIRE(place_sample, engine, home, start)
 HIBISCUS_WIRE(stream_report, engine, stream, state, chunks, oldest, produced)
-HIBISCUS_WIRE(sample_report, from, streams)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(sample_report, from, streams,
+                                                forwarded)
 HIBISCUS_WIRE(sample_ack, streams)
-HIBISCUS_WIRE(cancel_streams, engine, streams)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(cancel_streams, engine, streams,
+                                                home)
 #undef HIBISCUS_WIRE
 // NOLINTEND
 
