samples: staggered rollout, hand-over of engines, adoption after a takeover

Cause: all engines swapped at once; an engine that its home alone could not reach stood idle; a trainer's new home generated again what ran already; more than half of a pool could be called unhealthy. Engines go to the next node in rendezvous order, at most twice. Reports of a gone or former home reach the present one. Trainers name what is done about stragglers. Ruled out: one node that plans a pool's rollout, since its loss would stop it.

--- a/packages/cluster/include/hibiscus/cluster/engine_table.hpp
+++ b/packages/cluster/include/hibiscus/cluster/engine_table.hpp
@@ -43,7 +43,8 @@
     /// Returns the engine, or null if the list does not name it.
     const engine_row* find(const base::engine_id& engine) const;
 
-    /// Returns the engines of a pool that may get new work, by their ids.
+    /// Returns the engines of a pool that may get new work: the healthy ones
+    /// by their ids, and others until it is half of those that were heard of.
     std::vector<const engine_row*> usable(const base::pool_id& pool) const;
 
     /// Returns all engines by their ids.
--- a/packages/cluster/include/hibiscus/cluster/version_table.hpp
+++ b/packages/cluster/include/hibiscus/cluster/version_table.hpp
@@ -12,16 +12,25 @@
 class version_table {
 public:
     /// Notes a version. Returns true if it is newer than the one known.
-    bool learn(const base::trainer_id& trainer, wire::weight_version version);
+    bool learn(base::millis now, const base::trainer_id& trainer,
+               wire::weight_version version);
 
     /// Returns the newest version known, 0 if there is none.
     wire::weight_version newest(const base::trainer_id& trainer) const;
 
+    /// Returns when the newest version became known, 0 if there is none.
+    base::millis learnt_at(const base::trainer_id& trainer) const;
+
     /// Returns all newest versions, in the order of the trainers.
     std::vector<wire::trainer_version> all() const;
 
 private:
-    std::map<base::trainer_id, wire::weight_version> newest_;
+    struct version_row {
+        wire::weight_version version = 0;
+        base::millis learnt_at = 0;
+    };
+
+    std::map<base::trainer_id, version_row> newest_;
 };
 
 } // namespace hibiscus::cluster
--- a/packages/cluster/src/engine_table.cpp
+++ b/packages/cluster/src/engine_table.cpp
@@ -1,5 +1,6 @@
 #include "hibiscus/cluster/engine_table.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace hibiscus::cluster {
@@ -49,11 +50,28 @@
 std::vector<const engine_row*>
 engine_table::usable(const base::pool_id& pool) const {
     std::vector<const engine_row*> rows;
+    std::vector<const engine_row*> ejected;
     for (const auto& [id, row] : rows_) {
-        if (row.pool == pool && !row.leaving && row.digest.healthy) {
+        if (row.pool != pool || row.leaving) {
+            continue;
+        }
+        if (row.digest.healthy) {
             rows.push_back(&row);
+        } else if (row.digest_at > 0) {
+            ejected.push_back(&row);
         }
     }
+    // A network fault of a node, not of its engines, makes many look dead at
+    // once; without a limit the steps would stand still for it. The engine's
+    // home still refuses what it cannot start.
+    std::stable_sort(ejected.begin(), ejected.end(),
+                     [](const engine_row* a, const engine_row* b) {
+                         return a->digest_at > b->digest_at;
+                     });
+    const auto known = rows.size() + ejected.size();
+    for (auto at = ejected.begin(); rows.size() * 2 < known; ++at) {
+        rows.push_back(*at);
+    }
     return rows;
 }
 
--- a/packages/cluster/src/version_table.cpp
+++ b/packages/cluster/src/version_table.cpp
@@ -2,27 +2,32 @@
 
 namespace hibiscus::cluster {
 
-bool version_table::learn(const base::trainer_id& trainer,
+bool version_table::learn(base::millis now, const base::trainer_id& trainer,
                           wire::weight_version version) {
     auto& known = newest_[trainer];
-    if (version <= known) {
+    if (version <= known.version) {
         return false;
     }
-    known = version;
+    known = {version, now};
     return true;
 }
 
 wire::weight_version
 version_table::newest(const base::trainer_id& trainer) const {
     const auto at = newest_.find(trainer);
-    return at == newest_.end() ? 0 : at->second;
+    return at == newest_.end() ? 0 : at->second.version;
+}
+
+base::millis version_table::learnt_at(const base::trainer_id& trainer) const {
+    const auto at = newest_.find(trainer);
+    return at == newest_.end() ? 0 : at->second.learnt_at;
 }
 
 std::vector<wire::trainer_version> version_table::all() const {
     std::vector<wire::trainer_version> rows;
     rows.reserve(newest_.size());
-    for (const auto& [trainer, version] : newest_) {
-        rows.push_back({trainer, version});
+    for (const auto& [trainer, row] : newest_) {
+        rows.push_back({trainer, row.version});
     }
     return rows;
 }
--- a/packages/document/include/hibiscus/document/document.hpp
+++ b/packages/document/include/hibiscus/document/document.hpp
@@ -19,6 +19,13 @@
     random_choice    ///< Any.
 };
 
+/// What is done about the last samples of a step, which hold it up.
+enum class straggler_kind {
+    none,           ///< Nothing.
+    raise_priority, ///< Engines run them before others.
+    move            ///< Also moved away from where they have not begun.
+};
+
 /// Someone who pays for engines.
 struct owner {
     base::owner_id name;
@@ -52,6 +59,7 @@
     int priority = 0;
     /// How many versions a sample may be behind at its delivery.
     int staleness_bound = 1;
+    straggler_kind stragglers = straggler_kind::raise_priority;
 };
 
 /// A service that answers requests.
@@ -112,4 +120,13 @@
     }};
 };
 
+template <>
+struct enum_names<document::straggler_kind> {
+    static constexpr std::array<enum_name<document::straggler_kind>, 3> table{{
+        {document::straggler_kind::none, "none"},
+        {document::straggler_kind::raise_priority, "raise_priority"},
+        {document::straggler_kind::move, "move"},
+    }};
+};
+
 } // namespace hibiscus::base
--- a/packages/document/src/parse.cpp
+++ b/packages/document/src/parse.cpp
@@ -219,6 +219,7 @@
     in.number("weight", row.weight, 0.001, max_weight);
     in.integer("priority", row.priority, -100, 100);
     in.integer("staleness_bound", row.staleness_bound, 0, 1000);
+    in.enumeration("stragglers", row.stragglers);
     return row;
 }
 
--- a/packages/node/include/hibiscus/node/sample_runner.hpp
+++ b/packages/node/include/hibiscus/node/sample_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hibiscus/cluster/engine_home.hpp"
+#include "hibiscus/cluster/engine_reach.hpp"
 #include "hibiscus/cluster/engine_table.hpp"
 #include "hibiscus/cluster/member_table.hpp"
 #include "hibiscus/cluster/step_home.hpp"
@@ -10,6 +11,7 @@
 #include "hibiscus/node/engine_gateway.hpp"
 #include "hibiscus/node/metrics.hpp"
 #include "hibiscus/node/peer_calls.hpp"
+#include "hibiscus/node/rollout_planner.hpp"
 #include "hibiscus/platform/log_client.hpp"
 
 #include <functional>
@@ -84,6 +86,13 @@
 
 private:
     std::optional<int> bound_of(const base::trainer_id& trainer) const;
+    cluster::straggler_policy
+    stragglers_of(const base::trainer_id& trainer) const;
+    cluster::engine_traits traits_of(const cluster::engine_row& row,
+                                     const document::document& document,
+                                     const document::pool& pool) const;
+    void ask_moved_engines();
+    void forward(const wire::sample_report& message);
 
     void carry_out();
     void run(const cluster::place_stream& effect);
@@ -117,7 +126,10 @@
     cluster::engine_table engines_;
     engine_chooser chooser_;
     cluster::step_home steps_;
+    rollout_planner rollout_;
     cluster::engine_home homed_;
+    cluster::engine_reach reach_;
+    std::map<base::engine_id, base::node_id> homes_;
     std::map<cluster::waiter_id, pull_function> waiters_;
     cluster::waiter_id last_waiter_ = 0;
     std::set<base::engine_id> polling_;
--- a/packages/node/src/engine_gateway.cpp
+++ b/packages/node/src/engine_gateway.cpp
@@ -49,7 +49,7 @@
 
 void engine_gateway::stop(const base::endpoint& engine,
                           const base::stream_id& stream) {
-    const wire::cancel_streams message{base::engine_id(), {stream}};
+    const wire::cancel_streams message{base::engine_id(), {stream}, {}};
     http_.send(engine, post_to("/v1/streams/stop", wire::to_json(message)),
                call_timeout, net::reuse::allowed,
                [](const net::http_result&) {});
--- /dev/null
+++ b/packages/node/src/rollout_planner.cpp
@@ -0,0 +1,58 @@
+#include "hibiscus/node/rollout_planner.hpp"
+
+#include "hibiscus/policy/rollout.hpp"
+
+namespace hibiscus::node {
+
+namespace {
+
+/// Returns the version that an engine serves, or 0.
+wire::weight_version version_in(const cluster::engine_row& row,
+                                const base::trainer_id& trainer) {
+    for (const auto& served : row.digest.serving) {
+        if (served.trainer == trainer) {
+            return served.version;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+rollout_planner::rollout_planner(const cluster::engine_table& engines,
+                                 const cluster::version_table& versions,
+                                 document_function document)
+    : engines_(engines), versions_(versions), document_(std::move(document)) {}
+
+bool rollout_planner::may_swap(base::millis now, const base::engine_id& engine,
+                               const wire::trainer_version& version) const {
+    const auto* document = document_();
+    const auto* own = engines_.find(engine);
+    if (document == nullptr || own == nullptr) {
+        return false;
+    }
+    const auto* pool = document->find(own->pool);
+    const auto* trainer = document->find(version.trainer);
+    if (pool == nullptr || trainer == nullptr) {
+        return false;
+    }
+    // An engine whose version is outside the bound gets no work for this
+    // trainer; there is nothing to wait for.
+    if (version_in(*own, version.trainer) <
+        version.version - trainer->staleness_bound) {
+        return true;
+    }
+    policy::rollout plan;
+    plan.share = pool->swap_share;
+    plan.elapsed = now - versions_.learnt_at(version.trainer);
+    std::vector<policy::swap_candidate> behind;
+    for (const auto* row : engines_.usable(own->pool)) {
+        ++plan.engines;
+        if (version_in(*row, version.trainer) < version.version) {
+            behind.push_back({row->id, row->load()});
+        }
+    }
+    return policy::swap_turn(plan, behind, engine);
+}
+
+} // namespace hibiscus::node
--- a/packages/node/src/sample_runner.cpp
+++ b/packages/node/src/sample_runner.cpp
@@ -10,15 +10,22 @@
 constexpr base::millis poll_pause = 40;
 constexpr base::millis place_deadline = 1000;
 constexpr base::millis epoch_retry = 300;
-
-std::string engine_key(const base::engine_id& engine) {
-    return "engine/" + engine.str();
-}
+/// How long a node that cannot reach an engine is not its home.
+constexpr base::millis unreachable_hold = 10000;
+/// Running streams are reported four times a second.
+constexpr base::millis adoption = 300;
 
 std::string trainer_key(const base::trainer_id& trainer) {
     return "trainer/" + trainer.str();
 }
 
+/// Returns the times of this node's steps.
+cluster::step_times step_times() {
+    cluster::step_times times;
+    times.adoption = adoption;
+    return times;
+}
+
 } // namespace
 
 sample_runner::sample_runner(const base::node_id& self,
@@ -34,22 +41,29 @@
       document_(std::move(document)),
       chooser_(self, engines_, versions_, lines, document_),
       steps_(
-          self, cluster::step_times{},
+          self, step_times(),
           [this](const cluster::placement_query& q) {
               return chooser_.choose(q);
           },
-          [this](const base::trainer_id& t) { return bound_of(t); }),
-      homed_(self, cluster::engine_times{}) {}
+          [this](const base::trainer_id& t) { return bound_of(t); },
+          [this](const base::trainer_id& t) { return stragglers_of(t); }),
+      rollout_(engines_, versions_, document_),
+      homed_(self, cluster::engine_times{},
+             [this](base::millis now, const base::engine_id& e,
+                    const wire::trainer_version& v) {
+                 return rollout_.may_swap(now, e, v);
+             }),
+      reach_(unreachable_hold) {}
 
 wire::step_answer sample_runner::open(const wire::open_step& message) {
-    versions_.learn(message.trainer, message.request.version);
+    versions_.learn(clock_.now(), message.trainer, message.request.version);
     auto answer = steps_.open(clock_.now(), message);
     carry_out();
     return answer;
 }
 
 void sample_runner::pull(const wire::pull_step& message, pull_function done) {
-    versions_.learn(message.trainer, message.request.version);
+    versions_.learn(clock_.now(), message.trainer, message.request.version);
     const auto waiter = ++last_waiter_;
     waiters_[waiter] = std::move(done);
     steps_.learn(clock_.now(), message.trainer,
@@ -80,11 +94,37 @@
             mesh_.send(message.from, std::move(ack));
         }
     }
+    forward(message);
     carry_out();
 }
 
+void sample_runner::forward(const wire::sample_report& message) {
+    // After a planned move the engines' homes still report to the trainer's
+    // former home. What it drops would be generated a second time.
+    std::map<base::node_id, wire::sample_report> others;
+    for (const auto& one : message.streams) {
+        const auto name = cluster::parse_stream(one.stream);
+        const auto home = name ? members_.home_of(trainer_key(name->trainer))
+                               : base::node_id();
+        if (!home.empty() && home != self_) {
+            others[home].streams.push_back(one);
+        }
+    }
+    // Two nodes that each take the other for the home would pass a report to
+    // and fro for ever.
+    if (message.forwarded) {
+        return;
+    }
+    for (auto& [home, report] : others) {
+        report.from = message.from;
+        report.forwarded = true;
+        mesh_.send(home, std::move(report));
+    }
+}
+
 void sample_runner::acknowledge(const wire::sample_ack& message) {
     homed_.acknowledge(message);
+    carry_out();
 }
 
 void sample_runner::cancel(const wire::cancel_streams& message) {
@@ -94,7 +134,7 @@
 
 void sample_runner::learn(const base::trainer_id& trainer,
                           wire::weight_version version) {
-    if (versions_.learn(trainer, version)) {
+    if (versions_.learn(clock_.now(), trainer, version)) {
         steps_.learn(clock_.now(), trainer, version);
         carry_out();
     }
@@ -107,6 +147,9 @@
     for (const auto& v : beat.versions) {
         learn(v.trainer, v.version);
     }
+    if (reach_.hear(clock_.now(), beat.node, beat.engines)) {
+        assign();
+    }
 }
 
 void sample_runner::update(const wire::instance_page& page) {
@@ -122,29 +165,61 @@
     std::map<base::engine_id, cluster::engine_traits> ours;
     for (const auto& [id, row] : engines_.all()) {
         const auto* pool = document->find(row.pool);
-        if (pool == nullptr || !members_.is_home(engine_key(id))) {
-            continue;
+        if (pool != nullptr && home_of(id) == self_) {
+            ours.emplace(id, traits_of(row, *document, *pool));
         }
-        cluster::engine_traits traits;
-        traits.slots = pool->slots_per_engine;
-        traits.queue =
-            static_cast<int>(pool->queue_share * pool->slots_per_engine);
-        traits.leaving = row.leaving;
-        for (const auto& t : document->trainers) {
-            if (t.pool == row.pool) {
-                traits.trainers.push_back(t.name);
-            }
-        }
-        ours.emplace(id, std::move(traits));
     }
     homed_.assign(clock_.now(), ours);
+    ask_moved_engines();
     steps_.release([this](const base::trainer_id& t) {
         return members_.is_home(trainer_key(t));
     });
     carry_out();
 }
 
+cluster::engine_traits
+sample_runner::traits_of(const cluster::engine_row& row,
+                         const document::document& document,
+                         const document::pool& pool) const {
+    cluster::engine_traits traits;
+    traits.slots = pool.slots_per_engine;
+    traits.queue = static_cast<int>(pool.queue_share * pool.slots_per_engine);
+    traits.leaving = row.leaving;
+    traits.checks_fencing = pool.checks_fencing;
+    traits.order_life = document.limit.order_life_ms;
+    for (const auto& t : document.trainers) {
+        if (t.pool == row.pool) {
+            traits.trainers.push_back(t.name);
+        }
+    }
+    return traits;
+}
+
+void sample_runner::ask_moved_engines() {
+    std::set<base::engine_id> moved;
+    std::map<base::engine_id, base::node_id> homes;
+    for (const auto& [id, row] : engines_.all()) {
+        const auto home = home_of(id);
+        const auto known = homes_.find(id);
+        if (known != homes_.end() && known->second != home) {
+            moved.insert(id);
+        }
+        homes.emplace(id, home);
+    }
+    homes_ = std::move(homes);
+    if (!moved.empty()) {
+        // The new home does not know the streams that run; told at once, it
+        // finds them and nobody has to wait for their silence.
+        steps_.ask_again(clock_.now(), [&](const base::engine_id& e) {
+            return moved.count(e) > 0;
+        });
+    }
+}
+
 void sample_runner::tick() {
+    if (reach_.expire(clock_.now())) {
+        assign();
+    }
     homed_.tick(clock_.now(), versions_.all());
     steps_.tick(clock_.now());
     carry_out();
@@ -158,6 +233,21 @@
     return homed_.digests(clock_.now());
 }
 
+cluster::straggler_policy
+sample_runner::stragglers_of(const base::trainer_id& trainer) const {
+    const auto* document = document_();
+    const auto* row = document != nullptr ? document->find(trainer) : nullptr;
+    switch (row != nullptr ? row->stragglers : document::straggler_kind::none) {
+    case document::straggler_kind::raise_priority:
+        return cluster::straggler_raise_priority{};
+    case document::straggler_kind::move:
+        return cluster::straggler_move{};
+    case document::straggler_kind::none:
+        break;
+    }
+    return cluster::straggler_none{};
+}
+
 std::optional<int>
 sample_runner::bound_of(const base::trainer_id& trainer) const {
     const auto* document = document_();
@@ -210,7 +300,7 @@
 
 void sample_runner::run(const cluster::cancel_stream& effect) {
     const auto home = home_of(effect.engine);
-    const wire::cancel_streams message{effect.engine, {effect.stream}};
+    const wire::cancel_streams message{effect.engine, {effect.stream}, self_};
     counters_.count_event("stream_cancelled");
     if (home == self_) {
         cancel(message);
@@ -273,10 +363,12 @@
 }
 
 void sample_runner::run(const cluster::send_report& effect) {
-    if (effect.to == self_) {
-        report(effect.report);
-    } else {
+    if (effect.to != self_ && members_.find(effect.to) != nullptr) {
         mesh_.send(effect.to, effect.report);
+    } else {
+        // If the trainer's home is gone, its successor takes over: this node
+        // or one that the report is passed on to.
+        report(effect.report);
     }
 }
 
@@ -336,7 +428,7 @@
 }
 
 base::node_id sample_runner::home_of(const base::engine_id& engine) const {
-    return members_.home_of(engine_key(engine));
+    return reach_.home_of(engine, members_);
 }
 
 } // namespace hibiscus::node
--- /dev/null
+++ b/packages/policy/src/rollout.cpp
@@ -0,0 +1,28 @@
+#include "hibiscus/policy/rollout.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hibiscus::policy {
+
+bool swap_turn(const rollout& plan, const std::vector<swap_candidate>& behind,
+               const base::engine_id& engine) {
+    const auto own = std::find_if(
+        behind.begin(), behind.end(),
+        [&](const swap_candidate& c) { return c.engine == engine; });
+    if (own == behind.end()) {
+        return true;
+    }
+    const auto before = std::count_if(
+        behind.begin(), behind.end(), [&](const swap_candidate& c) {
+            return std::make_pair(c.load, c.engine) <
+                   std::make_pair(own->load, own->engine);
+        });
+    const auto at_a_time = std::max(
+        1.0, std::ceil(static_cast<double>(plan.engines) * plan.share));
+    const base::millis waves = 1 + plan.elapsed / plan.wave;
+    return static_cast<double>(before) < at_a_time * static_cast<double>(waves);
+}
+
+} // namespace hibiscus::policy
--- /dev/null
+++ b/packages/policy/test/rollout_test.cpp
@@ -0,0 +1,49 @@
+#include "hibiscus/policy/rollout.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hibiscus::policy {
+namespace {
+
+/// Returns the engines of `behind` whose turn it is.
+std::size_t turns(const rollout& plan,
+                  const std::vector<swap_candidate>& behind) {
+    std::size_t count = 0;
+    for (const auto& c : behind) {
+        count += swap_turn(plan, behind, c.engine) ? 1 : 0;
+    }
+    return count;
+}
+
+/// Returns ten engines whose loads grow with their numbers.
+std::vector<swap_candidate> ten_engines() {
+    std::vector<swap_candidate> engines;
+    engines.reserve(10);
+    for (int i = 0; i < 10; ++i) {
+        engines.push_back({base::engine_id("e" + std::to_string(i)), i});
+    }
+    return engines;
+}
+
+TEST(swap_turn_test, a_share_of_the_least_loaded_engines_swaps_first) {
+    const rollout plan{10, 0.34, 0, 6000};
+    const auto engines = ten_engines();
+    EXPECT_EQ(turns(plan, engines), 4U);
+    EXPECT_TRUE(swap_turn(plan, engines, base::engine_id("e3")));
+    EXPECT_FALSE(swap_turn(plan, engines, base::engine_id("e4")));
+}
+
+// The first engines fail to swap again and again. The others must not wait for
+// them for ever, or the whole pool falls out of the staleness bound.
+TEST(swap_turn_test, engines_that_do_not_swap_hold_up_nobody_for_long) {
+    const auto engines = ten_engines();
+    EXPECT_EQ(turns({10, 0.34, 6000, 6000}, engines), 8U);
+    EXPECT_EQ(turns({10, 0.34, 12000, 6000}, engines), 10U);
+}
+
+TEST(swap_turn_test, a_small_share_still_lets_one_engine_swap) {
+    EXPECT_EQ(turns({10, 0.01, 0, 6000}, ten_engines()), 1U);
+}
+
+} // namespace
+} // namespace hibiscus::policy
