node, net, policy: no request waits out its deadline on a silent connection

Cause: a lookup that went out on an idle connection which the network had lost track of waited for its whole deadline and then got unknown.

- Idle connections are dropped after 8 s, and all of a target's when one of them fails: one_silent_connection_takes_the_others_with_it.
- The gateway learns how long a service's calls take (mean and deviation, as TCP does).
A lookup that takes much longer is given up on and sent again on a new connection, or, where the document allows hedging, sent a second time beside the first; both only within the retry budget, whose ratio now comes from the document.
- http_client::send returns a function that gives the request up.
- Requests that find all instances at their limit wait in a queue for each service if the measured drain rate says that they will be answered in time; else they are refused at once with the predicted wait.
An instance that says 503 gets fewer at a time.

Ruled out: a fixed share of the deadline for each attempt. A service whose calls take most of their deadline would have every call cut and repeated.

--- a/packages/net/include/hibiscus/net/http_client.hpp
+++ b/packages/net/include/hibiscus/net/http_client.hpp
@@ -20,14 +20,22 @@
 /// Sends HTTP/1.1 requests. Safe for use by several threads.
 class http_client {
 public:
-    /// Constructs a client whose connections must open within `connect_ms`.
-    http_client(boost::asio::io_context& io, base::millis connect_ms);
+    /// Constructs a client whose connections must open within `connect_ms`
+    /// and are not used again after `idle_ms` without a request. Something on
+    /// the way may lose track of an idle connection without a word; a short
+    /// limit keeps such ones few, and keeps below the time after which servers
+    /// close them.
+    http_client(boost::asio::io_context& io, base::millis connect_ms,
+                base::millis idle_ms = 8000);
 
     /// Sends `request` to `target` and calls `done` once, on a thread of the
     /// context, with the answer or with how far it got within `timeout` ms.
-    void send(const base::endpoint& target, http_request request,
-              base::millis timeout, reuse mode,
-              std::function<void(http_result)> done);
+    /// The function that it returns gives the request up: `done` is then
+    /// called soon, if it was not yet.
+    std::function<void()> send(const base::endpoint& target,
+                               http_request request, base::millis timeout,
+                               reuse mode,
+                               std::function<void(http_result)> done);
 
 private:
     class impl;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,10 +1,13 @@
 #include "hibiscus/net/http_client.hpp"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <map>
 #include <mutex>
@@ -28,30 +31,77 @@
 /// Open connections that wait for their next request.
 class idle_pool {
 public:
+    /// Constructs a pool that drops connections after `idle_ms`.
+    explicit idle_pool(base::millis idle_ms) : idle_ms_(idle_ms) {}
+
     /// Returns a connection to `target`, or null if none waits.
     stream_ptr take(const base::endpoint& target) {
         const std::lock_guard<std::mutex> lock(mutex_);
-        auto& waiting = idle_[target];
-        if (waiting.empty()) {
+        const auto at = idle_.find(target);
+        if (at == idle_.end()) {
             return nullptr;
         }
-        auto stream = std::move(waiting.back());
-        waiting.pop_back();
-        return stream;
+        auto stream = std::move(at->second.back().stream);
+        const bool fresh = !is_old(at->second.back());
+        at->second.pop_back();
+        // The last one that came is the youngest: the others are old too.
+        if (!fresh || at->second.empty()) {
+            idle_.erase(at);
+        }
+        return fresh ? std::move(stream) : nullptr;
     }
 
     /// Keeps a connection for the next request, unless enough wait.
     void put(const base::endpoint& target, stream_ptr stream) {
         const std::lock_guard<std::mutex> lock(mutex_);
+        drop_old();
         auto& waiting = idle_[target];
         if (waiting.size() < idle_per_target) {
-            waiting.push_back(std::move(stream));
+            waiting.push_back({std::move(stream), clock_.now()});
         }
     }
 
+    /// Drops the connections to `target`. When one has gone silent the others
+    /// that waited beside it probably have too, and each would cost a request
+    /// its whole patience.
+    void drop(const base::endpoint& target) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        idle_.erase(target);
+    }
+
 private:
+    struct idle_row {
+        stream_ptr stream;
+        base::millis since = 0;
+    };
+
+    bool is_old(const idle_row& row) const {
+        return clock_.now() - row.since >= idle_ms_;
+    }
+
+    /// Drops old connections to all targets, also to those that are never
+    /// called again.
+    void drop_old() {
+        const auto now = clock_.now();
+        if (now - swept_at_ < idle_ms_) {
+            return;
+        }
+        swept_at_ = now;
+        for (auto at = idle_.begin(); at != idle_.end();) {
+            auto& rows = at->second;
+            rows.erase(
+                std::remove_if(rows.begin(), rows.end(),
+                               [this](const auto& r) { return is_old(r); }),
+                rows.end());
+            at = rows.empty() ? idle_.erase(at) : std::next(at);
+        }
+    }
+
+    base::millis idle_ms_;
+    base::clock clock_;
     std::mutex mutex_;
-    std::map<base::endpoint, std::vector<stream_ptr>> idle_;
+    std::map<base::endpoint, std::vector<idle_row>> idle_;
+    base::millis swept_at_ = 0;
 };
 
 /// One request on its way. Its handlers run in the connection's strand.
@@ -63,6 +113,19 @@
         : io_(io), pool_(std::move(pool)), target_(std::move(target)),
           connect_ms_(connect_ms), done_(std::move(done)) {}
 
+    /// Gives the request up. May be called by any thread, at any time.
+    void cancel() {
+        cancelled_ = true;
+        asio::any_io_executor executor;
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            executor = executor_;
+        }
+        asio::dispatch(executor, [self = shared_from_this(), executor] {
+            self->cancel_in_strand(executor);
+        });
+    }
+
     /// Sends `request`, which has `timeout` ms in all.
     void start(const http_request& request, base::millis timeout, reuse mode) {
         message_.version(11);
@@ -78,6 +141,7 @@
         stream_ = mode == reuse::allowed ? pool_->take(target_) : nullptr;
         reused_ = stream_ != nullptr;
         if (reused_) {
+            note_executor();
             asio::dispatch(stream_->get_executor(),
                            [self = shared_from_this()] { self->write(); });
         } else {
@@ -86,10 +150,30 @@
     }
 
 private:
+    void note_executor() {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        executor_ = stream_->get_executor();
+    }
+
+    /// Runs in the strand `executor`. If that is no longer the present
+    /// connection's, the next one has not begun yet and sees cancelled_.
+    void cancel_in_strand(const asio::any_io_executor& executor) {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            if (executor_ != executor) {
+                return;
+            }
+        }
+        if (stream_ && done_) {
+            stream_->cancel();
+        }
+    }
+
     void connect() {
         reused_ = false;
         buffer_.clear();
         stream_ = std::make_unique<beast::tcp_stream>(asio::make_strand(io_));
+        note_executor();
         asio::dispatch(stream_->get_executor(), [self = shared_from_this()] {
             self->connect_in_strand();
         });
@@ -98,7 +182,7 @@
     void connect_in_strand() {
         beast::error_code error;
         const auto ip = asio::ip::make_address(target_.ip, error);
-        if (error) {
+        if (error || cancelled_) {
             unreachable();
             return;
         }
@@ -124,6 +208,10 @@
     }
 
     void write() {
+        if (cancelled_) {
+            unreachable();
+            return;
+        }
         ++sends_;
         stream_->expires_at(until_);
         http::async_write(
@@ -156,7 +244,11 @@
     /// twice come here with a used connection.
     void failed() {
         const bool untouched = !parser_ || !parser_->got_some();
-        if (reused_ && untouched && std::chrono::steady_clock::now() < until_) {
+        if (reused_) {
+            pool_->drop(target_);
+        }
+        if (reused_ && untouched && !cancelled_ &&
+            std::chrono::steady_clock::now() < until_) {
             connect();
             return;
         }
@@ -198,6 +290,10 @@
     base::millis connect_ms_;
     std::function<void(http_result)> done_;
     std::chrono::steady_clock::time_point until_;
+    /// Guards executor_, which cancel() reads from any thread.
+    std::mutex mutex_;
+    asio::any_io_executor executor_;
+    std::atomic<bool> cancelled_{false};
     stream_ptr stream_;
     bool reused_ = false;
     /// How often the request began to leave.
@@ -212,24 +308,31 @@
 /// What all requests of a client share.
 class http_client::impl {
 public:
-    impl(asio::io_context& io, base::millis connect_ms)
+    impl(asio::io_context& io, base::millis connect_ms, base::millis idle_ms)
         : io_(io), connect_ms_(connect_ms),
-          pool_(std::make_shared<detail::idle_pool>()) {}
+          pool_(std::make_shared<detail::idle_pool>(idle_ms)) {}
 
     asio::io_context& io_;
     base::millis connect_ms_;
     std::shared_ptr<detail::idle_pool> pool_;
 };
 
-http_client::http_client(asio::io_context& io, base::millis connect_ms)
-    : impl_(std::make_shared<impl>(io, connect_ms)) {}
+http_client::http_client(asio::io_context& io, base::millis connect_ms,
+                         base::millis idle_ms)
+    : impl_(std::make_shared<impl>(io, connect_ms, idle_ms)) {}
 
-void http_client::send(const base::endpoint& target, http_request request,
-                       base::millis timeout, reuse mode,
-                       std::function<void(http_result)> done) {
-    std::make_shared<detail::exchange>(impl_->io_, impl_->pool_, target,
-                                       impl_->connect_ms_, std::move(done))
-        ->start(request, timeout, mode);
+std::function<void()> http_client::send(const base::endpoint& target,
+                                        http_request request,
+                                        base::millis timeout, reuse mode,
+                                        std::function<void(http_result)> done) {
+    auto e = std::make_shared<detail::exchange>(
+        impl_->io_, impl_->pool_, target, impl_->connect_ms_, std::move(done));
+    e->start(request, timeout, mode);
+    return [weak = std::weak_ptr<detail::exchange>(e)] {
+        if (auto strong = weak.lock()) {
+            strong->cancel();
+        }
+    };
 }
 
 } // namespace hibiscus::net
--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -144,5 +144,66 @@
     EXPECT_EQ(how_of(get()), delivery::lost);
 }
 
+// Several connections wait in the pool when the network loses track of all of
+// them. The first request to find out may pay for it; the next one must not.
+TEST_F(http_client_test, one_silent_connection_takes_the_others_with_it) {
+    std::promise<void> over;
+    const auto end = over.get_future().share();
+    const script silent_after_one = [end](tcp::socket socket) {
+        read_request(socket);
+        write(socket, whole);
+        end.wait();
+    };
+    // The two sockets must be served at the same time, so that both wait in
+    // the pool.
+    std::thread other;
+    serve({[&](tcp::socket socket) {
+               other = std::thread([&, s = std::move(socket)]() mutable {
+                   silent_after_one(std::move(s));
+               });
+           },
+           [&](tcp::socket socket) {
+               read_request(socket);
+               write(socket, whole);
+               tcp::socket next = acceptor_.accept();
+               read_request(next);
+               write(next, whole);
+               end.wait();
+           }});
+    std::promise<http_result> first;
+    client_.send(address_, {}, 20000, reuse::never,
+                 [&](http_result r) { first.set_value(std::move(r)); });
+    ASSERT_TRUE(
+        std::holds_alternative<http_response>(get(20000, reuse::never)));
+    ASSERT_TRUE(
+        std::holds_alternative<http_response>(first.get_future().get()));
+    EXPECT_EQ(how_of(get(200)), delivery::lost);
+    EXPECT_TRUE(std::holds_alternative<http_response>(get()));
+    over.set_value();
+    server_.join();
+    other.join();
+}
+
+// A caller gives a request up. It must hear so at once, not after the
+// request's whole time.
+TEST_F(http_client_test, a_cancelled_request_ends_at_once) {
+    std::promise<void> arrived;
+    std::promise<void> over;
+    serve({[&](tcp::socket socket) {
+        read_request(socket);
+        arrived.set_value();
+        over.get_future().wait();
+    }});
+    std::promise<http_result> promise;
+    const auto cancel =
+        client_.send(address_, {}, 600000, reuse::never,
+                     [&](http_result r) { promise.set_value(std::move(r)); });
+    arrived.get_future().wait();
+    cancel();
+    EXPECT_TRUE(
+        std::holds_alternative<http_failure>(promise.get_future().get()));
+    over.set_value();
+}
+
 } // namespace
 } // namespace hibiscus::net
--- a/packages/node/include/hibiscus/node/service_gateway.hpp
+++ b/packages/node/include/hibiscus/node/service_gateway.hpp
@@ -2,10 +2,16 @@
 
 #include "hibiscus/net/http_client.hpp"
 #include "hibiscus/node/decision_log.hpp"
+#include "hibiscus/node/metrics.hpp"
 #include "hibiscus/node/shared_view.hpp"
+#include "hibiscus/policy/admission.hpp"
 #include "hibiscus/wire/answers.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 
@@ -18,36 +24,71 @@
     /// Takes the answer to one request.
     using done_function = std::function<void(wire::answer)>;
 
-    /// Constructs a gateway of the node `self`.
-    service_gateway(base::node_id self, net::http_client& http,
-                    const shared_view& shared, decision_log& log,
-                    base::clock clock);
+    /// Constructs a gateway of the node `self`, with its timers on `io`.
+    service_gateway(base::node_id self, boost::asio::io_context& io,
+                    net::http_client& http, const shared_view& shared,
+                    decision_log& log, metrics& counters, base::clock clock);
 
     /// Sends a request and calls `done` once. An idempotent one is tried again
-    /// within the retry budget; another one is tried again only after an
-    /// attempt of which no byte left.
+    /// within the retry budget, also when an answer takes much longer than
+    /// usual; another one is tried again only after an attempt of which no
+    /// byte left. When all instances are at their limit it waits, if it can
+    /// still be answered in time.
     void run(const wire::service_request& request, done_function done);
 
+    /// Returns the requests that wait for an instance.
+    std::size_t queued() const;
+
 private:
+    struct pending;
     struct attempt;
+    using pending_ptr = std::shared_ptr<pending>;
+    using attempt_ptr = std::shared_ptr<attempt>;
+
+    /// What is known of one service, and the requests that wait for it. Each
+    /// service has its own queue, so that one that is overloaded does not
+    /// delay the others.
+    struct service_state {
+        policy::latency_estimate latency;
+        policy::drain_meter drained;
+        std::deque<pending_ptr> queue;
+    };
 
-    void start(const std::shared_ptr<attempt>& a);
-    void finished(const std::shared_ptr<attempt>& a,
-                  const net::http_result& result);
-    void failed(const std::shared_ptr<attempt>& a, net::delivery how);
-    bool may_retry(const attempt& a, net::delivery how);
-    void log_choice(const attempt& a,
+    void start(const pending_ptr& p);
+    attempt_ptr choose(const pending_ptr& p);
+    attempt_ptr choose_locked(service_state& state, const pending_ptr& p,
+                              const document::service& service,
+                              const std::vector<policy::instance_choice>& from);
+    void dispatch(const attempt_ptr& a);
+    void watch(const attempt_ptr& a);
+    void impatient(const attempt_ptr& a);
+    void finished(const attempt_ptr& a, const net::http_result& result);
+    void note_end(const attempt_ptr& a, policy::attempt_end how);
+    void failed(const attempt_ptr& a, net::delivery how);
+    bool may_retry(const pending& p, net::delivery how);
+    void give_up(const pending_ptr& p, wire::reason why,
+                 base::millis retry_after);
+    void answer(const pending_ptr& p, wire::answer answer);
+    void pump(const base::service_id& service);
+    void arm_sweep();
+    void sweep();
+    void log_choice(const pending& p,
                     const std::vector<policy::instance_choice>& instances,
-                    const std::string& choice);
+                    const std::string& choice, const std::string& reason);
 
     base::node_id self_;
+    boost::asio::io_context& io_;
     net::http_client& http_;
     const shared_view& shared_;
     decision_log& log_;
+    metrics& counters_;
     base::clock clock_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     policy::service_router router_;
     policy::retry_budget budget_;
+    std::map<base::service_id, service_state> services_;
+    std::size_t queued_ = 0;
+    bool sweeping_ = false;
 };
 
 } // namespace hibiscus::node
--- a/packages/node/src/service_gateway.cpp
+++ b/packages/node/src/service_gateway.cpp
@@ -2,6 +2,10 @@
 
 #include "hibiscus/base/hash.hpp"
 
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
 namespace hibiscus::node {
 
 namespace {
@@ -10,159 +14,400 @@
 constexpr double default_ratio = 0.1;
 constexpr int most_attempts = 3;
 constexpr base::millis refusal = 100;
+constexpr base::millis sweep_ms = 20;
 constexpr int status_ok = 200;
 constexpr int status_overloaded = 503;
 
 } // namespace
 
-/// A request between its arrival and its answer.
-struct service_gateway::attempt {
+/// A request between its arrival and its answer. Guarded by the gateway's
+/// lock, but for what never changes.
+struct service_gateway::pending {
     wire::service_request request;
     done_function done;
     base::millis deadline = 0;
     int number = 0;
+    int in_flight = 0;
+    /// The instance of the last attempt.
     std::string instance;
     /// True once an attempt may have reached a backend server.
     bool may_have_run = false;
+    bool answered = false;
+    bool hedged = false;
+    /// True if the budget has already paid for the next attempt.
+    bool retry_paid = false;
 };
 
-service_gateway::service_gateway(base::node_id self, net::http_client& http,
+/// One send of a request.
+struct service_gateway::attempt {
+    attempt(boost::asio::io_context& io, pending_ptr p)
+        : request(std::move(p)), timer(io) {}
+
+    pending_ptr request;
+    policy::instance_choice instance;
+    int number = 0;
+    base::millis begun = 0;
+    base::millis patience = 0;
+    bool over = false;
+    std::function<void()> cancel;
+    boost::asio::steady_timer timer;
+};
+
+service_gateway::service_gateway(base::node_id self,
+                                 boost::asio::io_context& io,
+                                 net::http_client& http,
                                  const shared_view& shared, decision_log& log,
-                                 base::clock clock)
-    : self_(std::move(self)), http_(http), shared_(shared), log_(log),
-      clock_(std::move(clock)), router_(base::stable_hash(self_.str())),
+                                 metrics& counters, base::clock clock)
+    : self_(std::move(self)), io_(io), http_(http), shared_(shared), log_(log),
+      counters_(counters), clock_(std::move(clock)),
+      router_(base::stable_hash(self_.str())),
       budget_(default_ratio, budget_reserve) {}
 
 void service_gateway::run(const wire::service_request& request,
                           done_function done) {
-    auto a = std::make_shared<attempt>();
-    a->request = request;
-    a->done = std::move(done);
-    a->deadline = clock_.now() + request.deadline_ms;
+    auto p = std::make_shared<pending>();
+    p->request = request;
+    p->done = std::move(done);
+    p->deadline = clock_.now() + request.deadline_ms;
+    const auto view = shared_.get();
     {
         const std::lock_guard<std::mutex> lock(mutex_);
+        if (view->config) {
+            budget_.set_ratio(view->config->content.limit.retry_ratio);
+        }
         budget_.deposit();
     }
-    start(a);
+    start(p);
 }
 
-void service_gateway::start(const std::shared_ptr<attempt>& a) {
-    const auto now = clock_.now();
-    const auto& id = a->request.id;
-    if (now >= a->deadline) {
-        a->done(a->may_have_run
-                    ? wire::unknown(id, wire::reason::deadline_passed, self_)
-                    : wire::not_run(id, wire::reason::deadline_passed, refusal,
-                                    self_));
+std::size_t service_gateway::queued() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return queued_;
+}
+
+void service_gateway::start(const pending_ptr& p) {
+    if (clock_.now() >= p->deadline) {
+        give_up(p, wire::reason::deadline_passed, refusal);
         return;
     }
+    if (const auto a = choose(p)) {
+        dispatch(a);
+    }
+}
+
+/// Returns an attempt to make now; or queues the request, or gives it up, and
+/// returns null.
+service_gateway::attempt_ptr service_gateway::choose(const pending_ptr& p) {
     const auto view = shared_.get();
+    const auto& name = p->request.service;
     const auto* service =
-        view->config ? view->config->content.find(a->request.service) : nullptr;
-    const auto listed = view->services.find(a->request.service);
+        view->config ? view->config->content.find(name) : nullptr;
+    const auto listed = view->services.find(name);
     if (service == nullptr || listed == view->services.end()) {
-        const auto why = service == nullptr ? wire::reason::unknown_service
-                                            : wire::reason::no_backend;
-        a->done(a->may_have_run ? wire::unknown(id, why, self_)
-                                : wire::not_run(id, why, refusal, self_));
-        return;
+        give_up(p,
+                service == nullptr ? wire::reason::unknown_service
+                                   : wire::reason::no_backend,
+                refusal);
+        return nullptr;
     }
-    std::optional<std::size_t> chosen;
+    policy::admission verdict;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        chosen = router_.begin(listed->second, service->max_in_flight,
-                               a->instance, now);
+        auto& state = services_[name];
+        if (state.queue.empty()) {
+            if (auto a = choose_locked(state, p, *service, listed->second)) {
+                return a;
+            }
+        }
+        const auto now = clock_.now();
+        verdict = policy::admit({state.queue.size(), state.drained.per_ms(now),
+                                 state.latency.mean(), p->deadline - now});
+        if (verdict.admitted) {
+            state.queue.push_back(p);
+            ++queued_;
+            arm_sweep();
+        }
     }
+    log_choice(*p, listed->second, verdict.admitted ? "queue" : "none",
+               "all at their limit, predicted wait " +
+                   std::to_string(verdict.wait) + " ms");
+    if (!verdict.admitted) {
+        give_up(p, wire::reason::overloaded, verdict.wait);
+    }
+    return nullptr;
+}
+
+service_gateway::attempt_ptr service_gateway::choose_locked(
+    service_state& state, const pending_ptr& p,
+    const document::service& service,
+    const std::vector<policy::instance_choice>& from) {
+    const auto now = clock_.now();
+    const auto chosen =
+        router_.begin(from, service.max_in_flight, p->instance, now);
     if (!chosen) {
-        log_choice(*a, listed->second, "none");
-        a->done(
-            a->may_have_run
-                ? wire::unknown(id, wire::reason::overloaded, self_)
-                : wire::not_run(id, wire::reason::overloaded, refusal, self_));
-        return;
+        return nullptr;
+    }
+    auto a = std::make_shared<attempt>(io_, p);
+    a->instance = from[*chosen];
+    a->number = ++p->number;
+    a->begun = now;
+    a->patience = state.latency.patience();
+    p->instance = a->instance.id;
+    p->retry_paid = false;
+    ++p->in_flight;
+    log_choice(*p, from, a->instance.id,
+               a->number > 1 ? "attempt " + std::to_string(a->number)
+                             : "fewest in flight");
+    return a;
+}
+
+void service_gateway::dispatch(const attempt_ptr& a) {
+    const auto& request = a->request->request;
+    const auto target = base::parse_endpoint(a->instance.address);
+    net::http_request message;
+    message.method = "POST";
+    message.target = "/v1/run/" + request.id.str();
+    message.body = request.body;
+    // A second attempt goes out on a new connection: the first may have failed
+    // because the network has lost track of those that wait.
+    const bool may_reuse = request.idempotent && a->number == 1;
+    auto cancel =
+        http_.send(target.value_or(base::endpoint{}), std::move(message),
+                   a->request->deadline - a->begun,
+                   may_reuse ? net::reuse::allowed : net::reuse::never,
+                   [self = shared_from_this(), a](const net::http_result& r) {
+                       self->finished(a, r);
+                   });
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!a->over && request.idempotent) {
+        a->cancel = std::move(cancel);
+        watch(a);
+    }
+}
+
+/// Looks at the attempt again when an answer should have come. On a silent
+/// connection none ever does, and without this the caller would wait until
+/// its deadline.
+void service_gateway::watch(const attempt_ptr& a) {
+    a->timer.expires_after(std::chrono::milliseconds(a->patience));
+    a->timer.async_wait(
+        [self = shared_from_this(), a](const boost::system::error_code& error) {
+            if (!error) {
+                self->impatient(a);
+            }
+        });
+}
+
+void service_gateway::impatient(const attempt_ptr& a) {
+    const auto& p = a->request;
+    const auto view = shared_.get();
+    const auto* service =
+        view->config ? view->config->content.find(p->request.service) : nullptr;
+    const auto listed = view->services.find(p->request.service);
+    std::function<void()> cancel;
+    attempt_ptr second;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (a->over || p->answered || p->hedged || p->number >= most_attempts ||
+            service == nullptr || listed == view->services.end() ||
+            !budget_.withdraw()) {
+            return;
+        }
+        if (service->hedge) {
+            p->hedged = true;
+            auto& state = services_[p->request.service];
+            second = choose_locked(state, p, *service, listed->second);
+        } else {
+            p->retry_paid = true;
+            cancel = a->cancel;
+        }
+    }
+    if (second) {
+        counters_.count_event("request_hedged");
+        dispatch(second);
+    } else if (cancel) {
+        counters_.count_event("request_retried_late");
+        cancel();
     }
-    const auto& instance = listed->second[*chosen];
-    ++a->number;
-    a->instance = instance.id;
-    log_choice(*a, listed->second, instance.id);
-    const auto target = base::parse_endpoint(instance.address);
-    net::http_request request;
-    request.method = "POST";
-    request.target = "/v1/run/" + a->request.id.str();
-    request.body = a->request.body;
-    const auto mode =
-        a->request.idempotent ? net::reuse::allowed : net::reuse::never;
-    http_.send(target.value_or(base::endpoint{}), std::move(request),
-               a->deadline - now, mode,
-               [self = shared_from_this(), a](const net::http_result& result) {
-                   self->finished(a, result);
-               });
 }
 
 void service_gateway::log_choice(
-    const attempt& a, const std::vector<policy::instance_choice>& instances,
-    const std::string& choice) {
-    decision d{"route", a.request.id.str(), {}, choice, "fewest in flight"};
+    const pending& p, const std::vector<policy::instance_choice>& instances,
+    const std::string& choice, const std::string& reason) {
+    decision d{"route", p.request.id.str(), {}, choice, reason};
     for (const auto& i : instances) {
         d.candidates.push_back(i.id);
     }
-    if (a.number > 1) {
-        d.reason = "attempt " + std::to_string(a.number);
-    }
     log_.write(d);
 }
 
-void service_gateway::finished(const std::shared_ptr<attempt>& a,
+void service_gateway::finished(const attempt_ptr& a,
                                const net::http_result& result) {
     const auto* response = std::get_if<net::http_response>(&result);
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        router_.end(a->instance, response != nullptr, clock_.now());
-    }
+    const auto& p = a->request;
     if (response == nullptr) {
+        note_end(a, policy::attempt_end::unreached);
         failed(a, std::get<net::http_failure>(result).how);
-        return;
-    }
-    a->may_have_run = a->may_have_run || response->repeated;
-    if (response->status == status_overloaded) {
+    } else if (response->status == status_overloaded) {
         // A backend server says 503 only for what it did not start. That is
         // true of this send; an earlier one may have run.
-        failed(a, net::delivery::not_sent);
-        return;
+        note_end(a, policy::attempt_end::refused);
+        failed(a, response->repeated ? net::delivery::lost
+                                     : net::delivery::not_sent);
+    } else {
+        note_end(a, policy::attempt_end::answered);
+        wire::answer reply;
+        reply.id = p->request.id;
+        reply.node = self_;
+        reply.attempt = a->number;
+        reply.body = response->body;
+        const bool ok = response->status == status_ok;
+        reply.result = ok ? wire::outcome::completed : wire::outcome::unknown;
+        reply.why = ok ? wire::reason::none : wire::reason::backend_failed;
+        answer(p, std::move(reply));
     }
-    wire::answer answer;
-    answer.id = a->request.id;
-    answer.node = self_;
-    answer.attempt = a->number;
-    answer.body = response->body;
-    const bool ok = response->status == status_ok;
-    answer.result = ok ? wire::outcome::completed : wire::outcome::unknown;
-    answer.why = ok ? wire::reason::none : wire::reason::backend_failed;
-    a->done(std::move(answer));
-}
-
-void service_gateway::failed(const std::shared_ptr<attempt>& a,
-                             net::delivery how) {
-    a->may_have_run = a->may_have_run || how == net::delivery::lost;
-    if (may_retry(*a, how)) {
-        start(a);
+    pump(p->request.service);
+}
+
+void service_gateway::note_end(const attempt_ptr& a, policy::attempt_end how) {
+    const auto now = clock_.now();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    a->over = true;
+    a->timer.cancel();
+    a->cancel = nullptr;
+    --a->request->in_flight;
+    router_.end(a->instance.id, how, now);
+    auto& state = services_[a->request->request.service];
+    if (how == policy::attempt_end::answered) {
+        state.latency.note(now - a->begun);
+        state.drained.note(now);
+    }
+}
+
+void service_gateway::failed(const attempt_ptr& a, net::delivery how) {
+    const auto& p = a->request;
+    bool retry = false;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        p->may_have_run = p->may_have_run || how == net::delivery::lost;
+        if (p->answered || p->in_flight > 0) {
+            return;
+        }
+        retry = may_retry(*p, how);
+    }
+    if (retry) {
+        start(p);
         return;
     }
-    const auto& id = a->request.id;
-    a->done(a->may_have_run
-                ? wire::unknown(id, wire::reason::connection_lost, self_)
-                : wire::not_run(id, wire::reason::no_backend, refusal, self_));
+    give_up(p,
+            p->may_have_run ? wire::reason::connection_lost
+                            : wire::reason::no_backend,
+            refusal);
 }
 
-bool service_gateway::may_retry(const attempt& a, net::delivery how) {
+bool service_gateway::may_retry(const pending& p, net::delivery how) {
     const bool repeatable =
-        a.request.idempotent || how == net::delivery::not_sent;
-    if (!repeatable || a.number >= most_attempts ||
-        clock_.now() >= a.deadline) {
+        p.request.idempotent || how == net::delivery::not_sent;
+    if (!repeatable || p.number >= most_attempts ||
+        clock_.now() >= p.deadline) {
         return false;
     }
-    const std::lock_guard<std::mutex> lock(mutex_);
-    return budget_.withdraw();
+    return p.retry_paid || budget_.withdraw();
+}
+
+void service_gateway::give_up(const pending_ptr& p, wire::reason why,
+                              base::millis retry_after) {
+    const auto& id = p->request.id;
+    answer(p, p->may_have_run ? wire::unknown(id, why, self_)
+                              : wire::not_run(id, why, retry_after, self_));
+}
+
+void service_gateway::answer(const pending_ptr& p, wire::answer answer) {
+    done_function done;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (std::exchange(p->answered, true)) {
+            return;
+        }
+        done = std::move(p->done);
+    }
+    done(std::move(answer));
+}
+
+/// Sends the requests at the head of the queue for which there is room.
+void service_gateway::pump(const base::service_id& name) {
+    const auto view = shared_.get();
+    const auto* service =
+        view->config ? view->config->content.find(name) : nullptr;
+    const auto listed = view->services.find(name);
+    if (service == nullptr || listed == view->services.end()) {
+        return;
+    }
+    std::vector<attempt_ptr> ready;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        auto& state = services_[name];
+        while (!state.queue.empty()) {
+            auto a = choose_locked(state, state.queue.front(), *service,
+                                   listed->second);
+            if (!a) {
+                break;
+            }
+            state.queue.pop_front();
+            --queued_;
+            ready.push_back(std::move(a));
+        }
+    }
+    for (const auto& a : ready) {
+        dispatch(a);
+    }
+}
+
+void service_gateway::arm_sweep() {
+    if (std::exchange(sweeping_, true)) {
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(io_);
+    timer->expires_after(std::chrono::milliseconds(sweep_ms));
+    timer->async_wait([self = shared_from_this(),
+                       timer](const boost::system::error_code& error) {
+        if (!error) {
+            self->sweep();
+        }
+    });
+}
+
+/// Answers the waiting requests whose time is over, and tries the others: an
+/// instance may have been listed, or have come back, without any request that
+/// ended.
+void service_gateway::sweep() {
+    const auto now = clock_.now();
+    std::vector<pending_ptr> late;
+    std::vector<base::service_id> waiting;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (auto& [name, state] : services_) {
+            const auto first_late = std::stable_partition(
+                state.queue.begin(), state.queue.end(),
+                [now](const pending_ptr& p) { return now < p->deadline; });
+            late.insert(late.end(), first_late, state.queue.end());
+            state.queue.erase(first_late, state.queue.end());
+            if (!state.queue.empty()) {
+                waiting.push_back(name);
+            }
+        }
+        queued_ -= late.size();
+        sweeping_ = false;
+        if (queued_ > 0) {
+            arm_sweep();
+        }
+    }
+    for (const auto& p : late) {
+        give_up(p, wire::reason::deadline_passed, refusal);
+    }
+    for (const auto& name : waiting) {
+        pump(name);
+    }
 }
 
 } // namespace hibiscus::node
--- a/packages/policy/include/hibiscus/policy/routing.hpp
+++ b/packages/policy/include/hibiscus/policy/routing.hpp
@@ -18,6 +18,14 @@
     base::zone_id zone;
 };
 
+/// What became of a request to an instance.
+enum class attempt_end {
+    answered,  ///< It answered.
+    refused,   ///< It said that it has too much to do.
+    unreached, ///< No answer came.
+    dropped    ///< Nobody waits for the answer any more.
+};
+
 /// Routes idempotent requests over the instances of services, by the better
 /// of two drawn at random, judged by this node's own requests in flight.
 /// Not safe for use by several threads at once.
@@ -34,8 +42,9 @@
           const std::string& avoid, base::millis now);
 
     /// Counts the end of a request to the instance `id`. One that could not
-    /// be reached is avoided for a while.
-    void end(const std::string& id, bool reached, base::millis now);
+    /// be reached is avoided for a while; one that refuses gets fewer requests
+    /// at a time, and slowly more again while it answers.
+    void end(const std::string& id, attempt_end how, base::millis now);
 
     /// Returns the requests in flight to the instance `id`.
     int in_flight(const std::string& id) const;
@@ -45,8 +54,15 @@
         int in_flight = 0;
         int failures = 0;
         base::millis ejected_until = 0;
+        /// Requests that the instance takes at a time, as learned from its
+        /// refusals; 0 before the first.
+        double limit = 0.0;
+        base::millis limited_at = 0;
     };
 
+    static bool is_full(const load_row& row, int max_in_flight);
+    static void refused(load_row& row, base::millis now);
+
     std::vector<std::size_t>
     open_instances(const std::vector<instance_choice>& instances,
                    int max_in_flight, const std::string& avoid,
--- a/packages/policy/src/routing.cpp
+++ b/packages/policy/src/routing.cpp
@@ -8,6 +8,9 @@
 
 constexpr int failures_until_ejected = 2;
 constexpr base::millis ejection = 1000;
+constexpr double limit_cut = 0.8;
+/// Refusals of requests that left together count as one.
+constexpr base::millis limit_pause = 100;
 
 } // namespace
 
@@ -21,7 +24,7 @@
     std::vector<std::size_t> ejected;
     for (std::size_t i = 0; i < instances.size(); ++i) {
         const auto& row = rows_[instances[i].id];
-        if (row.in_flight >= max_in_flight || instances[i].id == avoid) {
+        if (is_full(row, max_in_flight) || instances[i].id == avoid) {
             continue;
         }
         (row.ejected_until > now ? ejected : open).push_back(i);
@@ -57,11 +60,41 @@
     return chosen;
 }
 
-void service_router::end(const std::string& id, bool reached,
+bool service_router::is_full(const load_row& row, int max_in_flight) {
+    const bool over = row.limit > 0.0 && row.in_flight + 1 > row.limit;
+    return row.in_flight >= max_in_flight || (over && row.in_flight > 0);
+}
+
+/// An instance is shared with other nodes, whose load this one does not see;
+/// without this, what is over its capacity would be sent and refused again
+/// and again, and spend the time of both.
+void service_router::refused(load_row& row, base::millis now) {
+    if (row.limit > 0.0 && now - row.limited_at < limit_pause) {
+        return;
+    }
+    row.limited_at = now;
+    row.limit = std::max(1.0, (row.in_flight + 1) * limit_cut);
+}
+
+void service_router::end(const std::string& id, attempt_end how,
                          base::millis now) {
     auto& row = rows_[id];
     row.in_flight = std::max(0, row.in_flight - 1);
-    row.failures = reached ? 0 : row.failures + 1;
+    switch (how) {
+    case attempt_end::answered:
+        row.limit += row.limit > 0.0 ? 1.0 / row.limit : 0.0;
+        row.failures = 0;
+        break;
+    case attempt_end::refused:
+        refused(row, now);
+        row.failures = 0;
+        break;
+    case attempt_end::unreached:
+        ++row.failures;
+        break;
+    case attempt_end::dropped:
+        break;
+    }
     if (row.failures >= failures_until_ejected) {
         row.ejected_until = now + ejection;
     }
--- a/packages/policy/test/routing_test.cpp
+++ b/packages/policy/test/routing_test.cpp
@@ -35,13 +35,27 @@
 // One of two instances stops answering. Its callers would each wait for a
 // connection that never comes, so it gets no requests for a while.
 TEST_F(routing_test, an_unreachable_instance_is_left_out) {
-    router_.end("a", false, now_);
-    router_.end("a", false, now_);
+    router_.end("a", attempt_end::unreached, now_);
+    router_.end("a", attempt_end::unreached, now_);
     for (int i = 0; i < 20; ++i) {
         EXPECT_EQ(begin(100), "b");
     }
 }
 
+// An instance serves several nodes and refuses what is over its capacity.
+// A node that went on to send up to its own limit would have most of its
+// requests refused.
+TEST_F(routing_test, an_instance_that_refuses_gets_fewer_at_a_time) {
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(begin(100, "b"), "a");
+    }
+    router_.end("a", attempt_end::refused, now_);
+    EXPECT_EQ(begin(100, "b"), "b");
+    router_.end("a", attempt_end::answered, now_);
+    router_.end("a", attempt_end::answered, now_);
+    EXPECT_EQ(begin(100, "b"), "a");
+}
+
 TEST(retry_budget_test, allows_a_share_of_the_requests) {
     retry_budget budget(0.1, 1.0);
     EXPECT_TRUE(budget.withdraw());
