policy: samples that outlive the next publish

A pool's start_version now says which versions a sample may begin with: within_bound is what was done, expect_publish counts on one more publish and gives up waiting after 2 s, for a weight store that is down. Ruled out: refusing old engines altogether, which stalls a trainer while swaps fail.

--- a/packages/document/include/hibiscus/document/document.hpp
+++ b/packages/document/include/hibiscus/document/document.hpp
@@ -19,6 +19,12 @@
     random_choice    ///< Any.
 };
 
+/// Which weight versions a sample may begin with.
+enum class start_version_kind {
+    within_bound,  ///< All inside the staleness bound at that time.
+    expect_publish ///< Those that another publish leaves inside the bound.
+};
+
 /// Someone who pays for engines.
 struct owner {
     base::owner_id name;
@@ -39,6 +45,7 @@
     /// The share of the engines that may swap versions at a time.
     double swap_share = 0.34;
     placement_kind placement = placement_kind::prefix_affinity;
+    start_version_kind start_version = start_version_kind::expect_publish;
 };
 
 /// A trainer that draws samples.
@@ -112,4 +119,13 @@
     }};
 };
 
+template <>
+struct enum_names<document::start_version_kind> {
+    using kind = document::start_version_kind;
+    static constexpr std::array<enum_name<kind>, 2> table{{
+        {kind::within_bound, "within_bound"},
+        {kind::expect_publish, "expect_publish"},
+    }};
+};
+
 } // namespace hibiscus::base
--- a/packages/document/src/parse.cpp
+++ b/packages/document/src/parse.cpp
@@ -208,6 +208,7 @@
     in.boolean("checks_fencing", row.checks_fencing);
     in.number("swap_share", row.swap_share, 0.01, 1.0);
     in.enumeration("placement", row.placement);
+    in.enumeration("start_version", row.start_version);
     return row;
 }
 
--- a/packages/node/include/hibiscus/node/engine_chooser.hpp
+++ b/packages/node/include/hibiscus/node/engine_chooser.hpp
@@ -27,7 +27,7 @@
     /// Constructs a chooser of the node `self` among `engines`.
     engine_chooser(const base::node_id& self, cluster::engine_table& engines,
                    const cluster::version_table& versions, decision_log& lines,
-                   document_function document);
+                   base::clock clock, document_function document);
 
     /// Returns an engine for a slot and counts the slot there, or nothing if
     /// none can take it now.
@@ -41,8 +41,16 @@
         policy::placement_policy placement = policy::random_choice{};
     };
 
+    /// The newest version of a trainer and since when it is known here.
+    struct known_version {
+        wire::weight_version version = 0;
+        base::millis since = 0;
+    };
+
+    wire::weight_version oldest_of(const document::trainer& trainer,
+                                   const document::pool& pool);
     std::vector<policy::candidate> candidates(const document::trainer& trainer,
-                                              const document::pool& pool) const;
+                                              const document::pool& pool);
     pool_policy& policy_of(const document::pool& pool);
     void write_line(const document::trainer& trainer,
                     const std::vector<policy::candidate>& open,
@@ -52,8 +60,10 @@
     cluster::engine_table& engines_;
     const cluster::version_table& versions_;
     decision_log& lines_;
+    base::clock clock_;
     document_function document_;
     std::map<base::pool_id, pool_policy> policies_;
+    std::map<base::trainer_id, known_version> newest_;
     std::mt19937_64 random_;
 };
 
--- a/packages/node/src/engine_chooser.cpp
+++ b/packages/node/src/engine_chooser.cpp
@@ -1,8 +1,7 @@
 #include "hibiscus/node/engine_chooser.hpp"
 
 #include "hibiscus/base/hash.hpp"
-
-#include <algorithm>
+#include "hibiscus/policy/start_version.hpp"
 
 namespace hibiscus::node {
 
@@ -26,16 +25,28 @@
 engine_chooser::engine_chooser(const base::node_id& self,
                                cluster::engine_table& engines,
                                const cluster::version_table& versions,
-                               decision_log& lines, document_function document)
+                               decision_log& lines, base::clock clock,
+                               document_function document)
     : engines_(engines), versions_(versions), lines_(lines),
-      document_(std::move(document)), random_(base::stable_hash(self.str())) {}
+      clock_(std::move(clock)), document_(std::move(document)),
+      random_(base::stable_hash(self.str())) {}
+
+wire::weight_version engine_chooser::oldest_of(const document::trainer& trainer,
+                                               const document::pool& pool) {
+    auto& known = newest_[trainer.name];
+    const auto newest = versions_.newest(trainer.name);
+    if (known.version != newest) {
+        known = {newest, clock_.now()};
+    }
+    return policy::oldest_start(
+        policy::make_start_version(pool.start_version),
+        {newest, clock_.now() - known.since, trainer.staleness_bound});
+}
 
 std::vector<policy::candidate>
 engine_chooser::candidates(const document::trainer& trainer,
-                           const document::pool& pool) const {
-    // What starts outside the bound can only be thrown away at its end.
-    const auto oldest = std::max<wire::weight_version>(
-        1, versions_.newest(trainer.name) - trainer.staleness_bound);
+                           const document::pool& pool) {
+    const auto oldest = oldest_of(trainer, pool);
     const auto capacity =
         static_cast<int>((1.0 + pool.queue_share) * pool.slots_per_engine);
     std::vector<policy::candidate> found;
--- a/packages/node/src/sample_runner.cpp
+++ b/packages/node/src/sample_runner.cpp
@@ -32,7 +32,7 @@
       mesh_(mesh), log_(log), gateway_(engines), lines_(lines),
       counters_(counters), clock_(std::move(clock)),
       document_(std::move(document)),
-      chooser_(self, engines_, versions_, lines, document_),
+      chooser_(self, engines_, versions_, lines, clock_, document_),
       steps_(
           self, cluster::step_times{},
           [this](const cluster::placement_query& q) {
--- /dev/null
+++ b/packages/policy/src/start_version.cpp
@@ -0,0 +1,40 @@
+#include "hibiscus/policy/start_version.hpp"
+
+#include "hibiscus/base/result.hpp"
+
+#include <algorithm>
+
+namespace hibiscus::policy {
+
+start_version_policy make_start_version(document::start_version_kind kind) {
+    switch (kind) {
+    case document::start_version_kind::within_bound:
+        return within_bound{};
+    case document::start_version_kind::expect_publish:
+        return expect_publish{};
+    }
+    return expect_publish{};
+}
+
+wire::weight_version oldest_start(const start_version_policy& policy,
+                                  const version_state& state) {
+    const auto in_bound = state.newest - state.staleness_bound;
+    const auto oldest = std::visit(
+        base::overloaded{[&](const within_bound&) { return in_bound; },
+                         [&](const expect_publish& p) {
+                             // A trainer opens its next step before it trains
+                             // and publishes. A sample that begins at the
+                             // oldest version of the bound is outside of it by
+                             // then and is generated again. With a bound of 0
+                             // no version could last, so the newest has to do;
+                             // and when swaps fail for long, older samples are
+                             // better than none.
+                             return state.newest_age > p.patience
+                                        ? in_bound
+                                        : std::min(in_bound + 1, state.newest);
+                         }},
+        policy);
+    return std::max<wire::weight_version>(1, oldest);
+}
+
+} // namespace hibiscus::policy
--- a/testing/bench/main.cpp
+++ b/testing/bench/main.cpp
@@ -17,7 +17,7 @@
 ABSL_FLAG(std::string, commit, "unknown", "the commit that is measured");
 ABSL_FLAG(int, seed, 1, "seed of the first round");
 ABSL_FLAG(int, rounds, 5, "runs of each variant");
-ABSL_FLAG(int, steps, 4, "steps of each trainer in a run");
+ABSL_FLAG(int, steps, 5, "steps of each trainer in a run");
 
 namespace hibiscus::testing {
 namespace {
--- a/testing/bench/scenario.cpp
+++ b/testing/bench/scenario.cpp
@@ -12,9 +12,10 @@
 namespace {
 
 using document::placement_kind;
+using document::start_version_kind;
 using nlohmann::json;
 
-constexpr double no_refusals = 50.0;
+constexpr double no_refusals = 16.0;
 constexpr std::uint32_t straggler_factor = 5;
 
 /// Returns the chunks of a sample as the engine stand-in draws them.
@@ -48,15 +49,17 @@
     return static_cast<base::millis>(longest) * chunk_ms;
 }
 
-/// Print tagging: three zones, a heavy trainer beside two small ones, and two
-/// engines of an older kind.
+/// Print tagging: three zones, a heavy trainer beside two small ones that want
+/// more than the engines run at a time, and two engines of an older kind.
 workload cascadia() {
     workload w;
     w.name = "cascadia";
     w.engines = {{8, 20}, {2, 30}};
-    w.trainers = {{"tagger", 24, 4, 40, 500, 1.0},
-                  {"auditor", 6, 4, 40, 700, 1.0},
-                  {"router", 4, 4, 24, 300, 1.0}};
+    w.slots = 4;
+    w.straggler_percent = 1;
+    w.trainers = {{"tagger", 24, 4, 40, 1000, 1.0},
+                  {"auditor", 6, 4, 40, 1200, 1.0},
+                  {"router", 4, 4, 24, 800, 1.0}};
     return w;
 }
 
@@ -68,26 +71,43 @@
     w.zones = 4;
     w.nodes = 8;
     w.engines = {{8, 20}, {2, 30}};
-    w.straggler_percent = 5;
-    w.trainers = {{"drafter", 16, 6, 48, 300, 1.0},
-                  {"checker", 6, 4, 32, 300, 1.0}};
+    w.slots = 4;
+    w.straggler_percent = 2;
+    w.trainers = {{"drafter", 16, 6, 48, 700, 1.0},
+                  {"checker", 6, 4, 32, 700, 1.0}};
     return w;
 }
 
 /// Through the engine's home, which refuses beyond its queue, against direct
 /// placement by the reports alone, at three lags of the reports.
 std::vector<variant> admission_variants() {
+    const auto expected = start_version_kind::expect_publish;
     std::vector<variant> sides;
     for (const base::millis lag : {100, 1000, 3000}) {
         const auto text = std::to_string(lag) + "ms";
         sides.push_back(
-            {"home_" + text, placement_kind::power_of_two, 0.5, lag});
-        sides.push_back(
-            {"direct_" + text, placement_kind::power_of_two, no_refusals, lag});
+            {"home_" + text, placement_kind::power_of_two, expected, 0.5, lag});
+        sides.push_back({"direct_" + text, placement_kind::power_of_two,
+                         expected, no_refusals, lag});
     }
     return sides;
 }
 
+/// The baselines, which begin samples at any version of the bound, and the
+/// placement policies that count on another publish.
+std::vector<variant> placement_variants() {
+    const auto any = start_version_kind::within_bound;
+    const auto expected = start_version_kind::expect_publish;
+    return {
+        {"round_robin", placement_kind::round_robin, any},
+        {"random", placement_kind::random_choice, any},
+        {"least_reported", placement_kind::least_admitted, any},
+        {"prefix_affinity/any", placement_kind::prefix_affinity, any},
+        {"prefix_affinity", placement_kind::prefix_affinity, expected},
+        {"power_of_two", placement_kind::power_of_two, expected},
+    };
+}
+
 } // namespace
 
 workload make_workload(const std::string& name) {
@@ -101,13 +121,8 @@
     if (comparison == "admission") {
         return admission_variants();
     }
-    std::vector<variant> sides;
-    if (comparison == "placement") {
-        for (const auto& row : base::enum_names<placement_kind>::table) {
-            sides.push_back({std::string(row.name), row.value, 1.0, 500});
-        }
-    }
-    return sides;
+    return comparison == "placement" ? placement_variants()
+                                     : std::vector<variant>{};
 }
 
 std::string seeded_name(const trainer_load& trainer, int seed) {
--- a/testing/bench/scenario.hpp
+++ b/testing/bench/scenario.hpp
@@ -42,6 +42,8 @@
     std::string name;
     document::placement_kind placement =
         document::placement_kind::prefix_affinity;
+    document::start_version_kind start_version =
+        document::start_version_kind::expect_publish;
     /// Streams that the engines' homes admit beyond the slots, as a share of
     /// them. A large one means that homes refuse nothing.
     double queue_share = 1.0;
