policy: fair shares of a pool and the account of its slot time

Cause: trainer.weight and owner.weight were read and used by nothing; whoever asked first got a contended pool, and nothing told who used or idled an engine. Digests now count admitted streams by trainer. A trainer's home places into queues only below its share among the trainers present, and into free slots always, so that no slot stands idle for a share.

--- a/packages/cluster/include/hibiscus/cluster/engine_home.hpp
+++ b/packages/cluster/include/hibiscus/cluster/engine_home.hpp
@@ -57,6 +57,9 @@
     /// Returns the streams that are not done.
     int admitted() const;
 
+    /// Returns the streams that are not done, by trainer.
+    std::vector<wire::trainer_streams> admitted_by_trainer() const;
+
     /// Returns the version that the engine serves for `trainer`, or 0.
     wire::weight_version version_of(const base::trainer_id& trainer) const;
 };
--- a/packages/cluster/include/hibiscus/cluster/engine_table.hpp
+++ b/packages/cluster/include/hibiscus/cluster/engine_table.hpp
@@ -20,11 +20,14 @@
     /// The last digest of its home.
     wire::engine_digest digest;
     base::millis digest_at = 0;
-    /// Streams that this node has placed since the digest.
-    int placed_since = 0;
+    /// Streams that this node has placed since the digest, by trainer.
+    std::map<base::trainer_id, int> placed_since;
 
     /// Returns the best estimate of the streams at the engine.
-    int load() const { return digest.admitted + placed_since; }
+    int load() const;
+
+    /// Returns the best estimate of a trainer's streams at the engine.
+    int load_of(const base::trainer_id& trainer) const;
 };
 
 /// The engines that the instance list names.
@@ -37,8 +40,9 @@
     /// Notes what an engine's home says of it.
     void hear(base::millis now, const wire::engine_digest& digest);
 
-    /// Notes that this node has placed a stream on `engine`.
-    void note_placed(const base::engine_id& engine);
+    /// Notes that this node has placed a stream of `trainer` on `engine`.
+    void note_placed(const base::engine_id& engine,
+                     const base::trainer_id& trainer);
 
     /// Returns the engine, or null if the list does not name it.
     const engine_row* find(const base::engine_id& engine) const;
--- a/packages/cluster/src/engine_home.cpp
+++ b/packages/cluster/src/engine_home.cpp
@@ -18,6 +18,21 @@
         }));
 }
 
+std::vector<wire::trainer_streams> homed_engine::admitted_by_trainer() const {
+    std::map<base::trainer_id, int> counts;
+    for (const auto& [id, row] : streams) {
+        if (row.state != wire::stream_state::done) {
+            ++counts[row.start.trainer];
+        }
+    }
+    std::vector<wire::trainer_streams> rows;
+    rows.reserve(counts.size());
+    for (const auto& [trainer, count] : counts) {
+        rows.push_back({trainer, count});
+    }
+    return rows;
+}
+
 wire::weight_version
 homed_engine::version_of(const base::trainer_id& trainer) const {
     for (const auto& row : serving) {
@@ -288,7 +303,7 @@
     for (const auto& [id, engine] : engines_) {
         rows.push_back({id, engine.admitted(), engine.traits.slots,
                         healthy(now, engine) && !engine.traits.leaving,
-                        engine.serving});
+                        engine.serving, engine.admitted_by_trainer()});
     }
     return rows;
 }
--- a/packages/cluster/src/engine_table.cpp
+++ b/packages/cluster/src/engine_table.cpp
@@ -4,6 +4,23 @@
 
 namespace hibiscus::cluster {
 
+int engine_row::load() const {
+    int sum = digest.admitted;
+    for (const auto& [trainer, count] : placed_since) {
+        sum += count;
+    }
+    return sum;
+}
+
+int engine_row::load_of(const base::trainer_id& trainer) const {
+    const auto placed = placed_since.find(trainer);
+    int sum = placed == placed_since.end() ? 0 : placed->second;
+    for (const auto& row : digest.streams) {
+        sum += row.trainer == trainer ? row.admitted : 0;
+    }
+    return sum;
+}
+
 void engine_table::update(const wire::instance_page& page) {
     std::set<base::engine_id> named;
     for (const auto& i : page.instances) {
@@ -31,13 +48,14 @@
     }
     at->second.digest = digest;
     at->second.digest_at = now;
-    at->second.placed_since = 0;
+    at->second.placed_since.clear();
 }
 
-void engine_table::note_placed(const base::engine_id& engine) {
+void engine_table::note_placed(const base::engine_id& engine,
+                               const base::trainer_id& trainer) {
     const auto at = rows_.find(engine);
     if (at != rows_.end()) {
-        ++at->second.placed_since;
+        ++at->second.placed_since[trainer];
     }
 }
 
--- a/packages/node/include/hibiscus/node/engine_chooser.hpp
+++ b/packages/node/include/hibiscus/node/engine_chooser.hpp
@@ -49,8 +49,9 @@
 
     wire::weight_version oldest_of(const document::trainer& trainer,
                                    const document::pool& pool);
-    std::vector<policy::candidate> candidates(const document::trainer& trainer,
-                                              const document::pool& pool);
+    std::vector<policy::candidate>
+    candidates(const document::document& document,
+               const document::trainer& trainer, const document::pool& pool);
     pool_policy& policy_of(const document::pool& pool);
     void write_line(const document::trainer& trainer,
                     const std::vector<policy::candidate>& open,
--- a/packages/node/include/hibiscus/node/sample_runner.hpp
+++ b/packages/node/include/hibiscus/node/sample_runner.hpp
@@ -10,6 +10,7 @@
 #include "hibiscus/node/engine_gateway.hpp"
 #include "hibiscus/node/metrics.hpp"
 #include "hibiscus/node/peer_calls.hpp"
+#include "hibiscus/node/usage_meter.hpp"
 #include "hibiscus/platform/log_client.hpp"
 
 #include <functional>
@@ -79,6 +80,9 @@
     /// Returns all engines that are listed.
     const cluster::engine_table& engines() const { return engines_; }
 
+    /// Returns the slot time of this home's engines by owner.
+    const policy::usage_account& usage() const { return usage_; }
+
     /// Returns the trainers whose steps this node has.
     const cluster::step_home& steps() const { return steps_; }
 
@@ -118,6 +122,7 @@
     engine_chooser chooser_;
     cluster::step_home steps_;
     cluster::engine_home homed_;
+    policy::usage_account usage_;
     std::map<cluster::waiter_id, pull_function> waiters_;
     cluster::waiter_id last_waiter_ = 0;
     std::set<base::engine_id> polling_;
--- a/packages/node/src/control_status.cpp
+++ b/packages/node/src/control_status.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace hibiscus::node {
 
 namespace {
@@ -43,6 +45,19 @@
     return rows;
 }
 
+json usage_to_json(const policy::usage_account& account) {
+    json rows = json::array();
+    for (const auto& [owner, row] : account.owners()) {
+        rows.push_back(
+            {{"owner", owner.str()},
+             {"used_ms", std::llround(row.used_ms)},
+             {"idle_ms", std::llround(row.idle_ms)},
+             {"idle_while_queued_ms", std::llround(row.idle_while_queued_ms)},
+             {"queued_ms", std::llround(row.queued_ms)}});
+    }
+    return rows;
+}
+
 json steps_to_json(const cluster::step_home& steps) {
     json rows = json::array();
     for (const auto& [key, step] : steps.steps()) {
@@ -67,6 +82,7 @@
                  {"pending_claims", claims_.pending()},
                  {"nodes", members_to_json(members_)},
                  {"engines", engines_to_json(samples_.engines(), members_)},
+                 {"usage", usage_to_json(samples_.usage())},
                  {"steps", steps_to_json(samples_.steps())}};
         d(out.dump(-1, ' ', false, json::error_handler_t::replace));
     });
--- a/packages/node/src/engine_chooser.cpp
+++ b/packages/node/src/engine_chooser.cpp
@@ -1,6 +1,7 @@
 #include "hibiscus/node/engine_chooser.hpp"
 
 #include "hibiscus/base/hash.hpp"
+#include "hibiscus/policy/fair_share.hpp"
 #include "hibiscus/policy/start_version.hpp"
 
 namespace hibiscus::node {
@@ -20,6 +21,35 @@
     return 0;
 }
 
+/// Returns what each trainer of `pool` has on `engines`.
+std::vector<policy::pool_use>
+uses_of(const document::document& document, const document::pool& pool,
+        const std::vector<const cluster::engine_row*>& engines) {
+    std::vector<policy::pool_use> uses;
+    for (const auto& trainer : document.trainers) {
+        if (trainer.pool != pool.name) {
+            continue;
+        }
+        policy::pool_use use{trainer.name, policy::weight_of(document, trainer),
+                             0};
+        for (const auto* row : engines) {
+            use.admitted += row->load_of(trainer.name);
+        }
+        uses.push_back(std::move(use));
+    }
+    return uses;
+}
+
+int admitted_in(const std::vector<policy::pool_use>& uses,
+                const base::trainer_id& trainer) {
+    for (const auto& use : uses) {
+        if (use.trainer == trainer) {
+            return use.admitted;
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
 engine_chooser::engine_chooser(const base::node_id& self,
@@ -44,13 +74,20 @@
 }
 
 std::vector<policy::candidate>
-engine_chooser::candidates(const document::trainer& trainer,
+engine_chooser::candidates(const document::document& document,
+                           const document::trainer& trainer,
                            const document::pool& pool) {
     const auto oldest = oldest_of(trainer, pool);
-    const auto capacity =
-        static_cast<int>((1.0 + pool.queue_share) * pool.slots_per_engine);
+    const auto rows = engines_.usable(pool.name);
+    const auto uses = uses_of(document, pool, rows);
+    const int slots = pool.slots_per_engine;
+    const auto queue = static_cast<int>(pool.queue_share * slots);
+    const auto shares = policy::shares_of(
+        uses, trainer.name, static_cast<int>(rows.size()) * (slots + queue));
+    const auto capacity = policy::capacity_for(admitted_in(uses, trainer.name),
+                                               shares, slots, queue);
     std::vector<policy::candidate> found;
-    for (const auto* row : engines_.usable(pool.name)) {
+    for (const auto* row : rows) {
         if (version_in(row->digest, trainer.name) >= oldest) {
             found.push_back({row->id, row->load(), capacity});
         }
@@ -79,14 +116,14 @@
         return std::nullopt;
     }
     auto& [kind, placement] = policy_of(*pool);
-    const auto open = candidates(*trainer, *pool);
+    const auto open = candidates(*document, *trainer, *pool);
     const auto* chosen =
         policy::choose(placement, open, *query.prompt, random_);
     if (chosen == nullptr) {
         return std::nullopt;
     }
     write_line(*trainer, open, *chosen, kind);
-    engines_.note_placed(chosen->engine);
+    engines_.note_placed(chosen->engine, trainer->name);
     const int extra = query.straggler ? straggler_priority : 0;
     return cluster::placement{chosen->engine, trainer->priority + extra};
 }
--- a/packages/node/src/sample_runner.cpp
+++ b/packages/node/src/sample_runner.cpp
@@ -149,6 +149,9 @@
     steps_.tick(clock_.now());
     carry_out();
     poll_engines();
+    if (const auto* document = document_()) {
+        usage_.add(clock_.now(), uses_of(homed_, engines_, *document));
+    }
     counters_.set("homed_engines",
                   static_cast<double>(homed_.engines().size()));
     counters_.set("steps", static_cast<double>(steps_.steps().size()));
--- /dev/null
+++ b/packages/node/src/usage_meter.cpp
@@ -0,0 +1,43 @@
+#include "hibiscus/node/usage_meter.hpp"
+
+namespace hibiscus::node {
+
+namespace {
+
+void count_streams(const cluster::homed_engine& engine,
+                   const document::document& document,
+                   policy::engine_use& use) {
+    for (const auto& [id, row] : engine.streams) {
+        const auto* trainer = document.find(row.start.trainer);
+        if (trainer == nullptr || row.state == wire::stream_state::done) {
+            continue;
+        }
+        const bool running = row.state == wire::stream_state::running;
+        ++(running ? use.running : use.queued)[trainer->owner];
+    }
+}
+
+} // namespace
+
+std::vector<policy::engine_use> uses_of(const cluster::engine_home& home,
+                                        const cluster::engine_table& engines,
+                                        const document::document& document) {
+    std::vector<policy::engine_use> uses;
+    uses.reserve(home.engines().size());
+    for (const auto& [id, engine] : home.engines()) {
+        const auto* row = engines.find(id);
+        const auto* pool = row != nullptr ? document.find(row->pool) : nullptr;
+        if (pool == nullptr) {
+            continue;
+        }
+        policy::engine_use use;
+        use.engine = id;
+        use.owner = pool->owner;
+        use.slots = engine.traits.slots;
+        count_streams(engine, document, use);
+        uses.push_back(std::move(use));
+    }
+    return uses;
+}
+
+} // namespace hibiscus::node
--- a/packages/wire/include/hibiscus/wire/peer.hpp
+++ b/packages/wire/include/hibiscus/wire/peer.hpp
@@ -22,6 +22,12 @@
     weight_version version = 0;
 };
 
+/// The streams of one trainer.
+struct trainer_streams {
+    base::trainer_id trainer;
+    int admitted = 0;
+};
+
 /// The load of an engine as its home knows it.
 struct engine_digest {
     base::engine_id engine;
@@ -30,6 +36,8 @@
     int slots = 0;
     bool healthy = false;
     std::vector<served_version> serving;
+    /// The admitted streams by trainer; one without any is left out.
+    std::vector<trainer_streams> streams;
 };
 
 /// Says that a node is alive and what it knows. Sent to each peer.
--- a/packages/wire/src/mapping.hpp
+++ b/packages/wire/src/mapping.hpp
@@ -94,7 +94,10 @@
 HIBISCUS_WIRE(version_order, trainer, version, number)
 HIBISCUS_WIRE(order_answer, verdict)
 HIBISCUS_WIRE(trainer_version, trainer, version)
-HIBISCUS_WIRE(engine_digest, engine, admitted, slots, healthy, serving)
+HIBISCUS_WIRE(trainer_streams, trainer, admitted)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(engine_digest, engine, admitted,
+                                                slots, healthy, serving,
+                                                streams)
 HIBISCUS_WIRE(heartbeat, node, incarnation, zone, address, peer_address, state,
               revision, versions, engines)
 HIBISCUS_WIRE(document_want, from, revision)
