bench: capacity, the slopes of full-size tables and idle nodes

Cause: docs/CAPACITY.md needs slopes that a command gives. Fills the tables to full size in-process and watches idle nodes by /proc. Memory that an earlier fill freed is given back before the next one, which otherwise showed 0 MB for 17,000 folds and 890 members.

--- /dev/null
+++ b/testing/bench/fills.cpp
@@ -0,0 +1,272 @@
+#include "fills.hpp"
+
+#include "hibiscus/cluster/engine_table.hpp"
+#include "hibiscus/cluster/member_table.hpp"
+#include "hibiscus/cluster/step_home.hpp"
+#include "hibiscus/document/config_fold.hpp"
+#include "hibiscus/policy/placement.hpp"
+#include "hibiscus/wire/codec.hpp"
+
+#include <malloc.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <ctime>
+#include <fstream>
+#include <sstream>
+
+namespace hibiscus::testing {
+
+namespace {
+
+constexpr int engines_full = 12000;
+constexpr int nodes_full = 890;
+constexpr int slots_full = 47104;
+constexpr int trainers_full = 23;
+constexpr int changes_full = 17000;
+constexpr int digests_per_beat = 14;
+
+/// Tells processor time and memory between its construction and a question.
+class stopwatch {
+public:
+    /// Returns the processor time of this process in milliseconds.
+    double ms() const {
+        return 1000.0 * static_cast<double>(std::clock() - begin_) /
+               CLOCKS_PER_SEC;
+    }
+
+    /// Returns the growth of this process's memory in megabytes.
+    double mb() const { return (resident_bytes(getpid()) - bytes_) / 1e6; }
+
+private:
+    // A fill would otherwise grow into memory that earlier ones freed and
+    // seem to take none.
+    [[maybe_unused]] int trimmed_ = malloc_trim(0);
+    double bytes_ = resident_bytes(getpid());
+    std::clock_t begin_ = std::clock();
+};
+
+wire::engine_digest digest_of(int number) {
+    return {base::engine_id("engine-" + std::to_string(number)),
+            7,
+            8,
+            true,
+            {{base::trainer_id("trainer-1"), 100},
+             {base::trainer_id("trainer-2"), 100}},
+            {{base::trainer_id("trainer-1"), 4},
+             {base::trainer_id("trainer-2"), 3}}};
+}
+
+wire::heartbeat beat_of(int node, int engines) {
+    wire::heartbeat beat;
+    beat.node = base::node_id("node-" + std::to_string(node));
+    beat.incarnation = 1790000000000;
+    beat.zone = base::zone_id("zone-1");
+    beat.address = "10.10.100.100:8080";
+    beat.peer_address = "10.10.100.100:8081";
+    beat.state = wire::node_state::ready;
+    beat.revision = 17000;
+    for (int i = 0; i < trainers_full; ++i) {
+        beat.versions.push_back(
+            {base::trainer_id("trainer-" + std::to_string(i)), 100});
+    }
+    for (int i = 0; i < engines; ++i) {
+        beat.engines.push_back(digest_of(node * digests_per_beat + i));
+    }
+    return beat;
+}
+
+/// Returns a list of 12,000 engines.
+wire::instance_page full_list() {
+    wire::instance_page page;
+    for (int i = 0; i < engines_full; ++i) {
+        page.instances.push_back(
+            {"engine-" + std::to_string(i), wire::instance_role::engine,
+             wire::instance_state::live, "pool-1", base::zone_id("zone-1"),
+             "10.20.100.100:9000", ""});
+    }
+    return page;
+}
+
+void fill_engines(std::vector<figure>& all) {
+    const auto page = full_list();
+    cluster::engine_table table;
+    const std::string size = std::to_string(engines_full) + " engines";
+    const stopwatch filling;
+    table.update(page);
+    for (int i = 0; i < engines_full; ++i) {
+        table.hear(1, digest_of(i));
+    }
+    all.push_back({"engine table, fill", size, filling.ms(), "ms"});
+    all.push_back({"engine table, memory", size, filling.mb(), "MB"});
+    const stopwatch updating;
+    table.update(page);
+    all.push_back({"engine table, one list", size, updating.ms(), "ms"});
+    constexpr int choices = 100;
+    std::mt19937_64 random(1);
+    policy::placement_policy placement = policy::prefix_affinity{};
+    const stopwatch choosing;
+    for (int i = 0; i < choices; ++i) {
+        std::vector<policy::candidate> open;
+        for (const auto* row : table.usable(base::pool_id("pool-1"))) {
+            open.push_back({row->id, row->load(), 16});
+        }
+        policy::choose(placement, open, std::to_string(i), random);
+    }
+    all.push_back({"one placement, scan of the pool", size,
+                   choosing.ms() / choices, "ms"});
+}
+
+void fill_steps(std::vector<figure>& all) {
+    const std::string size = std::to_string(slots_full) + " slots";
+    const stopwatch filling;
+    cluster::step_home home(
+        base::node_id("n"), {},
+        [](const cluster::placement_query&) {
+            return cluster::placement{base::engine_id("engine-1"), 0};
+        },
+        [](const base::trainer_id&) { return 1; });
+    for (int t = 0; t < trainers_full; ++t) {
+        wire::step_request request;
+        request.version = 1;
+        for (int g = 0; g < slots_full / trainers_full / 8; ++g) {
+            request.groups.push_back({std::string(200, 'p'), 8, 600});
+        }
+        home.open(1, {base::trainer_id("trainer-" + std::to_string(t)), 1,
+                      std::move(request)});
+    }
+    all.push_back({"steps, opening", size, filling.ms(), "ms"});
+    const stopwatch placing;
+    home.tick(2);
+    home.take_effects();
+    all.push_back({"steps, placing all", size, placing.ms(), "ms"});
+    constexpr int ticks = 20;
+    const stopwatch ticking;
+    for (int i = 0; i < ticks; ++i) {
+        home.tick(3 + i);
+    }
+    all.push_back({"steps, one tick with nothing to do", size,
+                   ticking.ms() / ticks, "ms"});
+    all.push_back({"steps, memory", size, filling.mb(), "MB"});
+}
+
+std::string document_of(int trainers, int change) {
+    std::string text = R"({"schema":1,"owners":[{"name":"o"}],)"
+                       R"("pools":[{"name":"p","owner":"o"}],"trainers":[)";
+    for (int i = 0; i < trainers; ++i) {
+        text += (i == 0 ? "" : ",");
+        text += R"({"name":"trainer-)" + std::to_string(i) +
+                R"(","owner":"o","pool":"p","weight":)" +
+                std::to_string(1 + change % 7) + "}";
+    }
+    return text + "]}";
+}
+
+void fill_config(std::vector<figure>& all) {
+    const std::string size = std::to_string(changes_full) + " changes";
+    const stopwatch folding;
+    document::config_fold fold;
+    wire::log_offset base = 0;
+    for (int i = 0; i < changes_full; ++i) {
+        wire::config_record record;
+        record.schema = 1;
+        record.publish_id = "publish-" + std::to_string(i);
+        record.base = base;
+        record.document = document_of(trainers_full, i);
+        fold.apply(i, record);
+        base = fold.in_force() != nullptr ? fold.in_force()->number : 0;
+    }
+    const bool kept = fold.in_force() != nullptr &&
+                      fold.in_force()->number >= changes_full - 1;
+    all.push_back({kept ? "config fold" : "config fold, refused", size,
+                   folding.ms(), "ms"});
+    all.push_back({"config fold, memory", size, folding.mb(), "MB"});
+}
+
+void fill_members(std::vector<figure>& all) {
+    const std::string size = std::to_string(nodes_full) + " nodes";
+    const stopwatch filling;
+    cluster::member_table members(base::node_id("node-0"), 2000);
+    for (int i = 0; i < nodes_full; ++i) {
+        members.hear(1, beat_of(i, digests_per_beat));
+    }
+    all.push_back({"members, first beat of each", size, filling.ms(), "ms"});
+    all.push_back({"members, memory", size, filling.mb(), "MB"});
+    constexpr int keys = 1000;
+    const stopwatch hashing;
+    for (int i = 0; i < keys; ++i) {
+        members.home_of("engine/engine-" + std::to_string(i));
+    }
+    all.push_back({"rendezvous, one key", size, hashing.ms() / keys, "ms"});
+    const stopwatch hearing;
+    for (int i = 0; i < nodes_full; ++i) {
+        members.hear(2, beat_of(i, digests_per_beat));
+    }
+    all.push_back({"members, a beat of each", size, hearing.ms(), "ms"});
+}
+
+} // namespace
+
+double resident_bytes(int id) {
+    std::ifstream file("/proc/" + std::to_string(id) + "/statm");
+    double total = 0;
+    double resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+double processor_ms(int id) {
+    std::ifstream file("/proc/" + std::to_string(id) + "/stat");
+    std::string text;
+    std::getline(file, text);
+    // The name in parentheses may hold spaces; user and system time are the
+    // 12th and 13th words after it.
+    std::istringstream words(text.substr(text.rfind(')') + 1));
+    std::string word;
+    for (int i = 0; i < 11; ++i) {
+        words >> word;
+    }
+    double user = 0;
+    double kernel = 0;
+    words >> user >> kernel;
+    return 1000.0 * (user + kernel) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+std::vector<figure> measure_heartbeats() {
+    std::vector<figure> all;
+    for (const int engines : {0, 1, 2, 4, 8, 14, 28}) {
+        const auto bytes = wire::to_cbor(beat_of(1, engines)).size();
+        all.push_back({"heartbeat", std::to_string(engines) + " engines",
+                       static_cast<double>(bytes), "bytes"});
+    }
+    constexpr int repeats = 200;
+    const stopwatch encoding;
+    std::size_t total = 0;
+    for (int i = 0; i < repeats; ++i) {
+        total += wire::to_cbor(beat_of(i, digests_per_beat)).size();
+    }
+    all.push_back({"heartbeat, making and encoding",
+                   std::to_string(digests_per_beat) + " engines",
+                   total > 0 ? encoding.ms() / repeats : 0, "ms"});
+    const auto bytes = wire::to_cbor(beat_of(1, digests_per_beat));
+    const stopwatch decoding;
+    for (int i = 0; i < repeats; ++i) {
+        const auto read = wire::from_cbor(bytes);
+        total += base::value_if(read) != nullptr ? 1 : 0;
+    }
+    all.push_back({"heartbeat, decoding",
+                   std::to_string(digests_per_beat) + " engines",
+                   total > 0 ? decoding.ms() / repeats : 0, "ms"});
+    return all;
+}
+
+std::vector<figure> measure_fills() {
+    std::vector<figure> all;
+    fill_engines(all);
+    fill_steps(all);
+    fill_config(all);
+    fill_members(all);
+    return all;
+}
+
+} // namespace hibiscus::testing
