--- a/packages/cluster/src/engine_home.cpp
+++ b/packages/cluster/src/engine_home.cpp
@@ -25,6 +25,21 @@
         }));
 }
 
+std::vector<wire::trainer_streams> homed_engine::admitted_by_trainer() const {
+    std::map<base::trainer_id, int> counts;
+    for (const auto& [id, row] : streams) {
+        if (row.state != wire::stream_state::done) {
+            ++counts[row.start.trainer];
+        }
+    }
+    std::vector<wire::trainer_streams> rows;
+    rows.reserve(counts.size());
+    for (const auto& [trainer, count] : counts) {
+        rows.push_back({trainer, count});
+    }
+    return rows;
+}
+
 wire::weight_version
 homed_engine::version_of(const base::trainer_id& trainer) const {
     for (const auto& row : serving) {
@@ -293,7 +308,8 @@
         const bool reachable = healthy(now, engine);
         rows.push_back({id, engine.admitted(), engine.traits.slots,
                         reachable && engine.heard && !engine.traits.leaving,
-                        engine.serving, reachable});
+                        engine.serving, reachable,
+                        engine.admitted_by_trainer()});
     }
     return rows;
 }
--- a/packages/node/include/hibiscus/node/sample_runner.hpp
+++ b/packages/node/include/hibiscus/node/sample_runner.hpp
@@ -12,6 +12,7 @@
 #include "hibiscus/node/metrics.hpp"
 #include "hibiscus/node/peer_calls.hpp"
 #include "hibiscus/node/rollout_planner.hpp"
+#include "hibiscus/node/usage_meter.hpp"
 #include "hibiscus/platform/log_client.hpp"
 
 #include <functional>
@@ -81,6 +82,9 @@
     /// Returns all engines that are listed.
     const cluster::engine_table& engines() const { return engines_; }
 
+    /// Returns the slot time of this home's engines by owner.
+    const policy::usage_account& usage() const { return usage_; }
+
     /// Returns the trainers whose steps this node has.
     const cluster::step_home& steps() const { return steps_; }
 
@@ -130,6 +134,7 @@
     cluster::engine_home homed_;
     cluster::engine_reach reach_;
     std::map<base::engine_id, base::node_id> homes_;
+    policy::usage_account usage_;
     std::map<cluster::waiter_id, pull_function> waiters_;
     cluster::waiter_id last_waiter_ = 0;
     std::set<base::engine_id> polling_;
