demo: the shapes of both deployments, progress in its lines

Cause: the demo ran one document of its own, and its lines did not tell how far the clients were.

It now follows examples/cascadia.json (9 nodes, 3 zones, 10 engines, 5 services) or, with DEPLOYMENT=veritas, examples/veritas.json (12 nodes, 4 zones, 10 engines, 15 services), and prints samples, lookups and syncs every two seconds. The report is a file of its own.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 # The workspace's commands; see README.md.
 BUILD ?= build
+# The shape that the demo runs: cascadia or veritas.
+DEPLOYMENT ?= cascadia
 
 # Worktrees in other folders share the compiler cache.
 export CCACHE_BASEDIR := $(CURDIR)
@@ -31,7 +33,8 @@
 	./scripts/run_tests.sh $(BUILD)
 
 demo: build
-	$(BUILD)/testing/hibiscus_demo --programs=$(BUILD)
+	$(BUILD)/testing/hibiscus_demo --programs=$(BUILD) \
+		--deployment=$(DEPLOYMENT)
 
 clean:
 	rm -rf $(BUILD)
--- a/testing/demo/main.cpp
+++ b/testing/demo/main.cpp
@@ -1,20 +1,22 @@
-// Runs the main job on a small copy of the brief's two deployments: nine
-// nodes in three zones, ten engines, five plain services, two trainers and an
-// application, with a change of the document and a planned stop on the way.
-// The last line is computed from what clients and stand-ins saw.
+// Runs the main job on the shape of one of the two deployments: nodes in all
+// zones, ten engines, plain services, two trainers that share the engines and
+// an application with lookups and syncs, with a change of the document and a
+// planned stop on the way. The last line is computed from what clients and
+// stand-ins saw.
 
-#include "support/system.hpp"
+#include "demo/report.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <nlohmann/json.hpp>
 
 #include <csignal>
-#include <cstdio>
+#include <fstream>
 #include <iostream>
-#include <sstream>
 
 ABSL_FLAG(std::string, programs, "build", "the build folder");
+ABSL_FLAG(std::string, examples, "examples", "folder of the documents");
+ABSL_FLAG(std::string, deployment, "cascadia", "cascadia or veritas");
 ABSL_FLAG(int, steps, 8, "steps of each trainer");
 ABSL_FLAG(int, seconds, 14, "how long the application calls");
 ABSL_FLAG(bool, keep, false, "keep the logs of all processes");
@@ -24,160 +26,200 @@
 
 using nlohmann::json;
 
-std::string document(int bound, double weight) {
-    json d{
-        {"schema", 1},
-        {"owners", {{{"name", "campus"}}, {{"name", "desk"}}}},
-        {"pools",
-         {{{"name", "shared"}, {"owner", "campus"}, {"slots_per_engine", 8}}}},
-        {"trainers",
-         {{{"name", "tagger"},
-           {"owner", "campus"},
-           {"pool", "shared"},
-           {"weight", weight},
-           {"staleness_bound", bound}},
-          {{"name", "drafter"},
-           {"owner", "desk"},
-           {"pool", "shared"},
-           {"staleness_bound", bound}}}},
-        {"services", {{{"name", "ledger"}, {"owner", "campus"}}}},
-        {"limits", {{"entries_ttl_ms", 1000}}}};
-    return d.dump();
-}
+/// The shape of a deployment. Names are those of its document.
+struct deployment {
+    const char* name;
+    int zones;
+    int nodes;
+    int engines;
+    int services;
+    const char* lookup_service;
+    const char* sync_service;
+};
 
-/// Returns the last line of `text` that is a JSON object.
-json last_object(const std::string& text) {
-    std::istringstream lines(text);
-    std::string line;
-    json found = json::object();
-    while (std::getline(lines, line)) {
-        const auto parsed = json::parse(line, nullptr, false);
-        if (parsed.is_object()) {
-            found = parsed;
+constexpr deployment deployments[] = {
+    {"cascadia", 3, 9, 10, 5, "balance", "ledger"},
+    {"veritas", 4, 12, 10, 15, "sources", "archive"},
+};
+
+const deployment* find_deployment(const std::string& name) {
+    for (const auto& d : deployments) {
+        if (d.name == name) {
+            return &d;
         }
     }
-    return found;
+    return nullptr;
 }
 
-/// What the clients and stand-ins saw.
-struct result {
-    int steps = 0;
-    int got = 0;
-    int wanted = 0;
-    int duplicates = 0;
-    int stale = 0;
-    int untrue = 0;
-    int lost = 0;
-    int double_runs = 0;
-    double idle = 0;
-    double total = 0;
-    double staleness = 0;
-    int lookup_p99 = 0;
-};
+/// One run of the demo.
+class demo_run {
+public:
+    demo_run(const deployment& shape, json document)
+        : shape_(shape), document_(std::move(document)),
+          system_(absl::GetFlag(FLAGS_programs)) {}
+
+    /// Runs all of it. Returns the exit code.
+    int run() {
+        if (absl::GetFlag(FLAGS_keep)) {
+            system_.keep();
+            say("logs in " + system_.path(""));
+        }
+        start_processes();
+        if (system_.publish(document_.dump()) != 0 || !system_.wait_ready()) {
+            say("the system did not become ready");
+            return 1;
+        }
+        say("first document in force on " + std::to_string(shape_.nodes) +
+            " nodes");
+        start_clients();
+        watch(3);
+        const bool changed = change_document();
+        watch(2);
+        const bool stopped =
+            stop_node(static_cast<std::size_t>(shape_.nodes) / 2);
+        while (running()) {
+            watch(2);
+        }
+        report r;
+        for (auto* trainer : trainers_) {
+            add_trainer(r, trainer->output());
+        }
+        for (auto* app : apps_) {
+            add_app(r, app->output());
+        }
+        add_runs(r, system_);
+        print(r);
+        return changed && stopped && clean(r) ? 0 : 1;
+    }
 
-void add_trainer(result& r, const json& seen) {
-    r.steps += seen.value("steps", 0);
-    r.got += seen.value("got", 0);
-    r.wanted += seen.value("wanted", 0);
-    r.duplicates += seen.value("duplicates", 0);
-    r.stale += seen.value("stale", 0);
-    r.untrue += seen.value("untrue", 1);
-    r.idle += seen.value("idle_ms", 0.0);
-    r.total += seen.value("total_ms", 0.0);
-    r.staleness += seen.value("staleness_sum", 0.0);
-}
+private:
+    void say(const std::string& text) const {
+        std::cout << "demo: " << (clock_.now() - begin_) / 1000
+                  << " s: " << text << std::endl;
+    }
 
-void add_app(result& r, const json& seen) {
-    r.lost += seen.value("lost", 1) + seen.value("wrong", 0) +
-              seen.value("unknown", 0);
-    r.lookup_p99 = seen.value("lookup_p99_ms", 0);
-}
+    std::string zone(int i) const {
+        return "z" + std::to_string(i % shape_.zones + 1);
+    }
 
-void add_runs(result& r, system& s, const std::vector<std::string>& services) {
-    std::map<std::string, int> runs;
-    for (const auto& name : services) {
-        const auto seen =
-            json::parse(s.ask(name, "GET", "/v1/runs"), nullptr, false);
-        for (const auto& [key, count] : seen.items()) {
-            runs[key] += count.get<int>();
+    void start_processes() {
+        system_.start_platform();
+        for (int i = 0; i < shape_.nodes; ++i) {
+            const auto ip = "127.0." + std::to_string(i % shape_.zones + 1) +
+                            "." + std::to_string(i / shape_.zones + 1);
+            system_.start_node(ip, zone(i));
         }
-    }
-    for (const auto& [key, count] : runs) {
-        if (key.rfind("sync-", 0) == 0 && count > 1) {
-            ++r.double_runs;
+        const std::string pool = document_["pools"][0]["name"];
+        for (int i = 0; i < shape_.engines; ++i) {
+            system_.start_engine(pool, zone(i));
         }
+        for (int i = 0; i < shape_.services; ++i) {
+            const bool lookup = i % 2 == 0;
+            system_.start_service(
+                lookup ? shape_.lookup_service : shape_.sync_service, zone(i));
+        }
+        say(std::string(shape_.name) + ": " + std::to_string(shape_.nodes) +
+            " nodes in " + std::to_string(shape_.zones) + " zones, " +
+            std::to_string(shape_.engines) + " engines, " +
+            std::to_string(shape_.services) + " services started");
     }
-}
 
-int print(const result& r) {
-    std::printf("demo: steps=%d samples=%d/%d duplicates=%d stale=%d "
-                "lost_answers=%d double_runs=%d trainer_idle=%.3f "
-                "staleness_mean=%.3f lookup_p99_ms=%d\n",
-                r.steps, r.got, r.wanted, r.duplicates, r.stale, r.lost,
-                r.double_runs, r.total > 0 ? r.idle / r.total : 1.0,
-                r.got > 0 ? r.staleness / r.got : 0.0, r.lookup_p99);
-    const bool whole = r.got == r.wanted && r.wanted > 0;
-    const bool clean =
-        r.duplicates + r.stale + r.untrue + r.lost + r.double_runs == 0;
-    return whole && clean ? 0 : 1;
-}
-
-int run() {
-    system s(absl::GetFlag(FLAGS_programs));
-    if (absl::GetFlag(FLAGS_keep)) {
-        s.keep();
-        std::cout << "demo: logs in " << s.path("") << std::endl;
+    void start_clients() {
+        const auto number = [](int n) { return std::to_string(n); };
+        for (const auto& trainer : document_["trainers"]) {
+            const std::string name = trainer["name"];
+            trainers_.push_back(&system_.start_client(
+                "trainer", name,
+                {"--steps=" + number(absl::GetFlag(FLAGS_steps)),
+                 "--bound=" + number(trainer["staleness_bound"]),
+                 "--weights=" + base::to_string(system_.address("weights")),
+                 "--answers=" + system_.path(name + ".jsonl")}));
+        }
+        const auto seconds =
+            "--seconds=" + number(absl::GetFlag(FLAGS_seconds));
+        apps_.push_back(&system_.start_client(
+            "app", "lookups",
+            {seconds, "--sync_every=0", "--callers=3",
+             std::string("--service=") + shape_.lookup_service,
+             "--answers=" + system_.path("lookups.jsonl")}));
+        apps_.push_back(&system_.start_client(
+            "app", "syncs",
+            {seconds, "--sync_every=1", "--callers=1",
+             std::string("--service=") + shape_.sync_service,
+             "--answers=" + system_.path("syncs.jsonl")}));
     }
-    const std::vector<std::string> zones{"z1", "z2", "z3"};
-    s.start_platform();
-    for (int i = 0; i < 9; ++i) {
-        const auto zone = static_cast<std::size_t>(i % 3);
-        s.start_node("127.0." + std::to_string(zone + 1) + "." +
-                         std::to_string(i / 3 + 1),
-                     zones[zone]);
+
+    bool change_document() {
+        document_["trainers"][0]["weight"] = 4.0;
+        const bool changed = system_.publish(document_.dump()) == 0;
+        say(std::string("second document ") +
+            (changed ? "accepted" : "not accepted"));
+        return changed;
     }
-    std::vector<std::string> services;
-    for (std::size_t i = 0; i < 10; ++i) {
-        s.start_engine("shared", zones[i % 3]);
+
+    bool stop_node(std::size_t index) {
+        auto& node = system_.nodes()[index];
+        say("planned stop of " + node.name);
+        node.running->signal(SIGTERM);
+        const auto code = node.running->wait(20000);
+        say(node.name + " ended with code " +
+            std::to_string(code.value_or(-1)));
+        return code == 0;
     }
-    for (std::size_t i = 0; i < 5; ++i) {
-        services.push_back(s.start_service("ledger", zones[i % 3]));
+
+    bool running() {
+        bool any = false;
+        for (auto* p : trainers_) {
+            any = any || p->running();
+        }
+        for (auto* p : apps_) {
+            any = any || p->running();
+        }
+        return any;
     }
-    std::cout << "demo: 9 nodes, 10 engines, 5 services started" << std::endl;
-    if (s.publish(document(1, 1.0)) != 0 || !s.wait_ready()) {
-        std::cout << "demo: the system did not become ready" << std::endl;
-        return 1;
+
+    /// Waits for some seconds and tells how far the clients are.
+    void watch(int seconds) {
+        pause_for(seconds * base::millis{1000});
+        std::string text;
+        for (const auto& trainer : document_["trainers"]) {
+            const std::string name = trainer["name"];
+            text += name + " " + std::to_string(lines_of(name)) + " samples, ";
+        }
+        text += std::to_string(lines_of("lookups")) + " lookups, " +
+                std::to_string(lines_of("syncs")) + " syncs answered";
+        say(text);
     }
-    std::cout << "demo: first document in force everywhere" << std::endl;
-    const auto steps = "--steps=" + std::to_string(absl::GetFlag(FLAGS_steps));
-    const auto weights = "--weights=" + base::to_string(s.address("weights"));
-    std::vector<process*> trainers;
-    for (const char* name : {"tagger", "drafter"}) {
-        trainers.push_back(&s.start_client("trainer", name, {steps, weights}));
+
+    std::size_t lines_of(const std::string& name) const {
+        std::ifstream in(system_.path(name + ".jsonl"));
+        std::string line;
+        std::size_t count = 0;
+        while (std::getline(in, line)) {
+            ++count;
+        }
+        return count;
     }
-    auto& app = s.start_client(
-        "app", "app",
-        {"--seconds=" + std::to_string(absl::GetFlag(FLAGS_seconds))});
-    pause_for(3000);
-    const int changed = s.publish(document(1, 2.0));
-    std::cout << "demo: second document published, exit code " << changed
-              << std::endl;
-    pause_for(2000);
-    s.nodes()[4].running->signal(SIGTERM);
-    std::cout << "demo: planned stop of " << s.nodes()[4].name << std::endl;
-    const auto stopped = s.nodes()[4].running->wait(20000);
-    std::cout << "demo: " << s.nodes()[4].name << " ended with "
-              << stopped.value_or(-1) << std::endl;
-    result r;
-    for (auto* t : trainers) {
-        t->wait(60000);
-        add_trainer(r, last_object(t->output()));
+
+    const deployment& shape_;
+    json document_;
+    system system_;
+    base::clock clock_;
+    base::millis begin_ = clock_.now();
+    std::vector<process*> trainers_;
+    std::vector<process*> apps_;
+};
+
+int run() {
+    const auto name = absl::GetFlag(FLAGS_deployment);
+    const auto* shape = find_deployment(name);
+    std::ifstream file(absl::GetFlag(FLAGS_examples) + "/" + name + ".json");
+    auto document = json::parse(file, nullptr, false);
+    if (shape == nullptr || !document.is_object()) {
+        std::cerr << "demo: no deployment " << name << '\n';
+        return 2;
     }
-    app.wait(60000);
-    add_app(r, last_object(app.output()));
-    add_runs(r, s, services);
-    const int code = print(r);
-    return changed == 0 && stopped == 0 ? code : 1;
+    return demo_run(*shape, std::move(document)).run();
 }
 
 } // namespace
