--- a/testing/stand_ins/engine.cpp
+++ b/testing/stand_ins/engine.cpp
@@ -263,7 +263,8 @@
         }
         const auto known = streams_.find(message->stream);
         if (known != streams_.end()) {
-            known->second.start.priority = message->priority;
+            auto& priority = known->second.start.priority;
+            priority = std::max(priority, message->priority);
         } else {
             ++started_;
             record_[message->stream.str()].emplace_back();
@@ -383,6 +384,13 @@
                 const net::http_responder& respond) {
         const auto* response = std::get_if<net::http_response>(&result);
         std::uniform_real_distribution<double> share(0.0, 1.0);
+        // A later home may have ordered while the weights were on their way.
+        const auto number =
+            std::make_pair(order.number.epoch, order.number.sequence);
+        if (absl::GetFlag(FLAGS_check_fencing) && number < highest_) {
+            answer_order(respond, wire::order_verdict::fenced);
+            return;
+        }
         const bool failed = response == nullptr || response->status != 200 ||
                             share(random_) < fail_swaps_;
         if (!failed) {
--- a/testing/support/failure_run.cpp
+++ b/testing/support/failure_run.cpp
@@ -105,7 +105,8 @@
               << " sync_ms=" << longest_gap(kept, "sync-") << " sample_ms="
               << longest_sample_gap(system_.path("trainer.jsonl"))
               << "; longest wait lookup_ms=" << longest_wait(kept, "lookup-")
-              << " sync_ms=" << longest_wait(kept, "sync-") << std::endl;
+              << " sync_ms=" << longest_wait(kept, "sync-") << "; left open "
+              << left_open(kept).size() << std::endl;
     return found;
 }
 
--- a/testing/support/oracle.cpp
+++ b/testing/support/oracle.cpp
@@ -112,6 +112,20 @@
     return longest;
 }
 
+std::vector<std::string> left_open(const std::vector<kept_answer>& answers) {
+    std::map<std::string, std::string> last;
+    for (const auto& a : answers) {
+        last[a.id] = a.result;
+    }
+    std::vector<std::string> open;
+    for (const auto& [id, result] : last) {
+        if (result != "completed" && result != "not_run") {
+            open.push_back(id);
+        }
+    }
+    return open;
+}
+
 base::millis longest_sample_gap(const std::string& file) {
     std::vector<base::millis> times;
     for (const auto& row : objects_of(read_file(file))) {
--- a/testing/support/oracle.hpp
+++ b/testing/support/oracle.hpp
@@ -84,6 +84,10 @@
 base::millis longest_wait(const std::vector<kept_answer>& answers,
                           const std::string& prefix);
 
+/// Returns the requests whose outcome stayed open: their last answer is
+/// unknown, or there is none.
+std::vector<std::string> left_open(const std::vector<kept_answer>& answers);
+
 /// Returns the longest time between two samples in the file that a trainer
 /// keeps, in ms.
 base::millis longest_sample_gap(const std::string& file);
