--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,13 @@
 # The workspace's commands; see README.md.
 BUILD ?= build
+# The shape that the demo runs: cascadia or veritas.
+DEPLOYMENT ?= cascadia
 
 # Worktrees in other folders share the compiler cache.
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: all install build format check lint test demo fuzz clean
+.PHONY: all install build format check lint test demo bench fuzz clean
 
 # How long `make fuzz` explores; SEED=n begins with a seed it printed.
 SECONDS ?= 60
@@ -35,7 +37,18 @@
 	./scripts/run_tests.sh $(BUILD)
 
 demo: build
-	$(BUILD)/testing/hibiscus_demo --programs=$(BUILD)
+	$(BUILD)/testing/hibiscus_demo --programs=$(BUILD) \
+		--deployment=$(DEPLOYMENT)
+
+# Compares placement policies on both workloads; see docs/MEASUREMENTS.md.
+ROUNDS ?= 5
+COMPARISON ?= placement
+bench: build
+	for w in cascadia veritas; do \
+	    $(BUILD)/testing/hibiscus_bench --programs=$(BUILD) --workload=$$w \
+	        --comparison=$(COMPARISON) --rounds=$(ROUNDS) \
+	        --commit=$$(git rev-parse --short HEAD) || exit 1; \
+	done
 
 fuzz: build
 	for p in $(FUZZERS); do \
