--- a/packages/document/src/diff.cpp
+++ b/packages/document/src/diff.cpp
@@ -59,7 +59,8 @@
         .put("queue_share", p.queue_share)
         .put("checks_fencing", p.checks_fencing)
         .put("swap_share", p.swap_share)
-        .put("placement", p.placement);
+        .put("placement", p.placement)
+        .put("start_version", p.start_version);
 }
 
 void write(values& to, const trainer& t) {
@@ -68,7 +69,8 @@
         .put("pool", t.pool)
         .put("weight", t.weight)
         .put("priority", t.priority)
-        .put("staleness_bound", t.staleness_bound);
+        .put("staleness_bound", t.staleness_bound)
+        .put("stragglers", t.stragglers);
 }
 
 void write(values& to, const service& s) {
