--- a/packages/cluster/include/hibiscus/cluster/claim_home.hpp
+++ b/packages/cluster/include/hibiscus/cluster/claim_home.hpp
@@ -46,6 +46,8 @@
 struct claim_times {
     /// The least time between two appends of claims to one shard.
     base::millis window = 10;
+    /// The most items of one append.
+    std::size_t most_items = 1024;
     /// How long a refused caller waits.
     base::millis refusal = 200;
     /// How far a caller's clock may be ahead.
--- a/packages/cluster/src/claim_home.cpp
+++ b/packages/cluster/src/claim_home.cpp
@@ -449,7 +449,11 @@
         record.starts_epoch = true;
         row.take_not_before = now + takeover_pause;
     } else if (!row.queue.empty() || !row.parts.empty()) {
-        record.items = std::exchange(row.queue, {});
+        const auto count = std::min(row.queue.size(), times_.most_items);
+        const auto end = row.queue.begin() + static_cast<std::ptrdiff_t>(count);
+        record.items.assign(std::make_move_iterator(row.queue.begin()),
+                            std::make_move_iterator(end));
+        row.queue.erase(row.queue.begin(), end);
         if (!row.parts.empty()) {
             record.snapshot = std::move(row.parts.front());
             row.parts.pop_front();
