testing: charges after retention and a full replacement, with real processes

Ruled out: checking the answers alone, which were all of a right form in the trial; the service's own count of runs decides.

--- a/testing/integration/retention_test.cpp
+++ b/testing/integration/retention_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <fstream>
 #include <set>
 
 namespace hibiscus::testing {
@@ -80,5 +81,66 @@
     }));
 }
 
+// Retention drops the records of a charge that was made, and every entry is
+// replaced. The caller asks again; a fresh home that took the key for free
+// would charge twice.
+TEST_F(retention_test, a_charge_is_not_made_again_by_fresh_homes) {
+    ASSERT_TRUE(
+        eventually([&] { return system_.publish(small_document) == 0; }));
+    ASSERT_TRUE(system_.wait_ready());
+    caller c(system_.entries());
+    const auto created = base::clock().wall();
+    const auto charge = [&](int number) {
+        const wire::service_request request{
+            base::request_id("charge-" + std::to_string(number)),
+            base::service_id("ledger"),
+            false,
+            3000,
+            created,
+            "body"};
+        return c.ask<wire::answer>("POST", "/v1/requests",
+                                   wire::to_json(request), 5000);
+    };
+    for (int i = 0; i < 80; ++i) {
+        ASSERT_TRUE(eventually([&] {
+            const auto answer = charge(i);
+            return answer && answer->result != wire::outcome::not_run;
+        }));
+    }
+    for (std::size_t n = 0; n < system_.nodes().size(); ++n) {
+        system_.restart_node(n);
+    }
+    ASSERT_TRUE(system_.wait_ready());
+    for (int i = 0; i < 80; ++i) {
+        EXPECT_TRUE(eventually([&] {
+            const auto answer = charge(i);
+            return answer && answer->result != wire::outcome::not_run;
+        }));
+    }
+    const auto runs = json::parse(system_.ask(service_, "GET", "/v1/runs"));
+    for (const auto& [key, count] : runs.items()) {
+        EXPECT_EQ(count.get<int>(), 1) << key;
+    }
+    const auto said = system_.ctl(
+        {"explain", "charge-0",
+         "--logs=" + system_.path("n1.log") + "," + system_.path("n2.log")});
+    EXPECT_EQ(said.first, 0) << said.second;
+    EXPECT_NE(said.second.find("claim charge-0 -> ledger"), std::string::npos)
+        << said.second;
+}
+
+TEST_F(retention_test, diff_tells_what_a_publish_would_change) {
+    ASSERT_TRUE(
+        eventually([&] { return system_.publish(small_document) == 0; }));
+    std::ofstream(system_.path("next.json"))
+        << R"({"owners": [{"name": "campus", "weight": 2}]})";
+    const auto said = system_.ctl({"diff", system_.path("next.json")});
+    EXPECT_EQ(said.first, 0);
+    EXPECT_NE(said.second.find("changed /owners/campus/weight: 1 -> 2"),
+              std::string::npos)
+        << said.second;
+    EXPECT_EQ(system_.ctl({"explain", "nothing"}).first, 5);
+}
+
 } // namespace
 } // namespace hibiscus::testing
