--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,11 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: all install build format check lint test demo bench clean
+.PHONY: all install build format check lint test demo bench fuzz clean
+
+# How long `make fuzz` explores; SEED=n begins with a seed it printed.
+SECONDS ?= 60
+FUZZERS ?= cluster document
 
 all: build
 
@@ -46,5 +50,12 @@
 	        --commit=$$(git rev-parse --short HEAD) || exit 1; \
 	done
 
+fuzz: build
+	for p in $(FUZZERS); do \
+	    HIBISCUS_FUZZ_SECONDS=$(SECONDS) \
+	    $(if $(SEED),HIBISCUS_FUZZ_SEED=$(SEED)) \
+	    $(BUILD)/packages/$$p/$${p}_test --gtest_filter='*fuzz*' || exit 1; \
+	done
+
 clean:
 	rm -rf $(BUILD)
