--- a/packages/cluster/include/hibiscus/cluster/step_home.hpp
+++ b/packages/cluster/include/hibiscus/cluster/step_home.hpp
@@ -92,7 +92,7 @@
     /// How long after its end a pull may still be answered with samples.
     base::millis pull_margin = 250;
     /// A longer time between two ticks means that the process was paused.
-    base::millis pause = 1500;
+    base::millis pause = 1000;
     /// How long after a pause no samples are delivered, until the peers have
     /// told the newest versions.
     base::millis refresh = 1000;
--- a/packages/cluster/src/engine_orders.cpp
+++ b/packages/cluster/src/engine_orders.cpp
@@ -87,6 +87,9 @@
 void engine_home::epoch_failed(base::millis retry_at) {
     epoch_asked_ = false;
     epoch_not_before_ = retry_at;
+    for (auto& [id, engine] : engines_) {
+        engine.epoch_asked = false;
+    }
 }
 
 std::vector<const wire::trainer_version*>
--- a/packages/cluster/test/engine_home_test.cpp
+++ b/packages/cluster/test/engine_home_test.cpp
@@ -302,6 +302,18 @@
     EXPECT_EQ(orders_[1].number.epoch, 12);
 }
 
+// The log does not take the epoch. It is asked for again, or the engine would
+// stay on its version for ever.
+TEST_F(engine_home_test, an_epoch_that_failed_is_asked_for_again) {
+    wanted_ = {{trainer, 2}};
+    pass(40);
+    home_.epoch_failed(now_ + 300);
+    pass(200);
+    EXPECT_EQ(epochs_asked_, 1);
+    pass(200);
+    EXPECT_EQ(epochs_asked_, 2);
+}
+
 // The log is out when one more engine comes to this home. The engines that it
 // had before must still follow new versions.
 TEST_F(engine_home_test, a_takeover_that_waits_does_not_hold_up_other_engines) {
