--- a/packages/node/src/sample_runner.cpp
+++ b/packages/node/src/sample_runner.cpp
@@ -39,7 +39,7 @@
       mesh_(mesh), log_(log), gateway_(engines), lines_(lines),
       counters_(counters), clock_(std::move(clock)),
       document_(std::move(document)),
-      chooser_(self, engines_, versions_, lines, document_),
+      chooser_(self, engines_, versions_, lines, clock_, document_),
       steps_(
           self, step_times(),
           [this](const cluster::placement_query& q) {
@@ -224,6 +224,9 @@
     steps_.tick(clock_.now());
     carry_out();
     poll_engines();
+    if (const auto* document = document_()) {
+        usage_.add(clock_.now(), uses_of(homed_, engines_, *document));
+    }
     counters_.set("homed_engines",
                   static_cast<double>(homed_.engines().size()));
     counters_.set("steps", static_cast<double>(steps_.steps().size()));
--- a/testing/stand_ins/log_service.cpp
+++ b/testing/stand_ins/log_service.cpp
@@ -1,7 +1,12 @@
 // Stands in for the platform's append-only log service: streams with offsets,
-// a limit of appends a second, retention by count, outages, and answers that
-// are lost after the append took effect. It keeps all in memory and does not
-// model replication, several writers' clocks, or disk.
+// a limit of appends a second, and retention by count. Faults are switched by
+// POST /v1/fault: "outage" (all is refused with 503), "hold_stream" (its
+// appends wait until another is named), "slow_ms" (each append and read takes
+// so much longer), "lose_answers" (so many appends take effect and are not
+// answered), "drop_appends" (so many neither take effect nor are answered),
+// "rate" (appends a second) and "retention" (records a stream). It keeps all in
+// memory and does not model replication, several writers' clocks, disk, or
+// records that are read out of order.
 
 #include "hibiscus/wire/codec.hpp"
 #include "support/stand_in.hpp"
@@ -15,6 +20,7 @@
 #include <chrono>
 #include <deque>
 #include <map>
+#include <set>
 #include <vector>
 
 ABSL_FLAG(std::string, address, "127.0.0.1:0", "where to listen");
@@ -30,10 +36,18 @@
 /// A read that waits for the first record.
 struct waiting_read {
     wire::log_offset from;
+    /// Not answered before this time, unless the service is out.
+    base::millis not_before;
     base::millis until;
     net::http_responder respond;
 };
 
+/// An append that waits to be let through.
+struct held_append {
+    net::http_request request;
+    net::http_responder respond;
+};
+
 /// One stream and those who wait for it.
 struct stream_row {
     wire::log_offset first = 0;
@@ -65,8 +79,9 @@
             return;
         }
         if (path == "/v1/counts") {
-            respond(
-                {200, json{{"appends", appends_}}.dump(), "application/json"});
+            respond({200,
+                     json{{"appends", appends_}, {"held", held_ids()}}.dump(),
+                     "application/json"});
             return;
         }
         if (outage_) {
@@ -83,7 +98,11 @@
         const auto name = path.substr(
             prefix.size(), path.size() - prefix.size() - suffix.size());
         if (request.method == "POST") {
-            append(streams_[name], request, respond);
+            if (name == hold_stream_) {
+                held_.push_back({request, respond});
+            } else {
+                append(streams_[name], request, respond);
+            }
         } else {
             read(streams_[name], request, respond);
         }
@@ -96,11 +115,40 @@
         if (body.is_object()) {
             outage_ = body.value("outage", outage_);
             lose_answers_ = body.value("lose_answers", lose_answers_);
+            drop_appends_ = body.value("drop_appends", drop_appends_);
+            slow_ms_ = body.value("slow_ms", slow_ms_);
+            rate_ = body.value("rate", rate_);
             retention_ = body.value("retention", retention_);
+            hold(body.value("hold_stream", hold_stream_));
         }
         respond({200, "{}", "application/json"});
     }
 
+    /// Holds the appends to `stream` back until it is called again; "" holds
+    /// none. A test that waits for two held ids knows that both writers have
+    /// read what they write on.
+    void hold(const std::string& stream) {
+        if (stream == hold_stream_) {
+            return;
+        }
+        const auto released = std::exchange(hold_stream_, stream);
+        for (const auto& h : std::exchange(held_, {})) {
+            append(streams_[released], h.request, h.respond);
+        }
+    }
+
+    std::size_t held_ids() const {
+        std::set<base::append_id> ids;
+        for (const auto& h : held_) {
+            const auto read =
+                wire::from_json<wire::append_request>(h.request.body);
+            if (const auto* record = base::value_if(read)) {
+                ids.insert(record->id);
+            }
+        }
+        return ids.size();
+    }
+
     void append(stream_row& stream, const net::http_request& request,
                 const net::http_responder& respond) {
         const auto read = wire::from_json<wire::append_request>(request.body);
@@ -109,17 +157,15 @@
             respond({400, "{}", "application/json"});
             return;
         }
-        const auto now = clock_.now();
-        allowance_ = std::min<double>(
-            absl::GetFlag(FLAGS_rate),
-            allowance_ + static_cast<double>(now - refilled_) *
-                             absl::GetFlag(FLAGS_rate) / 1000.0);
-        refilled_ = now;
-        if (allowance_ < 1.0) {
+        if (drop_appends_ > 0) {
+            --drop_appends_;
+            lost_.push_back(respond);
+            return;
+        }
+        if (!within_rate()) {
             respond({429, "{}", "application/json"});
             return;
         }
-        allowance_ -= 1.0;
         ++appends_;
         const auto offset = stream.end();
         stream.records.push_back({offset, record->id, record->data});
@@ -135,11 +181,25 @@
         answer_later(respond, wire::to_json(wire::append_answer{offset}));
     }
 
+    /// Takes one append out of the allowance, if there is one.
+    bool within_rate() {
+        const auto now = clock_.now();
+        allowance_ = std::min<double>(
+            rate_,
+            allowance_ + static_cast<double>(now - refilled_) * rate_ / 1000.0);
+        refilled_ = now;
+        if (allowance_ < 1.0) {
+            return false;
+        }
+        allowance_ -= 1.0;
+        return true;
+    }
+
     void answer_later(const net::http_responder& respond,
                       const std::string& body) {
         auto timer = std::make_shared<boost::asio::steady_timer>(io_);
-        timer->expires_after(
-            std::chrono::milliseconds(absl::GetFlag(FLAGS_append_ms)));
+        timer->expires_after(std::chrono::milliseconds(
+            absl::GetFlag(FLAGS_append_ms) + slow_ms_));
         timer->async_wait(
             [timer, respond, body](const boost::system::error_code&) {
                 respond({200, body, "application/json"});
@@ -150,15 +210,20 @@
               const net::http_responder& respond) {
         const auto from = query_number(request.target, "from", 0);
         const auto wait = query_number(request.target, "wait_ms", 0);
-        stream.waiting.push_back({from, clock_.now() + wait, respond});
+        const auto now = clock_.now();
+        stream.waiting.push_back(
+            {from, now + slow_ms_, now + slow_ms_ + wait, respond});
         answer_reads(stream);
     }
 
     void answer_reads(stream_row& stream) {
         auto& waiting = stream.waiting;
         for (std::size_t i = 0; i < waiting.size();) {
-            if (waiting[i].from >= stream.end() &&
-                clock_.now() < waiting[i].until && !outage_) {
+            const auto now = clock_.now();
+            const bool early =
+                now < waiting[i].not_before ||
+                (waiting[i].from >= stream.end() && now < waiting[i].until);
+            if (early && !outage_) {
                 ++i;
                 continue;
             }
@@ -197,8 +262,13 @@
     boost::asio::io_context& io_;
     std::map<std::string, stream_row> streams_;
     std::vector<net::http_responder> lost_;
+    std::string hold_stream_;
+    std::vector<held_append> held_;
     bool outage_ = false;
     int lose_answers_ = 0;
+    int drop_appends_ = 0;
+    base::millis slow_ms_ = 0;
+    double rate_ = absl::GetFlag(FLAGS_rate);
     int retention_ = absl::GetFlag(FLAGS_retention);
     double allowance_ = absl::GetFlag(FLAGS_rate);
     base::millis refilled_ = clock_.now();
