net, node: a planned stop ends connections softly; bad input stays bounded

Planned stop: while it drains a node answers with 'Connection: close', so that callers who keep its address look for another; it stops accepting only after the time to live of GET /v1/entries, and ends after 300 ms without a request in flight and without a claim or a call to a peer that waits. Before, it ended at the first moment with nothing in flight, at which a request may just have arrived.

Peer links: a link that closes ends its calls at once instead of at their deadline; pings go out every 400 ms and a silent link is replaced after 1.5 s (2.5 s before). Links that peers hold to this node are closed after 10 s of silence, and there is a limit to them.

Bad input: all bodies that are being read or handled share 128 MiB; the rest is refused with 429. A handler that throws leads to a 500 and is counted, and a tick that throws is followed by others.

--- a/packages/net/include/hibiscus/net/http.hpp
+++ b/packages/net/include/hibiscus/net/http.hpp
@@ -59,6 +59,9 @@
     /// The longest time to take the answer, in ms.
     base::millis write_ms = 15000;
     std::size_t connections = 4096;
+    /// The bytes of all bodies that are being read or handled. A request that
+    /// would go over it is refused.
+    std::size_t buffered_bytes = 128 * 1024 * 1024;
 };
 
 } // namespace hibiscus::net
--- a/packages/net/include/hibiscus/net/peer_mesh.hpp
+++ b/packages/net/include/hibiscus/net/peer_mesh.hpp
@@ -18,11 +18,15 @@
     std::size_t message_bytes = 32 * 1024 * 1024;
     /// A link with more unsent bytes than this takes no further message.
     std::size_t unsent_bytes = 16 * 1024 * 1024;
-    base::millis ping = 1000;
+    base::millis ping = 400;
     /// A link that has not answered a ping for so long is replaced.
-    base::millis pong = 2500;
+    base::millis pong = 1500;
     base::millis connect = 1000;
     base::millis reconnect = 200;
+    /// Links that peers may hold to this node.
+    std::size_t incoming = 2048;
+    /// A peer's link that is silent for so long is closed. Peers ping.
+    base::millis incoming_idle = 10000;
 };
 
 /// What a mesh tells its owner, on the thread of its context.
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -7,6 +7,9 @@
 
 #include <atomic>
 #include <chrono>
+#include <exception>
+#include <utility>
+#include <vector>
 
 namespace hibiscus::net {
 
@@ -23,6 +26,40 @@
     http_handler handler;
     std::atomic<std::size_t> connections{0};
     std::atomic<std::size_t> in_flight{0};
+    std::atomic<std::size_t> buffered{0};
+    std::atomic<bool> draining{false};
+    base::clock clock;
+    std::atomic<base::millis> last_answer{0};
+};
+
+/// Takes its share of the bytes that a server may buffer, and gives it back.
+class buffer_share {
+public:
+    explicit buffer_share(server_state& state) : state_(state) {}
+
+    ~buffer_share() { give_back(); }
+
+    buffer_share(const buffer_share&) = delete;
+    buffer_share& operator=(const buffer_share&) = delete;
+
+    /// Returns true, and takes `bytes`, if the limit allows it.
+    bool take(std::size_t bytes) {
+        give_back();
+        if (state_.buffered.fetch_add(bytes) + bytes >
+            state_.limits.buffered_bytes) {
+            state_.buffered -= bytes;
+            return false;
+        }
+        taken_ = bytes;
+        return true;
+    }
+
+    /// Gives back what was taken.
+    void give_back() { state_.buffered -= std::exchange(taken_, 0); }
+
+private:
+    server_state& state_;
+    std::size_t taken_ = 0;
 };
 
 /// Returns the body of an answer that the server itself gives.
@@ -32,11 +69,17 @@
            R"(","expected":")" + expected + R"("})";
 }
 
+/// How long, and how much, is read after a connection's last answer.
+constexpr base::millis linger_ms = 2000;
+constexpr std::size_t linger_bytes = 64 * 1024 * 1024;
+constexpr std::size_t discard_size = 16 * 1024;
+
 /// Serves one connection, one request after the other.
 class session : public std::enable_shared_from_this<session> {
 public:
     session(tcp::socket socket, std::shared_ptr<server_state> state)
-        : stream_(std::move(socket)), state_(std::move(state)) {
+        : stream_(std::move(socket)), state_(std::move(state)),
+          share_(*state_) {
         ++state_->connections;
     }
 
@@ -59,10 +102,33 @@
         parser_->body_limit(state_->limits.body_bytes);
         stream_.expires_after(
             std::chrono::milliseconds(state_->limits.read_ms));
-        http::async_read(
+        http::async_read_header(
             stream_, buffer_, *parser_,
             [self = shared_from_this()](beast::error_code error, std::size_t) {
-                self->on_read(error);
+                self->on_header(error);
+            });
+    }
+
+    /// Strangers who announce long bodies on many connections would fill the
+    /// memory although each keeps to the limit; so all share one.
+    void on_header(beast::error_code error) {
+        if (error) {
+            on_read(error);
+            return;
+        }
+        const auto length = parser_->content_length();
+        const std::size_t most =
+            parser_->chunked() ? state_->limits.body_bytes : 0;
+        if (!share_.take(length ? static_cast<std::size_t>(*length) : most)) {
+            keep_alive_ = false;
+            write({429, R"({"why":"overloaded","result":"not_run",)"
+                        R"("retry_after_ms":1000})"});
+            return;
+        }
+        http::async_read(
+            stream_, buffer_, *parser_,
+            [self = shared_from_this()](beast::error_code e, std::size_t) {
+                self->on_read(e);
             });
     }
 
@@ -100,13 +166,29 @@
         request.body = std::move(message.body());
         stream_.expires_never();
         ++state_->in_flight;
-        state_->handler(std::move(request), [self = shared_from_this()](
-                                                http_response response) {
+        const auto respond = responder();
+        // An exception would end the thread, and with it the process: one
+        // request that nobody thought of would take all others with it.
+        try {
+            state_->handler(std::move(request), respond);
+        } catch (const std::exception&) {
+            respond({500, R"({"result":"unknown","why":"backend_failed"})"});
+        }
+    }
+
+    /// Returns a function that sends the answer, at its first call.
+    http_responder responder() {
+        return [self = shared_from_this(),
+                called = std::make_shared<std::atomic<bool>>(false)](
+                   http_response response) {
+            if (called->exchange(true)) {
+                return;
+            }
             asio::dispatch(self->stream_.get_executor(),
                            [self, r = std::move(response)]() mutable {
                                self->answer(std::move(r));
                            });
-        });
+        };
     }
 
     void answer(http_response response) {
@@ -127,6 +209,7 @@
         message_.version(11);
         message_.result(static_cast<unsigned>(response.status));
         message_.set(http::field::content_type, response.content_type);
+        keep_alive_ = keep_alive_ && !state_->draining;
         message_.keep_alive(keep_alive_);
         message_.body() = std::move(response.body);
         message_.prepare_payload();
@@ -142,7 +225,9 @@
     void on_write(beast::error_code error) {
         // Counted down only now: a planned stop waits for this count, and an
         // answer that is not sent yet would be cut off.
+        share_.give_back();
         if (std::exchange(handled_, false)) {
+            state_->last_answer = state_->clock.now();
             --state_->in_flight;
         }
         if (error) {
@@ -155,14 +240,37 @@
         }
     }
 
+    /// Ends the connection. What the other side still sends is read and
+    /// thrown away for a while: to close with unread bytes resets the
+    /// connection, and a refused sender would lose the answer that says why.
     void close() {
         beast::error_code ignored;
         stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        parser_.reset();
+        buffer_.clear();
+        stream_.expires_after(std::chrono::milliseconds(linger_ms));
+        discard(0);
+    }
+
+    void discard(std::size_t so_far) {
+        if (so_far > linger_bytes) {
+            return;
+        }
+        discarded_.resize(discard_size);
+        stream_.async_read_some(asio::buffer(discarded_),
+                                [self = shared_from_this(), so_far](
+                                    beast::error_code error, std::size_t n) {
+                                    if (!error) {
+                                        self->discard(so_far + n);
+                                    }
+                                });
     }
 
     beast::tcp_stream stream_;
     std::shared_ptr<server_state> state_;
+    buffer_share share_;
     beast::flat_buffer buffer_;
+    std::vector<char> discarded_;
     std::optional<http::request_parser<http::string_body>> parser_;
     http::response<http::string_body> message_;
     bool keep_alive_ = false;
@@ -213,8 +321,16 @@
         });
     }
 
+    void drain() { state_->draining = true; }
+
     std::size_t in_flight() const { return state_->in_flight; }
 
+    base::millis idle_ms() const {
+        return state_->in_flight > 0
+                   ? 0
+                   : state_->clock.now() - state_->last_answer;
+    }
+
 private:
     void accept() {
         acceptor_.async_accept(
@@ -255,6 +371,14 @@
     return impl_->listen(address);
 }
 
+void http_server::drain() {
+    impl_->drain();
+}
+
+base::millis http_server::idle_ms() const {
+    return impl_->idle_ms();
+}
+
 void http_server::stop_accepting() {
     impl_->stop();
 }
--- a/packages/net/src/peer_mesh.cpp
+++ b/packages/net/src/peer_mesh.cpp
@@ -26,6 +26,7 @@
     bool open = false;
     /// When it last answered a ping or opened.
     std::chrono::steady_clock::time_point heard;
+    std::chrono::steady_clock::time_point pinged;
     std::chrono::steady_clock::time_point not_before;
 };
 
@@ -54,6 +55,7 @@
                     strong->received(from, m->get_payload());
                 }
             });
+        watch_incoming();
         asio::post(io_, [self = shared_from_this()] { self->tick(); });
     }
 
@@ -127,6 +129,49 @@
         endpoint.clear_error_channels(websocketpp::log::elevel::all);
     }
 
+    /// Links of peers that died, or that the network lost track of, would stay
+    /// open for good and use up descriptors.
+    void watch_incoming() {
+        const auto self = weak_from_this();
+        server_.set_validate_handler([self](const detail::connection_hdl&) {
+            auto strong = self.lock();
+            return strong &&
+                   strong->incoming_.size() < strong->limits_.incoming;
+        });
+        const auto heard = [self](const detail::connection_hdl& from) {
+            if (auto strong = self.lock()) {
+                strong->incoming_[from] = std::chrono::steady_clock::now();
+            }
+        };
+        server_.set_open_handler(heard);
+        server_.set_ping_handler(
+            [heard](const detail::connection_hdl& from, const std::string&) {
+                heard(from);
+                return true;
+            });
+        server_.set_close_handler([self](const detail::connection_hdl& from) {
+            if (auto strong = self.lock()) {
+                strong->incoming_.erase(from);
+            }
+        });
+    }
+
+    void close_idle_incoming(std::chrono::steady_clock::time_point now) {
+        const auto limit = std::chrono::milliseconds(limits_.incoming_idle);
+        for (auto at = incoming_.begin(); at != incoming_.end();) {
+            if (now - at->second <= limit) {
+                ++at;
+                continue;
+            }
+            websocketpp::lib::error_code error;
+            const auto connection = server_.get_con_from_hdl(at->first, error);
+            at = incoming_.erase(at);
+            if (!error) {
+                connection->terminate(websocketpp::lib::error_code());
+            }
+        }
+    }
+
     bool write(detail::link_row& link, const wire::peer_message& message) {
         websocketpp::lib::error_code error;
         const auto connection = client_.get_con_from_hdl(link.handle, error);
@@ -156,6 +201,7 @@
             return;
         }
         const auto now = std::chrono::steady_clock::now();
+        close_idle_incoming(now);
         for (auto& [node, link] : links_) {
             if (link.open) {
                 check(node, link, now);
@@ -182,8 +228,11 @@
             closed(node);
             return;
         }
-        websocketpp::lib::error_code ignored;
-        client_.ping(link.handle, "", ignored);
+        if (now - link.pinged >= std::chrono::milliseconds(limits_.ping)) {
+            link.pinged = now;
+            websocketpp::lib::error_code ignored;
+            client_.ping(link.handle, "", ignored);
+        }
     }
 
     void connect(const base::node_id& node, detail::link_row& link) {
@@ -275,6 +324,10 @@
     detail::ws_server server_;
     detail::ws_client client_;
     std::map<base::node_id, detail::link_row> links_;
+    /// When something last came over a link that a peer holds to this node.
+    std::map<detail::connection_hdl, std::chrono::steady_clock::time_point,
+             std::owner_less<detail::connection_hdl>>
+        incoming_;
     bool stopped_ = false;
 };
 
--- a/packages/node/include/hibiscus/node/control.hpp
+++ b/packages/node/include/hibiscus/node/control.hpp
@@ -60,6 +60,15 @@
     /// Takes a message of a peer.
     void received(wire::peer_message message);
 
+    /// Notes that the link to a peer opened or closed.
+    void link_changed(const base::node_id& peer, bool open);
+
+    /// Returns true if no request waits for anything here. For the control
+    /// thread only.
+    bool idle() const {
+        return claims_.pending() == 0 && calls_.pending() == 0;
+    }
+
     /// Writes the node's state as JSON.
     void status(std::function<void(std::string)> done);
 
@@ -116,6 +125,7 @@
     sample_runner samples_;
     wire::instance_page listed_;
     std::uint64_t generation_ = 0;
+    int links_ = 0;
     base::millis started_at_;
     base::millis beat_at_ = 0;
     base::millis listed_at_ = 0;
--- a/packages/node/include/hibiscus/node/peer_calls.hpp
+++ b/packages/node/include/hibiscus/node/peer_calls.hpp
@@ -34,7 +34,11 @@
     /// Takes a reply; one that is late or unknown is dropped.
     void replied(wire::reply reply);
 
-    /// Ends the calls to a node that is no longer heard.
+    /// Returns the number of calls without a reply.
+    std::size_t pending() const { return pending_.size(); }
+
+    /// Ends the calls to a node that is no longer heard, or whose link has
+    /// closed.
     void gone(const base::node_id& node);
 
     /// Ends the calls whose time is over.
--- a/packages/node/src/control.cpp
+++ b/packages/node/src/control.cpp
@@ -48,6 +48,14 @@
 }
 
 void control::tick() {
+    // Armed before the work: an exception in one tick must not be the end of
+    // all ticks, after which the node would look alive and follow nothing.
+    timer_.expires_after(std::chrono::milliseconds(tick_ms));
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            tick();
+        }
+    });
     const auto now = parts_.clock.now();
     if (now - listed_at_ >= list_ms && !listing_) {
         fetch_instances();
@@ -68,12 +76,6 @@
     claims_.tick();
     samples_.tick();
     finish_drain();
-    timer_.expires_after(std::chrono::milliseconds(tick_ms));
-    timer_.async_wait([this](const boost::system::error_code& error) {
-        if (!error) {
-            tick();
-        }
-    });
 }
 
 void control::heartbeat() {
--- a/packages/node/src/control_calls.cpp
+++ b/packages/node/src/control_calls.cpp
@@ -46,6 +46,17 @@
     });
 }
 
+void control::link_changed(const base::node_id& peer, bool open) {
+    boost::asio::post(parts_.io, [this, peer, open] {
+        links_ += open ? 1 : -1;
+        // The calls that left by the old link would wait for their whole
+        // deadline; now they can be tried again while there is time.
+        if (!open) {
+            calls_.gone(peer);
+        }
+    });
+}
+
 void control::handle(wire::heartbeat message) {
     members_.hear(parts_.clock.now(), message);
     config_.hear(message.node, message.revision);
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <exception>
 #include <thread>
 #include <vector>
 
@@ -20,6 +21,9 @@
 
 constexpr base::millis connect_ms = 500;
 constexpr base::millis drain_check = 50;
+/// The time without a request after which a draining node ends. A request may
+/// be on its way on a connection that a caller has kept.
+constexpr base::millis drain_quiet = 300;
 
 net::http_limits limits_of(const settings& s) {
     net::http_limits limits;
@@ -77,10 +81,10 @@
         std::vector<std::thread> threads;
         threads.reserve(static_cast<std::size_t>(config_.traffic_threads) + 1);
         for (int i = 0; i < config_.traffic_threads; ++i) {
-            threads.emplace_back([this] { traffic_.run(); });
+            threads.emplace_back([this] { run_guarded(traffic_); });
         }
-        threads.emplace_back([this] { links_.run(); });
-        control_io_.run();
+        threads.emplace_back([this] { run_guarded(links_); });
+        run_guarded(control_io_);
         for (auto& t : threads) {
             t.join();
         }
@@ -97,19 +101,38 @@
                              {{"what", error.what}});
             },
             [this](const base::node_id& node, bool open) {
+                control_.link_changed(node, open);
                 lines_.event(
                     severity::info, "peer_link",
                     {{"peer", node.str()}, {"open", std::int64_t{open}}});
             }};
     }
 
+    /// Runs a context to its end. An exception that a handler lets out would
+    /// end the process; it is counted and the other handlers go on.
+    void run_guarded(asio::io_context& io) {
+        while (!io.stopped()) {
+            try {
+                io.run();
+            } catch (const std::exception& e) {
+                counters_.count_event("handler_failed");
+                lines_.event(severity::error, "handler_failed",
+                             {{"what", std::string(e.what())}});
+            }
+        }
+    }
+
     void drain() {
-        control_.drain([this] { wait_for_traffic(); });
+        server_.drain();
+        control_.drain([this] {
+            server_.stop_accepting();
+            wait_for_traffic();
+        });
     }
 
     /// Ends the threads once every request that came in has its answer.
     void wait_for_traffic() {
-        if (server_.in_flight() == 0) {
+        if (server_.idle_ms() >= drain_quiet && control_.idle()) {
             lines_.event(severity::info, "stopped", {});
             traffic_.stop();
             links_.stop();
--- /dev/null
+++ b/testing/integration/input_test.cpp
@@ -0,0 +1,187 @@
+#include "integration/traffic_fixture.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <fstream>
+#include <limits>
+
+namespace hibiscus::testing {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+/// A node that strangers speak to.
+class input_test : public traffic_test {
+protected:
+    void SetUp() override {
+        system_.start_platform();
+        start_nodes(1);
+        service_ = system_.start_service("ledger", "z1");
+        make_ready();
+    }
+
+    /// Opens a connection to `target` and sends `bytes` as they are.
+    tcp::socket open(const base::endpoint& target, const std::string& bytes) {
+        tcp::socket socket(io_);
+        socket.connect({asio::ip::make_address(target.ip), target.port});
+        boost::system::error_code ignored;
+        asio::write(socket, asio::buffer(bytes), ignored);
+        return socket;
+    }
+
+    /// Returns what the node answers to a request with `body`.
+    int status_of(const std::string& method, const std::string& target,
+                  const std::string& body,
+                  const std::string& type = "application/json") {
+        net::http_request r{method, target, body, type};
+        const auto result =
+            caller_.send_to(system_.nodes()[0].callers, r, 20000);
+        const auto* response = std::get_if<net::http_response>(&result);
+        return response != nullptr ? response->status : 0;
+    }
+
+    /// Returns the resident memory of the node in KiB.
+    long resident_kib() {
+        const auto id = std::to_string(system_.nodes()[0].running->id());
+        std::ifstream in("/proc/" + id + "/status");
+        std::string word;
+        long kib = 0;
+        while (in >> word) {
+            if (word == "VmRSS:") {
+                in >> kib;
+            }
+        }
+        return kib;
+    }
+
+    /// Expects that the node still runs and serves.
+    void expect_serving(const std::string& after) {
+        const auto key = "after-" + std::to_string(++counter_);
+        const auto answer = run(0, request(key, true, 10000));
+        ASSERT_TRUE(answer.has_value()) << after;
+        EXPECT_EQ(answer->result, wire::outcome::completed) << after;
+        EXPECT_TRUE(system_.nodes()[0].running->running()) << after;
+    }
+
+    asio::io_context io_;
+    std::string service_;
+    int counter_ = 0;
+};
+
+std::string garbage(std::size_t size) {
+    std::string bytes;
+    unsigned state = 7;
+    for (std::size_t i = 0; i < size; ++i) {
+        state = state * 1664525U + 1013904223U;
+        bytes.push_back(static_cast<char>(state >> 24U));
+    }
+    return bytes;
+}
+
+std::string post(const std::string& headers, const std::string& body) {
+    return "POST /v1/requests HTTP/1.1\r\nHost: x\r\n"
+           "Content-Type: application/json\r\n" +
+           headers + "\r\n" + body;
+}
+
+// Strangers connect to the callers' port and the peers' port and send what is
+// no request. The process must serve on as if they were not there.
+TEST_F(input_test, bytes_that_are_no_request_harm_nobody) {
+    const auto& node = system_.nodes()[0];
+    const std::string upgrade =
+        "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+        "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+        "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+    const std::vector<std::string> inputs = {
+        garbage(100000),
+        post("Content-Length: 10\r\n", "{"),
+        post("Content-Length: 99999999999999\r\n", "{}"),
+        post("Content-Length: -1\r\n", "{}"),
+        post("Transfer-Encoding: chunked\r\n", "FFFFFFFFFFFFFFFF\r\nx"),
+        "GET /" + std::string(100000, 'a') + " HTTP/1.1\r\n\r\n",
+        upgrade + garbage(5000),
+        // A masked frame that announces 2^62 bytes, and one with text.
+        upgrade + std::string("\x82\xff\x40\0\0\0\0\0\0\0abcd", 14),
+        upgrade + std::string("\x81\x81\0\0\0\0x", 7),
+    };
+    std::vector<tcp::socket> open_ones;
+    for (std::size_t i = 0; i < inputs.size(); ++i) {
+        open_ones.push_back(open(node.callers, inputs[i]));
+        open_ones.push_back(open(node.peers, inputs[i]));
+        expect_serving("input " + std::to_string(i));
+    }
+}
+
+// Requests that are HTTP but not ours get a 4xx that says what is wrong, and
+// the next request on the same connection is served.
+TEST_F(input_test, wrong_requests_get_a_typed_4xx) {
+    const std::string deep = std::string(100000, '[');
+    EXPECT_EQ(status_of("POST", "/v1/requests", deep), 400);
+    EXPECT_EQ(status_of("POST", "/v1/requests", "{\"id\":7}"), 400);
+    EXPECT_EQ(status_of("POST", "/v1/requests", "{\"id\":\"a\""), 400);
+    EXPECT_EQ(status_of("POST", "/v1/requests", "{}", "text/plain"), 415);
+    EXPECT_EQ(status_of("PUT", "/v1/requests", "{}"), 405);
+    EXPECT_EQ(status_of("DELETE", "/v1/trainers/t/steps/1", "{}"), 405);
+    EXPECT_EQ(status_of("POST", "/v2/requests", "{}"), 404);
+    EXPECT_EQ(status_of("PUT", "/v1/trainers/t/steps/-1", "{}"), 404);
+    EXPECT_EQ(
+        status_of("PUT", "/v1/trainers/t/steps/99999999999999999999", "{}"),
+        404);
+    auto absurd = request("absurd", true);
+    absurd.deadline_ms = std::numeric_limits<base::millis>::max();
+    EXPECT_EQ(status_of("POST", "/v1/requests", wire::to_json(absurd)), 400);
+    EXPECT_EQ(status_of("POST", "/v1/requests",
+                        R"({"id":"a","service":"ledger","idempotent":true,
+                            "deadline_ms":1e300,"created_ms":-5})"),
+              400);
+    EXPECT_EQ(status_of("PUT", "/v1/trainers/tagger/steps/1",
+                        R"({"version":0,"groups":[{"prompt":"p",
+                            "samples":4294967295,"max_tokens":1}]})"),
+              400);
+    EXPECT_EQ(status_of("POST", "/v1/trainers/tagger/steps/1/pull",
+                        R"({"pull":1,"version":0,"wait_ms":-1})"),
+              400);
+    EXPECT_EQ(
+        status_of("POST", "/v1/requests", std::string(5 * 1024 * 1024, ' ')),
+        413);
+    expect_serving("wrong requests");
+}
+
+// The same sync comes twice at once, and the same pull again and again. The
+// sync runs once, and no pull holds memory for good.
+TEST_F(input_test, repeated_requests_do_no_harm) {
+    const auto sync = request("sync-1", false, 10000);
+    for (int i = 0; i < 20; ++i) {
+        const auto answer = run(0, sync);
+        ASSERT_TRUE(answer.has_value());
+        EXPECT_EQ(answer->result, wire::outcome::completed);
+    }
+    EXPECT_EQ(runs_of(service_, "sync-1"), 1);
+    for (int i = 0; i < 50; ++i) {
+        EXPECT_NE(status_of("POST", "/v1/trainers/tagger/steps/9/pull",
+                            R"({"pull":1,"version":0,"wait_ms":0})"),
+                  0);
+    }
+    expect_serving("replayed pulls");
+}
+
+// Many strangers announce long bodies and send them slowly or not to the end.
+// Each keeps to the limit of one request; together they would fill the memory.
+TEST_F(input_test, slow_and_unfinished_bodies_leave_the_memory_bounded) {
+    const auto& node = system_.nodes()[0];
+    const std::string part(3 * 1024 * 1024, ' ');
+    std::vector<tcp::socket> open_ones;
+    for (int i = 0; i < 150; ++i) {
+        open_ones.push_back(
+            open(node.callers, post("Content-Length: 4000000\r\n", part)));
+    }
+    expect_serving("unfinished bodies");
+    // 128 MiB may be buffered in all, beside what the process needs itself.
+    EXPECT_LT(resident_kib(), 300 * 1024);
+}
+
+} // namespace
+} // namespace hibiscus::testing
