--- a/packages/document/include/hibiscus/document/document.hpp
+++ b/packages/document/include/hibiscus/document/document.hpp
@@ -19,6 +19,19 @@
     random_choice    ///< Any.
 };
 
+/// What is done about the last samples of a step, which hold it up.
+enum class straggler_kind {
+    none,           ///< Nothing.
+    raise_priority, ///< Engines run them before others.
+    move            ///< Also moved away from where they have not begun.
+};
+
+/// Which weight versions a sample may begin with.
+enum class start_version_kind {
+    within_bound,  ///< All inside the staleness bound at that time.
+    expect_publish ///< Those that another publish leaves inside the bound.
+};
+
 /// Someone who pays for engines.
 struct owner {
     base::owner_id name;
@@ -39,6 +52,7 @@
     /// The share of the engines that may swap versions at a time.
     double swap_share = 0.34;
     placement_kind placement = placement_kind::prefix_affinity;
+    start_version_kind start_version = start_version_kind::expect_publish;
 };
 
 /// A trainer that draws samples.
@@ -52,6 +66,7 @@
     int priority = 0;
     /// How many versions a sample may be behind at its delivery.
     int staleness_bound = 1;
+    straggler_kind stragglers = straggler_kind::raise_priority;
 };
 
 /// A service that answers requests.
@@ -112,4 +127,22 @@
     }};
 };
 
+template <>
+struct enum_names<document::straggler_kind> {
+    static constexpr std::array<enum_name<document::straggler_kind>, 3> table{{
+        {document::straggler_kind::none, "none"},
+        {document::straggler_kind::raise_priority, "raise_priority"},
+        {document::straggler_kind::move, "move"},
+    }};
+};
+
+template <>
+struct enum_names<document::start_version_kind> {
+    using kind = document::start_version_kind;
+    static constexpr std::array<enum_name<kind>, 2> table{{
+        {kind::within_bound, "within_bound"},
+        {kind::expect_publish, "expect_publish"},
+    }};
+};
+
 } // namespace hibiscus::base
--- a/packages/document/src/parse.cpp
+++ b/packages/document/src/parse.cpp
@@ -208,6 +208,7 @@
     in.boolean("checks_fencing", row.checks_fencing);
     in.number("swap_share", row.swap_share, 0.01, 1.0);
     in.enumeration("placement", row.placement);
+    in.enumeration("start_version", row.start_version);
     return row;
 }
 
@@ -219,6 +220,7 @@
     in.number("weight", row.weight, 0.001, max_weight);
     in.integer("priority", row.priority, -100, 100);
     in.integer("staleness_bound", row.staleness_bound, 0, 1000);
+    in.enumeration("stragglers", row.stragglers);
     return row;
 }
 
--- a/testing/stand_ins/log_service.cpp
+++ b/testing/stand_ins/log_service.cpp
@@ -1,11 +1,12 @@
 // Stands in for the platform's append-only log service: streams with offsets,
 // a limit of appends a second, and retention by count. Faults are switched by
-// POST /v1/fault: "outage" (all is refused with 503), "slow_ms" (each append
-// and read takes so much longer), "lose_answers" (so many appends take effect
-// and are not answered), "drop_appends" (so many neither take effect nor are
-// answered), "rate" (appends a second) and "retention" (records a stream).
-// It keeps all in memory and does not model replication, several writers'
-// clocks, disk, or records that are read out of order.
+// POST /v1/fault: "outage" (all is refused with 503), "hold_stream" (its
+// appends wait until another is named), "slow_ms" (each append and read takes
+// so much longer), "lose_answers" (so many appends take effect and are not
+// answered), "drop_appends" (so many neither take effect nor are answered),
+// "rate" (appends a second) and "retention" (records a stream). It keeps all in
+// memory and does not model replication, several writers' clocks, disk, or
+// records that are read out of order.
 
 #include "hibiscus/wire/codec.hpp"
 #include "support/stand_in.hpp"
@@ -19,6 +20,7 @@
 #include <chrono>
 #include <deque>
 #include <map>
+#include <set>
 #include <vector>
 
 ABSL_FLAG(std::string, address, "127.0.0.1:0", "where to listen");
@@ -40,6 +42,12 @@
     net::http_responder respond;
 };
 
+/// An append that waits to be let through.
+struct held_append {
+    net::http_request request;
+    net::http_responder respond;
+};
+
 /// One stream and those who wait for it.
 struct stream_row {
     wire::log_offset first = 0;
@@ -71,8 +79,9 @@
             return;
         }
         if (path == "/v1/counts") {
-            respond(
-                {200, json{{"appends", appends_}}.dump(), "application/json"});
+            respond({200,
+                     json{{"appends", appends_}, {"held", held_ids()}}.dump(),
+                     "application/json"});
             return;
         }
         if (outage_) {
@@ -89,7 +98,11 @@
         const auto name = path.substr(
             prefix.size(), path.size() - prefix.size() - suffix.size());
         if (request.method == "POST") {
-            append(streams_[name], request, respond);
+            if (name == hold_stream_) {
+                held_.push_back({request, respond});
+            } else {
+                append(streams_[name], request, respond);
+            }
         } else {
             read(streams_[name], request, respond);
         }
@@ -106,10 +119,36 @@
             slow_ms_ = body.value("slow_ms", slow_ms_);
             rate_ = body.value("rate", rate_);
             retention_ = body.value("retention", retention_);
+            hold(body.value("hold_stream", hold_stream_));
         }
         respond({200, "{}", "application/json"});
     }
 
+    /// Holds the appends to `stream` back until it is called again; "" holds
+    /// none. A test that waits for two held ids knows that both writers have
+    /// read what they write on.
+    void hold(const std::string& stream) {
+        if (stream == hold_stream_) {
+            return;
+        }
+        const auto released = std::exchange(hold_stream_, stream);
+        for (const auto& h : std::exchange(held_, {})) {
+            append(streams_[released], h.request, h.respond);
+        }
+    }
+
+    std::size_t held_ids() const {
+        std::set<base::append_id> ids;
+        for (const auto& h : held_) {
+            const auto read =
+                wire::from_json<wire::append_request>(h.request.body);
+            if (const auto* record = base::value_if(read)) {
+                ids.insert(record->id);
+            }
+        }
+        return ids.size();
+    }
+
     void append(stream_row& stream, const net::http_request& request,
                 const net::http_responder& respond) {
         const auto read = wire::from_json<wire::append_request>(request.body);
@@ -223,6 +262,8 @@
     boost::asio::io_context& io_;
     std::map<std::string, stream_row> streams_;
     std::vector<net::http_responder> lost_;
+    std::string hold_stream_;
+    std::vector<held_append> held_;
     bool outage_ = false;
     int lose_answers_ = 0;
     int drop_appends_ = 0;
