bench: a contended pool with and without weights

Cause: the fair shares had unit tests and no run on real processes. Two trainers of the same demand share a pool, with weights of three to one and with equal ones; the mean time of a step of each is measured.

--- a/testing/bench/main.cpp
+++ b/testing/bench/main.cpp
@@ -12,8 +12,9 @@
 
 ABSL_FLAG(std::string, programs, "build", "the build folder");
 ABSL_FLAG(std::string, results, "bench/results", "folder for the results");
-ABSL_FLAG(std::string, comparison, "placement", "placement or admission");
-ABSL_FLAG(std::string, workload, "cascadia", "cascadia or veritas");
+ABSL_FLAG(std::string, comparison, "placement",
+          "placement, admission or weights");
+ABSL_FLAG(std::string, workload, "cascadia", "cascadia, veritas or contended");
 ABSL_FLAG(std::string, commit, "unknown", "the commit that is measured");
 ABSL_FLAG(int, seed, 1, "seed of the first round");
 ABSL_FLAG(int, rounds, 5, "runs of each variant");
--- a/testing/bench/run.cpp
+++ b/testing/bench/run.cpp
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <iostream>
+#include <numeric>
 #include <sstream>
 
 namespace hibiscus::testing {
@@ -34,6 +34,8 @@
     double longest_ms = 0;
     double staleness_sum = 0;
     std::vector<double> step_ms;
+    /// The mean time of a step of each trainer.
+    std::vector<double> mean_step_ms;
 };
 
 /// Returns the last line of `text` that is a JSON object.
@@ -50,6 +52,11 @@
     return found;
 }
 
+double mean(const std::vector<double>& values) {
+    const auto sum = std::accumulate(values.begin(), values.end(), 0.0);
+    return values.empty() ? 0.0 : sum / static_cast<double>(values.size());
+}
+
 double percentile(std::vector<double> values, double share) {
     if (values.empty()) {
         return 0;
@@ -130,6 +137,7 @@
     all.staleness_sum += seen.value("staleness_sum", 0.0);
     const auto steps = seen.value("completion_ms", std::vector<double>());
     all.step_ms.insert(all.step_ms.end(), steps.begin(), steps.end());
+    all.mean_step_ms.push_back(mean(steps));
 }
 
 measures summarise(const trainers_seen& seen, const json& app,
@@ -147,7 +155,9 @@
             {measure::goodput, seen.got * 1000.0 / seen.longest_ms},
             {measure::engine_busy,
              (after.busy_slot_ms - before.busy_slot_ms) / slot_ms},
-            {measure::regenerated_share, (started - seen.got) / started}};
+            {measure::regenerated_share, (started - seen.got) / started},
+            {measure::first_step_ms, seen.mean_step_ms.at(0)},
+            {measure::second_step_ms, seen.mean_step_ms.at(1)}};
 }
 
 } // namespace
--- a/testing/bench/run.hpp
+++ b/testing/bench/run.hpp
@@ -11,17 +11,19 @@
 
 /// What a run measures.
 enum class measure {
-    trainer_idle,     ///< Share of the trainers' time without samples.
-    idle_floor,       ///< The share that no placement can improve on.
-    staleness,        ///< Versions that a sample is behind, on average.
-    step_p50_ms,      ///< From a step's opening to its last sample.
-    step_p99_ms,      ///< The same, of the slowest steps.
-    lookup_p50_ms,    ///< An application's lookup.
-    lookup_p99_ms,    ///< The same, of the slowest lookups.
-    sync_p99_ms,      ///< An application's sync, of the slowest.
-    goodput,          ///< Samples that trainers took, each second.
-    engine_busy,      ///< Share of the engines' slot time that was used.
-    regenerated_share ///< Streams that gave no sample, of all started.
+    trainer_idle,      ///< Share of the trainers' time without samples.
+    idle_floor,        ///< The share that no placement can improve on.
+    staleness,         ///< Versions that a sample is behind, on average.
+    step_p50_ms,       ///< From a step's opening to its last sample.
+    step_p99_ms,       ///< The same, of the slowest steps.
+    lookup_p50_ms,     ///< An application's lookup.
+    lookup_p99_ms,     ///< The same, of the slowest lookups.
+    sync_p99_ms,       ///< An application's sync, of the slowest.
+    goodput,           ///< Samples that trainers took, each second.
+    engine_busy,       ///< Share of the engines' slot time that was used.
+    regenerated_share, ///< Streams that gave no sample, of all started.
+    first_step_ms,     ///< A step of the first trainer, on average.
+    second_step_ms     ///< A step of the second trainer, on average.
 };
 
 /// The measures of one run; empty if a sample or an answer was missing.
@@ -42,7 +44,7 @@
 template <>
 struct enum_names<testing::measure> {
     using m = testing::measure;
-    static constexpr std::array<enum_name<m>, 11> table{{
+    static constexpr std::array<enum_name<m>, 13> table{{
         {m::trainer_idle, "trainer_idle"},
         {m::idle_floor, "idle_floor"},
         {m::staleness, "staleness_mean"},
@@ -54,6 +56,8 @@
         {m::goodput, "goodput"},
         {m::engine_busy, "engine_busy"},
         {m::regenerated_share, "regenerated"},
+        {m::first_step_ms, "first_step_ms"},
+        {m::second_step_ms, "second_step_ms"},
     }};
 };
 
--- a/testing/bench/scenario.cpp
+++ b/testing/bench/scenario.cpp
@@ -78,6 +78,20 @@
     return w;
 }
 
+/// Two trainers with the same demand, each of which could fill the pool, and
+/// weights of three to one.
+workload contended() {
+    workload w;
+    w.name = "contended";
+    w.nodes = 3;
+    w.engines = {{4, 20}};
+    w.slots = 4;
+    w.straggler_percent = 0;
+    w.trainers = {{"first", 32, 4, 40, 100, 3.0},
+                  {"second", 32, 4, 40, 100, 1.0}};
+    return w;
+}
+
 /// Through the engine's home, which refuses beyond its queue, against direct
 /// placement by the reports alone, at three lags of the reports.
 std::vector<variant> admission_variants() {
@@ -114,6 +128,9 @@
     if (name == "cascadia") {
         return cascadia();
     }
+    if (name == "contended") {
+        return contended();
+    }
     return name == "veritas" ? veritas() : workload{};
 }
 
@@ -121,6 +138,11 @@
     if (comparison == "admission") {
         return admission_variants();
     }
+    if (comparison == "weights") {
+        variant equal{"equal"};
+        equal.weights = false;
+        return {equal, {"three_to_one"}};
+    }
     return comparison == "placement" ? placement_variants()
                                      : std::vector<variant>{};
 }
@@ -135,7 +157,7 @@
         trainers.push_back({{"name", seeded_name(t, seed)},
                             {"owner", "owner-" + t.name},
                             {"pool", "shared"},
-                            {"weight", t.weight},
+                            {"weight", side.weights ? t.weight : 1.0},
                             {"staleness_bound", load.staleness_bound}});
     }
     json owners = json::array();
--- a/testing/bench/scenario.hpp
+++ b/testing/bench/scenario.hpp
@@ -49,13 +49,16 @@
     double queue_share = 1.0;
     /// How often nodes tell each other the load of their engines.
     base::millis heartbeat_ms = 500;
+    /// Whether the document has the trainers' weights, or 1 for all.
+    bool weights = true;
 };
 
-/// Returns the workload of that name ("cascadia", "veritas"), or one without
-/// a name.
+/// Returns the workload of that name ("cascadia", "veritas", "contended"), or
+/// one without a name.
 workload make_workload(const std::string& name);
 
-/// Returns the variants of a comparison ("placement", "admission"), or none.
+/// Returns the variants of a comparison ("placement", "admission", "weights"),
+/// or none.
 std::vector<variant> make_variants(const std::string& comparison);
 
 /// Returns the operators' document for a run.
