--- a/testing/bench/fills.cpp
+++ b/testing/bench/fills.cpp
@@ -102,6 +102,13 @@
     const stopwatch updating;
     table.update(page);
     all.push_back({"engine table, one list", size, updating.ms(), "ms"});
+    const auto text = wire::to_json(page);
+    const stopwatch reading;
+    const auto read = wire::from_json<wire::instance_page>(text);
+    all.push_back({"instance list, reading", size,
+                   base::value_if(read) != nullptr ? reading.ms() : 0, "ms"});
+    all.push_back(
+        {"instance list", size, static_cast<double>(text.size()), "bytes"});
     constexpr int choices = 100;
     std::mt19937_64 random(1);
     policy::placement_policy placement = policy::prefix_affinity{};
@@ -164,6 +171,9 @@
 
 void fill_config(std::vector<figure>& all) {
     const std::string size = std::to_string(changes_full) + " changes";
+    all.push_back({"document", std::to_string(trainers_full) + " trainers",
+                   static_cast<double>(document_of(trainers_full, 0).size()),
+                   "bytes"});
     const stopwatch folding;
     document::config_fold fold;
     wire::log_offset base = 0;
@@ -239,6 +249,10 @@
         all.push_back({"heartbeat", std::to_string(engines) + " engines",
                        static_cast<double>(bytes), "bytes"});
     }
+    auto bare = beat_of(1, 0);
+    bare.versions.clear();
+    all.push_back({"heartbeat", "no engines, no trainers",
+                   static_cast<double>(wire::to_cbor(bare).size()), "bytes"});
     constexpr int repeats = 200;
     const stopwatch encoding;
     std::size_t total = 0;
