--- a/packages/document/include/hibiscus/document/document.hpp
+++ b/packages/document/include/hibiscus/document/document.hpp
@@ -25,6 +25,13 @@
     expect_publish ///< Those that another publish leaves inside the bound.
 };
 
+/// What is done about the last samples of a step, which hold it up.
+enum class straggler_kind {
+    none,           ///< Nothing.
+    raise_priority, ///< Engines run them before others.
+    move            ///< Also moved away from where they have not begun.
+};
+
 /// Someone who pays for engines.
 struct owner {
     base::owner_id name;
@@ -59,6 +66,7 @@
     int priority = 0;
     /// How many versions a sample may be behind at its delivery.
     int staleness_bound = 1;
+    straggler_kind stragglers = straggler_kind::raise_priority;
 };
 
 /// A service that answers requests.
@@ -128,4 +136,13 @@
     }};
 };
 
+template <>
+struct enum_names<document::straggler_kind> {
+    static constexpr std::array<enum_name<document::straggler_kind>, 3> table{{
+        {document::straggler_kind::none, "none"},
+        {document::straggler_kind::raise_priority, "raise_priority"},
+        {document::straggler_kind::move, "move"},
+    }};
+};
+
 } // namespace hibiscus::base
--- a/packages/wire/include/hibiscus/wire/peer.hpp
+++ b/packages/wire/include/hibiscus/wire/peer.hpp
@@ -36,6 +36,8 @@
     int slots = 0;
     bool healthy = false;
     std::vector<served_version> serving;
+    /// False if its home cannot speak to it; another node may.
+    bool reachable = true;
     /// The admitted streams by trainer; one without any is left out.
     std::vector<trainer_streams> streams;
 };
@@ -146,6 +148,8 @@
 struct sample_report {
     base::node_id from;
     std::vector<stream_report> streams;
+    /// True if the trainer's former home passes it on.
+    bool forwarded = false;
 };
 
 /// Acknowledges that reports of finished streams arrived.
@@ -157,6 +161,8 @@
 struct cancel_streams {
     base::engine_id engine;
     std::vector<base::stream_id> streams;
+    /// The trainer's home that no longer wants them.
+    base::node_id home;
 };
 
 /// Everything that nodes say to each other.
--- a/packages/wire/src/mapping.hpp
+++ b/packages/wire/src/mapping.hpp
@@ -97,7 +97,7 @@
 HIBISCUS_WIRE(trainer_streams, trainer, admitted)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(engine_digest, engine, admitted,
                                                 slots, healthy, serving,
-                                                streams)
+                                                reachable, streams)
 HIBISCUS_WIRE(heartbeat, node, incarnation, zone, address, peer_address, state,
               revision, versions, engines)
 HIBISCUS_WIRE(document_want, from, revision)
@@ -106,9 +106,11 @@
 HIBISCUS_WIRE(learn_version, trainer, version)
 HIBISCUS_WIRE(place_sample, engine, home, start)
 HIBISCUS_WIRE(stream_report, engine, stream, state, chunks, oldest, produced)
-HIBISCUS_WIRE(sample_report, from, streams)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(sample_report, from, streams,
+                                                forwarded)
 HIBISCUS_WIRE(sample_ack, streams)
-HIBISCUS_WIRE(cancel_streams, engine, streams)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(cancel_streams, engine, streams,
+                                                home)
 #undef HIBISCUS_WIRE
 // NOLINTEND
 
--- a/testing/bench/fills.cpp
+++ b/testing/bench/fills.cpp
@@ -53,6 +53,7 @@
             true,
             {{base::trainer_id("trainer-1"), 100},
              {base::trainer_id("trainer-2"), 100}},
+            true,
             {{base::trainer_id("trainer-1"), 4},
              {base::trainer_id("trainer-2"), 3}}};
 }
