--- a/testing/bench/run.cpp
+++ b/testing/bench/run.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iostream>
 #include <numeric>
 #include <sstream>
 
@@ -183,8 +184,12 @@
     const auto after = count(s, engines);
     app.wait(client_limit);
     const auto app_seen = last_object(app.output());
+    const int lost = app_seen.value("lost", 1) + app_seen.value("wrong", 1);
     if (seen.got < seen.wanted || seen.wrong > 0 || seen.total_ms <= 0 ||
-        app_seen.value("lost", 1) + app_seen.value("wrong", 1) > 0) {
+        lost > 0) {
+        std::cout << "bench: samples " << seen.got << "/" << seen.wanted
+                  << ", wrong " << seen.wrong << ", answers lost or wrong "
+                  << lost << ": " << app_seen << std::endl;
         return {};
     }
     auto result = summarise(seen, app_seen, before, after, load.slots);
