node: an engine without a version does not wait for its turn

Cause: trainers waited 1.7 to 3.7 s for their first step, more than half of their idle time in runs of four steps. Decision lines show why: the planner lets an engine outside the bound swap at once, but version 0 is inside a bound of 1 of version 1, so engines that could run nothing swapped in three waves (orders at 0.58, 1.07 and 1.57 s after the document).

--- a/packages/node/src/rollout_planner.cpp
+++ b/packages/node/src/rollout_planner.cpp
@@ -36,10 +36,10 @@
     if (pool == nullptr || trainer == nullptr) {
         return false;
     }
-    // An engine whose version is outside the bound gets no work for this
-    // trainer; there is nothing to wait for.
-    if (version_in(*own, version.trainer) <
-        version.version - trainer->staleness_bound) {
+    // An engine whose version is outside the bound, or that has none, gets no
+    // work for this trainer; there is nothing to wait for.
+    const auto served = version_in(*own, version.trainer);
+    if (served == 0 || served < version.version - trainer->staleness_bound) {
         return true;
     }
     policy::rollout plan;
--- a/testing/bench/main.cpp
+++ b/testing/bench/main.cpp
@@ -11,8 +11,8 @@
 #include <iostream>
 
 ABSL_FLAG(std::string, programs, "build", "the build folder");
-ABSL_FLAG(std::string, before, "",
-          "build folder of another commit, for the comparison builds");
+ABSL_FLAG(std::vector<std::string>, builds, std::vector<std::string>(),
+          "build folders of other commits, for the comparison builds");
 ABSL_FLAG(std::string, results, "bench/results", "folder for the results");
 ABSL_FLAG(std::string, comparison, "placement",
           "placement, admission, weights or builds");
@@ -59,14 +59,19 @@
 }
 
 /// Returns the variants of a comparison; "builds" sets this build against
-/// another one.
+/// others.
 std::vector<variant> sides_of(const std::string& comparison) {
     if (comparison != "builds") {
         return make_variants(comparison);
     }
-    variant before("before");
-    before.programs = absl::GetFlag(FLAGS_before);
-    return {before, variant("after")};
+    std::vector<variant> sides;
+    for (const auto& folder : absl::GetFlag(FLAGS_builds)) {
+        variant side(folder.substr(folder.rfind('/') + 1));
+        side.programs = folder;
+        sides.push_back(std::move(side));
+    }
+    sides.push_back(variant("this"));
+    return sides;
 }
 
 int run() {
--- a/testing/bench/run.cpp
+++ b/testing/bench/run.cpp
@@ -33,6 +33,8 @@
     double idle_ms = 0;
     double total_ms = 0;
     double longest_ms = 0;
+    /// The trainers' waits for their first steps.
+    double first_wait_ms = 0;
     double staleness_sum = 0;
     std::vector<double> step_ms;
     /// The mean time of a step of each trainer.
@@ -132,6 +134,8 @@
     all.wrong += seen.value("duplicates", 1.0) + seen.value("stale", 1.0) +
                  seen.value("untrue", 1.0);
     all.idle_ms += seen.value("idle_ms", 0.0);
+    const auto waits = seen.value("step_ms", std::vector<double>());
+    all.first_wait_ms += waits.empty() ? 0.0 : waits.front();
     const auto total = seen.value("total_ms", 0.0);
     all.total_ms += total;
     all.longest_ms = std::max(all.longest_ms, total);
@@ -147,6 +151,8 @@
     const auto started = after.started - before.started;
     const auto slot_ms = (after.alive_ms - before.alive_ms) * slots;
     return {{measure::trainer_idle, seen.idle_ms / seen.total_ms},
+            {measure::warm_idle, (seen.idle_ms - seen.first_wait_ms) /
+                                     (seen.total_ms - seen.first_wait_ms)},
             {measure::staleness, seen.staleness_sum / seen.got},
             {measure::step_p50_ms, percentile(seen.step_ms, 0.5)},
             {measure::step_p99_ms, percentile(seen.step_ms, 0.99)},
--- a/testing/bench/run.hpp
+++ b/testing/bench/run.hpp
@@ -12,6 +12,7 @@
 /// What a run measures.
 enum class measure {
     trainer_idle,      ///< Share of the trainers' time without samples.
+    warm_idle,         ///< The same after each trainer's first step.
     idle_floor,        ///< The share that no placement can improve on.
     staleness,         ///< Versions that a sample is behind, on average.
     step_p50_ms,       ///< From a step's opening to its last sample.
@@ -44,8 +45,9 @@
 template <>
 struct enum_names<testing::measure> {
     using m = testing::measure;
-    static constexpr std::array<enum_name<m>, 13> table{{
+    static constexpr std::array<enum_name<m>, 14> table{{
         {m::trainer_idle, "trainer_idle"},
+        {m::warm_idle, "warm_idle"},
         {m::idle_floor, "idle_floor"},
         {m::staleness, "staleness_mean"},
         {m::step_p50_ms, "step_p50_ms"},
