--- a/testing/bench/main.cpp
+++ b/testing/bench/main.cpp
@@ -11,9 +11,12 @@
 #include <iostream>
 
 ABSL_FLAG(std::string, programs, "build", "the build folder");
+ABSL_FLAG(std::vector<std::string>, builds, std::vector<std::string>(),
+          "build folders of other commits, for the comparison builds");
 ABSL_FLAG(std::string, results, "bench/results", "folder for the results");
-ABSL_FLAG(std::string, comparison, "placement", "placement or admission");
-ABSL_FLAG(std::string, workload, "cascadia", "cascadia or veritas");
+ABSL_FLAG(std::string, comparison, "placement",
+          "placement, admission, weights or builds");
+ABSL_FLAG(std::string, workload, "cascadia", "cascadia, veritas or contended");
 ABSL_FLAG(std::string, commit, "unknown", "the commit that is measured");
 ABSL_FLAG(int, seed, 1, "seed of the first round");
 ABSL_FLAG(int, rounds, 5, "runs of each variant");
@@ -41,8 +44,9 @@
 /// Runs one variant and notes its measures.
 void measure_one(const bench_settings& how, const workload& load,
                  const variant& side, int seed, variant_runs& row) {
-    auto seen =
-        run_once(absl::GetFlag(FLAGS_programs), load, side, how.steps, seed);
+    const auto programs =
+        side.programs.empty() ? absl::GetFlag(FLAGS_programs) : side.programs;
+    auto seen = run_once(programs, load, side, how.steps, seed);
     std::cout << "bench: seed " << seed << " " << side.name;
     if (seen.empty()) {
         ++row.failed;
@@ -54,10 +58,26 @@
     row.runs.push_back(std::move(seen));
 }
 
+/// Returns the variants of a comparison; "builds" sets this build against
+/// others.
+std::vector<variant> sides_of(const std::string& comparison) {
+    if (comparison != "builds") {
+        return make_variants(comparison);
+    }
+    std::vector<variant> sides;
+    for (const auto& folder : absl::GetFlag(FLAGS_builds)) {
+        variant side(folder.substr(folder.rfind('/') + 1));
+        side.programs = folder;
+        sides.push_back(std::move(side));
+    }
+    sides.push_back(variant("this"));
+    return sides;
+}
+
 int run() {
     const auto how = settings_of_flags();
     const auto load = make_workload(how.workload);
-    const auto sides = make_variants(how.comparison);
+    const auto sides = sides_of(how.comparison);
     if (load.name.empty() || sides.empty()) {
         std::cerr << "bench: unknown workload or comparison" << std::endl;
         return 2;
