testing: the guarantees page names tests that exist; a longer stop run

Cause: a renamed test would leave its promise looking proved. The new page test fails when a name on the page is changed to chunks_of_three_runs_... and passes without that.

The rolling replacement has 40 s of load in place of 25: on a slower machine the applications could end before the last check.

--- a/testing/integration/api_pages_test.cpp
+++ b/testing/integration/api_pages_test.cpp
@@ -99,5 +99,35 @@
     }
 }
 
+// The page of guarantees names the test of each promise. After a rename the
+// promise would look proved by a test that is not there.
+TEST_F(api_pages_test, guarantees_names_tests_that_exist) {
+    std::string sources;
+    for (const char* folder : {"packages", "testing"}) {
+        for (const auto& file :
+             fs::recursive_directory_iterator(source_ / folder)) {
+            const auto name = file.path().filename().string();
+            if (name.find("_test.cpp") != std::string::npos ||
+                name == "oracle.hpp") {
+                sources += read_file(file.path());
+            }
+        }
+    }
+    const auto page = read_file(source_ / "docs/GUARANTEES.md");
+    const std::regex paragraph("\\*Tests\\.\\*(?:[^\n]|\n[^\n])+");
+    const std::regex name("`(?:([a-z_0-9]+)\\.)?([a-z_0-9]+)`");
+    int names = 0;
+    for (std::sregex_iterator at(page.begin(), page.end(), paragraph), end;
+         at != end; ++at) {
+        const auto text = at->str();
+        for (std::sregex_iterator n(text.begin(), text.end(), name); n != end;
+             ++n, ++names) {
+            const auto test = (*n)[2].str();
+            EXPECT_NE(sources.find(test), std::string::npos) << test;
+        }
+    }
+    EXPECT_GE(names, 30);
+}
+
 } // namespace
 } // namespace hibiscus::testing
--- a/testing/integration/system_planned_stop_test.cpp
+++ b/testing/integration/system_planned_stop_test.cpp
@@ -19,7 +19,7 @@
 
     void SetUp() override {
         ASSERT_TRUE(run_.start());
-        run_.load({8, 25, 300});
+        run_.load({12, 40, 300});
         ASSERT_TRUE(run_.completes("sync-"));
     }
 
