--- a/testing/bench/run.cpp
+++ b/testing/bench/run.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <numeric>
 #include <sstream>
 
 namespace hibiscus::testing {
@@ -32,8 +33,12 @@
     double idle_ms = 0;
     double total_ms = 0;
     double longest_ms = 0;
+    /// The trainers' waits for their first steps.
+    double first_wait_ms = 0;
     double staleness_sum = 0;
     std::vector<double> step_ms;
+    /// The mean time of a step of each trainer.
+    std::vector<double> mean_step_ms;
 };
 
 /// Returns the last line of `text` that is a JSON object.
@@ -50,6 +55,11 @@
     return found;
 }
 
+double mean(const std::vector<double>& values) {
+    const auto sum = std::accumulate(values.begin(), values.end(), 0.0);
+    return values.empty() ? 0.0 : sum / static_cast<double>(values.size());
+}
+
 double percentile(std::vector<double> values, double share) {
     if (values.empty()) {
         return 0;
@@ -124,12 +134,15 @@
     all.wrong += seen.value("duplicates", 1.0) + seen.value("stale", 1.0) +
                  seen.value("untrue", 1.0);
     all.idle_ms += seen.value("idle_ms", 0.0);
+    const auto waits = seen.value("step_ms", std::vector<double>());
+    all.first_wait_ms += waits.empty() ? 0.0 : waits.front();
     const auto total = seen.value("total_ms", 0.0);
     all.total_ms += total;
     all.longest_ms = std::max(all.longest_ms, total);
     all.staleness_sum += seen.value("staleness_sum", 0.0);
     const auto steps = seen.value("completion_ms", std::vector<double>());
     all.step_ms.insert(all.step_ms.end(), steps.begin(), steps.end());
+    all.mean_step_ms.push_back(mean(steps));
 }
 
 measures summarise(const trainers_seen& seen, const json& app,
@@ -138,6 +151,8 @@
     const auto started = after.started - before.started;
     const auto slot_ms = (after.alive_ms - before.alive_ms) * slots;
     return {{measure::trainer_idle, seen.idle_ms / seen.total_ms},
+            {measure::warm_idle, (seen.idle_ms - seen.first_wait_ms) /
+                                     (seen.total_ms - seen.first_wait_ms)},
             {measure::staleness, seen.staleness_sum / seen.got},
             {measure::step_p50_ms, percentile(seen.step_ms, 0.5)},
             {measure::step_p99_ms, percentile(seen.step_ms, 0.99)},
@@ -147,7 +162,9 @@
             {measure::goodput, seen.got * 1000.0 / seen.longest_ms},
             {measure::engine_busy,
              (after.busy_slot_ms - before.busy_slot_ms) / slot_ms},
-            {measure::regenerated_share, (started - seen.got) / started}};
+            {measure::regenerated_share, (started - seen.got) / started},
+            {measure::first_step_ms, seen.mean_step_ms.at(0)},
+            {measure::second_step_ms, seen.mean_step_ms.at(1)}};
 }
 
 } // namespace
@@ -173,8 +190,12 @@
     const auto after = count(s, engines);
     app.wait(client_limit);
     const auto app_seen = last_object(app.output());
+    const int lost = app_seen.value("lost", 1) + app_seen.value("wrong", 1);
     if (seen.got < seen.wanted || seen.wrong > 0 || seen.total_ms <= 0 ||
-        app_seen.value("lost", 1) + app_seen.value("wrong", 1) > 0) {
+        lost > 0) {
+        std::cout << "bench: samples " << seen.got << "/" << seen.wanted
+                  << ", wrong " << seen.wrong << ", answers lost or wrong "
+                  << lost << ": " << app_seen << std::endl;
         return {};
     }
     auto result = summarise(seen, app_seen, before, after, load.slots);
