--- a/testing/integration/stop_drain_test.cpp
+++ b/testing/integration/stop_drain_test.cpp
@@ -13,8 +13,8 @@
     void SetUp() override {
         system_.start_platform();
         start_nodes(3);
-        system_.start_engine("tagging", "z1", {"--token_ms=5"});
-        system_.start_engine("tagging", "z2", {"--token_ms=5"});
+        system_.start_engine("tagging", "z1", {"--chunk_ms=10"});
+        system_.start_engine("tagging", "z2", {"--chunk_ms=10"});
         for (const char* zone : {"z1", "z2"}) {
             services_.push_back(
                 system_.start_service("ledger", zone, {"--run_ms=50"}));
