--- a/packages/node/src/sample_runner.cpp
+++ b/packages/node/src/sample_runner.cpp
@@ -1,5 +1,7 @@
 #include "hibiscus/node/sample_runner.hpp"
 
+#include "hibiscus/cluster/freshness.hpp"
+
 #include <boost/asio/post.hpp>
 
 namespace hibiscus::node {
@@ -72,6 +74,14 @@
     carry_out();
 }
 
+wire::pull_answer sample_runner::fresh(const base::trainer_id& trainer,
+                                       wire::pull_answer answer) const {
+    if (const auto bound = bound_of(trainer)) {
+        cluster::drop_stale(answer, versions_.newest(trainer), *bound);
+    }
+    return answer;
+}
+
 wire::place_answer sample_runner::place(const wire::place_sample& message) {
     const auto answer = homed_.place(clock_.now(), message);
     const bool admitted = answer.result == wire::outcome::completed;
@@ -85,6 +95,7 @@
 }
 
 void sample_runner::report(const wire::sample_report& message) {
+    note_ended(message);
     auto finished = steps_.report(clock_.now(), message);
     if (!finished.empty()) {
         wire::sample_ack ack{std::move(finished)};
@@ -122,6 +133,19 @@
     }
 }
 
+void sample_runner::note_ended(const wire::sample_report& message) {
+    // Until the next digest the places of these streams would look taken, and
+    // slots would stand idle beside samples that wait here.
+    for (const auto& report : message.streams) {
+        const auto name = cluster::parse_stream(report.stream);
+        const bool ended = report.state == wire::stream_state::done ||
+                           report.state == wire::stream_state::missing;
+        if (name && ended) {
+            engines_.note_ended(report.engine, name->trainer);
+        }
+    }
+}
+
 void sample_runner::acknowledge(const wire::sample_ack& message) {
     homed_.acknowledge(message);
     carry_out();
