testing: lint of two tests; HIBISCUS_KEEP keeps a test's folder

Cause: clang-tidy found two vectors that grow in loops. A failed run's logs were gone with its folder; a variable keeps them now.

--- a/testing/integration/input_test.cpp
+++ b/testing/integration/input_test.cpp
@@ -173,8 +173,10 @@
 TEST_F(input_test, slow_and_unfinished_bodies_leave_the_memory_bounded) {
     const auto& node = system_.nodes()[0];
     const std::string part(3 * 1024 * 1024, ' ');
+    constexpr std::size_t strangers = 150;
     std::vector<tcp::socket> open_ones;
-    for (int i = 0; i < 150; ++i) {
+    open_ones.reserve(strangers);
+    for (std::size_t i = 0; i < strangers; ++i) {
         open_ones.push_back(
             open(node.callers, post("Content-Length: 4000000\r\n", part)));
     }
--- a/testing/integration/stop_drain_test.cpp
+++ b/testing/integration/stop_drain_test.cpp
@@ -39,8 +39,10 @@
     std::atomic<bool> over{false};
     std::atomic<int> lost{0};
     std::atomic<int> answered{0};
+    constexpr int caller_count = 4;
     std::vector<std::thread> callers;
-    for (int c = 0; c < 4; ++c) {
+    callers.reserve(caller_count);
+    for (int c = 0; c < caller_count; ++c) {
         callers.emplace_back([&, c] {
             caller own({system_.nodes()[0].callers});
             for (int i = 0; !over; ++i) {
--- a/testing/support/system.cpp
+++ b/testing/support/system.cpp
@@ -30,7 +30,7 @@
     clients_.clear();
     nodes_.clear();
     stand_ins_.clear();
-    if (!keep_) {
+    if (!keep_ && std::getenv("HIBISCUS_KEEP") == nullptr) {
         std::error_code ignored;
         fs::remove_all(folder_, ignored);
     }
--- a/testing/support/system.hpp
+++ b/testing/support/system.hpp
@@ -27,7 +27,8 @@
     /// Constructs an empty system. `programs` is the build folder.
     explicit system(std::string programs);
 
-    /// Kills all processes and removes the folder, unless keep() was called.
+    /// Kills all processes and removes the folder, unless keep() was called or
+    /// HIBISCUS_KEEP is set in the environment.
     ~system();
 
     system(const system&) = delete;
