node: charges over a limit are refused at once

Cause: policy::work_limit was written and tested but used nowhere, and nothing bounded the non-idempotent requests that wait for the control thread. Now the callers' API counts them, limits.non_idempotent_in_work (2048) bounds them, and the refusal names when to come back from the drain rate.

--- a/packages/node/include/hibiscus/node/callers_api.hpp
+++ b/packages/node/include/hibiscus/node/callers_api.hpp
@@ -2,8 +2,10 @@
 
 #include "hibiscus/net/http.hpp"
 #include "hibiscus/node/control.hpp"
+#include "hibiscus/policy/admission.hpp"
 
-#include <memory>
+#include <functional>
+#include <mutex>
 #include <string>
 
 namespace hibiscus::node {
@@ -12,9 +14,11 @@
 /// and body that is wrong gets a typed 4xx; see docs/API.md.
 class callers_api {
 public:
-    /// Constructs the API of a node.
+    /// Constructs the API of a node that takes `most` non-idempotent requests
+    /// at a time.
     callers_api(base::node_id self, control& state, const shared_view& shared,
-                service_gateway& services, metrics& counters);
+                service_gateway& services, metrics& counters, base::clock clock,
+                std::size_t most);
 
     /// Handles one request.
     void handle(net::http_request request, net::http_responder respond);
@@ -36,12 +40,17 @@
                  const net::http_responder& respond);
     void entries(const net::http_responder& respond);
     bool takes_requests(wire::reason& why) const;
+    void run_claimed(const wire::service_request& request,
+                     std::function<void(wire::answer)> done);
 
     base::node_id self_;
     control& control_;
     const shared_view& shared_;
     service_gateway& services_;
     metrics& counters_;
+    base::clock clock_;
+    std::mutex mutex_;
+    policy::work_limit claimed_;
 };
 
 } // namespace hibiscus::node
--- a/packages/node/include/hibiscus/node/settings.hpp
+++ b/packages/node/include/hibiscus/node/settings.hpp
@@ -28,6 +28,9 @@
     std::size_t body_bytes = 4 * 1024 * 1024;
     std::size_t header_bytes = 16 * 1024;
     int connections = 4096;
+    /// Non-idempotent requests of callers that are in work at a time; more
+    /// are refused at once.
+    int non_idempotent_in_work = 2048;
     /// The number of shards of non-idempotent keys; the same on all nodes.
     int claim_shards = 16;
     /// The least time between two appends of claims to a shard, in ms.
--- a/packages/node/src/callers_api.cpp
+++ b/packages/node/src/callers_api.cpp
@@ -167,9 +167,10 @@
 
 callers_api::callers_api(base::node_id self, control& state,
                          const shared_view& shared, service_gateway& services,
-                         metrics& counters)
+                         metrics& counters, base::clock clock, std::size_t most)
     : self_(std::move(self)), control_(state), shared_(shared),
-      services_(services), counters_(counters) {}
+      services_(services), counters_(counters), clock_(std::move(clock)),
+      claimed_(most) {}
 
 void callers_api::handle(net::http_request request,
                          net::http_responder respond) {
@@ -249,10 +250,37 @@
     } else if (body->idempotent) {
         services_.run(*body, std::move(done));
     } else {
-        control_.run(*body, std::move(done));
+        run_claimed(*body, std::move(done));
     }
 }
 
+/// Hands a non-idempotent request to the control thread. That thread works off
+/// what it is given in turn, so without a bound an overload would let each
+/// request wait behind all others until its deadline; the caller is told at
+/// once instead.
+void callers_api::run_claimed(const wire::service_request& request,
+                              std::function<void(wire::answer)> done) {
+    std::optional<base::millis> refused_for;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (!claimed_.enter()) {
+            refused_for = claimed_.retry_after(clock_.now());
+        }
+    }
+    if (refused_for) {
+        done(wire::not_run(request.id, wire::reason::overloaded, *refused_for,
+                           self_));
+        return;
+    }
+    control_.run(request, [this, done = std::move(done)](wire::answer answer) {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            claimed_.leave(clock_.now());
+        }
+        done(std::move(answer));
+    });
+}
+
 void callers_api::trainer_call(const net::http_request& request,
                                const std::vector<std::string>& path,
                                const net::http_responder& respond) {
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -52,7 +52,8 @@
           engines_(client_, clock_),
           control_({config_, control_io_, clock_, lines_, counters_, shared_,
                     mesh_, log_, instances_, *services_, engines_}),
-          api_(config.node, control_, shared_, *services_, counters_),
+          api_(config.node, control_, shared_, *services_, counters_, clock_,
+               static_cast<std::size_t>(config.non_idempotent_in_work)),
           server_(
               traffic_, limits_of(config),
               [this](net::http_request request, net::http_responder respond) {
--- a/packages/node/src/settings.cpp
+++ b/packages/node/src/settings.cpp
@@ -166,6 +166,8 @@
         m.integer("body_bytes", s.body_bytes, 1024, 1024 * megabyte);
         m.integer("header_bytes", s.header_bytes, 1024, megabyte);
         m.integer("connections", s.connections, 16, 1000000);
+        m.integer("non_idempotent_in_work", s.non_idempotent_in_work, 1,
+                  1000000);
     });
     in.mapping("cluster", false, [&](mapping_reader& m) {
         m.integer("claim_shards", s.claim_shards, 1, 65536);
