node: private headers beside their sources

Cause: all 16 headers of node stood under include/, though only daemon.hpp and settings.hpp are for others; a newcomer could not tell the package's face.

--- a/packages/node/src/callers_api.cpp
+++ b/packages/node/src/callers_api.cpp
@@ -1,4 +1,4 @@
-#include "hibiscus/node/callers_api.hpp"
+#include "callers_api.hpp"
 
 #include "hibiscus/wire/codec.hpp"
 
--- a/packages/node/include/hibiscus/node/callers_api.hpp
+++ b/packages/node/src/callers_api.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "control.hpp"
 #include "hibiscus/net/http.hpp"
-#include "hibiscus/node/control.hpp"
 #include "hibiscus/policy/admission.hpp"
 
 #include <functional>
--- a/packages/node/src/claim_runner.cpp
+++ b/packages/node/src/claim_runner.cpp
@@ -1,4 +1,4 @@
-#include "hibiscus/node/claim_runner.hpp"
+#include "claim_runner.hpp"
 
 #include "hibiscus/wire/codec.hpp"
 
--- a/packages/node/include/hibiscus/node/claim_runner.hpp
+++ b/packages/node/src/claim_runner.hpp
@@ -2,9 +2,9 @@
 
 #include "hibiscus/cluster/claim_home.hpp"
 #include "hibiscus/cluster/member_table.hpp"
-#include "hibiscus/node/metrics.hpp"
-#include "hibiscus/node/service_gateway.hpp"
 #include "hibiscus/platform/log_client.hpp"
+#include "metrics.hpp"
+#include "service_gateway.hpp"
 
 #include <boost/asio/io_context.hpp>
 
--- a/packages/node/src/config_follower.cpp
+++ b/packages/node/src/config_follower.cpp
@@ -1,4 +1,4 @@
-#include "hibiscus/node/config_follower.hpp"
+#include "config_follower.hpp"
 
 #include "hibiscus/base/hash.hpp"
 #include "hibiscus/wire/codec.hpp"
--- a/packages/node/include/hibiscus/node/config_follower.hpp
+++ b/packages/node/src/config_follower.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "decision_log.hpp"
 #include "hibiscus/document/config_fold.hpp"
 #include "hibiscus/net/peer_mesh.hpp"
-#include "hibiscus/node/decision_log.hpp"
-#include "hibiscus/node/metrics.hpp"
 #include "hibiscus/platform/log_client.hpp"
+#include "metrics.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/packages/node/src/control.cpp
+++ b/packages/node/src/control.cpp
@@ -1,4 +1,4 @@
-#include "hibiscus/node/control.hpp"
+#include "control.hpp"
 
 #include <boost/asio/post.hpp>
 
--- a/packages/node/include/hibiscus/node/control.hpp
+++ b/packages/node/src/control.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "hibiscus/node/claim_runner.hpp"
-#include "hibiscus/node/config_follower.hpp"
-#include "hibiscus/node/sample_runner.hpp"
+#include "claim_runner.hpp"
+#include "config_follower.hpp"
 #include "hibiscus/node/settings.hpp"
 #include "hibiscus/platform/instance_client.hpp"
+#include "sample_runner.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -1,7 +1,7 @@
 #include "hibiscus/node/daemon.hpp"
 
+#include "callers_api.hpp"
 #include "hibiscus/net/http_server.hpp"
-#include "hibiscus/node/callers_api.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
--- a/packages/node/src/decision_log.cpp
+++ b/packages/node/src/decision_log.cpp
@@ -1,4 +1,4 @@
-#include "hibiscus/node/decision_log.hpp"
+#include "decision_log.hpp"
 
 #include <log4cplus/asyncappender.h>
 #include <log4cplus/consoleappender.h>
--- a/packages/node/src/engine_chooser.cpp
+++ b/packages/node/src/engine_chooser.cpp
@@ -1,4 +1,4 @@
-#include "hibiscus/node/engine_chooser.hpp"
+#include "engine_chooser.hpp"
 
 #include "hibiscus/base/hash.hpp"
 #include "hibiscus/policy/fair_share.hpp"
--- a/packages/node/include/hibiscus/node/engine_chooser.hpp
+++ b/packages/node/src/engine_chooser.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "decision_log.hpp"
 #include "hibiscus/cluster/engine_table.hpp"
 #include "hibiscus/cluster/step_home.hpp"
 #include "hibiscus/cluster/version_table.hpp"
 #include "hibiscus/document/document.hpp"
-#include "hibiscus/node/decision_log.hpp"
 #include "hibiscus/policy/placement.hpp"
 
 #include <functional>
--- a/packages/node/src/engine_gateway.cpp
+++ b/packages/node/src/engine_gateway.cpp
@@ -1,4 +1,4 @@
-#include "hibiscus/node/engine_gateway.hpp"
+#include "engine_gateway.hpp"
 
 #include "hibiscus/wire/codec.hpp"
 
--- a/packages/node/src/metrics.cpp
+++ b/packages/node/src/metrics.cpp
@@ -1,4 +1,4 @@
-#include "hibiscus/node/metrics.hpp"
+#include "metrics.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
--- a/packages/node/src/peer_calls.cpp
+++ b/packages/node/src/peer_calls.cpp
@@ -1,4 +1,4 @@
-#include "hibiscus/node/peer_calls.hpp"
+#include "peer_calls.hpp"
 
 #include <boost/asio/post.hpp>
 
--- a/packages/node/src/rollout_planner.cpp
+++ b/packages/node/src/rollout_planner.cpp
@@ -1,4 +1,4 @@
-#include "hibiscus/node/rollout_planner.hpp"
+#include "rollout_planner.hpp"
 
 #include "hibiscus/policy/rollout.hpp"
 
--- a/packages/node/src/sample_runner.cpp
+++ b/packages/node/src/sample_runner.cpp
@@ -1,4 +1,4 @@
-#include "hibiscus/node/sample_runner.hpp"
+#include "sample_runner.hpp"
 
 #include "hibiscus/cluster/freshness.hpp"
 
--- a/packages/node/include/hibiscus/node/sample_runner.hpp
+++ b/packages/node/src/sample_runner.hpp
@@ -1,19 +1,19 @@
 #pragma once
 
+#include "decision_log.hpp"
+#include "engine_chooser.hpp"
+#include "engine_gateway.hpp"
 #include "hibiscus/cluster/engine_home.hpp"
 #include "hibiscus/cluster/engine_reach.hpp"
 #include "hibiscus/cluster/engine_table.hpp"
 #include "hibiscus/cluster/member_table.hpp"
 #include "hibiscus/cluster/step_home.hpp"
 #include "hibiscus/cluster/version_table.hpp"
-#include "hibiscus/node/decision_log.hpp"
-#include "hibiscus/node/engine_chooser.hpp"
-#include "hibiscus/node/engine_gateway.hpp"
-#include "hibiscus/node/metrics.hpp"
-#include "hibiscus/node/peer_calls.hpp"
-#include "hibiscus/node/rollout_planner.hpp"
-#include "hibiscus/node/usage_meter.hpp"
 #include "hibiscus/platform/log_client.hpp"
+#include "metrics.hpp"
+#include "peer_calls.hpp"
+#include "rollout_planner.hpp"
+#include "usage_meter.hpp"
 
 #include <functional>
 #include <map>
--- a/packages/node/src/service_gateway.cpp
+++ b/packages/node/src/service_gateway.cpp
@@ -1,4 +1,4 @@
-#include "hibiscus/node/service_gateway.hpp"
+#include "service_gateway.hpp"
 
 #include "hibiscus/base/hash.hpp"
 
--- a/packages/node/include/hibiscus/node/service_gateway.hpp
+++ b/packages/node/src/service_gateway.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "decision_log.hpp"
 #include "hibiscus/net/http_client.hpp"
-#include "hibiscus/node/decision_log.hpp"
-#include "hibiscus/node/metrics.hpp"
-#include "hibiscus/node/shared_view.hpp"
 #include "hibiscus/policy/admission.hpp"
 #include "hibiscus/wire/answers.hpp"
+#include "metrics.hpp"
+#include "shared_view.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/packages/node/src/usage_meter.cpp
+++ b/packages/node/src/usage_meter.cpp
@@ -1,4 +1,4 @@
-#include "hibiscus/node/usage_meter.hpp"
+#include "usage_meter.hpp"
 
 namespace hibiscus::node {
 
