testing: a caller asks every entry that it knows before it starts anew

The calling client of the tests went back to its first addresses when one refresh failed; all of those had been replaced by then. Change: a refresh asks all known entries, then the first ones.

--- a/testing/support/caller.cpp
+++ b/testing/support/caller.cpp
@@ -60,20 +60,38 @@
 }
 
 void caller::refresh() {
-    base::endpoint target;
+    std::vector<base::endpoint> candidates;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         if (clock_.now() < fresh_until_) {
             return;
         }
         fresh_until_ = clock_.now() + entries_timeout;
-        target = entries_[next_++ % entries_.size()];
+        candidates = entries_;
+        const auto turn = next_++ % candidates.size();
+        std::rotate(candidates.begin(),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(turn),
+                    candidates.end());
+        candidates.insert(candidates.end(), first_.begin(), first_.end());
     }
+    // One that does not answer says nothing of the others. A caller that went
+    // back to its first addresses alone would stand still for ever once all
+    // of those have been replaced.
+    for (const auto& target : candidates) {
+        if (ask_entries(target)) {
+            return;
+        }
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    entries_ = std::move(candidates);
+    fresh_until_ = 0;
+}
+
+bool caller::ask_entries(const base::endpoint& target) {
     net::http_request request;
     request.target = "/v1/entries";
     const auto answer = decode<wire::entries_answer>(
         send_to(target, std::move(request), entries_timeout));
-    const std::lock_guard<std::mutex> lock(mutex_);
     std::vector<base::endpoint> found;
     for (const auto& e :
          answer ? answer->entries : std::vector<wire::entry_address>{}) {
@@ -82,12 +100,12 @@
         }
     }
     if (found.empty()) {
-        entries_ = first_;
-        fresh_until_ = 0;
-    } else {
-        entries_ = std::move(found);
-        fresh_until_ = clock_.now() + answer->ttl_ms;
+        return false;
     }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    entries_ = std::move(found);
+    fresh_until_ = clock_.now() + answer->ttl_ms;
+    return true;
 }
 
 void caller::avoid(const base::endpoint& target) {
--- a/testing/support/caller.hpp
+++ b/testing/support/caller.hpp
@@ -69,6 +69,7 @@
 private:
     base::endpoint next_entry();
     void refresh();
+    bool ask_entries(const base::endpoint& target);
     void avoid(const base::endpoint& target);
 
     base::clock clock_;
