--- a/packages/policy/test/samples_fuzz_test.cpp
+++ b/packages/policy/test/samples_fuzz_test.cpp
@@ -177,8 +177,8 @@
 // trainer gets each slot once, with the text and versions that an engine
 // produced, inside the bound; and when the faults end, each step becomes whole.
 TEST(samples_fuzz_test, samples_are_true_fresh_and_delivered_once) {
-    const auto first = number_in("SEED", 1);
-    const auto seconds = number_in("SECONDS", 0);
+    const auto first = number_in("HIBISCUS_FUZZ_SEED", 1);
+    const auto seconds = number_in("HIBISCUS_FUZZ_SECONDS", 0);
     const std::uint64_t fixed = 60;
     const base::clock clock;
     const auto end = clock.now() + static_cast<base::millis>(seconds * 1000);
