--- a/cmake/hibiscus_package.cmake
+++ b/cmake/hibiscus_package.cmake
@@ -25,7 +25,7 @@
     target_link_libraries(hibiscus_${name} INTERFACE ${ARG_DEPS})
   endif()
   file(GLOB tests CONFIGURE_DEPENDS test/*_test.cpp)
-  if(tests)
+  if(tests AND NOT HIBISCUS_ENTRY_ONLY)
     add_executable(${name}_test ${tests})
     target_include_directories(${name}_test PRIVATE src test
       ${CMAKE_SOURCE_DIR}/testing)
--- /dev/null
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -0,0 +1,231 @@
+#pragma once
+
+#include "hibiscus/batch/ledger.hpp"
+#include "hibiscus/samplers/sampler_table.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hibiscus::batch {
+
+/// Numbers a run: one send of an item to one server.
+using run_number = std::uint64_t;
+
+/// What the route of a job says of its items.
+struct job_terms {
+    samplers::service_name service;
+    /// After so many failed answers an item is given up.
+    int attempts = 1;
+    bool single_version = false;
+    base::millis due_ms = 0;
+    base::millis keep_ms = 0;
+};
+
+/// Send an item to a server.
+struct start_run {
+    run_number run = 0;
+    samplers::sampler_id sampler;
+    job_id job;
+    int number = 0;
+    std::string host;
+    const item* content = nullptr;
+    /// Go on behind this event; empty for a start.
+    std::string last_event;
+    int priority = 0;
+    base::millis deadline_ms = 0;
+};
+
+/// Close the connection of a run.
+struct stop_run {
+    run_number run = 0;
+    const char* reason = "";
+};
+
+/// Have a complete text judged.
+struct start_reward {
+    job_id job;
+    int number = 0;
+    const reward_call* call = nullptr;
+};
+
+using effect = std::variant<start_run, stop_run, start_reward>;
+using effects = std::vector<effect>;
+
+/// How a server answered a run.
+enum class run_end {
+    complete,      ///< The stream came to its end.
+    cut,           ///< The connection ended before, or was silent.
+    not_run,       ///< The server said that it did not run the item.
+    other_server,  ///< Another server has the address, or other weights.
+    failed,        ///< The run failed there; it counts as an attempt.
+    impossible,    ///< The item can never be done.
+};
+
+/// What a reward call came to.
+struct rewarded {
+    std::string score;
+};
+struct reward_failed {
+    /// True if servers answered as often as allowed that the call failed.
+    bool answered = false;
+};
+using reward_outcome = std::variant<rewarded, reward_failed>;
+
+/// A result that is ready to be listed.
+struct ready_result {
+    job_id job;
+    int number = 0;
+    item_result result;
+};
+
+/// A part of a text to be saved, and what to call once it is.
+struct unsaved_part {
+    job_id job;
+    progress_part part;
+};
+
+/// Counts for the log and the metrics.
+struct work_counts {
+    std::uint64_t runs = 0;
+    std::uint64_t moved = 0;
+    std::uint64_t silent = 0;
+    std::uint64_t reused_texts = 0;
+};
+
+/// Runs the items of the jobs of one owner: which are waiting, running, being
+/// judged or ready. It sees neither sockets nor the store; what it wants done
+/// comes out as effects.
+class work {
+public:
+    work(base::clock clock, samplers::sampler_table& table);
+
+    /// Takes up a job, or what is left of it.
+    void adopt(const job_id& id, const job_row& row, const job_terms& terms);
+
+    /// Returns true if the job has been taken up.
+    bool has(const job_id& id) const { return jobs_.count(id) != 0; }
+
+    /// Stops all of a job, which has ended. Texts are kept for a later job
+    /// that carries the same items.
+    effects drop(const job_id& id);
+
+    /// Stops everything, since another process is the owner.
+    effects drop_all();
+
+    /// An item of a job stands in the ledger.
+    effects listed(const job_id& id, int number);
+
+    /// Places what is waiting and moves what goes badly. New runs only if
+    /// `may_start`.
+    effects tick(bool may_start);
+
+    /// A server began to answer with the given weights.
+    effects head(run_number run, weight_version version);
+    /// An event came. `version` is set if the weights changed at it.
+    effects event(run_number run, const std::string& id,
+                  const std::string& data,
+                  std::optional<weight_version> version);
+    effects ended(run_number run, run_end end);
+    effects reward_ended(const job_id& id, int number,
+                         const reward_outcome& outcome);
+
+    /// Returns the results that are ready, at most `bytes` of text.
+    std::vector<ready_result> ready(std::size_t bytes) const;
+
+    /// Returns what has come since the last save, for runs with at least
+    /// `least` new events.
+    std::vector<unsaved_part> unsaved(int least, std::size_t bytes) const;
+
+    /// The part has been stored.
+    void saved(const unsaved_part& part);
+
+    int waiting() const;
+    int running() const { return static_cast<int>(runs_.size()); }
+    const work_counts& counts() const { return counts_; }
+
+private:
+    enum class state { waiting, running, judge_due, judged, ready, done };
+
+    struct text {
+        std::string bytes;
+        int events = 0;
+        std::string last_event;
+        std::vector<weight_version> versions;
+    };
+
+    struct item_row {
+        item content;
+        state at = state::waiting;
+        text got;
+        int epoch = 0;
+        int saved_events = 0;
+        std::size_t saved_bytes = 0;
+        int failures = 0;
+        base::millis not_before = 0;
+        std::string score;
+        item_outcome outcome = item_outcome::succeeded;
+    };
+
+    struct job_state {
+        job_header header;
+        job_terms terms;
+        base::millis seen_at = 0;
+        std::vector<item_row> items;
+    };
+
+    struct run_row {
+        job_id job;
+        int number = 0;
+        samplers::sampler_id sampler;
+        base::millis started_at = 0;
+        base::millis heard_at = 0;
+        weight_version version = 0;
+        int events = 0;
+    };
+
+    struct old_text {
+        text got;
+        bool complete = false;
+        base::millis kept_at = 0;
+    };
+
+    item_row* row_of(const run_row& run);
+    void place(effects& out);
+    void move(effects& out);
+    void stop(run_number run, const char* reason, effects& out);
+    void requeue(item_row& row, base::millis pause);
+    void finish_text(const job_id& id, int number, effects& out);
+    void restart(item_row& row);
+    void keep_texts(const job_state& job);
+    void reuse(job_state& job, item_row& row);
+
+    base::clock clock_;
+    samplers::sampler_table& table_;
+    std::map<job_id, job_state> jobs_;
+    std::map<run_number, run_row> runs_;
+    std::map<item_id, old_text> old_texts_;
+    run_number last_run_ = 0;
+    work_counts counts_;
+};
+
+} // namespace hibiscus::batch
+
+namespace hibiscus::base {
+
+template <>
+struct enum_names<batch::run_end> {
+    static constexpr std::array<enum_name<batch::run_end>, 6> table{{
+        {batch::run_end::complete, "complete"},
+        {batch::run_end::cut, "cut"},
+        {batch::run_end::not_run, "not_run"},
+        {batch::run_end::other_server, "other_server"},
+        {batch::run_end::failed, "failed"},
+        {batch::run_end::impossible, "impossible"},
+    }};
+};
+
+} // namespace hibiscus::base
--- /dev/null
+++ b/packages/batch/src/work.cpp
@@ -0,0 +1,546 @@
+#include "hibiscus/batch/work.hpp"
+
+#include "hibiscus/base/result.hpp"
+#include "hibiscus/samplers/placement.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace hibiscus::batch {
+
+namespace {
+
+/// A run without its first event for so long has met a server that does not
+/// work, in ms. The first event comes 8 ms after the request, 1.1 s when two
+/// wait for a place that others had taken.
+constexpr base::millis first_event_ms = 900;
+
+/// A run whose events stop for so long, in ms: seven times the pace of a
+/// sound server, and more than the pause of a step that reads in a long
+/// prompt.
+constexpr base::millis next_event_ms = 400;
+
+/// The pause before an item goes out again after an answer that says nothing
+/// of the item, in ms; the server itself is left alone for longer.
+constexpr base::millis retry_ms = 20;
+
+/// How long a server that refused is left alone, in ms: a load of weights
+/// takes 0.9 s, a full queue drains sooner.
+constexpr base::millis refusal_ms = 250;
+
+/// How long a server that is another than expected is left alone, in ms: its
+/// entry is renewed each 1.2 s.
+constexpr base::millis other_server_ms = 600;
+
+/// The pause before a reward call is made again, in ms.
+constexpr base::millis reward_retry_ms = 100;
+
+/// The share of runs that may move at one tick: all at once would meet the
+/// same few free places.
+constexpr int moves_a_tick = 6;
+
+/// Runs that expect more tokens than this are long; they go first where
+/// memory is short, since a long run that is read in anew is late.
+constexpr std::int64_t long_tokens = 3000;
+constexpr int long_priority = 3;
+constexpr int usual_priority = 5;
+
+/// Texts of ended jobs are kept for so long, in ms: groups that were not
+/// complete come again in the trainer's next job, some seconds later.
+constexpr base::millis old_text_ms = 30000;
+
+void add_version(std::vector<weight_version>& versions, weight_version v) {
+    if (std::find(versions.begin(), versions.end(), v) == versions.end()) {
+        versions.push_back(v);
+    }
+}
+
+} // namespace
+
+work::work(base::clock clock, samplers::sampler_table& table)
+    : clock_(std::move(clock)), table_(table) {}
+
+void work::adopt(const job_id& id, const job_row& row, const job_terms& terms) {
+    if (has(id)) {
+        return;
+    }
+    auto& job = jobs_[id];
+    job.header = *row.header;
+    job.terms = terms;
+    job.seen_at = row.seen_at;
+    int number = 0;
+    for (auto& i : all_items(row)) {
+        item_row r;
+        r.content = std::move(i);
+        if (row.listed.count(number) != 0) {
+            r.at = state::done;
+        } else {
+            reuse(job, r);
+        }
+        const auto parts = row.progress.find(number);
+        if (r.at == state::waiting && parts != row.progress.end()) {
+            auto s = join_parts(parts->second);
+            r.epoch = s.epoch;
+            r.failures = s.failures;
+            r.saved_events = s.events;
+            r.saved_bytes = s.text.size();
+            r.got = {std::move(s.text), s.events, std::move(s.last_event),
+                     std::move(s.versions)};
+        }
+        job.items.push_back(std::move(r));
+        ++number;
+    }
+}
+
+void work::reuse(job_state& job, item_row& row) {
+    const auto old = old_texts_.find(row.content.id);
+    if (old == old_texts_.end()) {
+        return;
+    }
+    const auto& versions = old->second.got.versions;
+    const bool fits =
+        std::all_of(versions.begin(), versions.end(), [&](auto v) {
+            return v >= job.header.least_version;
+        });
+    if (!fits || versions.empty()) {
+        return;
+    }
+    ++counts_.reused_texts;
+    row.got = old->second.got;
+    row.epoch = 1;
+    if (old->second.complete) {
+        row.at = state::judge_due;
+        row.not_before = clock_.now();
+    }
+}
+
+void work::keep_texts(const job_state& job) {
+    const auto now = clock_.now();
+    for (auto t = old_texts_.begin(); t != old_texts_.end();) {
+        t = now - t->second.kept_at > old_text_ms ? old_texts_.erase(t)
+                                                  : std::next(t);
+    }
+    for (const auto& row : job.items) {
+        const bool complete = row.at == state::judged || row.at == state::judge_due ||
+                              row.at == state::ready;
+        if (row.got.events > 0 && row.at != state::done &&
+            row.outcome == item_outcome::succeeded) {
+            old_texts_[row.content.id] = {row.got, complete, now};
+        }
+    }
+}
+
+effects work::drop(const job_id& id) {
+    effects out;
+    const auto job = jobs_.find(id);
+    if (job == jobs_.end()) {
+        return out;
+    }
+    std::vector<run_number> stopped;
+    for (const auto& [run, row] : runs_) {
+        if (row.job == id) {
+            stopped.push_back(run);
+        }
+    }
+    for (const auto run : stopped) {
+        stop(run, "job_ended", out);
+    }
+    keep_texts(job->second);
+    jobs_.erase(job);
+    return out;
+}
+
+effects work::drop_all() {
+    effects out;
+    while (!runs_.empty()) {
+        stop(runs_.begin()->first, "owner_changed", out);
+    }
+    jobs_.clear();
+    old_texts_.clear();
+    return out;
+}
+
+effects work::listed(const job_id& id, int number) {
+    effects out;
+    const auto job = jobs_.find(id);
+    if (job == jobs_.end() ||
+        number >= static_cast<int>(job->second.items.size())) {
+        return out;
+    }
+    for (const auto& [run, row] : runs_) {
+        if (row.job == id && row.number == number) {
+            stop(run, "listed", out);
+            break;
+        }
+    }
+    auto& row = job->second.items[static_cast<std::size_t>(number)];
+    row.at = state::done;
+    row.got.bytes.clear();
+    return out;
+}
+
+work::item_row* work::row_of(const run_row& run) {
+    const auto job = jobs_.find(run.job);
+    if (job == jobs_.end()) {
+        return nullptr;
+    }
+    return &job->second.items[static_cast<std::size_t>(run.number)];
+}
+
+void work::stop(run_number run, const char* reason, effects& out) {
+    const auto at = runs_.find(run);
+    if (at == runs_.end()) {
+        return;
+    }
+    table_.ended(at->second.sampler);
+    out.push_back(stop_run{run, reason});
+    runs_.erase(at);
+}
+
+void work::requeue(item_row& row, base::millis pause) {
+    row.at = state::waiting;
+    row.not_before = clock_.now() + pause;
+}
+
+void work::restart(item_row& row) {
+    row.got = {};
+    row.saved_events = 0;
+    row.saved_bytes = 0;
+    ++row.epoch;
+}
+
+effects work::tick(bool may_start) {
+    effects out;
+    move(out);
+    if (may_start) {
+        place(out);
+    }
+    const auto now = clock_.now();
+    for (auto& [id, job] : jobs_) {
+        for (std::size_t n = 0; n < job.items.size(); ++n) {
+            auto& row = job.items[n];
+            if (row.at == state::judge_due && now >= row.not_before) {
+                finish_text(id, static_cast<int>(n), out);
+            }
+            if (row.at == state::waiting && job.terms.keep_ms > 0 &&
+                now - job.seen_at > job.terms.keep_ms) {
+                row.outcome = item_outcome::errored;
+                row.at = state::ready;
+            }
+        }
+    }
+    return out;
+}
+
+void work::place(effects& out) {
+    struct candidate {
+        base::millis due;
+        std::int64_t left;
+        const job_id* job;
+        int number;
+    };
+    const auto now = clock_.now();
+    std::vector<candidate> queue;
+    for (auto& [id, job] : jobs_) {
+        for (std::size_t n = 0; n < job.items.size(); ++n) {
+            const auto& row = job.items[n];
+            if (row.at == state::waiting && now >= row.not_before) {
+                queue.push_back({job.seen_at + job.terms.due_ms,
+                                 -row.content.expected_tokens, &id,
+                                 static_cast<int>(n)});
+            }
+        }
+    }
+    std::sort(queue.begin(), queue.end(), [](const auto& a, const auto& b) {
+        return std::tie(a.due, a.left, a.number) <
+               std::tie(b.due, b.left, b.number);
+    });
+    for (const auto& c : queue) {
+        auto& job = jobs_.at(*c.job);
+        auto& row = job.items[static_cast<std::size_t>(c.number)];
+        const auto to = samplers::place_run(table_, job.terms.service,
+                                            job.header.model,
+                                            job.header.least_version, now);
+        if (!to) {
+            // Jobs differ in the weights that they admit; others may fit.
+            continue;
+        }
+        const auto run = ++last_run_;
+        runs_[run] = {*c.job, c.number, *to, now, now, 0, 0};
+        table_.started(*to);
+        row.at = state::running;
+        ++counts_.runs;
+        const bool is_long = row.content.expected_tokens > long_tokens;
+        out.push_back(start_run{
+            run, *to, *c.job, c.number, job.header.host, &row.content,
+            row.got.last_event, is_long ? long_priority : usual_priority,
+            std::max<base::millis>(1000, job.seen_at + job.terms.keep_ms - now)});
+    }
+}
+
+void work::move(effects& out) {
+    const auto now = clock_.now();
+    std::vector<run_number> silent;
+    for (const auto& [run, row] : runs_) {
+        const auto bound = row.events == 0 ? first_event_ms : next_event_ms;
+        if (now - row.heard_at > bound) {
+            silent.push_back(run);
+        }
+    }
+    for (const auto run : silent) {
+        const auto row = runs_.at(run);
+        ++counts_.silent;
+        table_.failed(row.sampler);
+        stop(run, "silent", out);
+        if (auto* item = row_of(row)) {
+            requeue(*item, 0);
+        }
+    }
+    std::map<samplers::service_name, std::set<samplers::sampler_id>> slow;
+    const int queued = waiting();
+    int moves = 0;
+    std::vector<run_number> leaving;
+    for (const auto& [run, row] : runs_) {
+        const auto job = jobs_.find(row.job);
+        if (job == jobs_.end() || moves >= moves_a_tick) {
+            continue;
+        }
+        const auto& service = job->second.terms.service;
+        auto known = slow.find(service);
+        if (known == slow.end()) {
+            known = slow.emplace(service, samplers::slow_samplers(
+                                              table_, service, now))
+                        .first;
+        }
+        const auto* s = table_.find(row.sampler);
+        const bool drains = s != nullptr && s->registered.draining;
+        if (!drains && known->second.count(row.sampler) == 0) {
+            continue;
+        }
+        if (samplers::free_places(table_, service, known->second, now) <=
+            moves + queued) {
+            continue;
+        }
+        ++moves;
+        leaving.push_back(run);
+    }
+    for (const auto run : leaving) {
+        const auto row = runs_.at(run);
+        ++counts_.moved;
+        stop(run, "moved", out);
+        if (auto* item = row_of(row)) {
+            requeue(*item, 0);
+        }
+    }
+}
+
+effects work::head(run_number run, weight_version version) {
+    effects out;
+    const auto at = runs_.find(run);
+    if (at == runs_.end()) {
+        return out;
+    }
+    at->second.version = version;
+    at->second.heard_at = clock_.now();
+    const auto& job = jobs_.at(at->second.job);
+    table_.saw_version(at->second.sampler, job.header.model, version);
+    if (version < job.header.least_version) {
+        // The table was wrong about the server; the text would be too old.
+        auto* item = row_of(at->second);
+        stop(run, "old_weights", out);
+        requeue(*item, retry_ms);
+    }
+    return out;
+}
+
+effects work::event(run_number run, const std::string& id,
+                    const std::string& data,
+                    std::optional<weight_version> version) {
+    effects out;
+    const auto at = runs_.find(run);
+    if (at == runs_.end()) {
+        return out;
+    }
+    auto& r = at->second;
+    auto& job = jobs_.at(r.job);
+    auto& row = *row_of(r);
+    const auto now = clock_.now();
+    if (r.events > 0) {
+        table_.event(r.sampler, now - r.heard_at);
+    }
+    r.heard_at = now;
+    ++r.events;
+    if (version) {
+        r.version = *version;
+        table_.saw_version(r.sampler, job.header.model, *version);
+    }
+    if (job.terms.single_version && !row.got.versions.empty() &&
+        row.got.versions.back() != r.version) {
+        stop(run, "mixed_versions", out);
+        restart(row);
+        requeue(row, 0);
+        return out;
+    }
+    if (row.got.events > 0) {
+        row.got.bytes += '\n';
+    }
+    row.got.bytes += data;
+    row.got.last_event = id;
+    ++row.got.events;
+    add_version(row.got.versions, r.version);
+    return out;
+}
+
+effects work::ended(run_number run, run_end end) {
+    effects out;
+    const auto at = runs_.find(run);
+    if (at == runs_.end()) {
+        return out;
+    }
+    const auto r = at->second;
+    runs_.erase(at);
+    table_.ended(r.sampler);
+    auto& row = *row_of(r);
+    const auto& terms = jobs_.at(r.job).terms;
+    switch (end) {
+    case run_end::complete:
+        finish_text(r.job, r.number, out);
+        break;
+    case run_end::cut:
+        table_.failed(r.sampler);
+        requeue(row, retry_ms);
+        break;
+    case run_end::not_run:
+        table_.block(r.sampler, refusal_ms);
+        requeue(row, 0);
+        break;
+    case run_end::other_server:
+        table_.block(r.sampler, other_server_ms);
+        requeue(row, 0);
+        break;
+    case run_end::failed:
+        ++row.failures;
+        if (row.failures >= terms.attempts) {
+            row.outcome = item_outcome::errored;
+            row.at = state::ready;
+        } else {
+            requeue(row, retry_ms);
+        }
+        break;
+    case run_end::impossible:
+        row.outcome = item_outcome::errored;
+        row.at = state::ready;
+        break;
+    }
+    return out;
+}
+
+void work::finish_text(const job_id& id, int number, effects& out) {
+    auto& row = jobs_.at(id).items[static_cast<std::size_t>(number)];
+    if (row.content.reward) {
+        row.at = state::judged;
+        out.push_back(start_reward{id, number, &*row.content.reward});
+    } else {
+        row.at = state::ready;
+    }
+}
+
+effects work::reward_ended(const job_id& id, int number,
+                           const reward_outcome& outcome) {
+    const auto job = jobs_.find(id);
+    if (job == jobs_.end()) {
+        return {};
+    }
+    auto& row = job->second.items[static_cast<std::size_t>(number)];
+    if (row.at != state::judged) {
+        return {};
+    }
+    std::visit(base::overloaded{
+                   [&](const rewarded& r) {
+                       row.score = r.score;
+                       row.at = state::ready;
+                   },
+                   [&](const reward_failed& f) {
+                       if (f.answered) {
+                           row.outcome = item_outcome::errored;
+                           row.at = state::ready;
+                           return;
+                       }
+                       row.at = state::judge_due;
+                       row.not_before = clock_.now() + reward_retry_ms;
+                   }},
+               outcome);
+    return {};
+}
+
+std::vector<ready_result> work::ready(std::size_t bytes) const {
+    std::vector<ready_result> out;
+    std::size_t total = 0;
+    for (const auto& [id, job] : jobs_) {
+        for (std::size_t n = 0; n < job.items.size(); ++n) {
+            const auto& row = job.items[n];
+            if (row.at != state::ready || total > bytes) {
+                continue;
+            }
+            const bool good = row.outcome == item_outcome::succeeded;
+            total += row.got.bytes.size();
+            out.push_back({id, static_cast<int>(n),
+                           {row.content.id, row.outcome,
+                            good ? row.got.bytes : std::string(),
+                            good ? row.got.versions
+                                 : std::vector<weight_version>(),
+                            row.score}});
+        }
+    }
+    return out;
+}
+
+std::vector<unsaved_part> work::unsaved(int least, std::size_t bytes) const {
+    std::vector<unsaved_part> out;
+    std::size_t total = 0;
+    for (const auto& [id, job] : jobs_) {
+        for (std::size_t n = 0; n < job.items.size(); ++n) {
+            const auto& row = job.items[n];
+            const bool going = row.at == state::running ||
+                               row.at == state::waiting;
+            const int fresh = row.got.events - row.saved_events;
+            if (!going || fresh < least || total > bytes) {
+                continue;
+            }
+            const auto from = row.saved_bytes + (row.saved_events > 0 ? 1 : 0);
+            total += row.got.bytes.size() - from;
+            out.push_back({id,
+                           {static_cast<int>(n), row.epoch, row.saved_events,
+                            fresh, row.got.last_event,
+                            row.got.bytes.substr(from), row.got.versions,
+                            row.failures}});
+        }
+    }
+    return out;
+}
+
+void work::saved(const unsaved_part& part) {
+    const auto job = jobs_.find(part.job);
+    if (job == jobs_.end()) {
+        return;
+    }
+    auto& row = job->second.items[static_cast<std::size_t>(part.part.item)];
+    if (row.epoch != part.part.epoch ||
+        row.saved_events != part.part.from) {
+        return;
+    }
+    row.saved_bytes += part.part.text.size() + (part.part.from > 0 ? 1 : 0);
+    row.saved_events += part.part.events;
+}
+
+int work::waiting() const {
+    int n = 0;
+    for (const auto& [id, job] : jobs_) {
+        n += static_cast<int>(
+            std::count_if(job.items.begin(), job.items.end(),
+                          [](const auto& r) { return r.at == state::waiting; }));
+    }
+    return n;
+}
+
+} // namespace hibiscus::batch
--- /dev/null
+++ b/packages/entry/include/hibiscus/entry/settings.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "hibiscus/base/clock.hpp"
+#include "hibiscus/base/endpoint.hpp"
+#include "hibiscus/base/ids.hpp"
+#include "hibiscus/base/result.hpp"
+#include "hibiscus/settings/errors.hpp"
+
+#include <cstddef>
+#include <string>
+
+namespace hibiscus::entry {
+
+/// The settings of one entry node, from its YAML file.
+struct node_settings {
+    base::node_id node;
+    base::zone_id zone;
+    base::endpoint listen_callers;
+    base::endpoint listen_readiness;
+    base::endpoint listen_directory;
+    base::endpoint listen_metrics;
+    base::endpoint store;
+    /// A member of a group that is silent for so long loses its partitions.
+    base::millis member_ttl_ms = 1000;
+    std::size_t record_bytes = 262144;
+    std::size_t append_bytes = 2097152;
+    /// Two holders must not order the same server within this time, in ms.
+    base::millis lease_ms = 3000;
+    /// How long a server serves on after it said that it leaves, in ms.
+    base::millis drain_ms = 2000;
+    /// How long results stay readable after a submission, in ms.
+    base::millis status_ms = 120000;
+    /// The time from SIGTERM to SIGKILL, in ms.
+    base::millis grace_ms = 8000;
+    /// Within this time of its end, no item of a job may start, in ms.
+    base::millis cancel_ms = 3000;
+};
+
+/// Returns the settings in the YAML file `path`, or all of its errors.
+base::result<node_settings, settings::setting_errors>
+load_node_settings(const std::string& path);
+
+} // namespace hibiscus::entry
--- /dev/null
+++ b/packages/entry/src/batch_api.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "node_state.hpp"
+
+#include "hibiscus/store/follower.hpp"
+#include "hibiscus/transport/event_server.hpp"
+#include "platform/front.hpp"
+
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace hibiscus::entry {
+
+/// Answers the calls about batch jobs, at any node, from the ledger that it
+/// reads. What it can't be sure of it does not deny: "no such job" and
+/// "nothing yet" need a view that was current after the call came.
+class batch_api {
+public:
+    batch_api(node_state& state, const store::log_store& store,
+              store::follower& jobs, store::delay_function after);
+
+    /// Starts to look after calls that wait.
+    void start();
+
+    /// A job was submitted. `deadline_ms` is the caller's patience.
+    void submit(batch::job job, base::millis deadline_ms,
+                std::shared_ptr<transport::exchange> caller);
+    void read(const adapter::read_call& call,
+              std::shared_ptr<transport::exchange> caller);
+    void body(const adapter::body_call& call,
+              std::shared_ptr<transport::exchange> caller);
+    void end(const adapter::end_call& call,
+             std::shared_ptr<transport::exchange> caller);
+
+    /// The ledger has changed: calls that wait may have their answer.
+    void ledger_changed();
+
+private:
+    struct submission {
+        batch::job_header header;
+        std::vector<std::vector<store::record>> appends;
+        std::size_t next = 0;
+        bool may_be_stored = false;
+        base::millis started_at = 0;
+        base::millis due = 0;
+        std::shared_ptr<transport::exchange> caller;
+    };
+    enum class waits_for { results, body, ending };
+    struct waiter {
+        waits_for what = waits_for::results;
+        batch::job_id job;
+        batch::item_id item;
+        std::size_t after = 0;
+        base::millis came_at = 0;
+        /// Until then it waits for a result.
+        base::millis wait_until = 0;
+        std::shared_ptr<transport::exchange> caller;
+    };
+
+    void append(const std::shared_ptr<submission>& s);
+    void appended(const std::shared_ptr<submission>& s,
+                  const store::append_result& result);
+    void refuse(const submission& s, const char* reason);
+    void accept(const submission& s, const char* reason);
+    bool settle(const waiter& w);
+    bool settle_read(const waiter& w, const batch::job_row& row);
+    bool settle_body(const waiter& w, const batch::job_row& row);
+    void store_end(const waiter& w, base::millis due, bool stored_maybe);
+    bool current_since(base::millis time) const;
+    void sweep();
+    void add(waiter w);
+
+    node_state& state_;
+    const store::log_store& store_;
+    store::follower& jobs_;
+    store::delay_function after_;
+    std::vector<waiter> waiting_;
+};
+
+} // namespace hibiscus::entry
--- /dev/null
+++ b/packages/entry/src/daemon.cpp
@@ -0,0 +1,385 @@
+#include "hibiscus/entry/daemon.hpp"
+
+#include "batch_api.hpp"
+#include "directory.hpp"
+#include "forwarder.hpp"
+#include "hibiscus/base/result.hpp"
+#include "node_state.hpp"
+#include "owner.hpp"
+#include "platform/documents.hpp"
+#include "platform/front.hpp"
+#include "platform/store_client.hpp"
+#include "registry.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <memory>
+
+namespace hibiscus::entry {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// How often held log lines are written, in ms.
+constexpr base::millis flush_ms = 200;
+
+/// How long a node serves on after SIGTERM at least, in ms: callers keep an
+/// answer of the directory for two seconds, and some connect a little later.
+constexpr base::millis least_stop_ms = 3000;
+
+/// The part of the grace period that is left for the exit itself, in ms.
+constexpr base::millis exit_margin_ms = 1200;
+
+/// How long callers keep an answer of the directory, in seconds. Longer ones
+/// would send callers to nodes that are gone.
+constexpr int directory_ttl_s = 2;
+
+/// How soon a caller should come back to a node that has no configuration
+/// yet, in ms.
+constexpr base::millis start_retry_ms = 300;
+
+/// The default patience of a caller that names none, in ms.
+constexpr base::millis default_deadline_ms = 10000;
+
+/// One entry node: wires its parts to the addresses and the store.
+class entry_node {
+public:
+    entry_node(const node_settings& settings, std::string path)
+        : state_(settings), path_(std::move(path)), signals_(io_),
+          client_(io_), store_(adapter::make_log_store(client_, settings.store)),
+          after_([this](base::millis ms, std::function<void()> f) {
+              after(ms, std::move(f));
+          }),
+          config_(store_, {adapter::operator_topic, 0}, state_.clock, after_,
+                  {}, {[this](const auto& c) { operator_changed(c); }, {}}),
+          registry_(state_, store_, after_),
+          jobs_(store_, {adapter::jobs_topic, 0}, state_.clock, after_, {},
+                {[this](const auto& c) { jobs_changed(c); }, {}}),
+          directory_(state_, store_, after_), requests_(state_, client_),
+          owner_(state_, store_, jobs_, client_, requests_, after_),
+          batch_(state_, store_, jobs_, after_),
+          callers_(io_, {}, [this](auto r, auto e) {
+              on_caller(std::move(r), std::move(e));
+          }),
+          readiness_(io_, {}, [this](const auto& r, auto e) {
+              on_readiness(r, *e);
+          }),
+          lookup_(io_, {}, [this](const auto& r, auto e) {
+              on_directory(r, *e);
+          }),
+          metrics_(io_, {}, [this](const auto&, auto e) { on_metrics(*e); }) {}
+
+    std::optional<listen_failed> run() {
+        if (const auto failed = listen()) {
+            return failed;
+        }
+        state_.log.write("start", {{"zone", state_.config.zone},
+                                   {"callers", to_string(state_.config.listen_callers)},
+                                   {"store", to_string(state_.config.store)}});
+        wait_for_signal();
+        config_.start();
+        registry_.start();
+        jobs_.start();
+        directory_.start();
+        owner_.start();
+        batch_.start();
+        flush();
+        io_.run();
+        state_.log.write("stop", {{"in_flight", static_cast<int>(callers_.in_flight())}});
+        state_.log.flush();
+        return std::nullopt;
+    }
+
+private:
+    void after(base::millis ms, std::function<void()> f) {
+        auto timer = std::make_shared<asio::steady_timer>(
+            io_, std::chrono::milliseconds(ms));
+        timer->async_wait([timer, f = std::move(f)](const auto& error) {
+            if (!error) {
+                f();
+            }
+        });
+    }
+
+    std::optional<listen_failed> listen() {
+        const auto& c = state_.config;
+        if (!callers_.listen(c.listen_callers)) {
+            return listen_failed{c.listen_callers};
+        }
+        if (!readiness_.listen(c.listen_readiness)) {
+            return listen_failed{c.listen_readiness};
+        }
+        if (!lookup_.listen(c.listen_directory)) {
+            return listen_failed{c.listen_directory};
+        }
+        if (!metrics_.listen(c.listen_metrics)) {
+            return listen_failed{c.listen_metrics};
+        }
+        return std::nullopt;
+    }
+
+    void wait_for_signal() {
+        signals_.add(SIGTERM);
+        signals_.add(SIGINT);
+        signals_.add(SIGHUP);
+        signals_.async_wait([this](const auto& error, int signal) {
+            if (error) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                reload();
+            } else {
+                stop();
+            }
+            wait_for_signal();
+        });
+    }
+
+    /// Addresses can't change while the process runs; a file that can't be
+    /// read leaves the settings in force as they are.
+    void reload() {
+        const auto loaded = load_node_settings(path_);
+        const auto* fresh = base::value_if(loaded);
+        if (fresh != nullptr) {
+            state_.config.lease_ms = fresh->lease_ms;
+            state_.config.drain_ms = fresh->drain_ms;
+            state_.config.cancel_ms = fresh->cancel_ms;
+            state_.config.grace_ms = fresh->grace_ms;
+            state_.config.status_ms = fresh->status_ms;
+        }
+        state_.log.write("reload", {{"taken", fresh != nullptr}});
+    }
+
+    void stop() {
+        if (state_.stopping) {
+            return;
+        }
+        state_.stopping = true;
+        stop_at_ = state_.clock.now();
+        state_.log.write("stopping", {{"in_flight", static_cast<int>(callers_.in_flight())},
+                                      {"owns", owner_.owns()}});
+        directory_.leave();
+        owner_.hand_over([this] { handed_over_ = true; });
+        callers_.drain();
+        check_stop();
+    }
+
+    void check_stop() {
+        const auto since = state_.clock.now() - stop_at_;
+        const bool idle = callers_.in_flight() == 0 && handed_over_ &&
+                          since >= least_stop_ms;
+        if (idle || since >= state_.config.grace_ms - exit_margin_ms) {
+            io_.stop();
+            return;
+        }
+        after(50, [this] { check_stop(); });
+    }
+
+    void flush() {
+        state_.log.flush();
+        after(flush_ms, [this] { flush(); });
+    }
+
+    void operator_changed(const std::vector<store::change>& changes) {
+        for (const auto& c : changes) {
+            auto record = c.value
+                              ? adapter::decode_operator_record(c.key, *c.value)
+                              : std::nullopt;
+            if (!record) {
+                state_.log.write("record_skipped",
+                                 {{"topic", "operator"}, {"key", c.key}});
+                continue;
+            }
+            std::visit(base::overloaded{
+                           [&](gateway::configuration& n) {
+                               take_configuration(std::move(n));
+                           },
+                           [&](const adapter::named_version& v) {
+                               owner_.version_named(v.model, v.version);
+                           }},
+                       *record);
+        }
+    }
+
+    void take_configuration(gateway::configuration next) {
+        if (state_.routes && next.version <= state_.routes->version) {
+            return;
+        }
+        state_.log.write("configuration",
+                         {{"version", next.version},
+                          {"before", state_.routes ? state_.routes->version : 0},
+                          {"routes", static_cast<int>(next.routes.size())}});
+        const auto& l = next.limits;
+        callers_.set_limits({l.header_bytes, l.body_bytes, l.header_ms, l.idle_ms});
+        state_.routes = std::move(next);
+    }
+
+    void jobs_changed(const std::vector<store::change>& changes) {
+        std::set<batch::job_id> jobs;
+        for (const auto& c : changes) {
+            if (const auto id = state_.jobs.apply(c)) {
+                jobs.insert(*id);
+            }
+        }
+        owner_.ledger_changed(jobs);
+        batch_.ledger_changed();
+    }
+
+    void on_readiness(const transport::inbound_request& request,
+                      transport::exchange& answer) {
+        const bool ready = adapter::is_ready_call(request) && !state_.stopping &&
+                           state_.routes && registry_.loaded() &&
+                           jobs_.loaded();
+        answer.respond(adapter::plain_status(ready ? 200 : 503));
+    }
+
+    void on_directory(const transport::inbound_request& request,
+                      transport::exchange& answer) {
+        const auto call = adapter::parse_directory(request);
+        if (!call) {
+            answer.respond(adapter::plain_status(404));
+            return;
+        }
+        answer.respond(adapter::resolved(
+            directory_.addresses(base::zone_id(call->zone)), directory_ttl_s));
+    }
+
+    void on_metrics(transport::exchange& answer) {
+        const auto c = client_.counts();
+        state_.counters.set("connections_opened", static_cast<double>(c.connections));
+        state_.counters.set("connections_reused", static_cast<double>(c.reused));
+        state_.counters.set("stray_bytes", static_cast<double>(c.stray_bytes));
+        state_.counters.set("log_lines_dropped", static_cast<double>(state_.log.dropped()));
+        state_.counters.set("owner", owner_.owns() ? 1 : 0);
+        state_.counters.set("jobs", static_cast<double>(state_.jobs.jobs().size()));
+        state_.counters.set("records_unreadable", static_cast<double>(state_.jobs.unreadable()));
+        answer.respond({200, {{"Content-Type", "text/plain"}},
+                        state_.counters.serialize()});
+    }
+
+    void on_caller(transport::inbound_request request,
+                   std::shared_ptr<transport::exchange> answer) {
+        std::visit(base::overloaded{
+                       [&](const adapter::read_call& c) {
+                           batch_.read(c, std::move(answer));
+                       },
+                       [&](const adapter::body_call& c) {
+                           batch_.body(c, std::move(answer));
+                       },
+                       [&](const adapter::end_call& c) {
+                           batch_.end(c, std::move(answer));
+                       },
+                       [&](const adapter::routed_call& c) {
+                           on_routed(c, std::move(request), std::move(answer));
+                       }},
+                   adapter::parse_front(request));
+    }
+
+    void on_routed(const adapter::routed_call& call,
+                   transport::inbound_request request,
+                   std::shared_ptr<transport::exchange> answer) {
+        if (!state_.routes) {
+            // A node that knows no configuration can't say what does not
+            // exist.
+            log_refusal(call, "no_configuration");
+            answer->respond(adapter::not_run(start_retry_ms));
+            return;
+        }
+        const auto* r = gateway::match(*state_.routes, call.host, request.target);
+        if (r == nullptr) {
+            log_refusal(call, "no_route");
+            answer->respond(adapter::plain_status(404));
+            return;
+        }
+        if (r->kind == gateway::route_kind::batch) {
+            on_submission(call, request, std::move(answer));
+            return;
+        }
+        requests_.answer(to_forward(call, *r, std::move(request)),
+                         std::move(answer));
+    }
+
+    void log_refusal(const adapter::routed_call& call, const char* reason) {
+        state_.log.write("refused", {{"id", call.id},
+                                     {"host", call.host},
+                                     {"configuration",
+                                      state_.routes ? state_.routes->version : 0},
+                                     {"reason", reason}});
+    }
+
+    void on_submission(const adapter::routed_call& call,
+                       const transport::inbound_request& request,
+                       std::shared_ptr<transport::exchange> answer) {
+        auto job = adapter::decode_job(request, call);
+        if (!job) {
+            log_refusal(call, "no_job");
+            answer->respond(adapter::plain_status(400));
+            return;
+        }
+        batch_.submit(std::move(*job), call.deadline_ms, std::move(answer));
+    }
+
+    forward_request to_forward(const adapter::routed_call& call,
+                               const gateway::route& r,
+                               transport::inbound_request request) {
+        forward_request f;
+        f.id = call.id;
+        f.kind = "request";
+        f.content.method = std::move(request.method);
+        f.content.target = std::move(request.target);
+        f.content.body = std::move(request.body);
+        f.content.fields.push_back({"Host", call.host});
+        for (auto& field : request.fields) {
+            if (!transport::is_hop_by_hop(field.name)) {
+                f.content.fields.push_back(std::move(field));
+            }
+        }
+        f.service = samplers::service_name(choose_target(r, state_.draw()));
+        f.attempts = r.attempts;
+        f.repeatable = r.kind == gateway::route_kind::idempotent;
+        f.streamed = r.kind == gateway::route_kind::streaming;
+        auto time = call.deadline_ms > 0 ? call.deadline_ms : default_deadline_ms;
+        if (r.timeout_ms > 0) {
+            time = std::min(time, r.timeout_ms);
+        }
+        f.due = state_.clock.now() + time;
+        f.objective_ms = r.objective_ms;
+        return f;
+    }
+
+    asio::io_context io_{1};
+    node_state state_;
+    std::string path_;
+    asio::signal_set signals_;
+    transport::upstream_client client_;
+    store::log_store store_;
+    store::delay_function after_;
+    store::follower config_;
+    registry registry_;
+    store::follower jobs_;
+    directory directory_;
+    forwarder requests_;
+    owner owner_;
+    batch_api batch_;
+    transport::event_server callers_;
+    transport::event_server readiness_;
+    transport::event_server lookup_;
+    transport::event_server metrics_;
+    base::millis stop_at_ = 0;
+    bool handed_over_ = false;
+};
+
+} // namespace
+
+std::optional<listen_failed> run_node(const node_settings& settings,
+                                      const std::string& path) {
+    entry_node node(settings, path);
+    return node.run();
+}
+
+} // namespace hibiscus::entry
--- /dev/null
+++ b/packages/entry/src/owner.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "forwarder.hpp"
+#include "node_state.hpp"
+
+#include "hibiscus/batch/work.hpp"
+#include "hibiscus/samplers/weight_rollout.hpp"
+#include "hibiscus/store/follower.hpp"
+#include "hibiscus/transport/event_stream.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace hibiscus::entry {
+
+/// Runs the jobs while this node owns them, and orders loads of weights.
+/// Which node that is comes from a group in the store; that is only a hint.
+/// What counts is the owner's record in the partition of the jobs: results
+/// are appended on the condition that the partition ends where this node has
+/// read to, so that of two owners at a time one always loses.
+class owner {
+public:
+    owner(node_state& state, const store::log_store& store,
+          store::follower& jobs, transport::upstream_client& client,
+          forwarder& requests, store::delay_function after);
+
+    /// Starts to take part.
+    void start();
+
+    /// The ledger has changed in these jobs, or in its owner.
+    void ledger_changed(const std::set<batch::job_id>& jobs);
+
+    /// A trainer named a version.
+    void version_named(const std::string& model, std::int64_t version);
+
+    /// Saves what is under way, stops it and lets the others take over, then
+    /// calls `done`.
+    void hand_over(std::function<void()> done);
+
+    bool owns() const;
+
+private:
+    struct live_run {
+        std::shared_ptr<transport::upstream_call> call;
+        transport::event_stream_parser parser;
+        int status = 0;
+        bool not_run = false;
+        bool other_server = false;
+        samplers::sampler_id server;
+        batch::job_id job;
+        int number = 0;
+        int events = 0;
+        base::millis started_at = 0;
+    };
+
+    struct reward_task {
+        batch::job_id job;
+        int number = 0;
+        batch::reward_call call;
+    };
+
+    void join();
+    void joined(const store::join_result& result);
+    void take_over();
+    void tick();
+    void sync();
+    void run(const batch::effects& effects);
+    void start_one(const batch::start_run& r);
+    void run_ended(batch::run_number run, transport::call_end end);
+    batch::run_end end_of(const live_run& live, transport::call_end end) const;
+    void start_rewards();
+    void send_reward(const reward_task& task);
+    std::size_t reward_places(const samplers::service_name& service) const;
+    void commit();
+    void committed(const store::append_result& result,
+                   const std::vector<store::record>& records,
+                   const std::vector<batch::unsaved_part>& parts);
+    void finish_leaving(const std::vector<store::record>& records);
+    void order_loads();
+    void send_order(const samplers::load_order& order);
+    bool store_heard() const;
+    std::optional<batch::job_terms> terms_of(const batch::job_header& header);
+
+    node_state& state_;
+    const store::log_store& store_;
+    store::follower& jobs_;
+    transport::upstream_client& client_;
+    forwarder& requests_;
+    store::delay_function after_;
+    batch::work work_;
+    samplers::weight_rollout rollout_;
+    std::string incarnation_;
+    std::map<batch::run_number, live_run> runs_;
+    std::deque<reward_task> rewards_;
+    std::map<std::uint64_t, std::shared_ptr<forwarding>> judging_;
+    std::uint64_t last_judging_ = 0;
+    std::uint64_t generation_ = 0;
+    bool assigned_ = false;
+    bool taking_over_ = false;
+    bool committing_ = false;
+    bool owned_before_ = false;
+    bool leaving_ = false;
+    int leave_tries_ = 0;
+    std::function<void()> left_;
+    base::millis may_order_at_ = 0;
+    base::millis last_commit_ = 0;
+    base::millis last_progress_ = 0;
+};
+
+} // namespace hibiscus::entry
--- a/packages/node/src/callers_api.cpp
+++ b/packages/node/src/callers_api.cpp
@@ -153,7 +153,7 @@
 
 /// Returns a function that counts an answer and sends it.
 template <class T>
-std::function<void(T)> answering(metrics& counters, const char* kind,
+std::function<void(T)> answering(telemetry::metrics& counters, const char* kind,
                                  net::http_responder respond) {
     return [&counters, kind, respond = std::move(respond)](const T& answer) {
         counters.count_answer(kind, std::string(base::name_of(answer.result)),
@@ -167,7 +167,7 @@
 
 callers_api::callers_api(base::node_id self, control& state,
                          const shared_view& shared, service_gateway& services,
-                         metrics& counters, base::clock clock, std::size_t most)
+                         telemetry::metrics& counters, base::clock clock, std::size_t most)
     : self_(std::move(self)), control_(state), shared_(shared),
       services_(services), counters_(counters), clock_(std::move(clock)),
       claimed_(most) {}
--- a/packages/node/src/callers_api.hpp
+++ b/packages/node/src/callers_api.hpp
@@ -17,7 +17,7 @@
     /// Constructs the API of a node that takes `most` non-idempotent requests
     /// at a time.
     callers_api(base::node_id self, control& state, const shared_view& shared,
-                service_gateway& services, metrics& counters, base::clock clock,
+                service_gateway& services, telemetry::metrics& counters, base::clock clock,
                 std::size_t most);
 
     /// Handles one request.
@@ -47,7 +47,7 @@
     control& control_;
     const shared_view& shared_;
     service_gateway& services_;
-    metrics& counters_;
+    telemetry::metrics& counters_;
     base::clock clock_;
     std::mutex mutex_;
     policy::work_limit claimed_;
--- a/packages/node/src/claim_runner.cpp
+++ b/packages/node/src/claim_runner.cpp
@@ -24,7 +24,7 @@
                            cluster::shard_number shards,
                            boost::asio::io_context& control,
                            platform::log_client& log, service_gateway& services,
-                           decision_log& lines, metrics& counters,
+                           decision_log& lines, telemetry::metrics& counters,
                            base::clock clock)
     : home_(self, incarnation, times), shards_(shards), control_(control),
       log_(log), services_(services), lines_(lines), counters_(counters),
--- a/packages/node/src/claim_runner.hpp
+++ b/packages/node/src/claim_runner.hpp
@@ -3,7 +3,7 @@
 #include "hibiscus/cluster/claim_home.hpp"
 #include "hibiscus/cluster/member_table.hpp"
 #include "hibiscus/platform/log_client.hpp"
-#include "metrics.hpp"
+#include "hibiscus/telemetry/metrics.hpp"
 #include "service_gateway.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -26,7 +26,7 @@
                  cluster::claim_times times, cluster::shard_number shards,
                  boost::asio::io_context& control, platform::log_client& log,
                  service_gateway& services, decision_log& lines,
-                 metrics& counters, base::clock clock);
+                 telemetry::metrics& counters, base::clock clock);
 
     /// Takes a request whose home this node is, or was a moment ago.
     void submit(const wire::service_request& request, done_function done);
@@ -60,7 +60,7 @@
     platform::log_client& log_;
     service_gateway& services_;
     decision_log& lines_;
-    metrics& counters_;
+    telemetry::metrics& counters_;
     base::clock clock_;
     std::map<cluster::claim_waiter, done_function> waiters_;
     cluster::claim_waiter last_waiter_ = 0;
--- a/packages/node/src/config_follower.cpp
+++ b/packages/node/src/config_follower.cpp
@@ -29,7 +29,7 @@
                                  boost::asio::io_context& control,
                                  platform::log_client& log,
                                  net::peer_mesh& mesh, decision_log& lines,
-                                 metrics& counters, base::clock clock,
+                                 telemetry::metrics& counters, base::clock clock,
                                  std::function<void()> changed)
     : self_(std::move(self)), control_(control), log_(log), mesh_(mesh),
       lines_(lines), counters_(counters), clock_(std::move(clock)),
--- a/packages/node/src/config_follower.hpp
+++ b/packages/node/src/config_follower.hpp
@@ -4,7 +4,7 @@
 #include "hibiscus/document/config_fold.hpp"
 #include "hibiscus/net/peer_mesh.hpp"
 #include "hibiscus/platform/log_client.hpp"
-#include "metrics.hpp"
+#include "hibiscus/telemetry/metrics.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -21,7 +21,7 @@
     /// Constructs a follower that calls `changed` after each change.
     config_follower(base::node_id self, boost::asio::io_context& control,
                     platform::log_client& log, net::peer_mesh& mesh,
-                    decision_log& lines, metrics& counters, base::clock clock,
+                    decision_log& lines, telemetry::metrics& counters, base::clock clock,
                     std::function<void()> changed);
 
     /// Starts to read.
@@ -60,7 +60,7 @@
     platform::log_client& log_;
     net::peer_mesh& mesh_;
     decision_log& lines_;
-    metrics& counters_;
+    telemetry::metrics& counters_;
     base::clock clock_;
     std::function<void()> changed_;
     boost::asio::steady_timer retry_;
--- a/packages/node/src/control.hpp
+++ b/packages/node/src/control.hpp
@@ -20,7 +20,7 @@
     boost::asio::io_context& io;
     base::clock clock;
     decision_log& lines;
-    metrics& counters;
+    telemetry::metrics& counters;
     shared_view& shared;
     net::peer_mesh& mesh;
     platform::log_client& log;
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -154,7 +154,7 @@
     base::millis started_at_ = clock_.now();
     settings config_;
     decision_log lines_;
-    metrics counters_;
+    telemetry::metrics counters_;
     shared_view shared_;
     asio::io_context traffic_;
     asio::io_context links_{1};
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -29,7 +29,7 @@
     if (config == nullptr) {
         for (const auto& error :
              std::get<hibiscus::node::setting_errors>(loaded)) {
-            std::cerr << hibiscus::node::to_string(error) << '\n';
+            std::cerr << hibiscus::settings::to_string(error) << '\n';
         }
         return exit_settings;
     }
--- a/packages/node/src/sample_runner.cpp
+++ b/packages/node/src/sample_runner.cpp
@@ -35,7 +35,7 @@
                              const cluster::member_table& members,
                              peer_calls& calls, net::peer_mesh& mesh,
                              platform::log_client& log, engine_gateway& engines,
-                             decision_log& lines, metrics& counters,
+                             decision_log& lines, telemetry::metrics& counters,
                              base::clock clock, document_function document)
     : self_(self), control_(control), members_(members), calls_(calls),
       mesh_(mesh), log_(log), gateway_(engines), lines_(lines),
--- a/packages/node/src/sample_runner.hpp
+++ b/packages/node/src/sample_runner.hpp
@@ -10,7 +10,7 @@
 #include "hibiscus/cluster/step_home.hpp"
 #include "hibiscus/cluster/version_table.hpp"
 #include "hibiscus/platform/log_client.hpp"
-#include "metrics.hpp"
+#include "hibiscus/telemetry/metrics.hpp"
 #include "peer_calls.hpp"
 #include "rollout_planner.hpp"
 #include "usage_meter.hpp"
@@ -36,7 +36,7 @@
                   const cluster::member_table& members, peer_calls& calls,
                   net::peer_mesh& mesh, platform::log_client& log,
                   engine_gateway& engines, decision_log& lines,
-                  metrics& counters, base::clock clock,
+                  telemetry::metrics& counters, base::clock clock,
                   document_function document);
 
     /// Opens a step whose home this node is.
@@ -128,7 +128,7 @@
     platform::log_client& log_;
     engine_gateway& gateway_;
     decision_log& lines_;
-    metrics& counters_;
+    telemetry::metrics& counters_;
     base::clock clock_;
     document_function document_;
     cluster::version_table versions_;
--- /dev/null
+++ b/packages/samplers/include/hibiscus/samplers/placement.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "hibiscus/samplers/sampler_table.hpp"
+
+#include <optional>
+#include <set>
+
+/// Which backend server takes a request.
+namespace hibiscus::samplers {
+
+/// Returns the server for a run that needs weights of at least `least`, or
+/// nothing if no place is free. Answers the load of one trainer's step: more
+/// items than places at first, half of the places empty later. Runs go to the
+/// server that makes events fastest, so that the longest, which are placed
+/// first, end soonest; a fuller server counts as slower by what its batch
+/// costs.
+std::optional<sampler_id>
+place_run(const sampler_table& table, const service_name& service,
+          const std::string& model, std::int64_t least, base::millis now);
+
+/// Returns the server for a plain request: the one with the least work of
+/// this process for its places, nearest first. Those in `tried` come last.
+std::optional<sampler_id>
+place_plain(const sampler_table& table, const service_name& service,
+            const base::zone_id& near, const std::set<sampler_id>& tried,
+            base::millis now);
+
+/// Returns the servers of a service that make events much more slowly than
+/// most, so that long runs should leave them.
+std::set<sampler_id> slow_samplers(const sampler_table& table,
+                                   const service_name& service,
+                                   base::millis now);
+
+/// Returns how many more runs the servers that place_run() may choose take.
+int free_places(const sampler_table& table, const service_name& service,
+                const std::set<sampler_id>& except, base::millis now);
+
+} // namespace hibiscus::samplers
--- /dev/null
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "hibiscus/base/clock.hpp"
+#include "hibiscus/base/endpoint.hpp"
+#include "hibiscus/base/ids.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// The backend servers behind the nodes: what they say of themselves and what
+/// this process has seen of them.
+namespace hibiscus::samplers {
+
+/// Names one backend server, of any service.
+using sampler_id = base::id<struct sampler_tag>;
+using service_name = base::id<struct service_name_tag>;
+
+/// What a backend server registers of itself.
+struct registration {
+    service_name service;
+    base::endpoint address;
+    base::zone_id zone;
+    int slots = 1;
+    bool draining = false;
+    /// The weights that it serves, by model.
+    std::map<std::string, std::int64_t> versions;
+    /// The number of orders that it has accepted since its start.
+    std::int64_t orders = 0;
+    /// The time of day of its start, in ms since 1970; 0 if it doesn't say.
+    std::int64_t started = 0;
+};
+
+/// One row of the table.
+struct sampler_row {
+    registration registered;
+    /// Requests of this process that it works on.
+    int running = 0;
+    /// Nothing is sent before this time.
+    base::millis blocked_until = 0;
+    /// Failures in a row.
+    int failures = 0;
+    /// The mean time between two events of a run, in ms; 0 if not known.
+    double event_ms = 0;
+    base::millis event_seen = 0;
+    /// The mean time of a plain answer, in ms; 0 if not known.
+    double answer_ms = 0;
+    /// Weights that its own answers or orders showed, newer than registered.
+    std::map<std::string, std::int64_t> seen_versions;
+    /// Set when its entry is gone from the registry, but the registry may be
+    /// wrong since it was out of reach.
+    bool unlisted = false;
+
+    /// Returns the version of `model`, as far as it is known; 0 if not.
+    std::int64_t version_of(const std::string& model) const;
+};
+
+/// All backend servers that may take work.
+class sampler_table {
+public:
+    explicit sampler_table(base::clock clock) : clock_(std::move(clock)) {}
+
+    /// Takes in an entry. A server that started anew under its id is a new
+    /// one: what was seen of it before no longer holds.
+    void put(const sampler_id& id, registration r);
+
+    /// Removes a server whose entry is gone.
+    void remove(const sampler_id& id);
+
+    /// Marks a server whose entry is gone while the registry can't be trusted.
+    void mark_unlisted(const sampler_id& id);
+
+    /// Removes all that are still marked.
+    void remove_unlisted();
+
+    sampler_row* find(const sampler_id& id);
+    const std::map<sampler_id, sampler_row>& rows() const { return rows_; }
+
+    /// A request was sent to a server, or has ended there.
+    void started(const sampler_id& id);
+    void ended(const sampler_id& id);
+
+    /// A request failed there without an answer: the server is left alone for
+    /// a time that doubles with each failure in a row.
+    void failed(const sampler_id& id);
+
+    /// A server refused without running: it is full, loading or not the one
+    /// that was expected. It is left alone for `ms`.
+    void block(const sampler_id& id, base::millis ms);
+
+    /// A whole answer came after `ms`.
+    void answered(const sampler_id& id, base::millis ms);
+
+    /// An event came `ms` after the one before.
+    void event(const sampler_id& id, base::millis ms);
+
+    /// An answer or an order showed which weights a server has.
+    void saw_version(const sampler_id& id, const std::string& model,
+                     std::int64_t version);
+
+private:
+    base::clock clock_;
+    std::map<sampler_id, sampler_row> rows_;
+};
+
+} // namespace hibiscus::samplers
--- /dev/null
+++ b/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "hibiscus/samplers/sampler_table.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+/// Which server loads new weights when.
+namespace hibiscus::samplers {
+
+/// An order to load weights.
+struct load_order {
+    sampler_id sampler;
+    std::string model;
+    std::int64_t version = 0;
+    /// The number of orders that the server must have accepted before, so
+    /// that an order that arrives late is refused.
+    std::int64_t after_orders = 0;
+};
+
+/// Plans the loads of one holder of the right to order.
+class weight_rollout {
+public:
+    explicit weight_rollout(base::clock clock) : clock_(std::move(clock)) {}
+
+    /// The newest version that a trainer has named.
+    void name_version(const std::string& model, std::int64_t version);
+
+    /// Returns the orders to send now. Loads slow each other down when many
+    /// run at once, and each takes a server away from new runs; so a fifth of
+    /// the servers load at a time. Those that are furthest behind come first:
+    /// a step admits the weights of the step before, so nothing waits as long
+    /// as every server gets each second version in time.
+    std::vector<load_order> due(const sampler_table& table);
+
+    /// What became of an order.
+    void accepted(const load_order& order);
+    void already_held(const load_order& order);
+    /// The server did not take the order, or nothing is known of it; it is
+    /// asked again after a pause.
+    void not_taken(const load_order& order);
+
+    /// Returns true while a server is expected to load.
+    bool loading(const sampler_id& id) const;
+
+    /// Returns the newest named version of a model, or 0.
+    std::int64_t newest(const std::string& model) const;
+
+    /// Forgets what is under way, for a new holder.
+    void reset();
+
+private:
+    struct load {
+        base::millis until = 0;
+        std::int64_t version = 0;
+    };
+
+    base::clock clock_;
+    std::map<std::string, std::int64_t> newest_;
+    std::map<sampler_id, load> loads_;
+};
+
+} // namespace hibiscus::samplers
--- /dev/null
+++ b/packages/samplers/src/placement.cpp
@@ -0,0 +1,128 @@
+#include "hibiscus/samplers/placement.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace hibiscus::samplers {
+
+namespace {
+
+/// The pace that a server is given before it was seen, in ms an event: that
+/// of a sound one alone, so that a new one is tried at once.
+constexpr double first_pace_ms = 37;
+
+/// How much slower the tokens of a full server come than those of an empty
+/// one: 40 ms an event at 12 runs against 37 ms alone.
+constexpr double full_cost = 0.08;
+
+/// A server at this multiple of the median pace is slow. Sound ones differ by
+/// 1.3; at 1.7 a move pays for a run with a second or more to go.
+constexpr double slow_factor = 1.7;
+
+/// A pace that was last seen so long ago says nothing of now, in ms.
+constexpr base::millis pace_age_ms = 3000;
+
+bool usable(const sampler_row& row, const service_name& service,
+            base::millis now) {
+    return row.registered.service == service && !row.registered.draining &&
+           !row.unlisted && now >= row.blocked_until;
+}
+
+double pace_of(const sampler_row& row, base::millis now) {
+    const bool fresh =
+        row.event_ms > 0 && now - row.event_seen < pace_age_ms;
+    return fresh ? row.event_ms : first_pace_ms;
+}
+
+} // namespace
+
+std::optional<sampler_id>
+place_run(const sampler_table& table, const service_name& service,
+          const std::string& model, std::int64_t least, base::millis now) {
+    std::optional<sampler_id> best;
+    double best_cost = 0;
+    for (const auto& [id, row] : table.rows()) {
+        if (!usable(row, service, now) || row.running >= row.registered.slots ||
+            row.version_of(model) < least) {
+            continue;
+        }
+        const double fill =
+            static_cast<double>(row.running) / row.registered.slots;
+        const double cost = pace_of(row, now) * (1 + full_cost * fill);
+        if (!best || cost < best_cost) {
+            best = id;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+std::optional<sampler_id>
+place_plain(const sampler_table& table, const service_name& service,
+            const base::zone_id& near, const std::set<sampler_id>& tried,
+            base::millis now) {
+    const sampler_id* best = nullptr;
+    double best_cost = 0;
+    // A request that waits for a blocked server is worse off than one that
+    // tries it: all may be blocked while only the first few were at fault.
+    constexpr double blocked_cost = 1000;
+    constexpr double tried_cost = 100;
+    constexpr double far_cost = 0.25;
+    for (const auto& [id, row] : table.rows()) {
+        if (row.registered.service != service || row.registered.draining ||
+            row.unlisted) {
+            continue;
+        }
+        double cost = static_cast<double>(row.running) /
+                      std::max(1, row.registered.slots);
+        cost += row.registered.zone == near ? 0 : far_cost;
+        cost += now < row.blocked_until ? blocked_cost : 0;
+        cost += tried.count(id) != 0 ? tried_cost : 0;
+        cost += row.answer_ms / 1000;
+        if (best == nullptr || cost < best_cost) {
+            best = &id;
+            best_cost = cost;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return *best;
+}
+
+std::set<sampler_id> slow_samplers(const sampler_table& table,
+                                   const service_name& service,
+                                   base::millis now) {
+    std::vector<double> paces;
+    for (const auto& [id, row] : table.rows()) {
+        if (usable(row, service, now)) {
+            paces.push_back(pace_of(row, now));
+        }
+    }
+    std::set<sampler_id> out;
+    if (paces.size() < 3) {
+        return out;
+    }
+    const auto middle = paces.begin() + static_cast<long>(paces.size() / 2);
+    std::nth_element(paces.begin(), middle, paces.end());
+    for (const auto& [id, row] : table.rows()) {
+        if (row.registered.service == service &&
+            pace_of(row, now) > slow_factor * *middle) {
+            out.insert(id);
+        }
+    }
+    return out;
+}
+
+int free_places(const sampler_table& table, const service_name& service,
+                const std::set<sampler_id>& except, base::millis now) {
+    int free = 0;
+    for (const auto& [id, row] : table.rows()) {
+        if (usable(row, service, now) && except.count(id) == 0) {
+            free += std::max(0, row.registered.slots - row.running);
+        }
+    }
+    return free;
+}
+
+} // namespace hibiscus::samplers
--- /dev/null
+++ b/packages/samplers/src/sampler_table.cpp
@@ -0,0 +1,126 @@
+#include "hibiscus/samplers/sampler_table.hpp"
+
+#include <algorithm>
+
+namespace hibiscus::samplers {
+
+namespace {
+
+/// The first pause after a failure and the longest, in ms. A crashed server is
+/// taken from the registry after three heartbeats of 1.2 s; the longest pause
+/// lets one that was only cut off serve again within a second.
+constexpr base::millis first_pause_ms = 150;
+constexpr base::millis longest_pause_ms = 1200;
+
+/// The weight of the newest value in a running mean: about ten values back
+/// count, which is half a second of one run.
+constexpr double newest_share = 0.1;
+
+void mix(double& mean, double value) {
+    mean = mean == 0 ? value : mean + newest_share * (value - mean);
+}
+
+} // namespace
+
+std::int64_t sampler_row::version_of(const std::string& model) const {
+    std::int64_t version = 0;
+    const auto listed = registered.versions.find(model);
+    if (listed != registered.versions.end()) {
+        version = listed->second;
+    }
+    const auto seen = seen_versions.find(model);
+    if (seen != seen_versions.end()) {
+        version = std::max(version, seen->second);
+    }
+    return version;
+}
+
+void sampler_table::put(const sampler_id& id, registration r) {
+    auto& row = rows_[id];
+    const bool anew = row.registered.started != r.started ||
+                      !(row.registered.address == r.address);
+    if (anew) {
+        const auto running = row.running;
+        row = sampler_row();
+        row.running = running;
+    }
+    row.unlisted = false;
+    r.orders = std::max(r.orders, anew ? 0 : row.registered.orders);
+    row.registered = std::move(r);
+}
+
+void sampler_table::remove(const sampler_id& id) {
+    rows_.erase(id);
+}
+
+void sampler_table::mark_unlisted(const sampler_id& id) {
+    if (auto* row = find(id)) {
+        row->unlisted = true;
+    }
+}
+
+void sampler_table::remove_unlisted() {
+    for (auto row = rows_.begin(); row != rows_.end();) {
+        row = row->second.unlisted ? rows_.erase(row) : std::next(row);
+    }
+}
+
+sampler_row* sampler_table::find(const sampler_id& id) {
+    const auto row = rows_.find(id);
+    return row == rows_.end() ? nullptr : &row->second;
+}
+
+void sampler_table::started(const sampler_id& id) {
+    if (auto* row = find(id)) {
+        ++row->running;
+    }
+}
+
+void sampler_table::ended(const sampler_id& id) {
+    if (auto* row = find(id)) {
+        row->running = std::max(0, row->running - 1);
+    }
+}
+
+void sampler_table::failed(const sampler_id& id) {
+    auto* row = find(id);
+    if (row == nullptr) {
+        return;
+    }
+    const auto pause =
+        std::min(longest_pause_ms, first_pause_ms << std::min(row->failures, 4));
+    ++row->failures;
+    row->blocked_until = std::max(row->blocked_until, clock_.now() + pause);
+}
+
+void sampler_table::block(const sampler_id& id, base::millis ms) {
+    if (auto* row = find(id)) {
+        row->blocked_until = std::max(row->blocked_until, clock_.now() + ms);
+    }
+}
+
+void sampler_table::answered(const sampler_id& id, base::millis ms) {
+    if (auto* row = find(id)) {
+        row->failures = 0;
+        mix(row->answer_ms, static_cast<double>(ms));
+    }
+}
+
+void sampler_table::event(const sampler_id& id, base::millis ms) {
+    if (auto* row = find(id)) {
+        row->failures = 0;
+        row->event_seen = clock_.now();
+        mix(row->event_ms, static_cast<double>(ms));
+    }
+}
+
+void sampler_table::saw_version(const sampler_id& id, const std::string& model,
+                                std::int64_t version) {
+    if (auto* row = find(id)) {
+        row->seen_versions[model] = version;
+        auto& listed = row->registered.versions[model];
+        listed = std::min(listed, version);
+    }
+}
+
+} // namespace hibiscus::samplers
--- a/packages/node/src/metrics.hpp
+++ b/packages/telemetry/include/hibiscus/telemetry/metrics.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "hibiscus/base/clock.hpp"
+
 #include <memory>
 #include <string>
 
-namespace hibiscus::node {
+namespace hibiscus::telemetry {
 
 /// The counters and gauges of a node, for GET /metrics. Safe for use by
 /// several threads.
@@ -27,6 +29,10 @@
     /// Sets a gauge: "members", "revision", "pending_claims", ...
     void set(const std::string& name, double value);
 
+    /// Adds a duration in ms to the histogram of `kind`: "lookup", "run",
+    /// "accept", "reward", "store_append", ...
+    void observe(const std::string& kind, base::millis ms);
+
     /// Returns all values in the text format of Prometheus.
     std::string serialize() const;
 
@@ -35,4 +41,4 @@
     std::unique_ptr<impl> impl_;
 };
 
-} // namespace hibiscus::node
+} // namespace hibiscus::telemetry
--- a/packages/node/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -1,11 +1,12 @@
-#include "metrics.hpp"
+#include "hibiscus/telemetry/metrics.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
-namespace hibiscus::node {
+namespace hibiscus::telemetry {
 
 /// Holds the library's objects.
 class metrics::impl {
@@ -26,6 +27,11 @@
             .Name("hibiscus_state")
             .Help("What the node holds at the moment")
             .Register(registry);
+    prometheus::Family<prometheus::Histogram>& latencies =
+        prometheus::BuildHistogram()
+            .Name("hibiscus_latency_ms")
+            .Help("How long answers and steps of work took")
+            .Register(registry);
 };
 
 metrics::metrics() : impl_(std::make_unique<impl>()) {}
@@ -47,8 +53,15 @@
     impl_->gauges.Add({{"what", name}}).Set(value);
 }
 
+void metrics::observe(const std::string& kind, base::millis ms) {
+    static const prometheus::Histogram::BucketBoundaries bounds{
+        5, 10, 25, 50, 100, 200, 400, 800, 1500, 3000, 6000, 12000};
+    impl_->latencies.Add({{"kind", kind}}, bounds)
+        .Observe(static_cast<double>(ms));
+}
+
 std::string metrics::serialize() const {
     return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
 }
 
-} // namespace hibiscus::node
+} // namespace hibiscus::telemetry
--- /dev/null
+++ b/packages/transport/include/hibiscus/transport/event_server.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "hibiscus/base/clock.hpp"
+#include "hibiscus/base/endpoint.hpp"
+#include "hibiscus/transport/headers.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hibiscus::transport {
+
+/// A request, read whole, with its header fields.
+struct inbound_request {
+    std::string method;
+    std::string target;
+    headers fields;
+    std::string body;
+};
+
+/// An answer that is sent whole.
+struct outbound_response {
+    int status = 200;
+    headers fields;
+    std::string body;
+};
+
+/// Bounds on what a caller may send, and how long it may take, in bytes and
+/// ms. They may change while the server runs.
+struct event_server_limits {
+    std::size_t header_bytes = 16 * 1024;
+    std::size_t body_bytes = 32 * 1024 * 1024;
+    base::millis header_ms = 3000;
+    base::millis idle_ms = 15000;
+};
+
+/// The way to answer one request. It lives as long as someone holds it, also
+/// when the caller has left; answers then go nowhere.
+class exchange {
+public:
+    virtual ~exchange() = default;
+
+    /// Sends a whole answer.
+    virtual void respond(outbound_response response) = 0;
+    /// Starts an answer whose body follows in pieces.
+    virtual void begin(int status, const headers& fields) = 0;
+    /// Sends a piece of the body.
+    virtual void write(std::string_view piece) = 0;
+    /// Ends the body, so that the answer is complete.
+    virtual void end() = 0;
+    /// Closes the connection, so that the answer is seen to be incomplete.
+    virtual void abort() = 0;
+    /// Sets what is called once if the caller leaves before the answer's end.
+    virtual void on_closed(std::function<void()> closed) = 0;
+};
+
+/// Handles one request.
+using exchange_handler =
+    std::function<void(inbound_request, std::shared_ptr<exchange>)>;
+
+/// Answers HTTP/1.1 on one address, with all work on the one thread of its
+/// context. It tells when a caller leaves, and can answer in pieces.
+class event_server {
+public:
+    /// Constructs a server that is not listening yet.
+    event_server(boost::asio::io_context& io, event_server_limits limits,
+                 exchange_handler handler);
+    ~event_server();
+
+    event_server(const event_server&) = delete;
+    event_server& operator=(const event_server&) = delete;
+
+    /// Listens on `address`. Returns the address in use, or nothing.
+    std::optional<base::endpoint> listen(const base::endpoint& address);
+
+    /// Changes the bounds, for requests that begin from now on.
+    void set_limits(event_server_limits limits);
+
+    /// Ends each connection after its next answer, and idle ones now.
+    void drain();
+
+    /// Returns the number of requests without a complete answer.
+    std::size_t in_flight() const;
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace hibiscus::transport
--- /dev/null
+++ b/packages/transport/include/hibiscus/transport/upstream.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "hibiscus/base/clock.hpp"
+#include "hibiscus/base/endpoint.hpp"
+#include "hibiscus/base/enum_names.hpp"
+#include "hibiscus/transport/headers.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace hibiscus::transport {
+
+/// A request to a server behind this one.
+struct upstream_request {
+    std::string method = "GET";
+    std::string target = "/";
+    /// Without the framing of the message, which the client sets.
+    headers fields;
+    std::string body;
+};
+
+/// The status and header fields of an answer.
+struct upstream_head {
+    int status = 0;
+    headers fields;
+};
+
+/// How a call ended.
+enum class call_end {
+    complete,  ///< The whole answer came.
+    closed,    ///< An answer without a length ended with its connection.
+    not_sent,  ///< No byte of the request can have left.
+    broken,    ///< The connection ended or sent bytes that are no answer.
+    silent,    ///< Nothing came for as long as the call allows.
+    timed_out, ///< The call's whole time was over.
+};
+
+/// What a call tells, on the thread of its context. After `ended` nothing
+/// more comes; a cancelled call tells nothing further.
+struct upstream_events {
+    std::function<void(const upstream_head&)> head;
+    std::function<void(std::string_view)> data;
+    std::function<void(call_end)> ended;
+};
+
+/// The bounds of one call, in ms; 0 stands for no bound.
+struct call_options {
+    base::millis connect_ms = 1000;
+    /// The longest time without a byte.
+    base::millis silence_ms = 0;
+    base::millis total_ms = 0;
+    /// Whether a connection that was used before may serve. Its server may
+    /// have closed it at the same moment, which leaves open whether the
+    /// request ran.
+    bool reuse = true;
+};
+
+/// One call under way.
+class upstream_call {
+public:
+    virtual ~upstream_call() = default;
+
+    /// Closes the connection of the call, which tells the server to stop.
+    virtual void cancel() = 0;
+};
+
+/// Counts of what a client did.
+struct upstream_counts {
+    std::uint64_t connections = 0;
+    std::uint64_t reused = 0;
+    std::uint64_t stray_bytes = 0;
+};
+
+/// Sends HTTP/1.1 requests over kept connections and hands answers on as they
+/// arrive. All work is on the one thread of its context.
+class upstream_client {
+public:
+    explicit upstream_client(boost::asio::io_context& io);
+    ~upstream_client();
+
+    upstream_client(const upstream_client&) = delete;
+    upstream_client& operator=(const upstream_client&) = delete;
+
+    /// Sends a request. An answer whose `echo` field differs from the
+    /// request's belongs to another request and counts as broken; an empty
+    /// `echo` asks for no such check.
+    std::shared_ptr<upstream_call> start(const base::endpoint& target,
+                                         upstream_request request,
+                                         call_options options,
+                                         upstream_events events,
+                                         const std::string& echo = "");
+
+    /// Closes the kept connections to `target`.
+    void forget(const base::endpoint& target);
+
+    upstream_counts counts() const;
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace hibiscus::transport
+
+namespace hibiscus::base {
+
+template <>
+struct enum_names<transport::call_end> {
+    static constexpr std::array<enum_name<transport::call_end>, 6> table{{
+        {transport::call_end::complete, "complete"},
+        {transport::call_end::closed, "closed"},
+        {transport::call_end::not_sent, "not_sent"},
+        {transport::call_end::broken, "broken"},
+        {transport::call_end::silent, "silent"},
+        {transport::call_end::timed_out, "timed_out"},
+    }};
+};
+
+} // namespace hibiscus::base
--- /dev/null
+++ b/packages/transport/src/event_stream.cpp
@@ -0,0 +1,58 @@
+#include "hibiscus/transport/event_stream.hpp"
+
+namespace hibiscus::transport {
+
+std::vector<stream_event> event_stream_parser::feed(std::string_view bytes) {
+    std::vector<stream_event> out;
+    rest_.append(bytes);
+    std::size_t begin = 0;
+    for (;;) {
+        const auto end = rest_.find('\n', begin);
+        if (end == std::string::npos) {
+            break;
+        }
+        auto text = std::string_view(rest_).substr(begin, end - begin);
+        if (!text.empty() && text.back() == '\r') {
+            text.remove_suffix(1);
+        }
+        line(text, out);
+        begin = end + 1;
+    }
+    rest_.erase(0, begin);
+    return out;
+}
+
+void event_stream_parser::line(std::string_view text,
+                               std::vector<stream_event>& out) {
+    if (text.empty()) {
+        if (has_data_ || !event_.id.empty()) {
+            out.push_back(std::move(event_));
+        }
+        event_ = {};
+        has_data_ = false;
+        return;
+    }
+    const auto colon = text.find(':');
+    if (colon == 0) {
+        return;
+    }
+    const auto name = text.substr(0, colon);
+    auto value = colon == std::string_view::npos ? std::string_view()
+                                                 : text.substr(colon + 1);
+    if (!value.empty() && value.front() == ' ') {
+        value.remove_prefix(1);
+    }
+    if (name == "data") {
+        if (has_data_) {
+            event_.data += '\n';
+        }
+        event_.data += value;
+        has_data_ = true;
+    } else if (name == "id") {
+        event_.id = std::string(value);
+    } else {
+        event_.other.emplace_back(name, value);
+    }
+}
+
+} // namespace hibiscus::transport
--- /dev/null
+++ b/packages/transport/src/headers.cpp
@@ -0,0 +1,40 @@
+#include "hibiscus/transport/headers.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace hibiscus::transport {
+
+namespace {
+
+bool same_name(std::string_view a, std::string_view b) {
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](unsigned char x, unsigned char y) {
+                          return std::tolower(x) == std::tolower(y);
+                      });
+}
+
+/// RFC 9110, section 7.6.1, and the framing of the message itself.
+constexpr std::array<std::string_view, 11> hop_by_hop{
+    "connection",        "keep-alive",     "proxy-connection", "te",
+    "transfer-encoding", "upgrade",        "trailer",          "content-length",
+    "host",              "accept-encoding", "expect"};
+
+} // namespace
+
+const std::string* find_header(const headers& fields, std::string_view name) {
+    for (const auto& field : fields) {
+        if (same_name(field.name, name)) {
+            return &field.value;
+        }
+    }
+    return nullptr;
+}
+
+bool is_hop_by_hop(std::string_view name) {
+    return std::any_of(hop_by_hop.begin(), hop_by_hop.end(),
+                       [&](auto row) { return same_name(row, name); });
+}
+
+} // namespace hibiscus::transport
--- /dev/null
+++ b/packages/transport/src/upstream.cpp
@@ -0,0 +1,442 @@
+#include "hibiscus/transport/upstream.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace hibiscus::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// How often the bounds of calls are looked at.
+constexpr base::millis sweep_ms = 50;
+
+/// A kept connection is not used again after so long without a request,
+/// unless its server names a shorter time. Servers here close after some
+/// seconds, and a connection on the way may have been lost track of.
+constexpr base::millis keep_ms = 4000;
+
+/// How long before the server's own time-out a connection is given up, so
+/// that a request does not cross the close.
+constexpr base::millis keep_margin_ms = 500;
+
+/// Unacknowledged bytes for so long end a connection whose other side has
+/// gone without a word.
+constexpr unsigned user_timeout_ms = 3000;
+
+/// Answers are events or documents; more than this in one body is no answer.
+constexpr std::uint64_t body_limit = 64 * 1024 * 1024;
+
+/// An open connection that is not in use.
+struct kept {
+    std::shared_ptr<tcp::socket> socket;
+    base::millis until = 0;
+};
+
+using pool = std::map<base::endpoint, std::deque<kept>>;
+
+struct client_state {
+    pool idle;
+    base::clock clock;
+    upstream_counts counts;
+};
+
+/// True if nothing has come on an idle connection: neither its end nor bytes
+/// that belong to no request.
+bool is_quiet(tcp::socket& socket, upstream_counts& counts) {
+    char byte = 0;
+    const auto n = ::recv(socket.native_handle(), &byte, 1,
+                          MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0) {
+        ++counts.stray_bytes;
+    }
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+class call : public upstream_call, public std::enable_shared_from_this<call> {
+public:
+    call(asio::io_context& io, std::shared_ptr<client_state> state,
+         base::endpoint target, upstream_request request, call_options options,
+         upstream_events events, std::string echo)
+        : io_(io), state_(std::move(state)), target_(std::move(target)),
+          options_(options), events_(std::move(events)),
+          echo_(std::move(echo)), started_(state_->clock.now()),
+          heard_(started_), head_only_(request.method == "HEAD") {
+        if (const auto* id = find_header(request.fields, echo_)) {
+            echo_value_ = *id;
+        }
+        bytes_ = serialize(request);
+    }
+
+    void begin() {
+        if (options_.reuse && take_kept()) {
+            ++state_->counts.reused;
+            send();
+            return;
+        }
+        connect();
+    }
+
+    void cancel() override {
+        if (!done_) {
+            done_ = true;
+            close();
+            events_ = {};
+        }
+    }
+
+    bool done() const { return done_; }
+
+    void check(base::millis now) {
+        if (done_) {
+            return;
+        }
+        if (!connected_ && now - started_ > options_.connect_ms) {
+            finish(call_end::not_sent);
+        } else if (options_.total_ms > 0 &&
+                   now - started_ > options_.total_ms) {
+            finish(call_end::timed_out);
+        } else if (connected_ && options_.silence_ms > 0 &&
+                   now - heard_ > options_.silence_ms) {
+            finish(call_end::silent);
+        }
+    }
+
+private:
+    std::string serialize(const upstream_request& request) const {
+        std::string out = request.method + " " + request.target + " HTTP/1.1\r\n";
+        if (find_header(request.fields, "host") == nullptr) {
+            out += "Host: " + to_string(target_) + "\r\n";
+        }
+        for (const auto& f : request.fields) {
+            out += f.name;
+            out += ": ";
+            out += f.value;
+            out += "\r\n";
+        }
+        if (!request.body.empty() || request.method != "GET") {
+            out += "Content-Length: " + std::to_string(request.body.size()) +
+                   "\r\n";
+        }
+        out += "\r\n";
+        out += request.body;
+        return out;
+    }
+
+    bool take_kept() {
+        auto& row = state_->idle[target_];
+        const auto now = state_->clock.now();
+        while (!row.empty()) {
+            auto k = std::move(row.back());
+            row.pop_back();
+            if (now < k.until && is_quiet(*k.socket, state_->counts)) {
+                socket_ = std::move(k.socket);
+                connected_ = true;
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void connect() {
+        beast::error_code error;
+        const auto ip = asio::ip::make_address(target_.ip, error);
+        if (error) {
+            asio::post(io_, [self = shared_from_this()] {
+                self->finish(call_end::not_sent);
+            });
+            return;
+        }
+        socket_ = std::make_shared<tcp::socket>(io_);
+        ++state_->counts.connections;
+        socket_->async_connect(
+            tcp::endpoint(ip, target_.port),
+            [self = shared_from_this()](beast::error_code e) {
+                self->on_connect(e);
+            });
+    }
+
+    void on_connect(beast::error_code error) {
+        if (done_) {
+            return;
+        }
+        if (error) {
+            finish(call_end::not_sent);
+            return;
+        }
+        beast::error_code ignored;
+        socket_->set_option(tcp::no_delay(true), ignored);
+        ::setsockopt(socket_->native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                     &user_timeout_ms, sizeof user_timeout_ms);
+        connected_ = true;
+        send();
+    }
+
+    void send() {
+        heard_ = state_->clock.now();
+        asio::async_write(*socket_, asio::buffer(bytes_),
+                          [self = shared_from_this()](beast::error_code error,
+                                                      std::size_t) {
+                              self->written_ = !error;
+                          });
+        parser_.emplace();
+        parser_->body_limit(body_limit);
+        parser_->header_limit(64 * 1024);
+        parser_->eager(true);
+        parser_->skip(head_only_);
+        read();
+    }
+
+    void read() {
+        http::async_read_some(
+            *socket_, buffer_, *parser_,
+            [self = shared_from_this()](beast::error_code error, std::size_t) {
+                self->on_read(error);
+            });
+    }
+
+    void on_read(beast::error_code error) {
+        if (done_) {
+            return;
+        }
+        heard_ = state_->clock.now();
+        if (error) {
+            finish(call_end::broken);
+            return;
+        }
+        if (!take_head()) {
+            return;
+        }
+        take_data();
+        if (done_) {
+            return;
+        }
+        if (!parser_->is_done()) {
+            read();
+            return;
+        }
+        const bool framed = !parser_->need_eof();
+        keep();
+        finish(framed ? call_end::complete : call_end::closed);
+    }
+
+    /// Hands the head on, once. Returns false if the call has ended.
+    bool take_head() {
+        if (head_told_ || !parser_->is_header_done()) {
+            return true;
+        }
+        head_told_ = true;
+        upstream_head head;
+        head.status = static_cast<int>(parser_->get().result_int());
+        for (const auto& f : parser_->get()) {
+            head.fields.push_back(
+                {std::string(f.name_string()), std::string(f.value())});
+        }
+        // A second answer to an earlier request may stand on the connection
+        // where this one's is due; taken as this one's, a caller would get
+        // what belongs to another.
+        const auto* id = find_header(head.fields, echo_);
+        if (!echo_.empty() && (id != nullptr ? *id != echo_value_
+                                             : head.status < 400)) {
+            ++state_->counts.stray_bytes;
+            finish(call_end::broken);
+            return false;
+        }
+        note_keep_alive(head.fields);
+        if (events_.head) {
+            events_.head(head);
+        }
+        return !done_;
+    }
+
+    void note_keep_alive(const headers& fields) {
+        const auto* value = find_header(fields, "Keep-Alive");
+        if (value == nullptr) {
+            return;
+        }
+        const auto at = value->find("timeout=");
+        if (at == std::string::npos) {
+            return;
+        }
+        const auto seconds =
+            std::strtol(value->c_str() + at + sizeof "timeout=" - 1, nullptr, 10);
+        keep_for_ = std::min<base::millis>(keep_for_, seconds * 1000 -
+                                                          keep_margin_ms);
+    }
+
+    void take_data() {
+        auto& body = parser_->get().body();
+        if (body.empty()) {
+            return;
+        }
+        const std::string piece = std::exchange(body, std::string());
+        if (events_.data) {
+            events_.data(piece);
+        }
+    }
+
+    /// Keeps the connection for the next call, if it is in a state that says
+    /// nothing about this one any more.
+    void keep() {
+        const bool clean = parser_->keep_alive() && written_ &&
+                           buffer_.size() == 0 && !parser_->need_eof();
+        if (clean && keep_for_ > 0) {
+            state_->idle[target_].push_back(
+                {std::move(socket_), state_->clock.now() + keep_for_});
+        }
+    }
+
+    void finish(call_end end) {
+        if (std::exchange(done_, true)) {
+            return;
+        }
+        close();
+        const auto events = std::exchange(events_, {});
+        if (events.ended) {
+            events.ended(end);
+        }
+    }
+
+    void close() {
+        if (socket_) {
+            beast::error_code ignored;
+            socket_->close(ignored);
+        }
+    }
+
+    asio::io_context& io_;
+    std::shared_ptr<client_state> state_;
+    base::endpoint target_;
+    call_options options_;
+    upstream_events events_;
+    std::string echo_;
+    std::string echo_value_;
+    std::string bytes_;
+    std::shared_ptr<tcp::socket> socket_;
+    beast::flat_buffer buffer_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    base::millis started_;
+    base::millis heard_;
+    base::millis keep_for_ = keep_ms;
+    bool head_only_;
+    bool connected_ = false;
+    bool written_ = false;
+    bool head_told_ = false;
+    bool done_ = false;
+};
+
+} // namespace
+
+/// Holds the kept connections and looks at the bounds of all calls.
+class upstream_client::impl : public std::enable_shared_from_this<impl> {
+public:
+    explicit impl(asio::io_context& io)
+        : io_(io), timer_(io), state_(std::make_shared<client_state>()) {}
+
+    std::shared_ptr<upstream_call> start(const base::endpoint& target,
+                                         upstream_request request,
+                                         call_options options,
+                                         upstream_events events,
+                                         const std::string& echo) {
+        auto c = std::make_shared<call>(io_, state_, target, std::move(request),
+                                        options, std::move(events), echo);
+        calls_.push_back(c);
+        c->begin();
+        if (!sweeping_) {
+            sweeping_ = true;
+            sweep();
+        }
+        return c;
+    }
+
+    void stop() { timer_.cancel(); }
+
+    client_state& state() { return *state_; }
+
+private:
+    void sweep() {
+        timer_.expires_after(std::chrono::milliseconds(sweep_ms));
+        timer_.async_wait([self = shared_from_this()](beast::error_code error) {
+            if (!error) {
+                self->check();
+            }
+        });
+    }
+
+    void check() {
+        const auto now = state_->clock.now();
+        const auto calls = std::exchange(calls_, {});
+        for (const auto& c : calls) {
+            c->check(now);
+        }
+        for (const auto& c : calls) {
+            if (!c->done()) {
+                calls_.push_back(c);
+            }
+        }
+        drop_old(now);
+        if (calls_.empty() && state_->idle.empty()) {
+            sweeping_ = false;
+            return;
+        }
+        sweep();
+    }
+
+    void drop_old(base::millis now) {
+        for (auto row = state_->idle.begin(); row != state_->idle.end();) {
+            auto& list = row->second;
+            while (!list.empty() && now >= list.front().until) {
+                list.pop_front();
+            }
+            row = list.empty() ? state_->idle.erase(row) : std::next(row);
+        }
+    }
+
+    asio::io_context& io_;
+    asio::steady_timer timer_;
+    std::shared_ptr<client_state> state_;
+    std::vector<std::shared_ptr<call>> calls_;
+    bool sweeping_ = false;
+};
+
+upstream_client::upstream_client(asio::io_context& io)
+    : impl_(std::make_shared<impl>(io)) {}
+
+upstream_client::~upstream_client() {
+    impl_->stop();
+}
+
+std::shared_ptr<upstream_call>
+upstream_client::start(const base::endpoint& target, upstream_request request,
+                       call_options options, upstream_events events,
+                       const std::string& echo) {
+    return impl_->start(target, std::move(request), options, std::move(events),
+                        echo);
+}
+
+void upstream_client::forget(const base::endpoint& target) {
+    impl_->state().idle.erase(target);
+}
+
+upstream_counts upstream_client::counts() const {
+    return impl_->state().counts;
+}
+
+} // namespace hibiscus::transport
