entry: orders go out on the count of orders of the server's report

Cause: an entry's count is that of its own writes; orders on it were all refused (269 of 269 with 409, 0 loads).

--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -553,52 +553,109 @@
         return;
     }
     for (const auto& order : rollout_.due(state_.samplers)) {
-        send_order(order);
+        prepare_order(order);
     }
 }
 
-void owner::send_order(const samplers::load_order& order) {
-    const auto* row = state_.samplers.find(order.sampler);
+/// Asks the server how many orders it has accepted, and orders on that
+/// condition.
+void owner::prepare_order(const samplers::load_order& order) {
+    call_server(order.sampler, adapter::report_request(),
+                [this, order](const server_reply& reply) {
+                    const auto report = reply.status == 200
+                                            ? adapter::read_report(reply.body)
+                                            : std::nullopt;
+                    on_report(order, reply, report);
+                });
+}
+
+void owner::on_report(const samplers::load_order& order,
+                      const server_reply& reply,
+                      const std::optional<adapter::server_report>& report) {
+    const auto version = [&] {
+        const auto row = report->versions.find(order.model);
+        return row == report->versions.end() ? 0 : row->second;
+    };
+    if (!report || report->busy) {
+        rollout_.not_taken(order);
+        state_.log.write("order_waits",
+                         {{"server", order.sampler},
+                          {"version", order.version},
+                          {"status", reply.status},
+                          {"how", base::name_of(reply.end)},
+                          {"reason", report ? "busy" : "no_report"}});
+        return;
+    }
+    if (version() >= order.version) {
+        rollout_.already_held(order);
+        state_.samplers.saw_version(order.sampler, order.model, version());
+        return;
+    }
+    if (!owns() || !store_heard() || leaving_) {
+        rollout_.not_taken(order);
+        return;
+    }
+    send_order(order, report->orders);
+}
+
+void owner::send_order(const samplers::load_order& order,
+                       std::int64_t after_orders) {
     const auto fence = state_.jobs.owner()->at + 1;
-    auto status = std::make_shared<int>(0);
+    call_server(
+        order.sampler,
+        adapter::order_request(order, state_.config.node.str(), fence,
+                               after_orders),
+        [this, order, after_orders, fence](const server_reply& reply) {
+            const auto a = adapter::read_order_answer(reply.status);
+            if (a == adapter::order_answer::accepted) {
+                rollout_.accepted(order);
+                state_.samplers.block(order.sampler, load_pause_ms);
+                state_.samplers.expect_version(order.sampler, order.model,
+                                               order.version);
+            } else if (a == adapter::order_answer::already_held) {
+                rollout_.already_held(order);
+                state_.samplers.saw_version(order.sampler, order.model,
+                                            order.version);
+            } else {
+                rollout_.not_taken(order);
+            }
+            state_.log.write("order", {{"server", order.sampler},
+                                       {"version", order.version},
+                                       {"after_orders", after_orders},
+                                       {"fence", fence},
+                                       {"status", reply.status},
+                                       {"how", base::name_of(reply.end)},
+                                       {"outcome", base::name_of(a)}});
+        });
+}
+
+void owner::call_server(const samplers::sampler_id& id,
+                        transport::upstream_request request,
+                        std::function<void(const server_reply&)> done) {
+    auto reply = std::make_shared<server_reply>();
+    const auto* row = state_.samplers.find(id);
+    if (row == nullptr) {
+        done(*reply);
+        return;
+    }
     transport::call_options options;
     options.connect_ms = connect_ms;
     options.total_ms = order_ms;
     transport::upstream_events events;
-    events.head = [status](const transport::upstream_head& h) {
-        *status = h.status;
+    events.head = [reply](const transport::upstream_head& h) {
+        reply->status = h.status;
     };
-    events.ended = [this, order, status,
-                    fence](transport::call_end end) {
-        const bool whole = end == transport::call_end::complete ||
-                           end == transport::call_end::closed;
-        const auto a = adapter::read_order_answer(whole ? *status : 0);
-        if (whole && a == adapter::order_answer::accepted) {
-            rollout_.accepted(order);
-            state_.samplers.block(order.sampler, load_pause_ms);
-            if (auto* r = state_.samplers.find(order.sampler)) {
-                r->registered.orders =
-                    std::max(r->registered.orders, order.after_orders + 1);
-                r->seen_versions[order.model] = order.version;
-            }
-        } else if (whole && a == adapter::order_answer::already_held) {
-            rollout_.already_held(order);
-            state_.samplers.saw_version(order.sampler, order.model,
-                                        order.version);
-        } else {
-            rollout_.not_taken(order);
+    events.data = [reply](std::string_view piece) { reply->body += piece; };
+    events.ended = [reply, done = std::move(done)](transport::call_end end) {
+        reply->end = end;
+        if (end != transport::call_end::complete &&
+            end != transport::call_end::closed) {
+            reply->status = 0;
         }
-        state_.log.write("order", {{"server", order.sampler},
-                                   {"version", order.version},
-                                   {"after_orders", order.after_orders},
-                                   {"fence", fence},
-                                   {"status", *status},
-                                   {"how", base::name_of(end)},
-                                   {"outcome", base::name_of(a)}});
+        done(*reply);
     };
-    client_.start(row->registered.address,
-                  adapter::order_request(order, state_.config.node.str(), fence),
-                  options, std::move(events));
+    client_.start(row->registered.address, std::move(request), options,
+                  std::move(events));
 }
 
 void owner::hand_over(std::function<void()> done) {
--- a/packages/entry/src/owner.hpp
+++ b/packages/entry/src/owner.hpp
@@ -7,6 +7,7 @@
 #include "hibiscus/samplers/weight_rollout.hpp"
 #include "hibiscus/store/follower.hpp"
 #include "hibiscus/transport/event_stream.hpp"
+#include "platform/sampler_calls.hpp"
 
 #include <deque>
 #include <functional>
@@ -56,6 +57,13 @@
         base::millis started_at = 0;
     };
 
+    /// A server's answer; status 0 stands for none.
+    struct server_reply {
+        int status = 0;
+        std::string body;
+        transport::call_end end = transport::call_end::not_sent;
+    };
+
     struct reward_task {
         batch::job_id job;
         int number = 0;
@@ -80,7 +88,14 @@
                    const std::vector<batch::unsaved_part>& parts);
     void finish_leaving(const std::vector<store::record>& records);
     void order_loads();
-    void send_order(const samplers::load_order& order);
+    void prepare_order(const samplers::load_order& order);
+    void on_report(const samplers::load_order& order, const server_reply& reply,
+                   const std::optional<adapter::server_report>& report);
+    void send_order(const samplers::load_order& order,
+                    std::int64_t after_orders);
+    void call_server(const samplers::sampler_id& id,
+                     transport::upstream_request request,
+                     std::function<void(const server_reply&)> done);
     bool store_heard() const;
     std::optional<batch::job_terms> terms_of(const batch::job_header& header);
 
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -27,8 +27,6 @@
     bool draining = false;
     /// The weights that it serves, by model.
     std::map<std::string, std::int64_t> versions;
-    /// The number of orders that it has accepted since its start.
-    std::int64_t orders = 0;
     /// The time of day of its start, in ms since 1970; 0 if it doesn't say.
     std::int64_t started = 0;
 };
@@ -100,6 +98,11 @@
     void saw_version(const sampler_id& id, const std::string& model,
                      std::int64_t version);
 
+    /// A server is loading a version; runs that need it may go there from now
+    /// on, and what it answers shows whether the load came about.
+    void expect_version(const sampler_id& id, const std::string& model,
+                        std::int64_t version);
+
 private:
     base::clock clock_;
     std::map<sampler_id, sampler_row> rows_;
--- a/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
+++ b/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
@@ -14,9 +14,6 @@
     sampler_id sampler;
     std::string model;
     std::int64_t version = 0;
-    /// The number of orders that the server must have accepted before, so
-    /// that an order that arrives late is refused.
-    std::int64_t after_orders = 0;
 };
 
 /// Plans the loads of one holder of the right to order.
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -45,7 +45,6 @@
         row.running = running;
     }
     row.unlisted = false;
-    r.orders = std::max(r.orders, anew ? 0 : row.registered.orders);
     row.registered = std::move(r);
 }
 
@@ -123,4 +122,12 @@
     }
 }
 
+void sampler_table::expect_version(const sampler_id& id,
+                                   const std::string& model,
+                                   std::int64_t version) {
+    if (auto* row = find(id)) {
+        row->seen_versions[model] = version;
+    }
+}
+
 } // namespace hibiscus::samplers
--- a/packages/samplers/src/weight_rollout.cpp
+++ b/packages/samplers/src/weight_rollout.cpp
@@ -17,8 +17,8 @@
 constexpr base::millis load_ms = 1200;
 
 /// The pause before a server that did not take an order is asked again, in
-/// ms: its registered count of orders is renewed each 1.2 s.
-constexpr base::millis retry_ms = 1300;
+/// ms: what it reports of itself is some 200 ms old.
+constexpr base::millis retry_ms = 400;
 
 } // namespace
 
@@ -54,8 +54,7 @@
             const auto has = row.version_of(model);
             if (has < newest(model)) {
                 behind.push_back({has, row.running,
-                                  {id, model, newest(model),
-                                   row.registered.orders}});
+                                  {id, model, newest(model)}});
             }
         }
     }
