--- a/packages/batch/include/hibiscus/batch/job.hpp
+++ b/packages/batch/include/hibiscus/batch/job.hpp
@@ -85,8 +85,10 @@
 /// Text that has come since the last saved part.
 struct progress_part {
     int item = 0;
-    /// Counts starts at the first event; a later one makes earlier parts void.
-    int epoch = 0;
+    /// Grows with each owner and each start at the first event; parts of an
+    /// earlier epoch are void, so that a process that no longer is the owner
+    /// can't mix its parts with the owner's.
+    std::int64_t epoch = 0;
     /// The events before this part, and those in it.
     int from = 0;
     int events = 0;
--- /dev/null
+++ b/packages/batch/include/hibiscus/batch/ownership.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "hibiscus/batch/ledger.hpp"
+
+#include <string>
+
+namespace hibiscus::batch {
+
+/// Times of the ownership, in ms.
+struct ownership_times {
+    /// How often the owner renews its record.
+    base::millis renew = 200;
+    /// An owner that was not seen for so long is taken to be gone. A renewal
+    /// takes 10 ms on a sound store and half a second on one that is sixty
+    /// times slower; two of those fit.
+    base::millis silence = 1000;
+    /// The most that a candidate waits besides, so that not all nodes append
+    /// at once; of those that do, the store lets one through.
+    base::millis spread = 120;
+    /// How long a node that gave the ownership up does not take it again.
+    base::millis abstain = 6000;
+};
+
+/// What a node should do about the ownership.
+enum class ownership_step { nothing, claim, renew };
+
+/// Decides when a node claims or renews the ownership. Safety never depends on
+/// it: a claim is appended on the condition that nothing came since the last
+/// record that was read, so that of two claims one loses, and an owner that
+/// was replaced finds its appends refused.
+class ownership {
+public:
+    ownership(base::clock clock, base::node_id node, std::string incarnation,
+              ownership_times times, double draw);
+
+    /// Returns true if this process is the owner by the ledger.
+    bool mine(const ledger& l) const;
+
+    /// The store was lost or is heard again. Silence counts from then on: a
+    /// store that was away for all has kept the owner from renewing as well.
+    void contact(bool up);
+
+    /// This process wrote the owner's record.
+    void renewed();
+
+    /// This process gives the ownership up and leaves it to others for a
+    /// while.
+    void abstain();
+
+    /// Returns what to do now. `current_at` is when the ledger was last known
+    /// to be current.
+    ownership_step next(const ledger& l, base::millis current_at) const;
+
+private:
+    bool vacant(const ledger& l, base::millis current_at) const;
+
+    base::clock clock_;
+    base::node_id node_;
+    std::string incarnation_;
+    ownership_times times_;
+    base::millis delay_;
+    base::millis heard_since_ = 0;
+    base::millis renewed_at_ = 0;
+    base::millis abstain_until_ = 0;
+};
+
+} // namespace hibiscus::batch
--- a/packages/batch/include/hibiscus/batch/records.hpp
+++ b/packages/batch/include/hibiscus/batch/records.hpp
@@ -8,59 +8,80 @@
 #include <variant>
 #include <vector>
 
-/// How jobs lie in the store: one key for each fact, so that the newest
-/// record of each key is the whole state whatever the order they are read in.
+/// How jobs lie in the store. One partition, the journal, holds what every
+/// node must know: who owns it, which jobs there are, which of their items
+/// are listed where, and which jobs have ended. What is large and seldom
+/// asked for (items, texts, texts under way) lies under keys of its own that
+/// begin with the job, and is read when it is needed: with all in one
+/// partition, nine nodes that started at once spent 3.3 s on reading 16 MB
+/// each before one of them could run a job.
 namespace hibiscus::batch {
 
-/// Names the process that runs the jobs of a partition.
+/// Names the process that runs the jobs.
 struct owner_record {
     base::node_id node;
     /// Differs between two starts of a node.
     std::string incarnation;
+    /// The place of the record by which it took over; grows with each owner.
+    store::log_offset fence = 0;
+    /// Counts its renewals.
+    std::int64_t beat = 0;
     /// True in the record by which an owner that stops hands over.
     bool left = false;
 };
 
-/// The keys of a partition.
+/// Items that became readable together, from a position on.
+struct listing {
+    struct row {
+        int item = 0;
+        item_outcome outcome = item_outcome::succeeded;
+    };
+    /// Names the record with the texts, so that one by another owner for the
+    /// same positions is never taken for it.
+    std::string texts;
+    std::vector<row> rows;
+};
+
+/// The keys of the journal.
 struct owner_key {};
 struct header_key {
     job_id job;
 };
-struct chunk_key {
-    job_id job;
-    int chunk = 0;
-};
-struct result_key {
+struct listing_key {
     job_id job;
     int position = 0;
-    int item = 0;
-};
-struct progress_key {
-    job_id job;
-    int item = 0;
-    int epoch = 0;
-    int from = 0;
 };
 struct end_key {
     job_id job;
 };
-using record_key = std::variant<owner_key, header_key, chunk_key, result_key,
-                                progress_key, end_key>;
+using journal_key = std::variant<owner_key, header_key, listing_key, end_key>;
 
 /// Returns the text of a key, and the key that a text stands for.
-std::string to_text(const record_key& key);
-std::optional<record_key> parse_key(const std::string& text);
+std::string to_text(const journal_key& key);
+std::optional<journal_key> parse_key(const std::string& text);
+
+/// The keys of what is read on demand. Each begins with job_prefix().
+std::string job_prefix(const job_id& job);
+std::string chunk_text(const job_id& job, int chunk);
+std::string texts_text(const job_id& job, int position,
+                       const std::string& texts);
+/// The key after which the texts of a position stand.
+std::string before_texts(const job_id& job, int position);
+std::string progress_text(const job_id& job, const progress_part& part);
 
 /// The values. Decoding returns nothing for bytes that are no such value.
 std::string encode(const owner_record& value);
 std::string encode(const job_header& value);
+std::string encode(const listing& value);
 std::string encode(const std::vector<item>& value);
-std::string encode(const item_result& value);
+std::string encode(const std::vector<item_result>& value);
 std::string encode(const progress_part& value);
 std::optional<owner_record> decode_owner(const std::string& bytes);
 std::optional<job_header> decode_header(const std::string& bytes);
+std::optional<listing> decode_listing(const std::string& bytes);
 std::optional<std::vector<item>> decode_items(const std::string& bytes);
-std::optional<item_result> decode_result(const std::string& bytes);
+std::optional<std::vector<item_result>>
+decode_results(const std::string& bytes);
 std::optional<progress_part> decode_progress(const std::string& bytes);
 
 /// The size of a record, and of all records of one append, in bytes.
@@ -69,10 +90,24 @@
     std::size_t call = 2097152;
 };
 
-/// Cuts a job into the appends that store it. The header comes last, so that
-/// a job counts only once all its items are there. Sets the header's `chunks`.
-/// Returns nothing if an item alone is larger than a record.
+/// Cuts the items of a job into the appends that store them, and sets the
+/// number of chunks in `header`. Returns nothing if an item alone is larger
+/// than a record.
 std::optional<std::vector<std::vector<store::record>>>
-cut_into_appends(job submission, const record_limits& limits);
+cut_into_appends(job_header& header, std::vector<item> items,
+                 const record_limits& limits);
+
+/// Text that a takeover can go on from.
+struct saved_text {
+    int events = 0;
+    std::string last_event;
+    std::string text;
+    std::vector<weight_version> versions;
+    int failures = 0;
+};
+
+/// Joins the saved parts of an item: those of its newest epoch that follow on
+/// each other from the first event. A gap ends the text.
+saved_text join_parts(std::vector<progress_part> parts);
 
 } // namespace hibiscus::batch
--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -105,8 +105,12 @@
 public:
     work(base::clock clock, samplers::sampler_table& table);
 
-    /// Takes up a job, or what is left of it.
-    void adopt(const job_id& id, const job_row& row, const job_terms& terms);
+    /// Takes up a job, or what is left of it. `progress` holds the saved
+    /// parts of texts by item; `epoch` is that of the parts to come, higher
+    /// than all before.
+    void adopt(const job_row& row, std::vector<item> items,
+               const std::map<int, std::vector<progress_part>>& progress,
+               const job_terms& terms, std::int64_t epoch);
 
     /// Returns true if the job has been taken up.
     bool has(const job_id& id) const { return jobs_.count(id) != 0; }
@@ -163,7 +167,7 @@
         item content;
         state at = state::waiting;
         text got;
-        int epoch = 0;
+        std::int64_t epoch = 0;
         int saved_events = 0;
         std::size_t saved_bytes = 0;
         int failures = 0;
--- a/packages/batch/src/ledger.cpp
+++ b/packages/batch/src/ledger.cpp
@@ -2,13 +2,11 @@
 
 #include "hibiscus/base/result.hpp"
 
-#include <algorithm>
-
 namespace hibiscus::batch {
 
 namespace {
 
-std::optional<job_id> job_of(const record_key& key) {
+std::optional<job_id> job_of(const journal_key& key) {
     return std::visit(
         base::overloaded{
             [](const owner_key&) -> std::optional<job_id> { return {}; },
@@ -18,6 +16,14 @@
 
 } // namespace
 
+int job_row::next_position() const {
+    if (listings.empty()) {
+        return 0;
+    }
+    const auto& last = *listings.rbegin();
+    return last.first + static_cast<int>(last.second.rows.size());
+}
+
 std::optional<job_id> ledger::apply(const store::change& c) {
     const auto key = parse_key(c.key);
     if (!key) {
@@ -25,61 +31,59 @@
         return std::nullopt;
     }
     if (c.value) {
-        put(*key, c);
+        put(*key, *c.value);
     } else {
         erase(*key);
     }
     return job_of(*key);
 }
 
-void ledger::put(const record_key& key, const store::change& c) {
-    const auto row = [&](const job_id& id) -> job_row& {
-        auto& r = jobs_[id];
-        if (r.seen_at == 0) {
-            r.seen_at = clock_.now();
-        }
-        return r;
-    };
+job_row& ledger::row(const job_id& id) {
+    auto& r = jobs_[id];
+    if (r.seen_at == 0) {
+        r.seen_at = clock_.now();
+    }
+    return r;
+}
+
+void ledger::put(const journal_key& key, const std::string& value) {
     std::visit(
         base::overloaded{
             [&](const owner_key&) {
-                if (auto o = decode_owner(*c.value)) {
-                    owner_ = owner_row{std::move(*o), c.at};
+                if (auto o = decode_owner(value)) {
+                    owner_ = owner_row{std::move(*o), clock_.now()};
                 } else {
                     ++unreadable_;
                 }
             },
             [&](const header_key& k) {
-                auto& r = row(k.job);
-                auto h = decode_header(*c.value);
+                auto h = decode_header(value);
                 if (!h) {
                     ++unreadable_;
-                } else if (!r.header) {
-                    r.header = std::move(h);
+                    return;
                 }
-            },
-            [&](const chunk_key& k) { row(k.job).chunks[k.chunk] = *c.value; },
-            [&](const result_key& k) {
                 auto& r = row(k.job);
-                r.results[k.position] = *c.value;
-                r.listed[k.item] = k.position;
-                r.progress.erase(k.item);
+                if (!r.header) {
+                    r.header = std::move(h);
+                }
             },
-            [&](const progress_key& k) {
+            [&](const listing_key& k) {
+                auto l = decode_listing(value);
+                if (!l) {
+                    ++unreadable_;
+                    return;
+                }
                 auto& r = row(k.job);
-                if (r.listed.count(k.item) == 0 && !r.ended) {
-                    r.progress[k.item][{k.epoch, k.from}] = *c.value;
+                for (const auto& item : l->rows) {
+                    r.listed.insert(item.item);
                 }
+                r.listings[k.position] = std::move(*l);
             },
-            [&](const end_key& k) {
-                auto& r = row(k.job);
-                r.ended = true;
-                r.progress.clear();
-            }},
+            [&](const end_key& k) { row(k.job).ended = true; }},
         key);
 }
 
-void ledger::erase(const record_key& key) {
+void ledger::erase(const journal_key& key) {
     std::visit(base::overloaded{
                    [&](const owner_key&) { owner_.reset(); },
                    [&](const header_key& k) { jobs_.erase(k.job); },
@@ -90,70 +94,10 @@
 
 const job_row* ledger::find(const job_id& id) const {
     const auto row = jobs_.find(id);
-    if (row == jobs_.end() || !row->second.complete()) {
+    if (row == jobs_.end() || !row->second.header) {
         return nullptr;
     }
     return &row->second;
 }
 
-std::vector<item> all_items(const job_row& row) {
-    std::vector<item> out;
-    for (const auto& chunk : row.chunks) {
-        auto items = decode_items(chunk.second);
-        if (!items) {
-            return {};
-        }
-        std::move(items->begin(), items->end(), std::back_inserter(out));
-    }
-    return out;
-}
-
-std::optional<item> find_item(const job_row& row, const item_id& id,
-                              int* number) {
-    int n = 0;
-    for (auto& i : all_items(row)) {
-        if (i.id == id) {
-            if (number != nullptr) {
-                *number = n;
-            }
-            return std::move(i);
-        }
-        ++n;
-    }
-    return std::nullopt;
-}
-
-saved_text
-join_parts(const std::map<std::pair<int, int>, std::string>& parts) {
-    saved_text out;
-    if (parts.empty()) {
-        return out;
-    }
-    out.epoch = parts.rbegin()->first.first;
-    for (const auto& row : parts) {
-        if (row.first.first != out.epoch) {
-            continue;
-        }
-        const auto part = decode_progress(row.second);
-        if (!part) {
-            break;
-        }
-        out.failures = std::max(out.failures, part->failures);
-        if (part->from > out.events) {
-            break;
-        }
-        if (part->from < out.events || part->events == 0) {
-            continue;
-        }
-        if (out.events > 0) {
-            out.text += '\n';
-        }
-        out.text += part->text;
-        out.events += part->events;
-        out.last_event = part->last_event;
-        out.versions = part->versions;
-    }
-    return out;
-}
-
 } // namespace hibiscus::batch
--- a/packages/batch/src/records.cpp
+++ b/packages/batch/src/records.cpp
@@ -4,8 +4,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdio>
+#include <tuple>
 
 namespace hibiscus::batch {
 
@@ -114,72 +116,72 @@
     return i;
 }
 
-std::optional<record_key> parse_numbered(const job_id& job, char kind,
-                                         const std::vector<std::string>& p) {
-    std::vector<int> n;
-    for (std::size_t i = 2; i < p.size(); ++i) {
-        const auto value = number(p[i]);
-        if (!value) {
-            return std::nullopt;
-        }
-        n.push_back(*value);
-    }
-    if (kind == 'h' && n.empty()) {
-        return header_key{job};
-    }
-    if (kind == 'x' && n.empty()) {
-        return end_key{job};
-    }
-    if (kind == 'c' && n.size() == 1) {
-        return chunk_key{job, n[0]};
-    }
-    if (kind == 'r' && n.size() == 2) {
-        return result_key{job, n[0], n[1]};
-    }
-    if (kind == 'p' && n.size() == 3) {
-        return progress_key{job, n[0], n[1], n[2]};
-    }
-    return std::nullopt;
-}
-
 const std::string owner_text = "!owner";
 
 } // namespace
 
-std::string to_text(const record_key& key) {
+std::string to_text(const journal_key& key) {
     return std::visit(
         base::overloaded{
             [](const owner_key&) { return owner_text; },
             [](const header_key& k) { return k.job.str() + "/h"; },
-            [](const chunk_key& k) {
-                return k.job.str() + "/c/" + padded(k.chunk);
-            },
-            [](const result_key& k) {
-                return k.job.str() + "/r/" + padded(k.position) + separator +
-                       padded(k.item);
-            },
-            [](const progress_key& k) {
-                return k.job.str() + "/p/" + padded(k.item) + separator +
-                       padded(k.epoch) + separator + padded(k.from);
+            [](const listing_key& k) {
+                return k.job.str() + "/l/" + padded(k.position);
             },
             [](const end_key& k) { return k.job.str() + "/x"; }},
         key);
 }
 
-std::optional<record_key> parse_key(const std::string& text) {
+std::optional<journal_key> parse_key(const std::string& text) {
     if (text == owner_text) {
         return owner_key{};
     }
     const auto parts = split(text);
-    if (parts.size() < 2 || parts[0].empty() || parts[1].size() != 1) {
+    if (parts.size() < 2 || parts[0].empty()) {
         return std::nullopt;
     }
-    return parse_numbered(job_id(parts[0]), parts[1][0], parts);
+    const job_id job(parts[0]);
+    if (parts.size() == 2 && parts[1] == "h") {
+        return header_key{job};
+    }
+    if (parts.size() == 2 && parts[1] == "x") {
+        return end_key{job};
+    }
+    if (parts.size() == 3 && parts[1] == "l") {
+        if (const auto position = number(parts[2])) {
+            return listing_key{job, *position};
+        }
+    }
+    return std::nullopt;
+}
+
+std::string job_prefix(const job_id& job) {
+    return job.str() + separator;
+}
+
+std::string chunk_text(const job_id& job, int chunk) {
+    return job_prefix(job) + padded(chunk);
+}
+
+std::string before_texts(const job_id& job, int position) {
+    return job_prefix(job) + padded(position);
+}
+
+std::string texts_text(const job_id& job, int position,
+                       const std::string& texts) {
+    return before_texts(job, position) + separator + texts;
+}
+
+std::string progress_text(const job_id& job, const progress_part& part) {
+    return job_prefix(job) + padded(part.item) + separator +
+           std::to_string(part.epoch) + separator + padded(part.from);
 }
 
 std::string encode(const owner_record& value) {
     return pack({{"node", value.node.str()},
                  {"incarnation", value.incarnation},
+                 {"fence", value.fence},
+                 {"beat", value.beat},
                  {"left", value.left}});
 }
 
@@ -187,6 +189,8 @@
     return unpack<owner_record>(bytes, [](const json& in) {
         return owner_record{base::node_id(in.at("node").get<std::string>()),
                             in.at("incarnation").get<std::string>(),
+                            in.at("fence").get<store::log_offset>(),
+                            in.at("beat").get<std::int64_t>(),
                             in.at("left").get<bool>()};
     });
 }
@@ -239,25 +243,56 @@
     });
 }
 
-std::string encode(const item_result& r) {
-    return pack({{"id", r.id.str()},
-                 {"outcome", base::name_of(r.outcome)},
-                 {"text", binary(r.text)},
-                 {"versions", r.versions},
-                 {"score", r.score}});
+std::string encode(const listing& value) {
+    json rows = json::array();
+    for (const auto& r : value.rows) {
+        rows.push_back({r.item, base::name_of(r.outcome)});
+    }
+    return pack({{"texts", value.texts}, {"rows", std::move(rows)}});
 }
 
-std::optional<item_result> decode_result(const std::string& bytes) {
-    return unpack<item_result>(bytes, [](const json& in) {
-        item_result r;
-        r.id = item_id(in.at("id").get<std::string>());
-        r.outcome = in.at("outcome") == base::name_of(item_outcome::errored)
-                        ? item_outcome::errored
-                        : item_outcome::succeeded;
-        r.text = text_of(in.at("text"));
-        r.versions = in.at("versions").get<std::vector<weight_version>>();
-        r.score = in.at("score").get<std::string>();
-        return r;
+std::optional<listing> decode_listing(const std::string& bytes) {
+    return unpack<listing>(bytes, [](const json& in) {
+        listing l;
+        l.texts = in.at("texts").get<std::string>();
+        for (const auto& r : in.at("rows")) {
+            const auto outcome = base::from_name<item_outcome>(
+                r.at(1).get_ref<const std::string&>());
+            l.rows.push_back({r.at(0).get<int>(),
+                              outcome.value_or(item_outcome::errored)});
+        }
+        return l;
+    });
+}
+
+std::string encode(const std::vector<item_result>& value) {
+    json out = json::array();
+    for (const auto& r : value) {
+        out.push_back({{"id", r.id.str()},
+                       {"outcome", base::name_of(r.outcome)},
+                       {"text", binary(r.text)},
+                       {"versions", r.versions},
+                       {"score", r.score}});
+    }
+    return pack(out);
+}
+
+std::optional<std::vector<item_result>>
+decode_results(const std::string& bytes) {
+    return unpack<std::vector<item_result>>(bytes, [](const json& in) {
+        std::vector<item_result> out;
+        for (const auto& row : in) {
+            item_result r;
+            r.id = item_id(row.at("id").get<std::string>());
+            r.outcome = base::from_name<item_outcome>(
+                            row.at("outcome").get_ref<const std::string&>())
+                            .value_or(item_outcome::errored);
+            r.text = text_of(row.at("text"));
+            r.versions = row.at("versions").get<std::vector<weight_version>>();
+            r.score = row.at("score").get<std::string>();
+            out.push_back(std::move(r));
+        }
+        return out;
     });
 }
 
@@ -276,7 +311,7 @@
     return unpack<progress_part>(bytes, [](const json& in) {
         progress_part p;
         p.item = in.at("item").get<int>();
-        p.epoch = in.at("epoch").get<int>();
+        p.epoch = in.at("epoch").get<std::int64_t>();
         p.from = in.at("from").get<int>();
         p.events = in.at("events").get<int>();
         p.last_event = in.at("last").get<std::string>();
@@ -288,13 +323,19 @@
 }
 
 std::optional<std::vector<std::vector<store::record>>>
-cut_into_appends(job submission, const record_limits& limits) {
-    auto& header = submission.header;
-    header.items = static_cast<int>(submission.items.size());
+cut_into_appends(job_header& header, std::vector<item> items,
+                 const record_limits& limits) {
+    header.items = static_cast<int>(items.size());
     header.chunks = 0;
     std::vector<std::vector<store::record>> appends(1);
     std::size_t in_append = 0;
-    const auto add = [&](store::record r) {
+    std::vector<item> chunk;
+    std::size_t in_chunk = 0;
+    const auto flush = [&] {
+        if (chunk.empty()) {
+            return;
+        }
+        store::record r{chunk_text(header.id, header.chunks++), encode(chunk)};
         const auto size = r.value.size() + record_overhead;
         if (in_append + size > limits.call && !appends.back().empty()) {
             appends.emplace_back();
@@ -302,18 +343,10 @@
         }
         in_append += size;
         appends.back().push_back(std::move(r));
+        chunk.clear();
+        in_chunk = 0;
     };
-    std::vector<item> chunk;
-    std::size_t in_chunk = 0;
-    const auto flush = [&] {
-        if (!chunk.empty()) {
-            add({to_text(chunk_key{header.id, header.chunks++}),
-                 encode(chunk)});
-            chunk.clear();
-            in_chunk = 0;
-        }
-    };
-    for (auto& i : submission.items) {
+    for (auto& i : items) {
         const auto size = pack(to_json(i)).size();
         if (size + record_overhead > limits.record) {
             return std::nullopt;
@@ -325,8 +358,29 @@
         chunk.push_back(std::move(i));
     }
     flush();
-    add({to_text(header_key{header.id}), encode(header)});
     return appends;
 }
 
+saved_text join_parts(std::vector<progress_part> parts) {
+    saved_text out;
+    std::sort(parts.begin(), parts.end(), [](const auto& a, const auto& b) {
+        return std::tie(b.epoch, a.from) < std::tie(a.epoch, b.from);
+    });
+    for (const auto& part : parts) {
+        out.failures = std::max(out.failures, part.failures);
+        if (part.epoch != parts.front().epoch || part.from != out.events ||
+            part.events == 0) {
+            continue;
+        }
+        if (out.events > 0) {
+            out.text += '\n';
+        }
+        out.text += part.text;
+        out.events += part.events;
+        out.last_event = part.last_event;
+        out.versions = part.versions;
+    }
+    return out;
+}
+
 } // namespace hibiscus::batch
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -60,7 +60,10 @@
 work::work(base::clock clock, samplers::sampler_table& table)
     : clock_(std::move(clock)), table_(table) {}
 
-void work::adopt(const job_id& id, const job_row& row, const job_terms& terms) {
+void work::adopt(const job_row& row, std::vector<item> items,
+                 const std::map<int, std::vector<progress_part>>& progress,
+                 const job_terms& terms, std::int64_t epoch) {
+    const auto id = row.header->id;
     if (has(id)) {
         return;
     }
@@ -69,23 +72,23 @@
     job.terms = terms;
     job.seen_at = row.seen_at;
     int number = 0;
-    for (auto& i : all_items(row)) {
+    for (auto& i : items) {
         item_row r;
         r.content = std::move(i);
+        r.epoch = epoch;
         if (row.listed.count(number) != 0) {
             r.at = state::done;
         } else {
             reuse(job, r);
         }
-        const auto parts = row.progress.find(number);
-        if (r.at == state::waiting && parts != row.progress.end()) {
+        const auto parts = progress.find(number);
+        if (r.at == state::waiting && parts != progress.end()) {
             auto s = join_parts(parts->second);
-            r.epoch = s.epoch;
             r.failures = s.failures;
-            r.saved_events = s.events;
-            r.saved_bytes = s.text.size();
-            r.got = {std::move(s.text), s.events, std::move(s.last_event),
-                     std::move(s.versions)};
+            if (s.events > r.got.events) {
+                r.got = {std::move(s.text), s.events, std::move(s.last_event),
+                         std::move(s.versions)};
+            }
         }
         job.items.push_back(std::move(r));
         ++number;
@@ -107,7 +110,6 @@
     }
     ++counts_.reused_texts;
     row.got = old->second.got;
-    row.epoch = 1;
     if (old->second.complete) {
         row.at = state::judge_due;
         row.not_before = clock_.now();
--- a/packages/batch/test/work_test.cpp
+++ b/packages/batch/test/work_test.cpp
@@ -44,20 +44,15 @@
             }
             j.items.push_back(i);
         }
-        ledger l(clock_);
-        const auto appends = cut_into_appends(std::move(j), {});
-        store::log_offset at = 0;
-        for (const auto& a : *appends) {
-            for (const auto& r : a) {
-                l.apply({r.key, r.value, at++});
-            }
-        }
+        job_row row;
+        row.header = j.header;
+        row.seen_at = clock_.now();
         job_terms terms;
         terms.service = engines;
         terms.attempts = 3;
         terms.due_ms = 7500;
         terms.keep_ms = 40000;
-        work_.adopt(job_id(id), *l.find(job_id(id)), terms);
+        work_.adopt(row, j.items, {}, terms, 1000);
     }
 
     template <class T>
--- a/packages/entry/include/hibiscus/entry/settings.hpp
+++ b/packages/entry/include/hibiscus/entry/settings.hpp
@@ -20,8 +20,8 @@
     base::endpoint listen_directory;
     base::endpoint listen_metrics;
     base::endpoint store;
-    /// A member of a group that is silent for so long loses its partitions.
-    base::millis member_ttl_ms = 1000;
+    /// The number of partitions of a topic.
+    int partitions = 24;
     std::size_t record_bytes = 262144;
     std::size_t append_bytes = 2097152;
     /// Two holders must not order the same server within this time, in ms.
--- a/packages/entry/src/batch_api.cpp
+++ b/packages/entry/src/batch_api.cpp
@@ -29,20 +29,22 @@
 /// The most bytes of text in one answer. An answer may hold a megabyte.
 constexpr std::size_t answer_bytes = 900 * 1024;
 
-const store::partition jobs_partition{adapter::jobs_topic, 0};
+const store::partition journal_partition{adapter::journal_topic, 0};
 
 } // namespace
 
 batch_api::batch_api(node_state& state, const store::log_store& store,
-                     store::follower& jobs, store::delay_function after)
-    : state_(state), store_(store), jobs_(jobs), after_(std::move(after)) {}
+                     store::follower& journal, const job_files& files,
+                     store::delay_function after)
+    : state_(state), store_(store), journal_(journal), files_(files),
+      after_(std::move(after)) {}
 
 void batch_api::start() {
     sweep();
 }
 
 bool batch_api::current_since(base::millis time) const {
-    return jobs_.loaded() && jobs_.current_at() >= time;
+    return journal_.loaded() && journal_.current_at() >= time;
 }
 
 void batch_api::submit(batch::job job, base::millis deadline_ms,
@@ -56,9 +58,9 @@
         accept(*s, "known");
         return;
     }
-    job.header.accepted_wall = state_.clock.wall();
+    s->header.accepted_wall = state_.clock.wall();
     auto appends = batch::cut_into_appends(
-        std::move(job),
+        s->header, std::move(job.items),
         {state_.config.record_bytes, state_.config.append_bytes});
     if (!appends) {
         state_.log.write("submit", {{"job", s->header.id},
@@ -70,42 +72,60 @@
     append(s);
 }
 
+/// Stores the items; until the header stands in the journal they are nothing.
 void batch_api::append(const std::shared_ptr<submission>& s) {
-    store_.append(jobs_partition, s->appends[s->next], nullptr,
-                  [this, s](const store::append_result& r) {
-                      appended(s, r);
-                  });
+    files_.append_items(s->header.id, s->appends[s->next],
+                        [this, s](const store::append_result& r) {
+                            appended(s, r);
+                        });
 }
 
 void batch_api::appended(const std::shared_ptr<submission>& s,
                          const store::append_result& result) {
-    if (std::holds_alternative<store::appended>(result)) {
-        if (++s->next == s->appends.size()) {
-            accept(*s, "stored");
+    if (!std::holds_alternative<store::appended>(result)) {
+        if (state_.jobs.find(s->header.id) != nullptr) {
+            accept(*s, "seen");
         } else {
-            append(s);
+            refuse(*s, "items_not_stored");
         }
         return;
     }
+    if (++s->next < s->appends.size()) {
+        append(s);
+        return;
+    }
+    append_header(s);
+}
+
+void batch_api::append_header(const std::shared_ptr<submission>& s) {
+    store_.append(journal_partition,
+                  {{batch::to_text(batch::header_key{s->header.id}),
+                    batch::encode(s->header)}},
+                  nullptr, [this, s](const store::append_result& r) {
+                      header_appended(s, r);
+                  });
+}
+
+void batch_api::header_appended(const std::shared_ptr<submission>& s,
+                                const store::append_result& result) {
+    if (std::holds_alternative<store::appended>(result)) {
+        accept(*s, "stored");
+        return;
+    }
     if (state_.jobs.find(s->header.id) != nullptr) {
         accept(*s, "seen");
         return;
     }
-    const bool last = s->next + 1 == s->appends.size();
-    if (std::holds_alternative<store::unanswered>(result) && last) {
+    if (std::holds_alternative<store::unanswered>(result)) {
         // The job may be stored, or be stored later. To say "not run" now
         // would be a lie; to store it again is harmless.
         s->may_be_stored = true;
     }
-    if (!s->may_be_stored) {
-        refuse(*s, "store");
-        return;
-    }
-    if (state_.clock.now() + append_retry_ms < s->due) {
-        after_(append_retry_ms, [this, s] { append(s); });
+    if (s->may_be_stored && state_.clock.now() + append_retry_ms < s->due) {
+        after_(append_retry_ms, [this, s] { append_header(s); });
         return;
     }
-    refuse(*s, "store_unanswered");
+    refuse(*s, "header_not_stored");
 }
 
 void batch_api::accept(const submission& s, const char* reason) {
@@ -193,7 +213,8 @@
         case waits_for::results:
             return settle_read(w, *row);
         case waits_for::body:
-            return settle_body(w, *row);
+            send_body(w);
+            return true;
         case waits_for::ending:
             store_end(w, state_.clock.now() + submit_ms, false);
             return true;
@@ -201,66 +222,116 @@
     }
     if (current_since(w.came_at)) {
         state_.log.write("job_unknown", {{"job", w.job},
-                                         {"read_to", jobs_.next()}});
+                                         {"read_to", journal_.next()}});
         w.caller->respond(adapter::plain_status(404));
         return true;
     }
     if (state_.clock.now() - w.came_at > view_ms) {
-        state_.log.write("read_refused",
-                         {{"job", w.job},
-                          {"view_age_ms",
-                           state_.clock.now() - jobs_.current_at()}});
-        w.caller->respond(adapter::not_run(store_retry_ms));
+        unreachable(w);
         return true;
     }
     return false;
 }
 
 bool batch_api::settle_read(const waiter& w, const batch::job_row& row) {
+    if (static_cast<int>(w.after) < row.next_position()) {
+        send_texts(w, row);
+        return true;
+    }
+    const auto now = state_.clock.now();
+    const bool sure = current_since(w.came_at);
+    if (sure && (now >= w.wait_until || state_.stopping)) {
+        w.caller->respond(adapter::results(
+            static_cast<std::size_t>(row.header->items), w.after, {}));
+        return true;
+    }
+    if (!sure && now - w.came_at > std::max(view_ms, w.wait_until - w.came_at)) {
+        unreachable(w);
+        return true;
+    }
+    return false;
+}
+
+/// Refuses a call that needs the store.
+void batch_api::unreachable(const waiter& w) {
+    state_.log.write("read_refused",
+                     {{"job", w.job},
+                      {"view_age_ms",
+                       state_.clock.now() - journal_.current_at()}});
+    w.caller->respond(adapter::not_run(store_retry_ms));
+}
+
+void batch_api::send_texts(const waiter& w, const batch::job_row& row) {
+    const auto first = std::prev(
+        row.listings.upper_bound(static_cast<int>(w.after)));
+    files_.load_texts(w.job, first->first, answer_bytes,
+                      [this, w](const auto& texts) { answer_texts(w, texts); });
+}
+
+/// Answers with the results from the asked position on, as far as their texts
+/// were read.
+void batch_api::answer_texts(
+    const waiter& w,
+    const std::optional<std::vector<store::record>>& texts) {
+    const auto* row = state_.jobs.find(w.job);
+    if (!texts || row == nullptr) {
+        unreachable(w);
+        return;
+    }
+    std::map<std::string, const std::string*> by_key;
+    for (const auto& t : *texts) {
+        by_key[t.key] = &t.value;
+    }
     std::vector<batch::item_result> out;
     std::size_t bytes = 0;
     auto position = w.after;
-    for (auto r = row.results.lower_bound(static_cast<int>(w.after));
-         r != row.results.end() && r->first == static_cast<int>(position);
-         ++r) {
-        if (!out.empty() && bytes + r->second.size() > answer_bytes) {
+    for (auto l = std::prev(row->listings.upper_bound(static_cast<int>(w.after)));
+         l != row->listings.end(); ++l) {
+        const auto record = by_key.find(
+            batch::texts_text(w.job, l->first, l->second.texts));
+        if (record == by_key.end()) {
             break;
         }
-        auto result = batch::decode_result(r->second);
-        if (!result) {
+        auto results = batch::decode_results(*record->second);
+        if (!results || results->size() != l->second.rows.size()) {
             state_.log.write("record_skipped", {{"job", w.job},
-                                                {"position", r->first}});
+                                                {"position", l->first}});
             break;
         }
-        bytes += r->second.size();
-        out.push_back(std::move(*result));
-        ++position;
-    }
-    const auto now = state_.clock.now();
-    if (out.empty()) {
-        const bool sure = current_since(w.came_at);
-        const bool wait = now < w.wait_until && !state_.stopping;
-        if (!sure && now - w.came_at > std::max(view_ms, w.wait_until - w.came_at)) {
-            state_.log.write("read_refused",
-                             {{"job", w.job},
-                              {"view_age_ms", now - jobs_.current_at()}});
-            w.caller->respond(adapter::not_run(store_retry_ms));
-            return true;
+        const auto skip = position - static_cast<std::size_t>(l->first);
+        for (std::size_t n = skip; n < results->size(); ++n) {
+            bytes += (*results)[n].text.size();
+            if (!out.empty() && bytes > answer_bytes) {
+                break;
+            }
+            out.push_back(std::move((*results)[n]));
+            ++position;
         }
-        if (!sure || wait) {
-            return false;
+        if (bytes > answer_bytes) {
+            break;
         }
     }
+    if (out.empty()) {
+        unreachable(w);
+        return;
+    }
     w.caller->respond(adapter::results(
-        static_cast<std::size_t>(row.header->items), position, out));
-    return true;
+        static_cast<std::size_t>(row->header->items), position, out));
 }
 
-bool batch_api::settle_body(const waiter& w, const batch::job_row& row) {
-    const auto found = batch::find_item(row, w.item);
-    w.caller->respond(found ? adapter::item_body(found->body)
-                            : adapter::plain_status(404));
-    return true;
+void batch_api::send_body(const waiter& w) {
+    files_.load_items(w.job, [this, w](const auto& items) {
+        if (!items) {
+            unreachable(w);
+            return;
+        }
+        const auto found =
+            std::find_if(items->begin(), items->end(),
+                         [&](const auto& i) { return i.id == w.item; });
+        w.caller->respond(found == items->end()
+                              ? adapter::plain_status(404)
+                              : adapter::item_body(found->body));
+    });
 }
 
 void batch_api::store_end(const waiter& w, base::millis due,
@@ -272,7 +343,7 @@
         return;
     }
     store_.append(
-        jobs_partition, {{batch::to_text(batch::end_key{w.job}), "1"}}, nullptr,
+        journal_partition, {{batch::to_text(batch::end_key{w.job}), "1"}}, nullptr,
         [this, w, due, stored_maybe](const store::append_result& r) {
             if (std::holds_alternative<store::appended>(r)) {
                 state_.log.write("end", {{"job", w.job},
--- a/packages/entry/src/batch_api.hpp
+++ b/packages/entry/src/batch_api.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "job_files.hpp"
 #include "node_state.hpp"
 
 #include "hibiscus/store/follower.hpp"
@@ -18,7 +19,8 @@
 class batch_api {
 public:
     batch_api(node_state& state, const store::log_store& store,
-              store::follower& jobs, store::delay_function after);
+              store::follower& journal, const job_files& files,
+              store::delay_function after);
 
     /// Starts to look after calls that wait.
     void start();
@@ -61,11 +63,18 @@
     void append(const std::shared_ptr<submission>& s);
     void appended(const std::shared_ptr<submission>& s,
                   const store::append_result& result);
+    void append_header(const std::shared_ptr<submission>& s);
+    void header_appended(const std::shared_ptr<submission>& s,
+                         const store::append_result& result);
     void refuse(const submission& s, const char* reason);
     void accept(const submission& s, const char* reason);
     bool settle(const waiter& w);
     bool settle_read(const waiter& w, const batch::job_row& row);
-    bool settle_body(const waiter& w, const batch::job_row& row);
+    void send_texts(const waiter& w, const batch::job_row& row);
+    void answer_texts(const waiter& w,
+                      const std::optional<std::vector<store::record>>& texts);
+    void send_body(const waiter& w);
+    void unreachable(const waiter& w);
     void store_end(const waiter& w, base::millis due, bool stored_maybe);
     bool current_since(base::millis time) const;
     void sweep();
@@ -73,7 +82,8 @@
 
     node_state& state_;
     const store::log_store& store_;
-    store::follower& jobs_;
+    store::follower& journal_;
+    const job_files& files_;
     store::delay_function after_;
     std::vector<waiter> waiting_;
 };
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -58,11 +58,14 @@
           config_(store_, {adapter::operator_topic, 0}, state_.clock, after_,
                   {}, {[this](const auto& c) { operator_changed(c); }, {}}),
           registry_(state_, store_, after_),
-          jobs_(store_, {adapter::jobs_topic, 0}, state_.clock, after_, {},
-                {[this](const auto& c) { jobs_changed(c); }, {}}),
+          journal_(store_, {adapter::journal_topic, 0}, state_.clock, after_,
+                   {},
+                   {[this](const auto& c) { journal_changed(c); },
+                    [this](bool up) { owner_.contact(up); }}),
+          files_(store_, settings.partitions),
           directory_(state_, store_, after_), requests_(state_, client_),
-          owner_(state_, store_, jobs_, client_, requests_, after_),
-          batch_(state_, store_, jobs_, after_),
+          owner_(state_, store_, journal_, files_, client_, requests_, after_),
+          batch_(state_, store_, journal_, files_, after_),
           callers_(io_, {}, [this](auto r, auto e) {
               on_caller(std::move(r), std::move(e));
           }),
@@ -84,7 +87,7 @@
         wait_for_signal();
         config_.start();
         registry_.start();
-        jobs_.start();
+        journal_.start();
         directory_.start();
         owner_.start();
         batch_.start();
@@ -219,7 +222,7 @@
         state_.routes = std::move(next);
     }
 
-    void jobs_changed(const std::vector<store::change>& changes) {
+    void journal_changed(const std::vector<store::change>& changes) {
         std::set<batch::job_id> jobs;
         for (const auto& c : changes) {
             if (const auto id = state_.jobs.apply(c)) {
@@ -234,7 +237,7 @@
                       transport::exchange& answer) {
         const bool ready = adapter::is_ready_call(request) && !state_.stopping &&
                            state_.routes && registry_.loaded() &&
-                           jobs_.loaded();
+                           journal_.loaded();
         answer.respond(adapter::plain_status(ready ? 200 : 503));
     }
 
@@ -361,7 +364,8 @@
     store::delay_function after_;
     store::follower config_;
     registry registry_;
-    store::follower jobs_;
+    store::follower journal_;
+    job_files files_;
     directory directory_;
     forwarder requests_;
     owner owner_;
--- /dev/null
+++ b/packages/entry/src/job_files.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "hibiscus/batch/records.hpp"
+#include "hibiscus/store/log_store.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace hibiscus::entry {
+
+/// What lies in the store for each job besides the journal: its items, its
+/// texts and texts under way. A job's records lie in one partition of each
+/// topic, so that one reading finds little of other jobs.
+class job_files {
+public:
+    job_files(const store::log_store& store, int partitions)
+        : store_(store), partitions_(partitions) {}
+
+    using append_done = std::function<void(const store::append_result&)>;
+
+    void append_items(const batch::job_id& job,
+                      const std::vector<store::record>& records,
+                      append_done done) const;
+    void append_texts(const batch::job_id& job,
+                      const std::vector<store::record>& records,
+                      append_done done) const;
+    void append_progress(const batch::job_id& job,
+                         const std::vector<store::record>& records,
+                         append_done done) const;
+
+    /// Each calls `done` with nothing if the store gave no answer.
+    void load_items(
+        const batch::job_id& job,
+        std::function<void(std::optional<std::vector<batch::item>>)> done)
+        const;
+    using progress_map = std::map<int, std::vector<batch::progress_part>>;
+    void
+    load_progress(const batch::job_id& job,
+                  std::function<void(std::optional<progress_map>)> done) const;
+    /// Reads the records with the texts from a listed position on, up to
+    /// `most_bytes`.
+    void
+    load_texts(const batch::job_id& job, int position, std::size_t most_bytes,
+               std::function<void(std::optional<std::vector<store::record>>)>
+                   done) const;
+
+private:
+    store::partition part_of(const char* topic,
+                             const batch::job_id& job) const;
+
+    const store::log_store& store_;
+    int partitions_;
+};
+
+} // namespace hibiscus::entry
--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -10,12 +10,6 @@
 
 namespace {
 
-const char* const group_name = "owners";
-
-/// How often the group is asked. A member is given up after `member_ttl_ms`,
-/// at least a second; four calls in that time bear three losses.
-constexpr base::millis join_ms = 250;
-
 /// How often waiting items and silent runs are looked at, in ms. Places that
 /// fall free are filled at once by the run's end itself.
 constexpr base::millis tick_ms = 25;
@@ -33,6 +27,17 @@
 /// last result may be long.
 constexpr std::size_t commit_bytes = 768 * 1024;
 
+/// The share of a record that results fill before the next one is begun; the
+/// last result may be long.
+constexpr std::size_t record_share = 2;
+
+/// The pause before a job's items are read again, in ms.
+constexpr base::millis load_retry_ms = 100;
+
+/// Epochs of texts under way that one owner may use: it starts texts anew
+/// only where versions must not mix.
+constexpr std::int64_t epochs_of_owner = 1000;
+
 /// New items start only while the store was heard within this share of the
 /// time in which the end of a job must take effect.
 constexpr base::millis cancel_share = 2;
@@ -56,107 +61,108 @@
 
 /// How often the last append of an owner that stops is tried: more would keep
 /// the next owner waiting, who can do without it.
-constexpr int most_leave_tries = 3;
+constexpr int most_leave_tries = 20;
+constexpr base::millis leave_retry_ms = 20;
 
 } // namespace
 
 owner::owner(node_state& state, const store::log_store& store,
-             store::follower& jobs, transport::upstream_client& client,
-             forwarder& requests, store::delay_function after)
-    : state_(state), store_(store), jobs_(jobs), client_(client),
-      requests_(requests), after_(std::move(after)),
+             store::follower& journal, const job_files& files,
+             transport::upstream_client& client, forwarder& requests,
+             store::delay_function after)
+    : state_(state), store_(store), journal_(journal), files_(files),
+      client_(client), requests_(requests), after_(std::move(after)),
       work_(state.clock, state.samplers), rollout_(state.clock),
       incarnation_(std::to_string(state.random()) + "-" +
-                   std::to_string(state.random())) {}
+                   std::to_string(state.random())),
+      ownership_(state.clock, state.config.node, incarnation_, {},
+                 state.draw()) {}
 
 void owner::start() {
-    join();
     tick();
 }
 
 bool owner::owns() const {
-    const auto& o = state_.jobs.owner();
-    return o && o->record.node == state_.config.node &&
-           o->record.incarnation == incarnation_ && !o->record.left;
+    return ownership_.mine(state_.jobs);
+}
+
+void owner::contact(bool up) {
+    ownership_.contact(up);
 }
 
 bool owner::store_heard() const {
-    const auto age = state_.clock.now() - jobs_.current_at();
-    return jobs_.loaded() && age < state_.config.cancel_ms / cancel_share;
+    const auto age = state_.clock.now() - journal_.current_at();
+    return journal_.loaded() && age < state_.config.cancel_ms / cancel_share;
 }
 
-void owner::join() {
-    if (leaving_) {
-        return;
-    }
-    store_.join({group_name, state_.config.node.str() + "." + incarnation_,
-                 adapter::jobs_topic, state_.config.member_ttl_ms, generation_},
-                [this](const store::join_result& r) {
-                    joined(r);
-                    after_(join_ms, [this] { join(); });
-                });
+store::record owner::own_record(store::log_offset fence, bool left) {
+    return {batch::to_text(batch::owner_key{}),
+            batch::encode(batch::owner_record{state_.config.node, incarnation_,
+                                              fence, ++beats_, left})};
 }
 
-void owner::joined(const store::join_result& result) {
-    const auto* m = base::value_if(result);
-    if (m == nullptr || leaving_) {
+void owner::claim() {
+    if (appending_) {
         return;
     }
-    generation_ = m->generation;
-    const bool mine = std::find(m->partitions.begin(), m->partitions.end(),
-                                0) != m->partitions.end();
-    if (mine != assigned_) {
-        state_.log.write("assignment", {{"mine", mine},
-                                        {"generation", generation_},
-                                        {"owns", owns()}});
-    }
-    assigned_ = mine;
-    if (mine && !owns()) {
-        take_over();
-    }
+    const auto& before = state_.jobs.owner();
+    state_.log.write(
+        "claim", {{"before", before ? before->record.node.str() : ""},
+                  {"silent_ms", before ? state_.clock.now() - before->seen_at : 0},
+                  {"read_to", journal_.next()}});
+    append({own_record(journal_.next(), false)}, [](bool) {});
 }
 
-void owner::take_over() {
-    if (taking_over_ || !jobs_.loaded()) {
-        return;
-    }
-    taking_over_ = true;
-    const auto at = jobs_.next();
-    const std::vector<store::record> records{
-        {batch::to_text(batch::owner_key{}),
-         batch::encode(batch::owner_record{state_.config.node, incarnation_,
-                                           false})}};
-    store_.append({adapter::jobs_topic, 0}, records, &at,
-                  [this, records](const store::append_result& r) {
-                      taking_over_ = false;
-                      if (const auto* a = base::value_if(r)) {
-                          jobs_.appended_here(a->first, records);
-                      }
-                  });
+/// Appends to the journal if nothing came that this node has not read.
+void owner::append(const std::vector<store::record>& records,
+                   std::function<void(bool)> done) {
+    appending_ = true;
+    const auto at = journal_.next();
+    const auto sent_at = state_.clock.now();
+    store_.append(
+        {adapter::journal_topic, 0}, records, &at,
+        [this, records, sent_at,
+         done = std::move(done)](const store::append_result& r) {
+            appending_ = false;
+            const auto ms = state_.clock.now() - sent_at;
+            state_.counters.observe("store_append", ms);
+            log_append(r, records.size(), ms);
+            const auto* a = base::value_if(r);
+            if (a != nullptr) {
+                ownership_.renewed();
+                journal_.appended_here(a->first, records);
+            }
+            done(a != nullptr);
+        });
+}
+
+void owner::log_append(const store::append_result& result, std::size_t records,
+                       base::millis ms) {
+    std::visit(
+        base::overloaded{
+            [&](const store::appended&) {},
+            [&](const store::end_differs& d) {
+                state_.log.write("append_refused", {{"reason", "end_differs"},
+                                                    {"end", d.end},
+                                                    {"read_to", journal_.next()}});
+            },
+            [&](const store::refused& f) {
+                state_.log.write("append_refused",
+                                 {{"reason", "store"}, {"status", f.status}});
+            },
+            [&](const store::unanswered&) {
+                state_.log.write("append_unanswered",
+                                 {{"records", static_cast<std::int64_t>(records)},
+                                  {"ms", ms}});
+            }},
+        result);
 }
 
 void owner::ledger_changed(const std::set<batch::job_id>& jobs) {
     const bool owns_now = owns();
     if (owns_now != owned_before_) {
         owned_before_ = owns_now;
-        const auto& o = state_.jobs.owner();
-        state_.log.write("owner", {{"mine", owns_now},
-                                   {"node", o ? o->record.node.str() : ""},
-                                   {"fence", o ? o->at : 0},
-                                   {"read_to", jobs_.next()}});
-        if (owns_now) {
-            may_order_at_ = state_.clock.now() +
-                            (o->at > 0 ? state_.config.lease_ms : 0);
-            rollout_.reset();
-            sync();
-        } else {
-            run(work_.drop_all());
-            rewards_.clear();
-            for (auto& j : judging_) {
-                j.second->cancel();
-            }
-            judging_.clear();
-        }
+        owner_changed(owns_now);
         return;
     }
     if (!owns_now) {
@@ -164,15 +170,37 @@
     }
     for (const auto& id : jobs) {
         const auto* row = state_.jobs.find(id);
-        if (row == nullptr) {
-            continue;
-        }
-        if (row->ended) {
+        if (row != nullptr && row->ended) {
             run(work_.drop(id));
-        } else if (!work_.has(id)) {
-            sync();
         }
     }
+    sync();
+}
+
+void owner::owner_changed(bool mine) {
+    const auto& o = state_.jobs.owner();
+    state_.log.write("owner", {{"mine", mine},
+                               {"node", o ? o->record.node.str() : ""},
+                               {"fence", o ? o->record.fence : 0},
+                               {"read_to", journal_.next()}});
+    if (mine) {
+        // The first owner of all, and one that follows on itself, has nobody
+        // whose orders could still be under way.
+        const bool first = o->record.fence == 0 ||
+                           last_owner_ == state_.config.node;
+        may_order_at_ =
+            state_.clock.now() + (first ? 0 : state_.config.lease_ms);
+        rollout_.reset();
+        sync();
+        return;
+    }
+    run(work_.drop_all());
+    rewards_.clear();
+    loading_.clear();
+    for (auto& j : judging_) {
+        j.second->cancel();
+    }
+    judging_.clear();
 }
 
 std::optional<batch::job_terms>
@@ -196,24 +224,70 @@
 /// Takes up all open jobs that are not in work yet.
 void owner::sync() {
     for (const auto& [id, row] : state_.jobs.jobs()) {
-        if (row.ended || !row.complete() || work_.has(id)) {
+        if (row.ended || !row.header || work_.has(id) ||
+            loading_.count(id) != 0 || !terms_of(*row.header)) {
             continue;
         }
-        const auto terms = terms_of(*row.header);
-        if (!terms) {
-            state_.log.write("job_waits", {{"job", id},
-                                           {"reason", "no route"}});
-            continue;
+        loading_.insert(id);
+        load(id);
+    }
+}
+
+/// Reads a job's items and what was saved of them.
+void owner::load(const batch::job_id& id) {
+    struct parts {
+        std::optional<std::vector<batch::item>> items;
+        std::optional<job_files::progress_map> progress;
+        int missing = 2;
+    };
+    auto got = std::make_shared<parts>();
+    const auto one_done = [this, id, got] {
+        if (--got->missing > 0) {
+            return;
+        }
+        if (!got->items || !got->progress) {
+            after_(load_retry_ms, [this, id] { loading_.erase(id); });
+            return;
         }
-        work_.adopt(id, row, *terms);
-        state_.log.write("job_taken_up",
+        loading_.erase(id);
+        take_up(id, std::move(*got->items), *got->progress);
+    };
+    files_.load_items(id, [got, one_done](auto items) {
+        got->items = std::move(items);
+        one_done();
+    });
+    files_.load_progress(id, [got, one_done](auto progress) {
+        got->progress = std::move(progress);
+        one_done();
+    });
+}
+
+void owner::take_up(const batch::job_id& id, std::vector<batch::item> items,
+                    const job_files::progress_map& progress) {
+    const auto* row = state_.jobs.find(id);
+    if (!owns() || row == nullptr || row->ended || work_.has(id)) {
+        return;
+    }
+    const auto terms = terms_of(*row->header);
+    if (!terms || static_cast<int>(items.size()) != row->header->items) {
+        state_.log.write("job_waits",
                          {{"job", id},
-                          {"step", row.header->step},
-                          {"items", row.header->items},
-                          {"listed", static_cast<int>(row.listed.size())},
-                          {"least_version", row.header->least_version},
-                          {"age_ms", state_.clock.now() - row.seen_at}});
+                          {"items", static_cast<int>(items.size())},
+                          {"reason", terms ? "items_missing" : "no_route"}});
+        return;
     }
+    state_.log.write("job_taken_up",
+                     {{"job", id},
+                      {"step", row->header->step},
+                      {"items", row->header->items},
+                      {"listed", static_cast<int>(row->listed.size())},
+                      {"saved", static_cast<int>(progress.size())},
+                      {"least_version", row->header->least_version},
+                      {"age_ms", state_.clock.now() - row->seen_at}});
+    const auto fence = state_.jobs.owner()->record.fence;
+    work_.adopt(*row, std::move(items), progress, *terms,
+                static_cast<std::int64_t>(fence) * epochs_of_owner);
+    run(work_.tick(store_heard() && !leaving_));
 }
 
 void owner::version_named(const std::string& model, std::int64_t version) {
@@ -222,11 +296,27 @@
 }
 
 void owner::tick() {
+    if (journal_.loaded() && !leaving_) {
+        switch (ownership_.next(state_.jobs, journal_.current_at())) {
+        case batch::ownership_step::nothing:
+            break;
+        case batch::ownership_step::claim:
+            claim();
+            break;
+        case batch::ownership_step::renew:
+            renew_due_ = true;
+            break;
+        }
+    }
+    if (const auto& o = state_.jobs.owner()) {
+        last_owner_ = owns() ? last_owner_ : o->record.node;
+    }
     if (owns()) {
         sync();
         run(work_.tick(store_heard() && !leaving_));
         order_loads();
         commit();
+        save();
     }
     after_(tick_ms, [this] { tick(); });
 }
@@ -443,109 +533,157 @@
     }
 }
 
+/// Lists what is ready: first the texts, under keys that nobody else uses,
+/// then, on the condition that this node is still the owner, where they are.
 void owner::commit() {
     const auto now = state_.clock.now();
     if (committing_ || !owns() || now - last_commit_ < commit_ms) {
         return;
     }
-    std::vector<store::record> records;
+    auto lists = collect();
+    if (lists.empty()) {
+        if (std::exchange(renew_due_, false) && !appending_) {
+            const auto fence = state_.jobs.owner()->record.fence;
+            append({own_record(fence, false)}, [](bool) {});
+        }
+        return;
+    }
+    committing_ = true;
+    last_commit_ = now;
+    auto waiting = std::make_shared<int>(static_cast<int>(lists.size()));
+    auto whole = std::make_shared<bool>(true);
+    auto all = std::make_shared<std::vector<pending_listing>>(std::move(lists));
+    for (const auto& l : *all) {
+        files_.append_texts(
+            l.job, {l.texts},
+            [this, waiting, whole, all](const store::append_result& r) {
+                *whole = *whole && base::value_if(r) != nullptr;
+                if (--*waiting == 0) {
+                    list(*all, *whole);
+                }
+            });
+    }
+}
+
+/// Groups what is ready into records.
+std::vector<owner::pending_listing> owner::collect() {
+    std::vector<pending_listing> out;
     std::map<batch::job_id, int> next;
-    for (const auto& r : work_.ready(commit_bytes)) {
+    std::vector<batch::item_result> results;
+    std::size_t bytes = 0;
+    const auto flush = [&] {
+        if (!results.empty()) {
+            out.back().texts.value = batch::encode(results);
+            results.clear();
+            bytes = 0;
+        }
+    };
+    for (auto& r : work_.ready(commit_bytes)) {
         const auto* row = state_.jobs.find(r.job);
         if (row == nullptr || row->listed.count(r.number) != 0) {
             continue;
         }
-        auto& position =
-            next.emplace(r.job, static_cast<int>(row->results.size()))
-                .first->second;
-        records.push_back(
-            {batch::to_text(batch::result_key{r.job, position++, r.number}),
-             batch::encode(r.result)});
-    }
-    std::vector<batch::unsaved_part> parts;
-    if (now - last_progress_ >= progress_ms || leaving_) {
-        last_progress_ = now;
-        parts = work_.unsaved(leaving_ ? 1 : progress_events, commit_bytes);
-        for (const auto& p : parts) {
-            records.push_back(
-                {batch::to_text(batch::progress_key{
-                     p.job, p.part.item, p.part.epoch, p.part.from}),
-                 batch::encode(p.part)});
+        const bool fits = !out.empty() && out.back().job == r.job &&
+                          bytes < state_.config.record_bytes / record_share;
+        if (!fits) {
+            flush();
+            const auto position =
+                next.emplace(r.job, row->next_position()).first->second;
+            const auto name =
+                incarnation_ + "-" + std::to_string(++texts_written_);
+            out.push_back({r.job,
+                           position,
+                           {name, {}},
+                           {batch::texts_text(r.job, position, name), ""}});
         }
+        ++next.at(r.job);
+        bytes += r.result.text.size();
+        out.back().content.rows.push_back({r.number, r.result.outcome});
+        results.push_back(std::move(r.result));
     }
-    if (leaving_) {
-        records.push_back({batch::to_text(batch::owner_key{}),
-                           batch::encode(batch::owner_record{
-                               state_.config.node, incarnation_, true})});
-    }
-    if (records.empty()) {
+    flush();
+    return out;
+}
+
+void owner::list(const std::vector<pending_listing>& lists, bool stored) {
+    if (!stored || !owns() || appending_) {
+        committing_ = false;
+        if (!stored) {
+            state_.log.write("append_refused", {{"reason", "texts"}});
+        }
         return;
     }
-    committing_ = true;
-    last_commit_ = now;
-    const auto at = jobs_.next();
-    store_.append({adapter::jobs_topic, 0}, records, &at,
-                  [this, records, parts](const store::append_result& r) {
-                      committed(r, records, parts);
-                  });
-}
-
-void owner::committed(const store::append_result& result,
-                      const std::vector<store::record>& records,
-                      const std::vector<batch::unsaved_part>& parts) {
-    committing_ = false;
-    const auto ms = state_.clock.now() - last_commit_;
-    state_.counters.observe("store_append", ms);
-    std::visit(
-        base::overloaded{
-            [&](const store::appended& a) {
-                state_.log.write("committed", {{"records", static_cast<int>(records.size())},
-                                               {"progress", static_cast<int>(parts.size())},
-                                               {"first", a.first},
-                                               {"ms", ms}});
-                jobs_.appended_here(a.first, records);
-                for (const auto& p : parts) {
-                    work_.saved(p);
-                }
-                for (const auto& r : records) {
-                    const auto key = batch::parse_key(r.key);
-                    if (const auto* k = std::get_if<batch::result_key>(&*key)) {
-                        run(work_.listed(k->job, k->item));
-                    }
-                }
-            },
-            [&](const store::end_differs& d) {
-                state_.log.write("commit_refused",
-                                 {{"reason", "end_differs"},
-                                  {"end", d.end},
-                                  {"read_to", jobs_.next()}});
-            },
-            [&](const store::refused& f) {
-                state_.log.write("commit_refused", {{"reason", "store"},
-                                                    {"status", f.status}});
-            },
-            [&](const store::unanswered&) {
-                state_.log.write("commit_unanswered", {{"ms", ms}});
-            }},
-        result);
-    if (leaving_ && left_) {
-        finish_leaving(records);
+    std::vector<store::record> records;
+    for (const auto& l : lists) {
+        records.push_back(
+            {batch::to_text(batch::listing_key{l.job, l.position}),
+             batch::encode(l.content)});
+    }
+    // Each append renews the ownership as well; a separate one would find the
+    // journal's end moved half of the time.
+    renew_due_ = false;
+    records.push_back(own_record(state_.jobs.owner()->record.fence, false));
+    append(records, [this, lists](bool done) {
+        committing_ = false;
+        if (!done) {
+            return;
+        }
+        for (const auto& l : lists) {
+            state_.log.write("listed",
+                             {{"job", l.job},
+                              {"position", l.position},
+                              {"items", static_cast<int>(l.content.rows.size())},
+                              {"ms", state_.clock.now() - last_commit_}});
+            for (const auto& r : l.content.rows) {
+                run(work_.listed(l.job, r.item));
+            }
+        }
+    });
+}
+
+/// Saves what has come of texts under way.
+void owner::save() {
+    const auto now = state_.clock.now();
+    if (saving_ > 0 || now - last_progress_ < progress_ms) {
+        return;
     }
+    last_progress_ = now;
+    save_now(progress_events, [] {});
 }
 
-void owner::finish_leaving(const std::vector<store::record>& records) {
-    const bool was_last = records.back().key ==
-                          batch::to_text(batch::owner_key{});
-    const bool stored = was_last && !owns();
-    if (!stored && leave_tries_++ < most_leave_tries) {
-        last_commit_ = 0;
-        commit();
+void owner::save_now(int least, std::function<void()> done) {
+    std::map<batch::job_id, std::vector<batch::unsaved_part>> by_job;
+    for (auto& p : work_.unsaved(least, commit_bytes)) {
+        by_job[p.job].push_back(std::move(p));
+    }
+    if (by_job.empty()) {
+        done();
         return;
     }
-    run(work_.drop_all());
-    const auto left = std::exchange(left_, nullptr);
-    store_.leave(group_name, state_.config.node.str() + "." + incarnation_,
-                 left);
+    saving_ += static_cast<int>(by_job.size());
+    for (auto& [id, parts] : by_job) {
+        std::vector<store::record> records;
+        for (const auto& p : parts) {
+            records.push_back({batch::progress_text(p.job, p.part),
+                               batch::encode(p.part)});
+        }
+        files_.append_progress(
+            id, records,
+            [this, parts = std::move(parts),
+             done](const store::append_result& r) {
+                if (base::value_if(r) != nullptr) {
+                    for (const auto& p : parts) {
+                        work_.saved(p);
+                    }
+                } else {
+                    state_.log.write("append_refused",
+                                     {{"reason", "progress"}});
+                }
+                if (--saving_ == 0) {
+                    done();
+                }
+            });
+    }
 }
 
 void owner::order_loads() {
@@ -601,7 +739,7 @@
 
 void owner::send_order(const samplers::load_order& order,
                        std::int64_t after_orders) {
-    const auto fence = state_.jobs.owner()->at + 1;
+    const auto fence = state_.jobs.owner()->record.fence + 1;
     call_server(
         order.sampler,
         adapter::order_request(order, state_.config.node.str(), fence,
@@ -660,18 +798,33 @@
 }
 
 void owner::hand_over(std::function<void()> done) {
+    leaving_ = true;
     if (!owns()) {
-        leaving_ = true;
-        store_.leave(group_name, state_.config.node.str() + "." + incarnation_,
-                     std::move(done));
+        done();
         return;
     }
-    leaving_ = true;
     left_ = std::move(done);
-    last_commit_ = 0;
-    if (!committing_) {
-        commit();
+    save_now(1, [this] { leave(); });
+}
+
+/// Says in the journal that the ownership is vacant, so that the next owner
+/// need not wait for this one's silence.
+void owner::leave() {
+    if (!left_) {
+        return;
+    }
+    if (!owns() || ++leave_tries_ > most_leave_tries) {
+        run(work_.drop_all());
+        const auto left = std::exchange(left_, nullptr);
+        left();
+        return;
+    }
+    if (appending_) {
+        after_(leave_retry_ms, [this] { leave(); });
+        return;
     }
+    append({own_record(state_.jobs.owner()->record.fence, true)},
+           [this](bool) { after_(leave_retry_ms, [this] { leave(); }); });
 }
 
 } // namespace hibiscus::entry
--- a/packages/entry/src/owner.hpp
+++ b/packages/entry/src/owner.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "forwarder.hpp"
+#include "job_files.hpp"
 #include "node_state.hpp"
 
+#include "hibiscus/batch/ownership.hpp"
 #include "hibiscus/batch/work.hpp"
 #include "hibiscus/samplers/weight_rollout.hpp"
 #include "hibiscus/store/follower.hpp"
@@ -17,20 +19,23 @@
 
 namespace hibiscus::entry {
 
-/// Runs the jobs while this node owns them, and orders loads of weights.
-/// Which node that is comes from a group in the store; that is only a hint.
-/// What counts is the owner's record in the partition of the jobs: results
-/// are appended on the condition that the partition ends where this node has
-/// read to, so that of two owners at a time one always loses.
+/// Runs the jobs while this node owns them, and orders loads of weights. The
+/// owner is named by a record in the journal, which it renews. All that
+/// matters is appended on the condition that the journal ends where this node
+/// has read to, so that of two owners at a time one always loses.
 class owner {
 public:
     owner(node_state& state, const store::log_store& store,
-          store::follower& jobs, transport::upstream_client& client,
-          forwarder& requests, store::delay_function after);
+          store::follower& journal, const job_files& files,
+          transport::upstream_client& client, forwarder& requests,
+          store::delay_function after);
 
     /// Starts to take part.
     void start();
 
+    /// The store was lost or is heard again.
+    void contact(bool up);
+
     /// The ledger has changed in these jobs, or in its owner.
     void ledger_changed(const std::set<batch::job_id>& jobs);
 
@@ -70,9 +75,24 @@
         batch::reward_call call;
     };
 
-    void join();
-    void joined(const store::join_result& result);
-    void take_over();
+    /// Results that are to be listed together.
+    struct pending_listing {
+        batch::job_id job;
+        int position = 0;
+        batch::listing content;
+        store::record texts;
+    };
+
+    void claim();
+    store::record own_record(store::log_offset fence, bool left);
+    void append(const std::vector<store::record>& records,
+                std::function<void(bool)> done);
+    void log_append(const store::append_result& result, std::size_t records,
+                    base::millis ms);
+    void owner_changed(bool mine);
+    void load(const batch::job_id& id);
+    void take_up(const batch::job_id& id, std::vector<batch::item> items,
+                 const job_files::progress_map& progress);
     void tick();
     void sync();
     void run(const batch::effects& effects);
@@ -83,10 +103,11 @@
     void send_reward(const reward_task& task);
     std::size_t reward_places(const samplers::service_name& service) const;
     void commit();
-    void committed(const store::append_result& result,
-                   const std::vector<store::record>& records,
-                   const std::vector<batch::unsaved_part>& parts);
-    void finish_leaving(const std::vector<store::record>& records);
+    std::vector<pending_listing> collect();
+    void list(const std::vector<pending_listing>& lists, bool stored);
+    void save();
+    void save_now(int least, std::function<void()> done);
+    void leave();
     void order_loads();
     void prepare_order(const samplers::load_order& order);
     void on_report(const samplers::load_order& order, const server_reply& reply,
@@ -101,21 +122,27 @@
 
     node_state& state_;
     const store::log_store& store_;
-    store::follower& jobs_;
+    store::follower& journal_;
+    const job_files& files_;
     transport::upstream_client& client_;
     forwarder& requests_;
     store::delay_function after_;
     batch::work work_;
     samplers::weight_rollout rollout_;
     std::string incarnation_;
+    batch::ownership ownership_;
+    std::set<batch::job_id> loading_;
     std::map<batch::run_number, live_run> runs_;
     std::deque<reward_task> rewards_;
     std::map<std::uint64_t, std::shared_ptr<forwarding>> judging_;
     std::uint64_t last_judging_ = 0;
-    std::uint64_t generation_ = 0;
-    bool assigned_ = false;
-    bool taking_over_ = false;
+    std::int64_t beats_ = 0;
+    std::uint64_t texts_written_ = 0;
+    base::node_id last_owner_;
+    int saving_ = 0;
+    bool appending_ = false;
     bool committing_ = false;
+    bool renew_due_ = false;
     bool owned_before_ = false;
     bool leaving_ = false;
     int leave_tries_ = 0;
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -23,7 +23,7 @@
     });
     in.mapping("store", true, [&](mapping_reader& m) {
         m.address("address", s.store);
-        m.integer("member_ttl_ms", s.member_ttl_ms, 100, longest_ms);
+        m.integer("partitions", s.partitions, 1, 4096);
         m.integer("record_bytes", s.record_bytes, 4096, largest_bytes);
         m.integer("append_bytes", s.append_bytes, 4096, largest_bytes);
     });
--- /dev/null
+++ b/packages/store/src/prefix_reader.cpp
@@ -0,0 +1,70 @@
+#include "hibiscus/store/prefix_reader.hpp"
+
+#include <memory>
+#include <utility>
+
+namespace hibiscus::store {
+
+namespace {
+
+struct reading : std::enable_shared_from_this<reading> {
+    const log_store& store;
+    partition source;
+    std::string prefix;
+    std::size_t most_bytes;
+    std::function<void(std::optional<std::vector<record>>)> done;
+    std::vector<record> found;
+    std::size_t bytes = 0;
+
+    reading(const log_store& s, partition p, std::string pre, std::size_t most,
+            std::function<void(std::optional<std::vector<record>>)> d)
+        : store(s), source(std::move(p)), prefix(std::move(pre)),
+          most_bytes(most), done(std::move(d)) {}
+
+    void page(const std::string& after) {
+        store.newest(source, after,
+                     [self = shared_from_this()](newest_result r) {
+                         self->on_page(std::move(r));
+                     });
+    }
+
+    void on_page(newest_result result) {
+        auto* p = base::value_if(result);
+        if (p == nullptr) {
+            done(std::nullopt);
+            return;
+        }
+        std::string last;
+        for (auto& r : p->records) {
+            last = r.content.key;
+            if (last.compare(0, prefix.size(), prefix) != 0) {
+                done(std::move(found));
+                return;
+            }
+            bytes += r.content.value.size();
+            found.push_back(std::move(r.content));
+            if (bytes >= most_bytes) {
+                done(std::move(found));
+                return;
+            }
+        }
+        if (p->more && !last.empty()) {
+            page(last);
+            return;
+        }
+        done(std::move(found));
+    }
+};
+
+} // namespace
+
+void read_prefix(
+    const log_store& store, const partition& source, const std::string& prefix,
+    const std::string& after, std::size_t most_bytes,
+    std::function<void(std::optional<std::vector<record>>)> done) {
+    std::make_shared<reading>(store, source, prefix, most_bytes,
+                              std::move(done))
+        ->page(after);
+}
+
+} // namespace hibiscus::store
