--- /dev/null
+++ b/packages/batch/include/hibiscus/batch/listing_plan.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "hibiscus/batch/ledger.hpp"
+#include "hibiscus/batch/work.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace hibiscus::batch {
+
+/// Results that are to be listed together.
+struct planned_listing {
+    job_id job;
+    int position = 0;
+    listing content;
+    /// The record with their texts.
+    store::record texts;
+};
+
+/// Groups results into listings behind what the ledger has of their jobs. A
+/// record is begun anew once it holds `record_bytes` of text; `name` makes a
+/// name for each that was never used before.
+std::vector<planned_listing>
+plan_listings(const ledger& l, std::vector<ready_result> results,
+              std::size_t record_bytes,
+              const std::function<std::string()>& name);
+
+/// Returns true if the plan still follows on what the ledger has. Between
+/// planning and listing the texts are stored, and meanwhile an earlier append
+/// whose answer was lost may turn out to have listed the same items: a second
+/// listing at the same position would replace results that were read, or
+/// leave a gap.
+bool still_fits(const ledger& l, const std::vector<planned_listing>& plan);
+
+} // namespace hibiscus::batch
--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -122,8 +122,8 @@
     /// Stops everything, since another process is the owner.
     effects drop_all();
 
-    /// An item of a job stands in the ledger.
-    effects listed(const job_id& id, int number);
+    /// Items of a job stand in the ledger, whoever listed them.
+    effects listed(const job_id& id, const std::set<int>& numbers);
 
     /// Places what is waiting and moves what goes badly. New runs only if
     /// `may_start`.
@@ -200,6 +200,7 @@
         base::millis kept_at = 0;
     };
 
+    void list_one(const job_id& id, job_state& job, int number, effects& out);
     item_row* row_of(const run_row& run);
     void place(effects& out);
     void move(effects& out);
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -162,23 +162,32 @@
     return out;
 }
 
-effects work::listed(const job_id& id, int number) {
+effects work::listed(const job_id& id, const std::set<int>& numbers) {
     effects out;
     const auto job = jobs_.find(id);
-    if (job == jobs_.end() ||
-        number >= static_cast<int>(job->second.items.size())) {
+    if (job == jobs_.end()) {
         return out;
     }
+    for (const int n : numbers) {
+        if (n < static_cast<int>(job->second.items.size()) &&
+            job->second.items[static_cast<std::size_t>(n)].at != state::done) {
+            list_one(id, job->second, n, out);
+        }
+    }
+    return out;
+}
+
+void work::list_one(const job_id& id, job_state& job, int number,
+                    effects& out) {
     for (const auto& [run, row] : runs_) {
         if (row.job == id && row.number == number) {
             stop(run, "listed", out);
             break;
         }
     }
-    auto& row = job->second.items[static_cast<std::size_t>(number)];
+    auto& row = job.items[static_cast<std::size_t>(number)];
     row.at = state::done;
     row.got.bytes.clear();
-    return out;
 }
 
 work::item_row* work::row_of(const run_row& run) {
--- /dev/null
+++ b/packages/batch/test/listing_plan_test.cpp
@@ -0,0 +1,83 @@
+#include "hibiscus/batch/listing_plan.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hibiscus::batch {
+
+namespace {
+
+class listing_plan_test : public testing::Test {
+protected:
+    listing_plan_test() {
+        job_header h;
+        h.id = job_;
+        h.items = 10;
+        put(header_key{job_}, encode(h));
+    }
+
+    void put(const journal_key& key, const std::string& value) {
+        ledger_.apply({to_text(key), value, at_++});
+    }
+
+    void list(const std::vector<planned_listing>& plan) {
+        for (const auto& p : plan) {
+            put(listing_key{p.job, p.position}, encode(p.content));
+        }
+    }
+
+    std::vector<planned_listing> plan(const std::vector<int>& items,
+                                      std::size_t bytes = 1000) {
+        std::vector<ready_result> results;
+        for (const int n : items) {
+            results.push_back(
+                {job_, n, {item_id(std::to_string(n)), {}, "text", {1}, "s"}});
+        }
+        return plan_listings(ledger_, results, bytes,
+                             [this] { return std::to_string(++names_); });
+    }
+
+    const job_id job_{"j"};
+    ledger ledger_{base::clock(std::make_shared<base::manual_time>())};
+    store::log_offset at_ = 0;
+    int names_ = 0;
+};
+
+TEST_F(listing_plan_test, follows_on_what_is_listed) {
+    list(plan({3, 1}));
+    const auto next = plan({1, 2});
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].position, 2);
+    ASSERT_EQ(next[0].content.rows.size(), 1U);
+    EXPECT_EQ(next[0].content.rows[0].item, 2);
+    EXPECT_EQ(decode_results(next[0].texts.value)->front().id, item_id("2"));
+}
+
+TEST_F(listing_plan_test, begins_a_record_where_one_is_full) {
+    const auto plans = plan({0, 1, 2}, 5);
+    ASSERT_EQ(plans.size(), 2U);
+    EXPECT_EQ(plans[1].position, 2);
+    EXPECT_TRUE(still_fits(ledger_, plans));
+}
+
+TEST_F(listing_plan_test, does_not_list_again_what_a_lost_answer_had_listed) {
+    // The answer to an append is lost, so the owner plans the same items
+    // again; then it reads that the append was carried out after all. Listed
+    // a second time, a result that was read would change its content, or the
+    // positions behind it could not be read any more.
+    const auto first = plan({0, 1, 2});
+    const auto again = plan({0, 1});
+    list(first);
+    EXPECT_FALSE(still_fits(ledger_, again));
+    list(plan({3}));
+    EXPECT_EQ(ledger_.find(job_)->next_position(), 4);
+}
+
+TEST_F(listing_plan_test, a_plan_for_another_position_does_not_fit) {
+    const auto late = plan({5});
+    list(plan({0, 1}));
+    EXPECT_FALSE(still_fits(ledger_, late));
+}
+
+} // namespace
+
+} // namespace hibiscus::batch
--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -172,6 +172,8 @@
         const auto* row = state_.jobs.find(id);
         if (row != nullptr && row->ended) {
             run(work_.drop(id));
+        } else if (row != nullptr) {
+            run(work_.listed(id, row->listed));
         }
     }
     sync();
@@ -552,7 +554,7 @@
     last_commit_ = now;
     auto waiting = std::make_shared<int>(static_cast<int>(lists.size()));
     auto whole = std::make_shared<bool>(true);
-    auto all = std::make_shared<std::vector<pending_listing>>(std::move(lists));
+    auto all = std::make_shared<std::vector<batch::planned_listing>>(std::move(lists));
     for (const auto& l : *all) {
         files_.append_texts(
             l.job, {l.texts},
@@ -565,51 +567,21 @@
     }
 }
 
-/// Groups what is ready into records.
-std::vector<owner::pending_listing> owner::collect() {
-    std::vector<pending_listing> out;
-    std::map<batch::job_id, int> next;
-    std::vector<batch::item_result> results;
-    std::size_t bytes = 0;
-    const auto flush = [&] {
-        if (!results.empty()) {
-            out.back().texts.value = batch::encode(results);
-            results.clear();
-            bytes = 0;
-        }
-    };
-    for (auto& r : work_.ready(commit_bytes)) {
-        const auto* row = state_.jobs.find(r.job);
-        if (row == nullptr || row->listed.count(r.number) != 0) {
-            continue;
-        }
-        const bool fits = !out.empty() && out.back().job == r.job &&
-                          bytes < state_.config.record_bytes / record_share;
-        if (!fits) {
-            flush();
-            const auto position =
-                next.emplace(r.job, row->next_position()).first->second;
-            const auto name =
-                incarnation_ + "-" + std::to_string(++texts_written_);
-            out.push_back({r.job,
-                           position,
-                           {name, {}},
-                           {batch::texts_text(r.job, position, name), ""}});
-        }
-        ++next.at(r.job);
-        bytes += r.result.text.size();
-        out.back().content.rows.push_back({r.number, r.result.outcome});
-        results.push_back(std::move(r.result));
-    }
-    flush();
-    return out;
+std::vector<batch::planned_listing> owner::collect() {
+    return batch::plan_listings(
+        state_.jobs, work_.ready(commit_bytes),
+        state_.config.record_bytes / record_share, [this] {
+            return incarnation_ + "-" + std::to_string(++texts_written_);
+        });
 }
 
-void owner::list(const std::vector<pending_listing>& lists, bool stored) {
-    if (!stored || !owns() || appending_) {
+void owner::list(const std::vector<batch::planned_listing>& lists, bool stored) {
+    const bool fits = batch::still_fits(state_.jobs, lists);
+    if (!stored || !fits || !owns() || appending_) {
         committing_ = false;
-        if (!stored) {
-            state_.log.write("append_refused", {{"reason", "texts"}});
+        if (!stored || !fits) {
+            state_.log.write("append_refused",
+                             {{"reason", stored ? "listed_before" : "texts"}});
         }
         return;
     }
@@ -634,9 +606,6 @@
                               {"position", l.position},
                               {"items", static_cast<int>(l.content.rows.size())},
                               {"ms", state_.clock.now() - last_commit_}});
-            for (const auto& r : l.content.rows) {
-                run(work_.listed(l.job, r.item));
-            }
         }
     });
 }
--- a/packages/entry/src/owner.hpp
+++ b/packages/entry/src/owner.hpp
@@ -4,6 +4,7 @@
 #include "job_files.hpp"
 #include "node_state.hpp"
 
+#include "hibiscus/batch/listing_plan.hpp"
 #include "hibiscus/batch/ownership.hpp"
 #include "hibiscus/batch/work.hpp"
 #include "hibiscus/samplers/weight_rollout.hpp"
@@ -75,14 +76,6 @@
         batch::reward_call call;
     };
 
-    /// Results that are to be listed together.
-    struct pending_listing {
-        batch::job_id job;
-        int position = 0;
-        batch::listing content;
-        store::record texts;
-    };
-
     void claim();
     store::record own_record(store::log_offset fence, bool left);
     void append(const std::vector<store::record>& records,
@@ -103,8 +96,8 @@
     void send_reward(const reward_task& task);
     std::size_t reward_places(const samplers::service_name& service) const;
     void commit();
-    std::vector<pending_listing> collect();
-    void list(const std::vector<pending_listing>& lists, bool stored);
+    std::vector<batch::planned_listing> collect();
+    void list(const std::vector<batch::planned_listing>& lists, bool stored);
     void save();
     void save_now(int least, std::function<void()> done);
     void leave();
