--- a/packages/batch/include/hibiscus/batch/job.hpp
+++ b/packages/batch/include/hibiscus/batch/job.hpp
@@ -39,6 +39,8 @@
     std::string body;
     /// The most tokens that it reads and writes.
     std::int64_t tokens = 0;
+    /// The tokens that it reads.
+    std::int64_t prompt_tokens = 0;
     /// The caller's guess of the tokens that will be written; half of the
     /// guesses are too low.
     std::int64_t expected_tokens = 0;
--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "hibiscus/batch/ledger.hpp"
-#include "hibiscus/samplers/sampler_table.hpp"
+#include "hibiscus/samplers/placement.hpp"
 
 #include <cstdint>
 #include <map>
@@ -192,6 +192,8 @@
         base::millis heard_at = 0;
         weight_version version = 0;
         int events = 0;
+        /// What it counts for in its server's memory.
+        std::int64_t tokens = 0;
     };
 
     struct old_text {
@@ -204,6 +206,12 @@
     item_row* row_of(const run_row& run);
     void place(effects& out);
     void move(effects& out);
+    void move_silent(effects& out);
+    void move_slow(effects& out);
+    void move_long(effects& out);
+    void move_one(run_number run, const char* reason, effects& out);
+    samplers::run_needs needs_of(const job_state& job,
+                                 const item_row& row) const;
     void stop(run_number run, const char* reason, effects& out);
     void requeue(item_row& row, base::millis pause);
     void finish_text(const job_id& id, int number, effects& out);
--- a/packages/batch/src/records.cpp
+++ b/packages/batch/src/records.cpp
@@ -81,6 +81,7 @@
 json to_json(const item& i) {
     json out{{"id", i.id.str()},     {"path", i.path},
              {"body", binary(i.body)}, {"tokens", i.tokens},
+             {"prompt", i.prompt_tokens},
              {"expect", i.expected_tokens}, {"group", i.group}};
     auto& fields = out["fields"] = json::array();
     for (const auto& f : i.fields) {
@@ -101,6 +102,7 @@
     i.path = in.at("path").get<std::string>();
     i.body = text_of(in.at("body"));
     i.tokens = in.at("tokens").get<std::int64_t>();
+    i.prompt_tokens = in.at("prompt").get<std::int64_t>();
     i.expected_tokens = in.at("expect").get<std::int64_t>();
     i.group = in.at("group").get<std::string>();
     for (const auto& f : in.at("fields")) {
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -1,7 +1,6 @@
 #include "hibiscus/batch/work.hpp"
 
 #include "hibiscus/base/result.hpp"
-#include "hibiscus/samplers/placement.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -39,6 +38,20 @@
 /// same few free places.
 constexpr int moves_a_tick = 6;
 
+/// A run with so many events is long: nine in ten have ended by then, and
+/// those that have not go on for as long again.
+constexpr int long_events = 45;
+
+/// A run stays at a server for so many events before it may wander on.
+constexpr int settled_events = 20;
+
+/// How many long runs may wander at one tick: the first that comes to a server
+/// changes what the next one finds there.
+constexpr int long_moves_a_tick = 2;
+
+/// The tokens of one event, for what a run holds in memory.
+constexpr std::int64_t tokens_an_event = 64;
+
 /// Runs that expect more tokens than this are long; they go first where
 /// memory is short, since a long run that is read in anew is late.
 constexpr std::int64_t long_tokens = 3000;
@@ -203,7 +216,7 @@
     if (at == runs_.end()) {
         return;
     }
-    table_.ended(at->second.sampler);
+    table_.ended(at->second.sampler, at->second.tokens);
     out.push_back(stop_run{run, reason});
     runs_.erase(at);
 }
@@ -269,16 +282,15 @@
     for (const auto& c : queue) {
         auto& job = jobs_.at(*c.job);
         auto& row = job.items[static_cast<std::size_t>(c.number)];
-        const auto to = samplers::place_run(table_, job.terms.service,
-                                            job.header.model,
-                                            job.header.least_version, now);
+        const auto needs = needs_of(job, row);
+        const auto to = samplers::place_run(table_, needs, now);
         if (!to) {
             // Jobs differ in the weights that they admit; others may fit.
             continue;
         }
         const auto run = ++last_run_;
-        runs_[run] = {*c.job, c.number, *to, now, now, 0, 0};
-        table_.started(*to);
+        runs_[run] = {*c.job, c.number, *to, now, now, 0, 0, needs.tokens};
+        table_.started(*to, needs.tokens);
         row.at = state::running;
         ++counts_.runs;
         const bool is_long = row.content.expected_tokens > long_tokens;
@@ -289,7 +301,30 @@
     }
 }
 
+samplers::run_needs work::needs_of(const job_state& job,
+                                   const item_row& row) const {
+    const auto written = std::max<std::int64_t>(
+        row.content.expected_tokens, row.got.events * tokens_an_event);
+    return {job.terms.service, job.header.model, job.header.least_version,
+            row.content.prompt_tokens + written};
+}
+
 void work::move(effects& out) {
+    move_silent(out);
+    move_slow(out);
+    move_long(out);
+}
+
+/// Stops a run so that its item goes on elsewhere.
+void work::move_one(run_number run, const char* reason, effects& out) {
+    const auto row = runs_.at(run);
+    stop(run, reason, out);
+    if (auto* item = row_of(row)) {
+        requeue(*item, 0);
+    }
+}
+
+void work::move_silent(effects& out) {
     const auto now = clock_.now();
     std::vector<run_number> silent;
     for (const auto& [run, row] : runs_) {
@@ -299,20 +334,20 @@
         }
     }
     for (const auto run : silent) {
-        const auto row = runs_.at(run);
         ++counts_.silent;
-        table_.failed(row.sampler);
-        stop(run, "silent", out);
-        if (auto* item = row_of(row)) {
-            requeue(*item, 0);
-        }
+        table_.failed(runs_.at(run).sampler);
+        move_one(run, "silent", out);
     }
+}
+
+void work::move_slow(effects& out) {
+    const auto now = clock_.now();
     std::map<samplers::service_name, std::set<samplers::sampler_id>> slow;
     const int queued = waiting();
-    int moves = 0;
     std::vector<run_number> leaving;
     for (const auto& [run, row] : runs_) {
         const auto job = jobs_.find(row.job);
+        const int moves = static_cast<int>(leaving.size());
         if (job == jobs_.end() || moves >= moves_a_tick) {
             continue;
         }
@@ -328,19 +363,43 @@
         if (!drains && known->second.count(row.sampler) == 0) {
             continue;
         }
-        if (samplers::free_places(table_, service, known->second, now) <=
+        if (samplers::free_places(table_, service, known->second, now) >
             moves + queued) {
-            continue;
+            leaving.push_back(run);
         }
-        ++moves;
-        leaving.push_back(run);
     }
     for (const auto run : leaving) {
-        const auto row = runs_.at(run);
         ++counts_.moved;
-        stop(run, "moved", out);
-        if (auto* item = row_of(row)) {
-            requeue(*item, 0);
+        move_one(run, "moved", out);
+    }
+}
+
+/// Long runs wander to faster servers once there are places for all that wait.
+void work::move_long(effects& out) {
+    if (waiting() > 0) {
+        return;
+    }
+    const auto now = clock_.now();
+    std::vector<std::pair<int, run_number>> longest;
+    for (const auto& [run, row] : runs_) {
+        const auto* item = row_of(row);
+        if (item != nullptr && row.events >= settled_events &&
+            item->got.events >= long_events) {
+            longest.emplace_back(-item->got.events, run);
+        }
+    }
+    std::sort(longest.begin(), longest.end());
+    int moves = 0;
+    for (const auto& [events, run] : longest) {
+        const auto row = runs_.at(run);
+        const auto needs = needs_of(jobs_.at(row.job), *row_of(row));
+        if (moves >= long_moves_a_tick) {
+            return;
+        }
+        if (samplers::faster_place(table_, needs, row.sampler, now)) {
+            ++moves;
+            ++counts_.moved;
+            move_one(run, "to_faster", out);
         }
     }
 }
@@ -410,7 +469,7 @@
     }
     const auto r = at->second;
     runs_.erase(at);
-    table_.ended(r.sampler);
+    table_.ended(r.sampler, r.tokens);
     auto& row = *row_of(r);
     const auto& terms = jobs_.at(r.job).terms;
     switch (end) {
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -219,6 +219,10 @@
                           {"routes", static_cast<int>(next.routes.size())}});
         const auto& l = next.limits;
         callers_.set_limits({l.header_bytes, l.body_bytes, l.header_ms, l.idle_ms});
+        for (const auto& s : next.token_services) {
+            state_.samplers.set_memory(samplers::service_name(s.name),
+                                       s.memory_tokens);
+        }
         state_.routes = std::move(next);
     }
 
--- a/packages/gateway/include/hibiscus/gateway/configuration.hpp
+++ b/packages/gateway/include/hibiscus/gateway/configuration.hpp
@@ -52,6 +52,13 @@
     std::vector<route_target> targets;
 };
 
+/// A service that makes tokens, and the memory of each of its servers in
+/// tokens; 0 if it is not told.
+struct token_service {
+    std::string name;
+    std::int64_t memory_tokens = 0;
+};
+
 /// What callers may send.
 struct caller_limits {
     std::size_t header_bytes = 16 * 1024;
@@ -64,6 +71,7 @@
 struct configuration {
     std::int64_t version = 0;
     std::vector<route> routes;
+    std::vector<token_service> token_services;
     caller_limits limits;
 };
 
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -34,8 +34,10 @@
 /// One row of the table.
 struct sampler_row {
     registration registered;
-    /// Requests of this process that it works on.
+    /// Requests of this process that it works on, and the tokens that they
+    /// are expected to hold in its memory at their ends.
     int running = 0;
+    std::int64_t tokens = 0;
     /// Nothing is sent before this time.
     base::millis blocked_until = 0;
     /// Failures in a row.
@@ -76,9 +78,17 @@
     sampler_row* find(const sampler_id& id);
     const std::map<sampler_id, sampler_row>& rows() const { return rows_; }
 
-    /// A request was sent to a server, or has ended there.
-    void started(const sampler_id& id);
-    void ended(const sampler_id& id);
+    /// A request was sent to a server, or has ended there. `tokens` is what
+    /// it is expected to hold in the server's memory.
+    void started(const sampler_id& id, std::int64_t tokens = 0);
+    void ended(const sampler_id& id, std::int64_t tokens = 0);
+
+    /// Sets the memory of the servers of a service, in tokens.
+    void set_memory(const service_name& service, std::int64_t tokens);
+
+    /// Returns the share of a server's memory that is taken once a request
+    /// with `tokens` is added; 0 if its memory is not known.
+    double memory_share(const sampler_row& row, std::int64_t tokens) const;
 
     /// A request failed there without an answer: the server is left alone for
     /// a time that doubles with each failure in a row.
@@ -106,6 +116,7 @@
 private:
     base::clock clock_;
     std::map<sampler_id, sampler_row> rows_;
+    std::map<service_name, std::int64_t> memory_;
 };
 
 } // namespace hibiscus::samplers
--- a/packages/samplers/src/placement.cpp
+++ b/packages/samplers/src/placement.cpp
@@ -27,6 +27,15 @@
 /// place. Less than the difference between a sound server and a slow one.
 constexpr double newer_cost = 0.04;
 
+/// The share of a server's memory up to which runs are planned, and what more
+/// costs: a run that finds no memory is read in anew and waits for others.
+constexpr double full_memory = 0.85;
+constexpr double memory_cost = 3;
+
+/// By how much faster a server must be for a run to move there: sound ones
+/// differ by 1.3, and a pace is known to a tenth.
+constexpr double worthwhile_gain = 1.15;
+
 bool usable(const sampler_row& row, const service_name& service,
             base::millis now) {
     return row.registered.service == service && !row.registered.draining &&
@@ -39,24 +48,35 @@
     return fresh ? row.event_ms : first_pace_ms;
 }
 
+bool takes(const sampler_row& row, const run_needs& needs, base::millis now) {
+    return usable(row, needs.service, now) &&
+           row.running < row.registered.slots &&
+           row.version_of(needs.model) >= needs.least;
+}
+
+double cost_of(const sampler_table& table, const sampler_row& row,
+               const run_needs& needs, base::millis now) {
+    const double fill = static_cast<double>(row.running) / row.registered.slots;
+    const auto ahead =
+        static_cast<double>(row.version_of(needs.model) - needs.least);
+    const double over =
+        std::max(0.0, table.memory_share(row, needs.tokens) - full_memory);
+    return pace_of(row, now) * (1 + full_cost * fill + newer_cost * ahead +
+                                memory_cost * over);
+}
+
 } // namespace
 
 std::optional<sampler_id>
-place_run(const sampler_table& table, const service_name& service,
-          const std::string& model, std::int64_t least, base::millis now) {
+place_run(const sampler_table& table, const run_needs& needs,
+          base::millis now) {
     std::optional<sampler_id> best;
     double best_cost = 0;
     for (const auto& [id, row] : table.rows()) {
-        if (!usable(row, service, now) || row.running >= row.registered.slots ||
-            row.version_of(model) < least) {
+        if (!takes(row, needs, now)) {
             continue;
         }
-        const double fill =
-            static_cast<double>(row.running) / row.registered.slots;
-        const auto ahead =
-            static_cast<double>(row.version_of(model) - least);
-        const double cost = pace_of(row, now) *
-                            (1 + full_cost * fill + newer_cost * ahead);
+        const double cost = cost_of(table, row, needs, now);
         if (!best || cost < best_cost) {
             best = id;
             best_cost = cost;
@@ -65,6 +85,25 @@
     return best;
 }
 
+std::optional<sampler_id> faster_place(const sampler_table& table,
+                                       const run_needs& needs,
+                                       const sampler_id& from,
+                                       base::millis now) {
+    const auto here = table.rows().find(from);
+    if (here == table.rows().end()) {
+        return std::nullopt;
+    }
+    const auto to = place_run(table, needs, now);
+    if (!to || *to == from) {
+        return std::nullopt;
+    }
+    const auto& there = table.rows().at(*to);
+    const bool room = table.memory_share(there, needs.tokens) < full_memory;
+    const bool faster =
+        pace_of(there, now) * worthwhile_gain < pace_of(here->second, now);
+    return room && faster ? to : std::nullopt;
+}
+
 std::optional<sampler_id>
 place_plain(const sampler_table& table, const service_name& service,
             const base::zone_id& near, const std::set<sampler_id>& tried,
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -41,8 +41,10 @@
                       !(row.registered.address == r.address);
     if (anew) {
         const auto running = row.running;
+        const auto tokens = row.tokens;
         row = sampler_row();
         row.running = running;
+        row.tokens = tokens;
     }
     row.unlisted = false;
     row.registered = std::move(r);
@@ -69,18 +71,35 @@
     return row == rows_.end() ? nullptr : &row->second;
 }
 
-void sampler_table::started(const sampler_id& id) {
+void sampler_table::started(const sampler_id& id, std::int64_t tokens) {
     if (auto* row = find(id)) {
         ++row->running;
+        row->tokens += tokens;
     }
 }
 
-void sampler_table::ended(const sampler_id& id) {
+void sampler_table::ended(const sampler_id& id, std::int64_t tokens) {
     if (auto* row = find(id)) {
         row->running = std::max(0, row->running - 1);
+        row->tokens = std::max<std::int64_t>(0, row->tokens - tokens);
     }
 }
 
+void sampler_table::set_memory(const service_name& service,
+                               std::int64_t tokens) {
+    memory_[service] = tokens;
+}
+
+double sampler_table::memory_share(const sampler_row& row,
+                                   std::int64_t tokens) const {
+    const auto memory = memory_.find(row.registered.service);
+    if (memory == memory_.end() || memory->second <= 0) {
+        return 0;
+    }
+    return static_cast<double>(row.tokens + tokens) /
+           static_cast<double>(memory->second);
+}
+
 void sampler_table::failed(const sampler_id& id) {
     auto* row = find(id);
     if (row == nullptr) {
