store: calls go through other nodes while the store turns this one away

Cause: an owner that the store turned away or that was cut from it lost the jobs for as long, and its runs went on in the places that its successor needed.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -43,6 +43,10 @@
 /// yet, in ms.
 constexpr base::millis start_retry_ms = 300;
 
+/// How often the link to the store is looked at, and tried while it is away,
+/// in ms.
+constexpr base::millis probe_ms = 300;
+
 /// The default patience of a caller that names none, in ms.
 constexpr base::millis default_deadline_ms = 10000;
 
@@ -51,7 +55,10 @@
 public:
     entry_node(const node_settings& settings, std::string path)
         : state_(settings), path_(std::move(path)), signals_(io_),
-          client_(io_), store_(adapter::make_log_store(client_, settings.store)),
+          client_(io_),
+          link_(state_.clock, settings.store,
+                [this] { return directory_.peers(); }),
+          store_(adapter::make_log_store(client_, link_)),
           after_([this](base::millis ms, std::function<void()> f) {
               after(ms, std::move(f));
           }),
@@ -75,7 +82,9 @@
           lookup_(io_, {}, [this](const auto& r, auto e) {
               on_directory(r, *e);
           }),
-          metrics_(io_, {}, [this](const auto&, auto e) { on_metrics(*e); }) {}
+          metrics_(io_, {}, [this](const auto& r, auto e) {
+              on_internal(r, e);
+          }) {}
 
     std::optional<listen_failed> run() {
         if (const auto failed = listen()) {
@@ -92,6 +101,7 @@
         owner_.start();
         batch_.start();
         flush();
+        watch_link();
         io_.run();
         state_.log.write("stop", {{"in_flight", static_cast<int>(callers_.in_flight())}});
         state_.log.flush();
@@ -256,6 +266,35 @@
             directory_.addresses(base::zone_id(call->zone)), directory_ttl_s));
     }
 
+    /// Answers other nodes, whose calls to the store it passes on, and the
+    /// collector of metrics.
+    void on_internal(const transport::inbound_request& request,
+                     const std::shared_ptr<transport::exchange>& answer) {
+        if (!adapter::relay_to_store(client_, state_.config.store, request,
+                                     answer)) {
+            on_metrics(*answer);
+        }
+    }
+
+    /// While calls go through other nodes, tries the store itself.
+    void watch_link() {
+        const bool away = link_.away();
+        if (away != away_) {
+            away_ = away;
+            state_.log.write("store_link", {{"direct", !away}});
+        }
+        if (!away) {
+            after(probe_ms, [this] { watch_link(); });
+            return;
+        }
+        adapter::probe_store(client_, state_.config.store, [this](bool served) {
+            if (served) {
+                link_.back();
+            }
+            after(probe_ms, [this] { watch_link(); });
+        });
+    }
+
     void on_metrics(transport::exchange& answer) {
         const auto c = client_.counts();
         state_.counters.set("connections_opened", static_cast<double>(c.connections));
@@ -364,6 +403,7 @@
     std::string path_;
     asio::signal_set signals_;
     transport::upstream_client client_;
+    store::store_link link_;
     store::log_store store_;
     store::delay_function after_;
     store::follower config_;
@@ -380,6 +420,7 @@
     transport::event_server metrics_;
     base::millis stop_at_ = 0;
     bool handed_over_ = false;
+    bool away_ = false;
 };
 
 } // namespace
--- a/packages/entry/src/directory.cpp
+++ b/packages/entry/src/directory.cpp
@@ -45,6 +45,7 @@
 
 void directory::renew() {
     const nlohmann::json value{{"callers", to_string(state_.config.listen_callers)},
+                               {"nodes", to_string(state_.config.listen_metrics)},
                                {"zone", state_.config.zone.str()},
                                {"stopping", state_.stopping}};
     std::string bytes;
@@ -77,25 +78,40 @@
             continue;
         }
         const auto address = base::parse_endpoint(in.value("callers", ""));
-        if (address) {
-            nodes_[c.key] = {*address, base::zone_id(in.value("zone", "")),
+        const auto nodes = base::parse_endpoint(in.value("nodes", ""));
+        if (address && nodes) {
+            nodes_[c.key] = {*address, *nodes, base::zone_id(in.value("zone", "")),
                              in.value("stopping", false), state_.clock.now()};
         }
     }
 }
 
+bool directory::is_fresh(const node_row& row) const {
+    // Without the store nobody's renewal arrives; the last list is the best
+    // there is, and callers pass over addresses that fail.
+    const auto now = state_.clock.now();
+    return now - row.seen_at < expire_ms || !contact_ ||
+           now - contact_at_ < expire_ms;
+}
+
+std::vector<base::endpoint> directory::peers() const {
+    std::vector<base::endpoint> out;
+    for (const auto& [name, row] : nodes_) {
+        if (name != state_.config.node.str() && !row.stopping &&
+            is_fresh(row)) {
+            out.push_back(row.nodes);
+        }
+    }
+    return out;
+}
+
 std::vector<base::endpoint>
 directory::addresses(const base::zone_id& zone) const {
-    const auto now = state_.clock.now();
     std::vector<base::endpoint> near;
     std::vector<base::endpoint> all;
     for (const auto& [name, row] : nodes_) {
         const bool self = name == state_.config.node.str();
-        // Without the store nobody's renewal arrives; the last list is the
-        // best there is, and callers pass over addresses that fail.
-        const bool fresh = now - row.seen_at < expire_ms || !contact_ ||
-                           now - contact_at_ < expire_ms;
-        if (row.stopping || !(fresh || self)) {
+        if (row.stopping || !(is_fresh(row) || self)) {
             continue;
         }
         all.push_back(row.callers);
--- a/packages/entry/src/directory.hpp
+++ b/packages/entry/src/directory.hpp
@@ -27,14 +27,19 @@
     /// or all of them if the zone has too few.
     std::vector<base::endpoint> addresses(const base::zone_id& zone) const;
 
+    /// Returns where other nodes that are there take calls of nodes.
+    std::vector<base::endpoint> peers() const;
+
 private:
     struct node_row {
         base::endpoint callers;
+        base::endpoint nodes;
         base::zone_id zone;
         bool stopping = false;
         base::millis seen_at = 0;
     };
 
+    bool is_fresh(const node_row& row) const;
     void renew();
     void apply(const std::vector<store::change>& changes);
 
--- /dev/null
+++ b/packages/store/include/hibiscus/store/store_link.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "hibiscus/base/clock.hpp"
+#include "hibiscus/base/endpoint.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace hibiscus::store {
+
+/// Where a call to the store goes.
+struct call_route {
+    base::endpoint to;
+    /// True if another node passes the call on.
+    bool relayed = false;
+    std::uint64_t number = 0;
+};
+
+/// Times of a link, in ms.
+struct link_times {
+    /// A call that takes so much longer than it asked for is a sign that the
+    /// store is out of reach: it answers in 10 ms, and in 300 when it is
+    /// sixty times slower.
+    base::millis overdue = 400;
+    /// How long a node that could not pass a call on is not asked again.
+    base::millis peer_pause = 1000;
+};
+
+/// Decides whether calls go to the store itself or through another node. The
+/// store may turn single nodes away, or be cut off from them, while it serves
+/// the rest; such a node would lose the jobs that it owns for as long, and
+/// refuse its callers.
+class store_link {
+public:
+    using peers_function = std::function<std::vector<base::endpoint>()>;
+
+    store_link(base::clock clock, base::endpoint address, peers_function peers,
+               link_times times = {});
+
+    /// Begins a call that is to last `wait` ms and returns where it goes.
+    call_route begin(base::millis wait);
+
+    /// A call has ended; `served` if the store itself did what it was asked.
+    void ended(const call_route& route, bool served);
+
+    /// Returns true while calls go through others; the store should then be
+    /// tried now and then.
+    bool away();
+
+    /// The store was tried and served.
+    void back();
+
+private:
+    struct pending {
+        bool relayed = false;
+        base::millis due = 0;
+    };
+
+    void check();
+
+    base::clock clock_;
+    base::endpoint address_;
+    peers_function peers_;
+    link_times times_;
+    std::map<std::uint64_t, pending> pending_;
+    std::map<base::endpoint, base::millis> paused_;
+    std::uint64_t last_ = 0;
+    bool away_ = false;
+};
+
+} // namespace hibiscus::store
--- /dev/null
+++ b/packages/store/test/store_link_test.cpp
@@ -0,0 +1,76 @@
+#include "hibiscus/store/store_link.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+namespace hibiscus::store {
+
+namespace {
+
+class store_link_test : public testing::Test {
+protected:
+    const base::endpoint store_{"10.0.0.1", 1};
+    std::vector<base::endpoint> peers_{{"10.0.0.2", 2}, {"10.0.0.3", 2}};
+    std::shared_ptr<base::manual_time> time_ =
+        std::make_shared<base::manual_time>();
+    store_link link_{base::clock(time_), store_, [this] { return peers_; }};
+};
+
+TEST_F(store_link_test, goes_to_the_store_while_it_serves) {
+    const auto route = link_.begin(0);
+    EXPECT_EQ(route.to, store_);
+    link_.ended(route, true);
+    EXPECT_FALSE(link_.away());
+}
+
+TEST_F(store_link_test, goes_through_others_when_the_store_turns_it_away) {
+    // The store refuses this node while it serves the others. The jobs that
+    // the node owns would stand still, and its callers be refused.
+    link_.ended(link_.begin(0), false);
+    const auto route = link_.begin(0);
+    EXPECT_TRUE(route.relayed);
+    EXPECT_FALSE(route.to == store_);
+}
+
+TEST_F(store_link_test, a_call_that_hangs_is_noticed_before_its_timeout) {
+    // A partition drops packets: a call gets no answer and no error.
+    link_.begin(300);
+    time_->advance(650);
+    EXPECT_FALSE(link_.away());
+    time_->advance(100);
+    EXPECT_TRUE(link_.begin(0).relayed);
+}
+
+TEST_F(store_link_test, leaves_out_a_peer_that_could_not_help) {
+    link_.ended(link_.begin(0), false);
+    const auto first = link_.begin(0);
+    link_.ended(first, false);
+    for (int n = 0; n < 4; ++n) {
+        EXPECT_FALSE(link_.begin(0).to == first.to);
+    }
+    time_->advance(1001);
+    bool again = false;
+    for (int n = 0; n < 4; ++n) {
+        again = again || link_.begin(0).to == first.to;
+    }
+    EXPECT_TRUE(again);
+}
+
+TEST_F(store_link_test, returns_to_the_store_once_it_was_tried) {
+    link_.begin(0);
+    time_->advance(1000);
+    EXPECT_TRUE(link_.away());
+    link_.back();
+    EXPECT_FALSE(link_.begin(0).relayed);
+}
+
+TEST_F(store_link_test, tries_the_store_itself_if_there_is_nobody_else) {
+    peers_.clear();
+    link_.ended(link_.begin(0), false);
+    EXPECT_EQ(link_.begin(0).to, store_);
+}
+
+} // namespace
+
+} // namespace hibiscus::store
