--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -90,12 +90,28 @@
     progress_part part;
 };
 
+/// The life of an item, in ms since its job was first seen; -1 stands for
+/// what has not come.
+struct item_life {
+    int number = 0;
+    base::millis first_start = -1;
+    base::millis text_complete = -1;
+    base::millis ready = -1;
+    int runs = 0;
+    int events = 0;
+    std::int64_t expected_tokens = 0;
+};
+
 /// Counts for the log and the metrics.
 struct work_counts {
     std::uint64_t runs = 0;
     std::uint64_t moved = 0;
     std::uint64_t silent = 0;
+    /// Items that came again, those of them whose text could be used, and
+    /// the events of the texts that could not.
+    std::uint64_t carried = 0;
     std::uint64_t reused_texts = 0;
+    std::uint64_t void_events = 0;
 };
 
 /// Runs the items of the jobs of one owner: which are waiting, running, being
@@ -112,6 +128,9 @@
                const std::map<int, std::vector<progress_part>>& progress,
                const job_terms& terms, std::int64_t epoch);
 
+    /// A trainer named a version of a model's weights.
+    void version_named(const std::string& model, weight_version version);
+
     /// Returns true if the job has been taken up.
     bool has(const job_id& id) const { return jobs_.count(id) != 0; }
 
@@ -149,6 +168,9 @@
     /// The part has been stored.
     void saved(const unsaved_part& part);
 
+    /// Returns the lives of a job's items, the one that took longest first.
+    std::vector<item_life> lives(const job_id& id) const;
+
     int waiting() const;
     int running() const { return static_cast<int>(runs_.size()); }
     const work_counts& counts() const { return counts_; }
@@ -174,6 +196,7 @@
         int reward_failures = 0;
         base::millis not_before = 0;
         std::string score;
+        item_life life;
         item_outcome outcome = item_outcome::succeeded;
     };
 
@@ -209,6 +232,7 @@
     void move_silent(effects& out);
     void move_slow(effects& out);
     void move_long(effects& out);
+    weight_version least_for(const job_state& job, const item_row& row) const;
     void move_one(run_number run, const char* reason, effects& out);
     samplers::run_needs needs_of(const job_state& job,
                                  const item_row& row) const;
@@ -224,6 +248,7 @@
     std::map<job_id, job_state> jobs_;
     std::map<run_number, run_row> runs_;
     std::map<item_id, old_text> old_texts_;
+    std::map<std::string, weight_version> newest_;
     run_number last_run_ = 0;
     work_counts counts_;
 };
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -3,6 +3,7 @@
 #include "hibiscus/base/result.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace hibiscus::batch {
@@ -58,6 +59,15 @@
 constexpr int long_priority = 3;
 constexpr int usual_priority = 5;
 
+/// Items that expect so many tokens are likely to outlast their step: 80
+/// events of 64 tokens take 3.3 s, and half of the items that expect them
+/// write more.
+constexpr std::int64_t carried_tokens = 5000;
+
+/// How long such items wait for a server with the newest weights, in ms: the
+/// first two servers have loaded them after 1.0 s, two more after 2.0 s.
+constexpr base::millis newest_wait_ms = 1300;
+
 /// Texts of ended jobs are kept for so long, in ms: groups that were not
 /// complete come again in the trainer's next job, some seconds later.
 constexpr base::millis old_text_ms = 30000;
@@ -113,12 +123,14 @@
     if (old == old_texts_.end()) {
         return;
     }
+    ++counts_.carried;
     const auto& versions = old->second.got.versions;
     const bool fits =
         std::all_of(versions.begin(), versions.end(), [&](auto v) {
             return v >= job.header.least_version;
         });
     if (!fits || versions.empty()) {
+        counts_.void_events += static_cast<std::uint64_t>(old->second.got.events);
         return;
     }
     ++counts_.reused_texts;
@@ -292,6 +304,10 @@
         runs_[run] = {*c.job, c.number, *to, now, now, 0, 0, needs.tokens};
         table_.started(*to, needs.tokens);
         row.at = state::running;
+        ++row.life.runs;
+        if (row.life.first_start < 0) {
+            row.life.first_start = now - job.seen_at;
+        }
         ++counts_.runs;
         const bool is_long = row.content.expected_tokens > long_tokens;
         out.push_back(start_run{
@@ -305,10 +321,36 @@
                                    const item_row& row) const {
     const auto written = std::max<std::int64_t>(
         row.content.expected_tokens, row.got.events * tokens_an_event);
-    return {job.terms.service, job.header.model, job.header.least_version,
+    return {job.terms.service, job.header.model, least_for(job, row),
             row.content.prompt_tokens + written};
 }
 
+/// Returns the oldest weights that an item should be run under. The longest
+/// items of a step are the ones that its trainer does not wait for but carries
+/// into the next step, which admits only newer weights; a text that began
+/// under the older ones is void there, and the next step then waits for its
+/// whole length. So the longest wait a moment for servers that are just
+/// loading the newest weights, and do not wander back to older ones.
+weight_version work::least_for(const job_state& job,
+                               const item_row& row) const {
+    const auto least = job.header.least_version;
+    if (!row.got.versions.empty()) {
+        return std::max(least, row.got.versions.front());
+    }
+    const auto newest = newest_.find(job.header.model);
+    const bool is_long = row.content.expected_tokens >= carried_tokens;
+    const bool early = clock_.now() - job.seen_at < newest_wait_ms;
+    if (!is_long || !early || newest == newest_.end()) {
+        return least;
+    }
+    return std::max(least, newest->second);
+}
+
+void work::version_named(const std::string& model, weight_version version) {
+    auto& newest = newest_[model];
+    newest = std::max(newest, version);
+}
+
 void work::move(effects& out) {
     move_silent(out);
     move_slow(out);
@@ -506,7 +548,11 @@
 }
 
 void work::finish_text(const job_id& id, int number, effects& out) {
-    auto& row = jobs_.at(id).items[static_cast<std::size_t>(number)];
+    auto& job = jobs_.at(id);
+    auto& row = job.items[static_cast<std::size_t>(number)];
+    if (row.life.text_complete < 0) {
+        row.life.text_complete = clock_.now() - job.seen_at;
+    }
     if (row.content.reward) {
         row.at = state::judged;
         out.push_back(start_reward{id, number, &*row.content.reward});
@@ -529,6 +575,7 @@
                    [&](const rewarded& r) {
                        row.score = r.score;
                        row.at = state::ready;
+                       row.life.ready = clock_.now() - job->second.seen_at;
                    },
                    [&](const reward_failed& f) {
                        // Sends that were refused or lost say nothing of the
@@ -606,6 +653,30 @@
     row.saved_events += part.part.events;
 }
 
+std::vector<item_life> work::lives(const job_id& id) const {
+    std::vector<item_life> out;
+    const auto job = jobs_.find(id);
+    if (job == jobs_.end()) {
+        return out;
+    }
+    int number = 0;
+    for (const auto& row : job->second.items) {
+        auto life = row.life;
+        life.number = number++;
+        life.events = row.got.events;
+        life.expected_tokens = row.content.expected_tokens;
+        out.push_back(life);
+    }
+    const auto took = [](const item_life& l) {
+        // What is not ready took longer than all that is.
+        return l.ready < 0 ? std::numeric_limits<base::millis>::max() : l.ready;
+    };
+    std::stable_sort(out.begin(), out.end(), [&](const auto& a, const auto& b) {
+        return took(a) > took(b);
+    });
+    return out;
+}
+
 int work::waiting() const {
     int n = 0;
     for (const auto& [id, job] : jobs_) {
--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -59,6 +59,9 @@
 
 constexpr base::millis connect_ms = 250;
 
+/// How many of an ended job's slowest items are logged.
+constexpr std::size_t slowest_told = 12;
+
 /// How often the last append of an owner that stops is tried: more would keep
 /// the next owner waiting, who can do without it.
 constexpr int most_leave_tries = 20;
@@ -171,6 +174,7 @@
     for (const auto& id : jobs) {
         const auto* row = state_.jobs.find(id);
         if (row != nullptr && row->ended) {
+            log_lives(id, *row);
             run(work_.drop(id));
         } else if (row != nullptr) {
             run(work_.listed(id, row->listed));
@@ -205,6 +209,29 @@
     judging_.clear();
 }
 
+/// Tells what an ended job waited for: its slowest items, one line each.
+void owner::log_lives(const batch::job_id& id, const batch::job_row& row) {
+    const auto lives = work_.lives(id);
+    const auto age = state_.clock.now() - row.seen_at;
+    state_.counters.observe("job", age);
+    std::size_t told = 0;
+    for (const auto& l : lives) {
+        if (++told > slowest_told) {
+            return;
+        }
+        state_.log.write("slow_item", {{"job", id},
+                                       {"step", row.header->step},
+                                       {"job_ms", age},
+                                       {"item", l.number},
+                                       {"first_start_ms", l.first_start},
+                                       {"text_ms", l.text_complete},
+                                       {"ready_ms", l.ready},
+                                       {"runs", l.runs},
+                                       {"events", l.events},
+                                       {"expected_tokens", l.expected_tokens}});
+    }
+}
+
 std::optional<batch::job_terms>
 owner::terms_of(const batch::job_header& header) {
     if (!state_.routes) {
@@ -278,6 +305,11 @@
                           {"reason", terms ? "items_missing" : "no_route"}});
         return;
     }
+    const auto before = work_.counts();
+    const auto fence = state_.jobs.owner()->record.fence;
+    work_.adopt(*row, std::move(items), progress, *terms,
+                static_cast<std::int64_t>(fence) * epochs_of_owner);
+    const auto& counts = work_.counts();
     state_.log.write("job_taken_up",
                      {{"job", id},
                       {"step", row->header->step},
@@ -285,15 +317,16 @@
                       {"listed", static_cast<int>(row->listed.size())},
                       {"saved", static_cast<int>(progress.size())},
                       {"least_version", row->header->least_version},
+                      {"carried", counts.carried - before.carried},
+                      {"reused", counts.reused_texts - before.reused_texts},
+                      {"void_events", counts.void_events - before.void_events},
                       {"age_ms", state_.clock.now() - row->seen_at}});
-    const auto fence = state_.jobs.owner()->record.fence;
-    work_.adopt(*row, std::move(items), progress, *terms,
-                static_cast<std::int64_t>(fence) * epochs_of_owner);
     run(work_.tick(store_heard() && !leaving_));
 }
 
 void owner::version_named(const std::string& model, std::int64_t version) {
     rollout_.name_version(model, version);
+    work_.version_named(model, version);
     state_.log.write("version_named", {{"model", model}, {"version", version}});
 }
 
--- a/packages/entry/src/owner.hpp
+++ b/packages/entry/src/owner.hpp
@@ -83,6 +83,7 @@
     void log_append(const store::append_result& result, std::size_t records,
                     base::millis ms);
     void owner_changed(bool mine);
+    void log_lives(const batch::job_id& id, const batch::job_row& row);
     void load(const batch::job_id& id);
     void take_up(const batch::job_id& id, std::vector<batch::item> items,
                  const job_files::progress_map& progress);
