--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -128,9 +128,6 @@
                const std::map<int, std::vector<progress_part>>& progress,
                const job_terms& terms, std::int64_t epoch);
 
-    /// A trainer named a version of a model's weights.
-    void version_named(const std::string& model, weight_version version);
-
     /// Returns true if the job has been taken up.
     bool has(const job_id& id) const { return jobs_.count(id) != 0; }
 
@@ -197,6 +194,9 @@
         base::millis not_before = 0;
         std::string score;
         item_life life;
+        /// It was an item of an earlier job, which ended without it; the
+        /// trainer waits for it whatever else is complete.
+        bool carried = false;
         item_outcome outcome = item_outcome::succeeded;
     };
 
@@ -232,7 +232,7 @@
     void move_silent(effects& out);
     void move_slow(effects& out);
     void move_long(effects& out);
-    weight_version least_for(const job_state& job, const item_row& row) const;
+    static int priority_of(const item_row& row);
     void move_one(run_number run, const char* reason, effects& out);
     samplers::run_needs needs_of(const job_state& job,
                                  const item_row& row) const;
@@ -248,7 +248,6 @@
     std::map<job_id, job_state> jobs_;
     std::map<run_number, run_row> runs_;
     std::map<item_id, old_text> old_texts_;
-    std::map<std::string, weight_version> newest_;
     run_number last_run_ = 0;
     work_counts counts_;
 };
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -56,18 +56,10 @@
 /// Runs that expect more tokens than this are long; they go first where
 /// memory is short, since a long run that is read in anew is late.
 constexpr std::int64_t long_tokens = 3000;
+constexpr int carried_priority = 1;
 constexpr int long_priority = 3;
 constexpr int usual_priority = 5;
 
-/// Items that expect so many tokens are likely to outlast their step: 80
-/// events of 64 tokens take 3.3 s, and half of the items that expect them
-/// write more.
-constexpr std::int64_t carried_tokens = 5000;
-
-/// How long such items wait for a server with the newest weights, in ms: the
-/// first two servers have loaded them after 1.0 s, two more after 2.0 s.
-constexpr base::millis newest_wait_ms = 1300;
-
 /// Texts of ended jobs are kept for so long, in ms: groups that were not
 /// complete come again in the trainer's next job, some seconds later.
 constexpr base::millis old_text_ms = 30000;
@@ -129,6 +121,12 @@
         std::all_of(versions.begin(), versions.end(), [&](auto v) {
             return v >= job.header.least_version;
         });
+    // That it outlasted its step before says more of its length than the
+    // caller's guess.
+    row.content.expected_tokens =
+        std::max<std::int64_t>(row.content.expected_tokens,
+                               2 * old->second.got.events * tokens_an_event);
+    row.carried = true;
     if (!fits || versions.empty()) {
         counts_.void_events += static_cast<std::uint64_t>(old->second.got.events);
         return;
@@ -271,6 +269,7 @@
 void work::place(effects& out) {
     struct candidate {
         base::millis due;
+        bool is_new;
         std::int64_t left;
         const job_id* job;
         int number;
@@ -281,15 +280,15 @@
         for (std::size_t n = 0; n < job.items.size(); ++n) {
             const auto& row = job.items[n];
             if (row.at == state::waiting && now >= row.not_before) {
-                queue.push_back({job.seen_at + job.terms.due_ms,
+                queue.push_back({job.seen_at + job.terms.due_ms, !row.carried,
                                  -row.content.expected_tokens, &id,
                                  static_cast<int>(n)});
             }
         }
     }
     std::sort(queue.begin(), queue.end(), [](const auto& a, const auto& b) {
-        return std::tie(a.due, a.left, a.number) <
-               std::tie(b.due, b.left, b.number);
+        return std::tie(a.due, a.is_new, a.left, a.number) <
+               std::tie(b.due, b.is_new, b.left, b.number);
     });
     for (const auto& c : queue) {
         auto& job = jobs_.at(*c.job);
@@ -309,48 +308,29 @@
             row.life.first_start = now - job.seen_at;
         }
         ++counts_.runs;
-        const bool is_long = row.content.expected_tokens > long_tokens;
         out.push_back(start_run{
             run, *to, *c.job, c.number, job.header.host, &row.content,
-            row.got.last_event, is_long ? long_priority : usual_priority,
+            row.got.last_event, priority_of(row),
             std::max<base::millis>(1000, job.seen_at + job.terms.keep_ms - now)});
     }
 }
 
+int work::priority_of(const item_row& row) {
+    if (row.carried) {
+        return carried_priority;
+    }
+    return row.content.expected_tokens > long_tokens ? long_priority
+                                                     : usual_priority;
+}
+
 samplers::run_needs work::needs_of(const job_state& job,
                                    const item_row& row) const {
     const auto written = std::max<std::int64_t>(
         row.content.expected_tokens, row.got.events * tokens_an_event);
-    return {job.terms.service, job.header.model, least_for(job, row),
+    return {job.terms.service, job.header.model, job.header.least_version,
             row.content.prompt_tokens + written};
 }
 
-/// Returns the oldest weights that an item should be run under. The longest
-/// items of a step are the ones that its trainer does not wait for but carries
-/// into the next step, which admits only newer weights; a text that began
-/// under the older ones is void there, and the next step then waits for its
-/// whole length. So the longest wait a moment for servers that are just
-/// loading the newest weights, and do not wander back to older ones.
-weight_version work::least_for(const job_state& job,
-                               const item_row& row) const {
-    const auto least = job.header.least_version;
-    if (!row.got.versions.empty()) {
-        return std::max(least, row.got.versions.front());
-    }
-    const auto newest = newest_.find(job.header.model);
-    const bool is_long = row.content.expected_tokens >= carried_tokens;
-    const bool early = clock_.now() - job.seen_at < newest_wait_ms;
-    if (!is_long || !early || newest == newest_.end()) {
-        return least;
-    }
-    return std::max(least, newest->second);
-}
-
-void work::version_named(const std::string& model, weight_version version) {
-    auto& newest = newest_[model];
-    newest = std::max(newest, version);
-}
-
 void work::move(effects& out) {
     move_silent(out);
     move_slow(out);
--- a/packages/entry/include/hibiscus/entry/settings.hpp
+++ b/packages/entry/include/hibiscus/entry/settings.hpp
@@ -26,6 +26,8 @@
     std::size_t append_bytes = 2097152;
     /// Two holders must not order the same server within this time, in ms.
     base::millis lease_ms = 3000;
+    /// Servers refuse orders with a lower fence than one they have seen.
+    bool fences_checked = false;
     /// How long a server serves on after it said that it leaves, in ms.
     base::millis drain_ms = 2000;
     /// How long results stay readable after a submission, in ms.
--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -190,12 +190,15 @@
                                {"fence", o ? o->record.fence : 0},
                                {"read_to", journal_.next()}});
     if (mine) {
-        // The first owner of all, and one that follows on itself, has nobody
-        // whose orders could still be under way.
-        const bool first = o->record.fence == 0 ||
-                           last_owner_ == state_.config.node;
+        // Another owner's order may still be under way, and a server that
+        // does not check fences would carry it out after this owner's. Where
+        // they check, and for the first owner of all and one that follows on
+        // itself, there is nothing to wait for.
+        const bool alone = o->record.fence == 0 ||
+                           last_owner_ == state_.config.node ||
+                           state_.config.fences_checked;
         may_order_at_ =
-            state_.clock.now() + (first ? 0 : state_.config.lease_ms);
+            state_.clock.now() + (alone ? 0 : state_.config.lease_ms);
         rollout_.reset();
         sync();
         return;
@@ -326,7 +329,6 @@
 
 void owner::version_named(const std::string& model, std::int64_t version) {
     rollout_.name_version(model, version);
-    work_.version_named(model, version);
     state_.log.write("version_named", {{"model", model}, {"version", version}});
 }
 
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -31,6 +31,9 @@
         m.integer("lease_ms", s.lease_ms, 0, longest_ms);
         m.integer("drain_ms", s.drain_ms, 0, longest_ms);
         m.integer("cancel_ms", s.cancel_ms, 100, longest_ms);
+        std::string checked = s.fences_checked ? "true" : "false";
+        m.word("fences_checked", checked, {"true", "false"});
+        s.fences_checked = checked == "true";
         base::millis status_s = s.status_ms / 1000;
         base::millis grace_s = s.grace_ms / 1000;
         m.integer("status_s", status_s, 1, longest_ms);
