--- a/packages/batch/include/hibiscus/batch/records.hpp
+++ b/packages/batch/include/hibiscus/batch/records.hpp
@@ -65,8 +65,12 @@
 std::string chunk_text(const job_id& job, int chunk);
 std::string texts_text(const job_id& job, int position,
                        const std::string& texts);
-/// The key after which the texts of a position stand.
-std::string before_texts(const job_id& job, int position);
+/// Returns a key directly before the one of these texts. Others may stand at
+/// the same position: those of appends whose answers were lost, which were
+/// never listed. Read from the position on, they would fill the answer before
+/// the texts that are asked for come.
+std::string before_texts(const job_id& job, int position,
+                         const std::string& texts);
 std::string progress_text(const job_id& job, const progress_part& part);
 
 /// The values. Decoding returns nothing for bytes that are no such value.
--- a/packages/batch/src/records.cpp
+++ b/packages/batch/src/records.cpp
@@ -165,13 +165,17 @@
     return job_prefix(job) + padded(chunk);
 }
 
-std::string before_texts(const job_id& job, int position) {
-    return job_prefix(job) + padded(position);
-}
-
 std::string texts_text(const job_id& job, int position,
                        const std::string& texts) {
-    return before_texts(job, position) + separator + texts;
+    return job_prefix(job) + padded(position) + separator + texts;
+}
+
+std::string before_texts(const job_id& job, int position,
+                         const std::string& texts) {
+    // The greatest of the texts that begin with a smaller last character.
+    auto key = texts_text(job, position, texts);
+    --key.back();
+    return key + '~';
 }
 
 std::string progress_text(const job_id& job, const progress_part& part) {
--- /dev/null
+++ b/packages/batch/test/records_test.cpp
@@ -0,0 +1,109 @@
+#include "hibiscus/batch/records.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace hibiscus::batch {
+
+namespace {
+
+const job_id job("9c41d07b");
+
+TEST(records_test, keys_of_the_journal_are_read_as_they_were_written) {
+    for (const journal_key& key :
+         {journal_key(owner_key{}), journal_key(header_key{job}),
+          journal_key(listing_key{job, 17}), journal_key(end_key{job})}) {
+        const auto read = parse_key(to_text(key));
+        ASSERT_TRUE(read);
+        EXPECT_EQ(to_text(*read), to_text(key));
+    }
+    EXPECT_EQ(std::get<listing_key>(*parse_key(to_text(listing_key{job, 17})))
+                  .position,
+              17);
+}
+
+TEST(records_test, other_keys_are_no_keys) {
+    for (const char* text : {"", "a", "/h", "a/b", "a/l/x", "a/l/-1", "a/h/1"}) {
+        EXPECT_FALSE(parse_key(text)) << text;
+    }
+}
+
+TEST(records_test, bytes_that_are_no_value_are_none) {
+    EXPECT_FALSE(decode_owner("x"));
+    EXPECT_FALSE(decode_header(encode(listing{})));
+    EXPECT_FALSE(decode_items(encode(job_header{})));
+    EXPECT_FALSE(decode_progress(""));
+}
+
+TEST(records_test, texts_are_found_whatever_else_stands_at_their_position) {
+    // Answers to appends are lost while the node is cut off from the store, so
+    // the same results are stored several times under other names. A reader
+    // that went by the position alone found nothing but those, and the job
+    // could never be read again.
+    const auto listed = texts_text(job, 0, "81-3");
+    const auto before = before_texts(job, 0, "81-3");
+    EXPECT_LT(before, listed);
+    for (const char* other : {"81-1", "81-2", "81-29", "80-9"}) {
+        const auto key = texts_text(job, 0, other);
+        EXPECT_TRUE(key < before || key > listed) << other;
+    }
+}
+
+TEST(records_test, parts_of_a_former_owner_are_not_mixed_with_the_new_ones) {
+    // An owner that was cut off saves a part late, after its successor began
+    // to save the same text anew.
+    progress_part a;
+    a.epoch = 1000;
+    a.events = 3;
+    a.text = "old";
+    progress_part b;
+    b.epoch = 2000;
+    b.events = 2;
+    b.text = "new";
+    progress_part c = b;
+    c.from = 2;
+    c.text = "next";
+    progress_part gap = b;
+    gap.from = 7;
+    const auto joined = join_parts({gap, c, a, b});
+    EXPECT_EQ(joined.events, 4);
+    EXPECT_EQ(joined.text, "new\nnext");
+}
+
+RC_GTEST_PROP(records_fuzz_test, items_survive_being_cut_into_records,
+              (const std::vector<std::string>& bodies)) {
+    std::vector<item> items;
+    for (const auto& body : bodies) {
+        item i;
+        i.id = item_id(std::to_string(items.size()));
+        i.body = body;
+        items.push_back(i);
+    }
+    job_header header;
+    header.id = job;
+    const record_limits limits{2048, 4096};
+    const auto appends = cut_into_appends(header, items, limits);
+    RC_ASSERT(appends.has_value());
+    std::vector<std::string> read;
+    int chunks = 0;
+    for (const auto& append : *appends) {
+        std::size_t size = 0;
+        for (const auto& r : append) {
+            RC_ASSERT(r.key == chunk_text(job, chunks++));
+            RC_ASSERT(r.value.size() <= limits.record);
+            size += r.value.size();
+            const auto decoded = decode_items(r.value);
+            RC_ASSERT(decoded.has_value());
+            for (const auto& i : *decoded) {
+                read.push_back(i.body);
+            }
+        }
+        RC_ASSERT(size <= limits.call);
+    }
+    RC_ASSERT(read == bodies);
+    RC_ASSERT(header.chunks == chunks);
+}
+
+} // namespace
+
+} // namespace hibiscus::batch
--- a/packages/entry/src/batch_api.cpp
+++ b/packages/entry/src/batch_api.cpp
@@ -227,7 +227,7 @@
         return true;
     }
     if (state_.clock.now() - w.came_at > view_ms) {
-        unreachable(w);
+        unreachable(w, "view_is_old");
         return true;
     }
     return false;
@@ -246,16 +246,19 @@
         return true;
     }
     if (!sure && now - w.came_at > std::max(view_ms, w.wait_until - w.came_at)) {
-        unreachable(w);
+        unreachable(w, "view_is_old");
         return true;
     }
     return false;
 }
 
 /// Refuses a call that needs the store.
-void batch_api::unreachable(const waiter& w) {
+void batch_api::unreachable(const waiter& w, const char* reason, int records) {
     state_.log.write("read_refused",
                      {{"job", w.job},
+                      {"after", static_cast<std::int64_t>(w.after)},
+                      {"reason", reason},
+                      {"records", records},
                       {"view_age_ms",
                        state_.clock.now() - journal_.current_at()}});
     w.caller->respond(adapter::not_run(store_retry_ms));
@@ -264,7 +267,7 @@
 void batch_api::send_texts(const waiter& w, const batch::job_row& row) {
     const auto first = std::prev(
         row.listings.upper_bound(static_cast<int>(w.after)));
-    files_.load_texts(w.job, first->first, answer_bytes,
+    files_.load_texts(w.job, first->first, first->second.texts, answer_bytes,
                       [this, w](const auto& texts) { answer_texts(w, texts); });
 }
 
@@ -275,7 +278,7 @@
     const std::optional<std::vector<store::record>>& texts) {
     const auto* row = state_.jobs.find(w.job);
     if (!texts || row == nullptr) {
-        unreachable(w);
+        unreachable(w, "no_answer");
         return;
     }
     std::map<std::string, const std::string*> by_key;
@@ -312,7 +315,7 @@
         }
     }
     if (out.empty()) {
-        unreachable(w);
+        unreachable(w, "texts_missing", static_cast<int>(texts->size()));
         return;
     }
     w.caller->respond(adapter::results(
@@ -322,7 +325,7 @@
 void batch_api::send_body(const waiter& w) {
     files_.load_items(w.job, [this, w](const auto& items) {
         if (!items) {
-            unreachable(w);
+            unreachable(w, "no_answer");
             return;
         }
         const auto found =
--- a/packages/entry/src/batch_api.hpp
+++ b/packages/entry/src/batch_api.hpp
@@ -74,7 +74,7 @@
     void answer_texts(const waiter& w,
                       const std::optional<std::vector<store::record>>& texts);
     void send_body(const waiter& w);
-    void unreachable(const waiter& w);
+    void unreachable(const waiter& w, const char* reason, int records = 0);
     void store_end(const waiter& w, base::millis due, bool stored_maybe);
     bool current_since(base::millis time) const;
     void sweep();
--- a/packages/entry/src/job_files.cpp
+++ b/packages/entry/src/job_files.cpp
@@ -92,12 +92,13 @@
 }
 
 void job_files::load_texts(
-    const batch::job_id& job, int position, std::size_t most_bytes,
+    const batch::job_id& job, int position, const std::string& texts,
+    std::size_t most_bytes,
     std::function<void(std::optional<std::vector<store::record>>)> done)
     const {
     store::read_prefix(store_, part_of(adapter::texts_topic, job),
                        batch::job_prefix(job),
-                       batch::before_texts(job, position), most_bytes,
+                       batch::before_texts(job, position, texts), most_bytes,
                        std::move(done));
 }
 
--- a/packages/entry/src/job_files.hpp
+++ b/packages/entry/src/job_files.hpp
@@ -39,10 +39,11 @@
     void
     load_progress(const batch::job_id& job,
                   std::function<void(std::optional<progress_map>)> done) const;
-    /// Reads the records with the texts from a listed position on, up to
-    /// `most_bytes`.
+    /// Reads the records with texts from those named `texts` at a listed
+    /// position on, up to `most_bytes`.
     void
-    load_texts(const batch::job_id& job, int position, std::size_t most_bytes,
+    load_texts(const batch::job_id& job, int position,
+               const std::string& texts, std::size_t most_bytes,
                std::function<void(std::optional<std::vector<store::record>>)>
                    done) const;
 
