--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -232,6 +232,7 @@
     void move_silent(effects& out);
     void move_slow(effects& out);
     void move_long(effects& out);
+    bool is_worth_moving(const run_row& run);
     static int priority_of(const item_row& row);
     void move_one(run_number run, const char* reason, effects& out);
     samplers::run_needs needs_of(const job_state& job,
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -46,6 +46,11 @@
 /// A run stays at a server for so many events before it may wander on.
 constexpr int settled_events = 20;
 
+/// A run leaves a slow server after so many events there, which show that it
+/// still is slow, if its text is not short: less than a second on a sound one.
+constexpr int slow_events = 4;
+constexpr std::int64_t short_tokens = 1500;
+
 /// How many long runs may wander at one tick: the first that comes to a server
 /// changes what the next one finds there.
 constexpr int long_moves_a_tick = 2;
@@ -382,7 +387,9 @@
         }
         const auto* s = table_.find(row.sampler);
         const bool drains = s != nullptr && s->registered.draining;
-        if (!drains && known->second.count(row.sampler) == 0) {
+        const bool is_slow = known->second.count(row.sampler) != 0 &&
+                             is_worth_moving(row);
+        if (!drains && !is_slow) {
             continue;
         }
         if (samplers::free_places(table_, service, known->second, now) >
@@ -396,6 +403,15 @@
     }
 }
 
+/// A short text ends soon on a slow server too, and no step waits for it;
+/// each move costs a connection.
+bool work::is_worth_moving(const run_row& run) {
+    const auto* item = row_of(run);
+    return item != nullptr && run.events >= slow_events &&
+           (item->content.expected_tokens >= short_tokens ||
+            item->got.events >= settled_events);
+}
+
 /// Long runs wander to faster servers once there are places for all that wait.
 void work::move_long(effects& out) {
     if (waiting() > 0) {
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -25,6 +25,11 @@
 
 namespace asio = boost::asio;
 
+/// How often nodes that don't own the jobs read the journal while there is
+/// something new, in ms. The owner appends up to 30 times a second, and each
+/// would be one read of every node; callers ask twice a second.
+constexpr base::millis journal_pace_ms = 60;
+
 /// How often held log lines are written, in ms.
 constexpr base::millis flush_ms = 200;
 
@@ -57,7 +62,7 @@
         : state_(settings), path_(std::move(path)), signals_(io_),
           client_(io_),
           link_(state_.clock, settings.store,
-                [this] { return directory_.peers(); }),
+                [this] { return directory_.nodes().peers(); }),
           store_(adapter::make_log_store(client_, link_)),
           after_([this](base::millis ms, std::function<void()> f) {
               after(ms, std::move(f));
@@ -66,7 +71,8 @@
                   {}, {[this](const auto& c) { operator_changed(c); }, {}}),
           registry_(state_, store_, after_),
           journal_(store_, {adapter::journal_topic, 0}, state_.clock, after_,
-                   {},
+                   {store::follower_times().wait, store::follower_times().retry,
+                    [this] { return owner_.owns() ? 0 : journal_pace_ms; }},
                    {[this](const auto& c) { journal_changed(c); },
                     [this](bool up) { owner_.contact(up); }}),
           files_(store_, settings.partitions),
@@ -262,8 +268,12 @@
             answer.respond(adapter::plain_status(404));
             return;
         }
-        answer.respond(adapter::resolved(
-            directory_.addresses(base::zone_id(call->zone)), directory_ttl_s));
+        auto addresses =
+            directory_.nodes().addresses(base::zone_id(call->zone));
+        if (addresses.empty() && !state_.stopping) {
+            addresses.push_back(state_.config.listen_callers);
+        }
+        answer.respond(adapter::resolved(addresses, directory_ttl_s));
     }
 
     /// Answers other nodes, whose calls to the store it passes on, and the
--- a/packages/entry/src/directory.cpp
+++ b/packages/entry/src/directory.cpp
@@ -11,28 +11,21 @@
 /// How often a node says that it is there, in ms.
 constexpr base::millis renew_ms = 500;
 
-/// A node that has not said so for this long is left out, in ms: three
-/// renewals and the time of a slow store.
-constexpr base::millis expire_ms = 2000;
-
-/// A zone with fewer nodes than this is helped by all others: one alone may
-/// fail, and its callers would have to ask again.
-constexpr std::size_t least_in_zone = 2;
-
-/// The most addresses that a caller takes from one answer.
-constexpr std::size_t most_addresses = 64;
+/// How often the entries of the others are read, in ms. Each renewal wakes
+/// whoever reads; 75 nodes that read on at once asked 7,500 times a second.
+constexpr base::millis read_pace_ms = 400;
 
 } // namespace
 
 directory::directory(node_state& state, const store::log_store& store,
                      store::delay_function after)
     : state_(state), store_(store), after_(after),
-      follower_(store, {adapter::nodes_topic, 0}, state.clock, after, {},
+      nodes_(state.clock, state.config.node.str()),
+      follower_(store, {adapter::nodes_topic, 0}, state.clock, after,
+                {store::follower_times().wait, store::follower_times().retry,
+                 [] { return read_pace_ms; }},
                 {[this](const auto& changes) { apply(changes); },
-                 [this](bool up) {
-                     contact_ = up;
-                     (up ? contact_at_ : lost_at_) = state_.clock.now();
-                 }}) {}
+                 [this](bool up) { nodes_.contact(up); }}) {}
 
 void directory::start() {
     follower_.start();
@@ -68,7 +61,7 @@
 void directory::apply(const std::vector<store::change>& changes) {
     for (const auto& c : changes) {
         if (!c.value) {
-            nodes_.erase(c.key);
+            nodes_.remove(c.key);
             continue;
         }
         const auto in = nlohmann::json::from_cbor(*c.value, true, false);
@@ -80,53 +73,11 @@
         const auto address = base::parse_endpoint(in.value("callers", ""));
         const auto nodes = base::parse_endpoint(in.value("nodes", ""));
         if (address && nodes) {
-            nodes_[c.key] = {*address, *nodes, base::zone_id(in.value("zone", "")),
-                             in.value("stopping", false), state_.clock.now()};
-        }
-    }
-}
-
-bool directory::is_fresh(const node_row& row) const {
-    // Without the store nobody's renewal arrives; the last list is the best
-    // there is, and callers pass over addresses that fail.
-    const auto now = state_.clock.now();
-    return now - row.seen_at < expire_ms || !contact_ ||
-           now - contact_at_ < expire_ms;
-}
-
-std::vector<base::endpoint> directory::peers() const {
-    std::vector<base::endpoint> out;
-    for (const auto& [name, row] : nodes_) {
-        if (name != state_.config.node.str() && !row.stopping &&
-            is_fresh(row)) {
-            out.push_back(row.nodes);
+            nodes_.put(c.key, {*address, *nodes,
+                               base::zone_id(in.value("zone", "")),
+                               in.value("stopping", false)});
         }
     }
-    return out;
-}
-
-std::vector<base::endpoint>
-directory::addresses(const base::zone_id& zone) const {
-    std::vector<base::endpoint> near;
-    std::vector<base::endpoint> all;
-    for (const auto& [name, row] : nodes_) {
-        const bool self = name == state_.config.node.str();
-        if (row.stopping || !(is_fresh(row) || self)) {
-            continue;
-        }
-        all.push_back(row.callers);
-        if (row.zone == zone) {
-            near.push_back(row.callers);
-        }
-    }
-    if (all.empty() && !state_.stopping) {
-        all.push_back(state_.config.listen_callers);
-    }
-    auto& out = near.size() >= least_in_zone ? near : all;
-    if (out.size() > most_addresses) {
-        out.resize(most_addresses);
-    }
-    return out;
 }
 
 } // namespace hibiscus::entry
--- a/packages/entry/src/registry.cpp
+++ b/packages/entry/src/registry.cpp
@@ -11,12 +11,18 @@
 /// return; for so long a missing one is not believed, in ms.
 constexpr base::millis return_ms = 2200;
 
+/// How often the entries are read while there is something new, in ms: each
+/// server writes its own every 1.2 s, which with 60 of them is all the time.
+constexpr base::millis read_pace_ms = 100;
+
 } // namespace
 
 registry::registry(node_state& state, const store::log_store& store,
                    const store::delay_function& after)
     : state_(state), after_(after),
-      follower_(store, {adapter::registry_topic, 0}, state.clock, after, {},
+      follower_(store, {adapter::registry_topic, 0}, state.clock, after,
+                {store::follower_times().wait, store::follower_times().retry,
+                 [] { return read_pace_ms; }},
                 {[this](const auto& changes) { apply(changes); },
                  [this](bool up) { contact(up); }}) {}
 
--- /dev/null
+++ b/packages/entry/test/node_table_test.cpp
@@ -0,0 +1,86 @@
+#include "node_table.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+namespace hibiscus::entry {
+
+namespace {
+
+class node_table_test : public testing::Test {
+protected:
+    node_table_test() { table_.contact(true); }
+
+    static node_entry entry(int n, const std::string& zone = "z") {
+        return {{"10.0.0." + std::to_string(n), 1},
+                {"10.0.0." + std::to_string(n), 2},
+                base::zone_id(zone),
+                false};
+    }
+
+    std::size_t count(const std::string& zone = "z") const {
+        return table_.addresses(base::zone_id(zone)).size();
+    }
+
+    std::shared_ptr<base::manual_time> time_ =
+        std::make_shared<base::manual_time>();
+    node_table table_{base::clock(time_), "n1"};
+};
+
+TEST_F(node_table_test, names_the_nodes_of_the_zone_if_it_has_enough) {
+    table_.put("n1", entry(1));
+    table_.put("n2", entry(2));
+    table_.put("n3", entry(3, "y"));
+    EXPECT_EQ(count("z"), 2U);
+    EXPECT_EQ(count("y"), 3U);
+}
+
+TEST_F(node_table_test, leaves_out_who_does_not_renew_but_not_itself) {
+    table_.put("n1", entry(1));
+    table_.put("n2", entry(2));
+    time_->advance(2001);
+    EXPECT_EQ(count(), 1U);
+    EXPECT_TRUE(table_.peers().empty());
+}
+
+TEST_F(node_table_test, leaves_out_who_stops) {
+    table_.put("n2", entry(2));
+    auto e = entry(2);
+    e.stopping = true;
+    table_.put("n2", e);
+    EXPECT_EQ(count(), 0U);
+}
+
+TEST_F(node_table_test, keeps_the_list_while_the_store_is_away) {
+    // Renewals go through the store. Without this rule each node would name
+    // only itself after two seconds of an outage.
+    table_.put("n2", entry(2));
+    time_->advance(1000);
+    table_.contact(false);
+    time_->advance(60000);
+    EXPECT_EQ(count(), 1U);
+    table_.contact(true);
+    EXPECT_EQ(count(), 1U);
+    time_->advance(2001);
+    EXPECT_EQ(count(), 0U);
+}
+
+TEST_F(node_table_test, who_was_gone_before_an_outage_does_not_come_back) {
+    // A node is removed for good, and the store is lost and found again by
+    // turns. Callers were sent to the address for as long as that went on.
+    table_.put("n2", entry(2));
+    time_->advance(2500);
+    for (int n = 0; n < 10; ++n) {
+        table_.contact(false);
+        time_->advance(100);
+        EXPECT_EQ(count(), 0U);
+        table_.contact(true);
+        EXPECT_EQ(count(), 0U);
+        time_->advance(500);
+    }
+}
+
+} // namespace
+
+} // namespace hibiscus::entry
--- a/packages/store/include/hibiscus/store/follower.hpp
+++ b/packages/store/include/hibiscus/store/follower.hpp
@@ -31,6 +31,9 @@
     base::millis wait = 300;
     /// The pause after a refusal, so that a store in trouble is not pressed.
     base::millis retry = 100;
+    /// The pause after a read that brought records, so that records which
+    /// come one by one do not cost a call each; none if it is not set.
+    std::function<base::millis()> pace;
 };
 
 /// Keeps a view of one partition current: a snapshot of the newest record of
--- a/packages/store/src/follower.cpp
+++ b/packages/store/src/follower.cpp
@@ -142,7 +142,16 @@
             // until the store sent it.
             current_at_ = std::max(current_at_, started);
         }
+        const bool pause = !fresh.empty() && times_.pace;
         apply(fresh);
+        if (pause && times_.pace() > 0) {
+            after_(times_.pace(), [self = shared_from_this()] {
+                if (!self->stopped_) {
+                    self->read();
+                }
+            });
+            return;
+        }
         read();
     }
 
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -31,10 +31,11 @@
 /// How often the bounds of calls are looked at.
 constexpr base::millis sweep_ms = 50;
 
-/// A kept connection is not used again after so long without a request,
-/// unless its server names a shorter time. Servers here close after some
-/// seconds, and a connection on the way may have been lost track of.
+/// A kept connection is not used again after so long without a request if its
+/// server does not say how long it keeps it, and never after the longer time:
+/// something on the way may have lost track of it.
 constexpr base::millis keep_ms = 4000;
+constexpr base::millis longest_keep_ms = 30000;
 
 /// How long before the server's own time-out a connection is given up, so
 /// that a request does not cross the close.
@@ -320,8 +321,8 @@
         }
         const auto seconds =
             std::strtol(value->c_str() + at + sizeof "timeout=" - 1, nullptr, 10);
-        keep_for_ = std::min<base::millis>(keep_for_, seconds * 1000 -
-                                                          keep_margin_ms);
+        keep_for_ = std::min<base::millis>(longest_keep_ms,
+                                           seconds * 1000 - keep_margin_ms);
     }
 
     void take_data() {
