--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -54,9 +54,6 @@
 /// How long an order may take to be answered, in ms.
 constexpr base::millis order_ms = 800;
 
-/// How long a server takes no new runs after it took an order, in ms.
-constexpr base::millis load_pause_ms = 1000;
-
 constexpr base::millis connect_ms = 250;
 
 /// How many of an ended job's slowest items are logged.
@@ -200,6 +197,7 @@
         may_order_at_ =
             state_.clock.now() + (alone ? 0 : state_.config.lease_ms);
         rollout_.reset();
+        state_.samplers.clear_loading();
         sync();
         return;
     }
@@ -695,47 +693,62 @@
         state_.clock.now() < may_order_at_) {
         return;
     }
+    for (const auto& id : rollout_.checks()) {
+        ask_report(id, [this, id](const auto& report) {
+            if (report && !report->busy) {
+                load_done(id, *report);
+            }
+        });
+    }
     for (const auto& order : rollout_.due(state_.samplers)) {
-        prepare_order(order);
+        ask_report(order.sampler, [this, order](const auto& report) {
+            on_report(order, report);
+        });
     }
 }
 
-/// Asks the server how many orders it has accepted, and orders on that
-/// condition.
-void owner::prepare_order(const samplers::load_order& order) {
-    call_server(order.sampler, adapter::report_request(),
-                [this, order](const server_reply& reply) {
-                    const auto report = reply.status == 200
-                                            ? adapter::read_report(reply.body)
-                                            : std::nullopt;
-                    on_report(order, reply, report);
+void owner::ask_report(
+    const samplers::sampler_id& id,
+    std::function<void(const std::optional<adapter::server_report>&)> done) {
+    call_server(id, adapter::report_request(),
+                [done = std::move(done)](const server_reply& reply) {
+                    done(reply.status == 200 ? adapter::read_report(reply.body)
+                                             : std::nullopt);
                 });
 }
 
+void owner::load_done(const samplers::sampler_id& id,
+                      const adapter::server_report& report) {
+    rollout_.done(id);
+    state_.samplers.set_loading(id, false);
+    for (const auto& [model, version] : report.versions) {
+        state_.samplers.saw_version(id, model, version);
+    }
+}
+
+/// Orders on the condition that the server has accepted as many orders as it
+/// reports.
 void owner::on_report(const samplers::load_order& order,
-                      const server_reply& reply,
                       const std::optional<adapter::server_report>& report) {
-    const auto version = [&] {
-        const auto row = report->versions.find(order.model);
-        return row == report->versions.end() ? 0 : row->second;
-    };
-    if (!report || report->busy) {
+    if (!report || !owns() || !store_heard() || leaving_) {
         rollout_.not_taken(order);
-        state_.log.write("order_waits",
-                         {{"server", order.sampler},
-                          {"version", order.version},
-                          {"status", reply.status},
-                          {"how", base::name_of(reply.end)},
-                          {"reason", report ? "busy" : "no_report"}});
+        state_.log.write("order_waits", {{"server", order.sampler},
+                                         {"version", order.version},
+                                         {"reason", report ? "not_holder"
+                                                           : "no_report"}});
         return;
     }
-    if (version() >= order.version) {
-        rollout_.already_held(order);
-        state_.samplers.saw_version(order.sampler, order.model, version());
+    if (report->busy) {
+        rollout_.busy(order.sampler);
+        state_.samplers.set_loading(order.sampler, true);
+        state_.log.write("order_waits", {{"server", order.sampler},
+                                         {"version", order.version},
+                                         {"reason", "busy"}});
         return;
     }
-    if (!owns() || !store_heard() || leaving_) {
-        rollout_.not_taken(order);
+    const auto has = report->versions.find(order.model);
+    if (has != report->versions.end() && has->second >= order.version) {
+        load_done(order.sampler, *report);
         return;
     }
     send_order(order, report->orders);
@@ -752,11 +765,9 @@
             const auto a = adapter::read_order_answer(reply.status);
             if (a == adapter::order_answer::accepted) {
                 rollout_.accepted(order);
-                state_.samplers.block(order.sampler, load_pause_ms);
-                state_.samplers.expect_version(order.sampler, order.model,
-                                               order.version);
+                state_.samplers.set_loading(order.sampler, true);
             } else if (a == adapter::order_answer::already_held) {
-                rollout_.already_held(order);
+                rollout_.done(order.sampler);
                 state_.samplers.saw_version(order.sampler, order.model,
                                             order.version);
             } else {
--- a/packages/entry/src/owner.hpp
+++ b/packages/entry/src/owner.hpp
@@ -103,8 +103,13 @@
     void save_now(int least, std::function<void()> done);
     void leave();
     void order_loads();
-    void prepare_order(const samplers::load_order& order);
-    void on_report(const samplers::load_order& order, const server_reply& reply,
+    void ask_report(
+        const samplers::sampler_id& id,
+        std::function<void(const std::optional<adapter::server_report>&)>
+            done);
+    void load_done(const samplers::sampler_id& id,
+                   const adapter::server_report& report);
+    void on_report(const samplers::load_order& order,
                    const std::optional<adapter::server_report>& report);
     void send_order(const samplers::load_order& order,
                     std::int64_t after_orders);
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -42,6 +42,8 @@
     base::millis blocked_until = 0;
     /// Failures in a row.
     int failures = 0;
+    /// It is known to load weights, since this time; 0 if it is not.
+    base::millis loading_since = 0;
     /// The mean time between two events of a run, in ms; 0 if not known.
     double event_ms = 0;
     base::millis event_seen = 0;
@@ -108,10 +110,10 @@
     void saw_version(const sampler_id& id, const std::string& model,
                      std::int64_t version);
 
-    /// A server is loading a version; runs that need it may go there from now
-    /// on, and what it answers shows whether the load came about.
-    void expect_version(const sampler_id& id, const std::string& model,
-                        std::int64_t version);
+    /// A server loads weights, or has done so; meanwhile it refuses new runs.
+    void set_loading(const sampler_id& id, bool loading);
+    /// Nothing is known of loads any more.
+    void clear_loading();
 
 private:
     base::clock clock_;
--- a/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
+++ b/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
@@ -25,21 +25,30 @@
     void name_version(const std::string& model, std::int64_t version);
 
     /// Returns the orders to send now. Loads slow each other down when many
-    /// run at once, and each takes a server away from new runs; so a fifth of
+    /// run at once, and each takes a server away from new runs; so a sixth of
     /// the servers load at a time. Those that are furthest behind come first:
     /// a step admits the weights of the step before, so nothing waits as long
     /// as every server gets each second version in time.
     std::vector<load_order> due(const sampler_table& table);
 
+    /// Returns the servers whose loads may have ended, to be asked. A load
+    /// counts until its server says that it is done: taken for done after its
+    /// usual time, loads that are slow would be joined by ever more that make
+    /// all of them slower.
+    std::vector<sampler_id> checks();
+
     /// What became of an order.
     void accepted(const load_order& order);
-    void already_held(const load_order& order);
+    /// The server carries out an order already.
+    void busy(const sampler_id& id);
     /// The server did not take the order, or nothing is known of it; it is
     /// asked again after a pause.
     void not_taken(const load_order& order);
+    /// The server carries out no order any more.
+    void done(const sampler_id& id);
 
-    /// Returns true while a server is expected to load.
-    bool loading(const sampler_id& id) const;
+    /// Returns true until a load is known to be done.
+    bool loading(const sampler_id& id) const { return loads_.count(id) != 0; }
 
     /// Returns the newest named version of a model, or 0.
     std::int64_t newest(const std::string& model) const;
@@ -49,13 +58,17 @@
 
 private:
     struct load {
-        base::millis until = 0;
-        std::int64_t version = 0;
+        base::millis since = 0;
+        base::millis check_at = 0;
     };
 
+    bool has_room(std::size_t servers) const;
+    void forget_old(const sampler_table& table);
+
     base::clock clock_;
     std::map<std::string, std::int64_t> newest_;
     std::map<sampler_id, load> loads_;
+    std::map<sampler_id, base::millis> ask_again_;
 };
 
 } // namespace hibiscus::samplers
--- a/packages/samplers/src/placement.cpp
+++ b/packages/samplers/src/placement.cpp
@@ -36,10 +36,19 @@
 /// differ by 1.3, and a pace is known to a tenth.
 constexpr double worthwhile_gain = 1.15;
 
+/// A load that is not reported to have ended after so long may as well have,
+/// in ms; its server is tried again.
+constexpr base::millis longest_load_ms = 6000;
+
+bool loads(const sampler_row& row, base::millis now) {
+    return row.loading_since != 0 &&
+           now - row.loading_since < longest_load_ms;
+}
+
 bool usable(const sampler_row& row, const service_name& service,
             base::millis now) {
     return row.registered.service == service && !row.registered.draining &&
-           !row.unlisted && now >= row.blocked_until;
+           !row.unlisted && now >= row.blocked_until && !loads(row, now);
 }
 
 double pace_of(const sampler_row& row, base::millis now) {
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -141,11 +141,15 @@
     }
 }
 
-void sampler_table::expect_version(const sampler_id& id,
-                                   const std::string& model,
-                                   std::int64_t version) {
+void sampler_table::set_loading(const sampler_id& id, bool loading) {
     if (auto* row = find(id)) {
-        row->seen_versions[model] = version;
+        row->loading_since = loading ? clock_.now() : 0;
+    }
+}
+
+void sampler_table::clear_loading() {
+    for (auto& [id, row] : rows_) {
+        row.loading_since = 0;
     }
 }
 
--- /dev/null
+++ b/packages/samplers/test/weight_rollout_test.cpp
@@ -0,0 +1,123 @@
+#include "hibiscus/samplers/weight_rollout.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <set>
+
+namespace hibiscus::samplers {
+
+namespace {
+
+class weight_rollout_test : public testing::Test {
+protected:
+    void add(int count) {
+        for (int n = 0; n < count; ++n) {
+            registration r;
+            r.service = service_name("engines");
+            r.slots = 12;
+            r.versions["m"] = 1;
+            table_.put(sampler_id("s" + std::to_string(10 + n)), r);
+        }
+    }
+
+    std::set<std::string> accept_due() {
+        std::set<std::string> out;
+        for (const auto& o : rollout_.due(table_)) {
+            rollout_.accepted(o);
+            out.insert(o.sampler.str());
+        }
+        return out;
+    }
+
+    void done(const std::string& id, std::int64_t version) {
+        rollout_.done(sampler_id(id));
+        table_.saw_version(sampler_id(id), "m", version);
+    }
+
+    std::shared_ptr<base::manual_time> time_ =
+        std::make_shared<base::manual_time>();
+    base::clock clock_{time_};
+    sampler_table table_{clock_};
+    weight_rollout rollout_{clock_};
+};
+
+TEST_F(weight_rollout_test, two_of_nine_load_at_a_time) {
+    add(9);
+    rollout_.name_version("m", 2);
+    EXPECT_EQ(accept_due().size(), 2U);
+    EXPECT_TRUE(accept_due().empty());
+}
+
+TEST_F(weight_rollout_test, more_of_a_large_fleet_load_at_a_time) {
+    add(44);
+    rollout_.name_version("m", 2);
+    EXPECT_EQ(accept_due().size(), 7U);
+}
+
+TEST_F(weight_rollout_test, all_get_the_version_and_those_behind_come_first) {
+    add(5);
+    rollout_.name_version("m", 2);
+    std::set<std::string> seen;
+    for (int round = 0; round < 3; ++round) {
+        for (const auto& id : accept_due()) {
+            EXPECT_TRUE(seen.insert(id).second);
+            done(id, 2);
+        }
+        time_->advance(1000);
+    }
+    EXPECT_EQ(seen.size(), 5U);
+    EXPECT_TRUE(accept_due().empty());
+}
+
+TEST_F(weight_rollout_test, slow_loads_are_not_joined_by_ever_more) {
+    // Loads take several seconds, as when the weight store is slow. If each
+    // counted as done after its usual time, all servers would soon load at
+    // once, and a step would find no place at all.
+    add(12);
+    rollout_.name_version("m", 2);
+    std::set<std::string> loading;
+    for (int n = 0; n < 5; ++n) {
+        for (const auto& id : accept_due()) {
+            loading.insert(id);
+        }
+        time_->advance(1000);
+        rollout_.checks();
+    }
+    EXPECT_LE(loading.size(), 3U);
+}
+
+TEST_F(weight_rollout_test, a_server_that_never_reports_holds_up_nobody) {
+    add(9);
+    rollout_.name_version("m", 2);
+    const auto first = accept_due();
+    time_->advance(6001);
+    EXPECT_FALSE(accept_due().empty());
+}
+
+TEST_F(weight_rollout_test, asks_whether_a_load_has_ended) {
+    add(3);
+    rollout_.name_version("m", 2);
+    accept_due();
+    EXPECT_TRUE(rollout_.checks().empty());
+    time_->advance(950);
+    EXPECT_EQ(rollout_.checks().size(), 2U);
+    EXPECT_TRUE(rollout_.checks().empty());
+    time_->advance(200);
+    EXPECT_EQ(rollout_.checks().size(), 2U);
+}
+
+TEST_F(weight_rollout_test, an_order_that_was_not_taken_is_sent_again_later) {
+    add(1);
+    rollout_.name_version("m", 2);
+    const auto orders = rollout_.due(table_);
+    ASSERT_EQ(orders.size(), 1U);
+    rollout_.not_taken(orders[0]);
+    EXPECT_TRUE(rollout_.due(table_).empty());
+    time_->advance(400);
+    EXPECT_EQ(rollout_.due(table_).size(), 1U);
+}
+
+} // namespace
+
+} // namespace hibiscus::samplers
