--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -77,7 +77,7 @@
                     [this](bool up) { owner_.contact(up); }}),
           files_(store_, settings.partitions),
           directory_(state_, store_, after_), requests_(state_, client_),
-          owner_(state_, store_, journal_, files_, client_, requests_, after_),
+          owner_(state_, store_, link_, journal_, files_, client_, requests_, after_),
           batch_(state_, store_, journal_, files_, after_),
           callers_(io_, {}, [this](auto r, auto e) {
               on_caller(std::move(r), std::move(e));
--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -67,10 +67,10 @@
 } // namespace
 
 owner::owner(node_state& state, const store::log_store& store,
-             store::follower& journal, const job_files& files,
-             transport::upstream_client& client, forwarder& requests,
-             store::delay_function after)
-    : state_(state), store_(store), journal_(journal), files_(files),
+             const store::store_link& link, store::follower& journal,
+             const job_files& files, transport::upstream_client& client,
+             forwarder& requests, store::delay_function after)
+    : state_(state), store_(store), link_(link), journal_(journal), files_(files),
       client_(client), requests_(requests), after_(std::move(after)),
       work_(state.clock, state.samplers), rollout_(state.clock),
       incarnation_(std::to_string(state.random()) + "-" +
@@ -95,6 +95,11 @@
     return journal_.loaded() && age < state_.config.cancel_ms / cancel_share;
 }
 
+/// New items start only while this node would know if their job had ended.
+bool owner::may_start() const {
+    return !leaving_ && (store_heard() || link_.down_for_all());
+}
+
 store::record owner::own_record(store::log_offset fence, bool left) {
     return {batch::to_text(batch::owner_key{}),
             batch::encode(batch::owner_record{state_.config.node, incarnation_,
@@ -322,7 +327,7 @@
                       {"reused", counts.reused_texts - before.reused_texts},
                       {"void_events", counts.void_events - before.void_events},
                       {"age_ms", state_.clock.now() - row->seen_at}});
-    run(work_.tick(store_heard() && !leaving_));
+    run(work_.tick(may_start()));
 }
 
 void owner::version_named(const std::string& model, std::int64_t version) {
@@ -349,7 +354,7 @@
     }
     if (owns()) {
         sync();
-        run(work_.tick(store_heard() && !leaving_));
+        run(work_.tick(may_start()));
         order_loads();
         commit();
         save();
@@ -486,7 +491,7 @@
     state_.counters.count_answer("run", std::string(base::name_of(what)), "");
     runs_.erase(at);
     run(work_.ended(run_id, what));
-    run(work_.tick(store_heard() && !leaving_));
+    run(work_.tick(may_start()));
     commit();
 }
 
--- a/packages/entry/src/owner.hpp
+++ b/packages/entry/src/owner.hpp
@@ -9,6 +9,7 @@
 #include "hibiscus/batch/work.hpp"
 #include "hibiscus/samplers/weight_rollout.hpp"
 #include "hibiscus/store/follower.hpp"
+#include "hibiscus/store/store_link.hpp"
 #include "hibiscus/transport/event_stream.hpp"
 #include "platform/sampler_calls.hpp"
 
@@ -27,9 +28,9 @@
 class owner {
 public:
     owner(node_state& state, const store::log_store& store,
-          store::follower& journal, const job_files& files,
-          transport::upstream_client& client, forwarder& requests,
-          store::delay_function after);
+          const store::store_link& link, store::follower& journal,
+          const job_files& files, transport::upstream_client& client,
+          forwarder& requests, store::delay_function after);
 
     /// Starts to take part.
     void start();
@@ -117,10 +118,12 @@
                      transport::upstream_request request,
                      std::function<void(const server_reply&)> done);
     bool store_heard() const;
+    bool may_start() const;
     std::optional<batch::job_terms> terms_of(const batch::job_header& header);
 
     node_state& state_;
     const store::log_store& store_;
+    const store::store_link& link_;
     store::follower& journal_;
     const job_files& files_;
     transport::upstream_client& client_;
--- a/packages/store/include/hibiscus/store/store_link.hpp
+++ b/packages/store/include/hibiscus/store/store_link.hpp
@@ -26,6 +26,9 @@
     base::millis overdue = 400;
     /// How long a node that could not pass a call on is not asked again.
     base::millis peer_pause = 1000;
+    /// How long it counts that a peer said so, that the store is away from it
+    /// as well.
+    base::millis peer_word = 1500;
 };
 
 /// Decides whether calls go to the store itself or through another node. The
@@ -42,8 +45,13 @@
     /// Begins a call that is to last `wait` ms and returns where it goes.
     call_route begin(base::millis wait);
 
-    /// A call has ended; `served` if the store itself did what it was asked.
-    void ended(const call_route& route, bool served);
+    /// A call has ended; `served` if the store itself did what it was asked,
+    /// `reached` if there was any answer.
+    void ended(const call_route& route, bool served, bool reached);
+
+    /// Returns true if other nodes answer and do not reach the store either.
+    /// Then nobody can have told the store anything that this node misses.
+    bool down_for_all() const;
 
     /// Returns true while calls go through others; the store should then be
     /// tried now and then.
@@ -68,6 +76,8 @@
     std::map<base::endpoint, base::millis> paused_;
     std::uint64_t last_ = 0;
     bool away_ = false;
+    /// When a peer last said that it could not pass a call on; 0 for never.
+    base::millis refused_by_peer_at_ = 0;
 };
 
 } // namespace hibiscus::store
--- a/packages/store/src/store_link.cpp
+++ b/packages/store/src/store_link.cpp
@@ -29,12 +29,23 @@
     return route;
 }
 
-void store_link::ended(const call_route& route, bool served) {
+bool store_link::down_for_all() const {
+    return away_ && refused_by_peer_at_ != 0 &&
+           clock_.now() - refused_by_peer_at_ < times_.peer_word;
+}
+
+void store_link::ended(const call_route& route, bool served, bool reached) {
     pending_.erase(route.number);
     if (served) {
+        if (route.relayed) {
+            refused_by_peer_at_ = 0;
+        }
         return;
     }
     if (route.relayed) {
+        if (reached) {
+            refused_by_peer_at_ = clock_.now();
+        }
         paused_[route.to] = clock_.now() + times_.peer_pause;
     } else {
         away_ = true;
--- a/packages/store/test/store_link_test.cpp
+++ b/packages/store/test/store_link_test.cpp
@@ -20,14 +20,14 @@
 TEST_F(store_link_test, goes_to_the_store_while_it_serves) {
     const auto route = link_.begin(0);
     EXPECT_EQ(route.to, store_);
-    link_.ended(route, true);
+    link_.ended(route, true, true);
     EXPECT_FALSE(link_.away());
 }
 
 TEST_F(store_link_test, goes_through_others_when_the_store_turns_it_away) {
     // The store refuses this node while it serves the others. The jobs that
     // the node owns would stand still, and its callers be refused.
-    link_.ended(link_.begin(0), false);
+    link_.ended(link_.begin(0), false, false);
     const auto route = link_.begin(0);
     EXPECT_TRUE(route.relayed);
     EXPECT_FALSE(route.to == store_);
@@ -43,9 +43,9 @@
 }
 
 TEST_F(store_link_test, leaves_out_a_peer_that_could_not_help) {
-    link_.ended(link_.begin(0), false);
+    link_.ended(link_.begin(0), false, false);
     const auto first = link_.begin(0);
-    link_.ended(first, false);
+    link_.ended(first, false, false);
     for (int n = 0; n < 4; ++n) {
         EXPECT_FALSE(link_.begin(0).to == first.to);
     }
@@ -65,9 +65,26 @@
     EXPECT_FALSE(link_.begin(0).relayed);
 }
 
+TEST_F(store_link_test, knows_an_outage_of_the_store_from_one_of_its_own) {
+    // The store is down for all: what this node knows is as new as it gets,
+    // and it may go on. If only this node is cut off, others may know that a
+    // job has ended.
+    time_->advance(1);
+    link_.ended(link_.begin(0), false, false);
+    EXPECT_FALSE(link_.down_for_all());
+    auto route = link_.begin(0);
+    link_.ended(route, false, false);
+    EXPECT_FALSE(link_.down_for_all());
+    route = link_.begin(0);
+    link_.ended(route, false, true);
+    EXPECT_TRUE(link_.down_for_all());
+    time_->advance(1501);
+    EXPECT_FALSE(link_.down_for_all());
+}
+
 TEST_F(store_link_test, tries_the_store_itself_if_there_is_nobody_else) {
     peers_.clear();
-    link_.ended(link_.begin(0), false);
+    link_.ended(link_.begin(0), false, false);
     EXPECT_EQ(link_.begin(0).to, store_);
 }
 
