batch: listed items of carried groups run ahead too

Cause: a carried group comes again with the items that were already listed; their texts had been dropped.

--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -251,6 +251,7 @@
     void finish_text(const job_id& id, int number, effects& out);
     void restart(item_row& row);
     void keep_texts(const job_state& job);
+    static std::set<std::string> open_groups(const job_state& job);
     void begin_ahead(const job_state& job);
     effects drop_ahead(const std::string& model);
     effects drop_overdue();
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -166,11 +166,11 @@
         t = now - t->second.kept_at > old_text_ms ? old_texts_.erase(t)
                                                   : std::next(t);
     }
+    const auto open = open_groups(job);
     for (const auto& row : job.items) {
-        const bool complete = row.at == state::judged ||
-                              row.at == state::judge_due ||
-                              row.at == state::ready;
-        if (row.got.events == 0 || row.at == state::done ||
+        const bool complete =
+            row.at != state::running && row.at != state::waiting;
+        if (row.got.events == 0 || open.count(row.content.group) == 0 ||
             row.outcome == item_outcome::errored) {
             continue;
         }
@@ -183,6 +183,18 @@
     }
 }
 
+/// Returns the groups that are not listed whole: their trainer may carry them,
+/// with all their items.
+std::set<std::string> work::open_groups(const job_state& job) {
+    std::set<std::string> out;
+    for (const auto& row : job.items) {
+        if (row.at != state::done) {
+            out.insert(row.content.group);
+        }
+    }
+    return out;
+}
+
 /// The groups that a trainer did not wait for come again in a step that admits
 /// only weights which were not there when they began, and which then waits for
 /// them whatever else is complete. While the trainer trains, places are free:
@@ -201,12 +213,13 @@
     ahead.terms = job.terms;
     ahead.seen_at = clock_.now();
     ahead.ahead_until = ahead.seen_at + ahead_ms;
+    const auto open = open_groups(job);
     for (const auto& row : job.items) {
-        const bool unfinished =
-            row.at == state::running || row.at == state::waiting;
         const bool is_void = !row.got.versions.empty() &&
                              row.got.versions.front() < newest->second;
-        if (!unfinished || !is_void || row.got.events < long_events) {
+        if (open.count(row.content.group) == 0 || !is_void ||
+            row.got.events < long_events ||
+            row.outcome == item_outcome::errored) {
             continue;
         }
         item_row r;
@@ -312,7 +325,6 @@
     }
     auto& row = job.items[static_cast<std::size_t>(number)];
     row.at = state::done;
-    row.got.bytes.clear();
 }
 
 work::item_row* work::row_of(const run_row& run) {
--- a/packages/batch/test/work_test.cpp
+++ b/packages/batch/test/work_test.cpp
@@ -220,6 +220,27 @@
     EXPECT_EQ(start.last_event, "1");
 }
 
+TEST_F(work_test, a_listed_item_of_a_carried_group_runs_ahead_as_well) {
+    // One item of a group is listed when its trainer ends the step, the other
+    // is not; both come again.
+    add_server("c", 4, 2);
+    adopt(2);
+    for (const auto& start : only<start_run>(work_.tick(true))) {
+        work_.head(start.run, 1);
+        for (int n = 1; n <= 50; ++n) {
+            work_.event(start.run, std::to_string(n), "e", {});
+        }
+        if (start.number == 0) {
+            work_.ended(start.run, run_end::complete);
+            work_.reward_ended(job_, 0, rewarded{"s"});
+        }
+    }
+    work_.listed(job_, {0});
+    work_.version_named("m", 2);
+    work_.drop(job_);
+    EXPECT_EQ(only<start_run>(work_.tick(true)).size(), 2U);
+}
+
 TEST_F(work_test, what_runs_ahead_is_given_up_if_no_job_carries_it) {
     add_server("c", 2, 2);
     adopt(1);
