--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -58,12 +58,12 @@
 
 /// How a server answered a run.
 enum class run_end {
-    complete,      ///< The stream came to its end.
-    cut,           ///< The connection ended before, or was silent.
-    not_run,       ///< The server said that it did not run the item.
-    other_server,  ///< Another server has the address, or other weights.
-    failed,        ///< The run failed there; it counts as an attempt.
-    impossible,    ///< The item can never be done.
+    complete,     ///< The stream came to its end.
+    cut,          ///< The connection ended before, or was silent.
+    not_run,      ///< The server said that it did not run the item.
+    other_server, ///< Another server has the address, or other weights.
+    failed,       ///< The run failed there; it counts as an attempt.
+    impossible,   ///< The item can never be done.
 };
 
 /// What a reward call came to.
--- a/packages/batch/src/ledger.cpp
+++ b/packages/batch/src/ledger.cpp
@@ -47,40 +47,39 @@
 }
 
 void ledger::put(const journal_key& key, const std::string& value) {
-    std::visit(
-        base::overloaded{
-            [&](const owner_key&) {
-                if (auto o = decode_owner(value)) {
-                    owner_ = owner_row{std::move(*o), clock_.now()};
-                } else {
-                    ++unreadable_;
-                }
-            },
-            [&](const header_key& k) {
-                auto h = decode_header(value);
-                if (!h) {
-                    ++unreadable_;
-                    return;
-                }
-                auto& r = row(k.job);
-                if (!r.header) {
-                    r.header = std::move(h);
-                }
-            },
-            [&](const listing_key& k) {
-                auto l = decode_listing(value);
-                if (!l) {
-                    ++unreadable_;
-                    return;
-                }
-                auto& r = row(k.job);
-                for (const auto& item : l->rows) {
-                    r.listed.insert(item.item);
-                }
-                r.listings[k.position] = std::move(*l);
-            },
-            [&](const end_key& k) { row(k.job).ended = true; }},
-        key);
+    std::visit(base::overloaded{
+                   [&](const owner_key&) {
+                       if (auto o = decode_owner(value)) {
+                           owner_ = owner_row{std::move(*o), clock_.now()};
+                       } else {
+                           ++unreadable_;
+                       }
+                   },
+                   [&](const header_key& k) {
+                       auto h = decode_header(value);
+                       if (!h) {
+                           ++unreadable_;
+                           return;
+                       }
+                       auto& r = row(k.job);
+                       if (!r.header) {
+                           r.header = std::move(h);
+                       }
+                   },
+                   [&](const listing_key& k) {
+                       auto l = decode_listing(value);
+                       if (!l) {
+                           ++unreadable_;
+                           return;
+                       }
+                       auto& r = row(k.job);
+                       for (const auto& item : l->rows) {
+                           r.listed.insert(item.item);
+                       }
+                       r.listings[k.position] = std::move(*l);
+                   },
+                   [&](const end_key& k) { row(k.job).ended = true; }},
+               key);
 }
 
 void ledger::erase(const journal_key& key) {
--- a/packages/batch/src/listing_plan.cpp
+++ b/packages/batch/src/listing_plan.cpp
@@ -25,7 +25,8 @@
         if (row == nullptr || row->listed.count(r.number) != 0) {
             continue;
         }
-        auto& position = next.emplace(r.job, row->next_position()).first->second;
+        auto& position =
+            next.emplace(r.job, row->next_position()).first->second;
         if (out.empty() || out.back().job != r.job || bytes >= record_bytes) {
             flush();
             const auto texts_name = name();
@@ -50,14 +51,15 @@
         if (row == nullptr) {
             return false;
         }
-        auto& position = next.emplace(p.job, row->next_position()).first->second;
+        auto& position =
+            next.emplace(p.job, row->next_position()).first->second;
         const bool follows = position == p.position;
         position += static_cast<int>(p.content.rows.size());
-        return follows && std::none_of(p.content.rows.begin(),
-                                       p.content.rows.end(),
-                                       [&](const auto& r) {
-                                           return row->listed.count(r.item) != 0;
-                                       });
+        return follows &&
+               std::none_of(p.content.rows.begin(), p.content.rows.end(),
+                            [&](const auto& r) {
+                                return row->listed.count(r.item) != 0;
+                            });
     });
 }
 
--- a/packages/batch/src/ownership.cpp
+++ b/packages/batch/src/ownership.cpp
@@ -9,8 +9,9 @@
                      double draw)
     : clock_(std::move(clock)), node_(std::move(node)),
       incarnation_(std::move(incarnation)), times_(times),
-      delay_(static_cast<base::millis>(draw *
-                                       static_cast<double>(times.spread))) {}
+      delay_(
+          static_cast<base::millis>(draw * static_cast<double>(times.spread))) {
+}
 
 bool ownership::mine(const ledger& l) const {
     const auto& o = l.owner();
@@ -32,8 +33,7 @@
     abstain_until_ = clock_.now() + times_.abstain;
 }
 
-ownership_step ownership::next(const ledger& l,
-                               base::millis current_at) const {
+ownership_step ownership::next(const ledger& l, base::millis current_at) const {
     const auto now = clock_.now();
     if (mine(l)) {
         return now - renewed_at_ >= times_.renew ? ownership_step::renew
--- a/packages/batch/src/records.cpp
+++ b/packages/batch/src/records.cpp
@@ -79,10 +79,10 @@
 }
 
 json to_json(const item& i) {
-    json out{{"id", i.id.str()},     {"path", i.path},
-             {"body", binary(i.body)}, {"tokens", i.tokens},
-             {"prompt", i.prompt_tokens},
-             {"expect", i.expected_tokens}, {"group", i.group}};
+    json out{{"id", i.id.str()},          {"path", i.path},
+             {"body", binary(i.body)},    {"tokens", i.tokens},
+             {"prompt", i.prompt_tokens}, {"expect", i.expected_tokens},
+             {"group", i.group}};
     auto& fields = out["fields"] = json::array();
     for (const auto& f : i.fields) {
         fields.push_back({f.first, f.second});
@@ -124,13 +124,12 @@
 
 std::string to_text(const journal_key& key) {
     return std::visit(
-        base::overloaded{
-            [](const owner_key&) { return owner_text; },
-            [](const header_key& k) { return k.job.str() + "/h"; },
-            [](const listing_key& k) {
-                return k.job.str() + "/l/" + padded(k.position);
-            },
-            [](const end_key& k) { return k.job.str() + "/x"; }},
+        base::overloaded{[](const owner_key&) { return owner_text; },
+                         [](const header_key& k) { return k.job.str() + "/h"; },
+                         [](const listing_key& k) {
+                             return k.job.str() + "/l/" + padded(k.position);
+                         },
+                         [](const end_key& k) { return k.job.str() + "/x"; }},
         key);
 }
 
@@ -264,8 +263,8 @@
         for (const auto& r : in.at("rows")) {
             const auto outcome = base::from_name<item_outcome>(
                 r.at(1).get_ref<const std::string&>());
-            l.rows.push_back({r.at(0).get<int>(),
-                              outcome.value_or(item_outcome::errored)});
+            l.rows.push_back(
+                {r.at(0).get<int>(), outcome.value_or(item_outcome::errored)});
         }
         return l;
     });
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -139,9 +139,8 @@
     ++counts_.carried;
     const auto& versions = old->second.got.versions;
     const bool fits =
-        std::all_of(versions.begin(), versions.end(), [&](auto v) {
-            return v >= job.header.least_version;
-        });
+        std::all_of(versions.begin(), versions.end(),
+                    [&](auto v) { return v >= job.header.least_version; });
     // That it outlasted its step before says more of its length than the
     // caller's guess.
     row.content.expected_tokens =
@@ -149,7 +148,8 @@
                                2 * old->second.got.events * tokens_an_event);
     row.carried = true;
     if (!fits || versions.empty()) {
-        counts_.void_events += static_cast<std::uint64_t>(old->second.got.events);
+        counts_.void_events +=
+            static_cast<std::uint64_t>(old->second.got.events);
         return;
     }
     ++counts_.reused_texts;
@@ -428,9 +428,9 @@
         ++counts_.runs;
         out.push_back(start_run{
             run, *to, *c.job, c.number, job.header.host, job.header.model,
-            &row.content,
-            row.got.last_event, priority_of(row),
-            std::max<base::millis>(1000, job.seen_at + job.terms.keep_ms - now)});
+            &row.content, row.got.last_event, priority_of(row),
+            std::max<base::millis>(1000,
+                                   job.seen_at + job.terms.keep_ms - now)});
     }
 }
 
@@ -495,14 +495,14 @@
         const auto& service = job->second.terms.service;
         auto known = slow.find(service);
         if (known == slow.end()) {
-            known = slow.emplace(service, samplers::slow_samplers(
-                                              table_, service, now))
+            known = slow.emplace(service,
+                                 samplers::slow_samplers(table_, service, now))
                         .first;
         }
         const auto* s = table_.find(row.sampler);
         const bool drains = s != nullptr && s->registered.draining;
-        const bool is_slow = known->second.count(row.sampler) != 0 &&
-                             is_worth_moving(row);
+        const bool is_slow =
+            known->second.count(row.sampler) != 0 && is_worth_moving(row);
         if (!drains && !is_slow) {
             continue;
         }
@@ -681,24 +681,26 @@
     if (row.at != state::judged) {
         return {};
     }
-    std::visit(base::overloaded{
-                   [&](const rewarded& r) {
-                       row.score = r.score;
-                       row.at = state::ready;
-                       row.life.ready = clock_.now() - job->second.seen_at;
-                   },
-                   [&](const reward_failed& f) {
-                       // Sends that were refused or lost say nothing of the
-                       // text; only failed answers count.
-                       row.reward_failures += f.failures;
-                       if (row.reward_failures >= f.allowed) {
-                           row.outcome = item_outcome::errored;
-                           row.at = state::ready;
-                           return;
-                       }
-                       row.at = state::judge_due;
-                       row.not_before = clock_.now() + reward_retry_ms;
-                   }},
+    std::visit(base::overloaded{[&](const rewarded& r) {
+                                    row.score = r.score;
+                                    row.at = state::ready;
+                                    row.life.ready =
+                                        clock_.now() - job->second.seen_at;
+                                },
+                                [&](const reward_failed& f) {
+                                    // Sends that were refused or lost say
+                                    // nothing of the text; only failed answers
+                                    // count.
+                                    row.reward_failures += f.failures;
+                                    if (row.reward_failures >= f.allowed) {
+                                        row.outcome = item_outcome::errored;
+                                        row.at = state::ready;
+                                        return;
+                                    }
+                                    row.at = state::judge_due;
+                                    row.not_before =
+                                        clock_.now() + reward_retry_ms;
+                                }},
                outcome);
     return {};
 }
@@ -714,12 +716,13 @@
             }
             const bool good = row.outcome == item_outcome::succeeded;
             total += row.got.bytes.size();
-            out.push_back({id, static_cast<int>(n),
-                           {row.content.id, row.outcome,
-                            good ? row.got.bytes : std::string(),
-                            good ? row.got.versions
-                                 : std::vector<weight_version>(),
-                            row.score}});
+            out.push_back(
+                {id,
+                 static_cast<int>(n),
+                 {row.content.id, row.outcome,
+                  good ? row.got.bytes : std::string(),
+                  good ? row.got.versions : std::vector<weight_version>(),
+                  row.score}});
         }
     }
     return out;
@@ -731,19 +734,19 @@
     for (const auto& [id, job] : jobs_) {
         for (std::size_t n = 0; !job.ahead_until && n < job.items.size(); ++n) {
             const auto& row = job.items[n];
-            const bool going = row.at == state::running ||
-                               row.at == state::waiting;
+            const bool going =
+                row.at == state::running || row.at == state::waiting;
             const int fresh = row.got.events - row.saved_events;
             if (!going || fresh < least || total > bytes) {
                 continue;
             }
             const auto from = row.saved_bytes + (row.saved_events > 0 ? 1 : 0);
             total += row.got.bytes.size() - from;
-            out.push_back({id,
-                           {static_cast<int>(n), row.epoch, row.saved_events,
-                            fresh, row.got.last_event,
-                            row.got.bytes.substr(from), row.got.versions,
-                            row.failures}});
+            out.push_back(
+                {id,
+                 {static_cast<int>(n), row.epoch, row.saved_events, fresh,
+                  row.got.last_event, row.got.bytes.substr(from),
+                  row.got.versions, row.failures}});
         }
     }
     return out;
@@ -755,8 +758,7 @@
         return;
     }
     auto& row = job->second.items[static_cast<std::size_t>(part.part.item)];
-    if (row.epoch != part.part.epoch ||
-        row.saved_events != part.part.from) {
+    if (row.epoch != part.part.epoch || row.saved_events != part.part.from) {
         return;
     }
     row.saved_bytes += part.part.text.size() + (part.part.from > 0 ? 1 : 0);
@@ -793,9 +795,9 @@
         if (job.ahead_until) {
             continue;
         }
-        n += static_cast<int>(
-            std::count_if(job.items.begin(), job.items.end(),
-                          [](const auto& r) { return r.at == state::waiting; }));
+        n += static_cast<int>(std::count_if(
+            job.items.begin(), job.items.end(),
+            [](const auto& r) { return r.at == state::waiting; }));
     }
     return n;
 }
--- a/packages/batch/test/records_test.cpp
+++ b/packages/batch/test/records_test.cpp
@@ -23,7 +23,8 @@
 }
 
 TEST(records_test, other_keys_are_no_keys) {
-    for (const char* text : {"", "a", "/h", "a/b", "a/l/x", "a/l/-1", "a/h/1"}) {
+    for (const char* text :
+         {"", "a", "/h", "a/b", "a/l/x", "a/l/-1", "a/h/1"}) {
         EXPECT_FALSE(parse_key(text)) << text;
     }
 }
--- a/packages/entry/src/batch_api.cpp
+++ b/packages/entry/src/batch_api.cpp
@@ -63,8 +63,8 @@
         s->header, std::move(job.items),
         {state_.config.record_bytes, state_.config.append_bytes});
     if (!appends) {
-        state_.log.write("submit", {{"job", s->header.id},
-                                    {"outcome", "item_too_large"}});
+        state_.log.write(
+            "submit", {{"job", s->header.id}, {"outcome", "item_too_large"}});
         s->caller->respond(adapter::plain_status(413));
         return;
     }
@@ -74,10 +74,9 @@
 
 /// Stores the items; until the header stands in the journal they are nothing.
 void batch_api::append(const std::shared_ptr<submission>& s) {
-    files_.append_items(s->header.id, s->appends[s->next],
-                        [this, s](const store::append_result& r) {
-                            appended(s, r);
-                        });
+    files_.append_items(
+        s->header.id, s->appends[s->next],
+        [this, s](const store::append_result& r) { appended(s, r); });
 }
 
 void batch_api::appended(const std::shared_ptr<submission>& s,
@@ -221,8 +220,8 @@
         }
     }
     if (current_since(w.came_at)) {
-        state_.log.write("job_unknown", {{"job", w.job},
-                                         {"read_to", journal_.next()}});
+        state_.log.write("job_unknown",
+                         {{"job", w.job}, {"read_to", journal_.next()}});
         w.caller->respond(adapter::plain_status(404));
         return true;
     }
@@ -245,7 +244,8 @@
             static_cast<std::size_t>(row.header->items), w.after, {}));
         return true;
     }
-    if (!sure && now - w.came_at > std::max(view_ms, w.wait_until - w.came_at)) {
+    if (!sure &&
+        now - w.came_at > std::max(view_ms, w.wait_until - w.came_at)) {
         unreachable(w, "view_is_old");
         return true;
     }
@@ -254,19 +254,19 @@
 
 /// Refuses a call that needs the store.
 void batch_api::unreachable(const waiter& w, const char* reason, int records) {
-    state_.log.write("read_refused",
-                     {{"job", w.job},
-                      {"after", static_cast<std::int64_t>(w.after)},
-                      {"reason", reason},
-                      {"records", records},
-                      {"view_age_ms",
-                       state_.clock.now() - journal_.current_at()}});
+    state_.log.write(
+        "read_refused",
+        {{"job", w.job},
+         {"after", static_cast<std::int64_t>(w.after)},
+         {"reason", reason},
+         {"records", records},
+         {"view_age_ms", state_.clock.now() - journal_.current_at()}});
     w.caller->respond(adapter::not_run(store_retry_ms));
 }
 
 void batch_api::send_texts(const waiter& w, const batch::job_row& row) {
-    const auto first = std::prev(
-        row.listings.upper_bound(static_cast<int>(w.after)));
+    const auto first =
+        std::prev(row.listings.upper_bound(static_cast<int>(w.after)));
     files_.load_texts(w.job, first->first, first->second.texts, answer_bytes,
                       [this, w](const auto& texts) { answer_texts(w, texts); });
 }
@@ -274,8 +274,7 @@
 /// Answers with the results from the asked position on, as far as their texts
 /// were read.
 void batch_api::answer_texts(
-    const waiter& w,
-    const std::optional<std::vector<store::record>>& texts) {
+    const waiter& w, const std::optional<std::vector<store::record>>& texts) {
     const auto* row = state_.jobs.find(w.job);
     if (!texts || row == nullptr) {
         unreachable(w, "no_answer");
@@ -288,17 +287,18 @@
     std::vector<batch::item_result> out;
     std::size_t bytes = 0;
     auto position = w.after;
-    for (auto l = std::prev(row->listings.upper_bound(static_cast<int>(w.after)));
+    for (auto l =
+             std::prev(row->listings.upper_bound(static_cast<int>(w.after)));
          l != row->listings.end(); ++l) {
-        const auto record = by_key.find(
-            batch::texts_text(w.job, l->first, l->second.texts));
+        const auto record =
+            by_key.find(batch::texts_text(w.job, l->first, l->second.texts));
         if (record == by_key.end()) {
             break;
         }
         auto results = batch::decode_results(*record->second);
         if (!results || results->size() != l->second.rows.size()) {
-            state_.log.write("record_skipped", {{"job", w.job},
-                                                {"position", l->first}});
+            state_.log.write("record_skipped",
+                             {{"job", w.job}, {"position", l->first}});
             break;
         }
         const auto skip = position - static_cast<std::size_t>(l->first);
@@ -346,8 +346,8 @@
         return;
     }
     store_.append(
-        journal_partition, {{batch::to_text(batch::end_key{w.job}), "1"}}, nullptr,
-        [this, w, due, stored_maybe](const store::append_result& r) {
+        journal_partition, {{batch::to_text(batch::end_key{w.job}), "1"}},
+        nullptr, [this, w, due, stored_maybe](const store::append_result& r) {
             if (std::holds_alternative<store::appended>(r)) {
                 state_.log.write("end", {{"job", w.job},
                                          {"ms", state_.clock.now() - w.came_at},
@@ -355,16 +355,17 @@
                 w.caller->respond(adapter::plain_status(200));
                 return;
             }
-            const bool maybe = stored_maybe ||
-                               std::holds_alternative<store::unanswered>(r);
+            const bool maybe =
+                stored_maybe || std::holds_alternative<store::unanswered>(r);
             if (maybe && state_.clock.now() + append_retry_ms < due) {
                 after_(append_retry_ms,
                        [this, w, due] { store_end(w, due, true); });
                 return;
             }
-            state_.log.write("end", {{"job", w.job},
-                                     {"ms", state_.clock.now() - w.came_at},
-                                     {"outcome", maybe ? "unknown" : "refused"}});
+            state_.log.write("end",
+                             {{"job", w.job},
+                              {"ms", state_.clock.now() - w.came_at},
+                              {"outcome", maybe ? "unknown" : "refused"}});
             w.caller->respond(maybe ? adapter::plain_status(504)
                                     : adapter::not_run(store_retry_ms));
         });
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -59,8 +59,7 @@
 class entry_node {
 public:
     entry_node(const node_settings& settings, std::string path)
-        : state_(settings), path_(std::move(path)), signals_(io_),
-          client_(io_),
+        : state_(settings), path_(std::move(path)), signals_(io_), client_(io_),
           link_(state_.clock, settings.store,
                 [this] { return directory_.nodes().peers(); }),
           store_(adapter::make_log_store(client_, link_)),
@@ -77,28 +76,28 @@
                     [this](bool up) { owner_.contact(up); }}),
           files_(store_, settings.partitions),
           directory_(state_, store_, after_), requests_(state_, client_),
-          owner_(state_, store_, link_, journal_, files_, client_, requests_, after_),
+          owner_(state_, store_, link_, journal_, files_, client_, requests_,
+                 after_),
           batch_(state_, store_, journal_, files_, after_),
-          callers_(io_, {}, [this](auto r, auto e) {
-              on_caller(std::move(r), std::move(e));
-          }),
-          readiness_(io_, {}, [this](const auto& r, auto e) {
-              on_readiness(r, *e);
-          }),
-          lookup_(io_, {}, [this](const auto& r, auto e) {
-              on_directory(r, *e);
-          }),
-          metrics_(io_, {}, [this](const auto& r, auto e) {
-              on_internal(r, e);
-          }) {}
+          callers_(io_, {},
+                   [this](auto r, auto e) {
+                       on_caller(std::move(r), std::move(e));
+                   }),
+          readiness_(io_, {},
+                     [this](const auto& r, auto e) { on_readiness(r, *e); }),
+          lookup_(io_, {},
+                  [this](const auto& r, auto e) { on_directory(r, *e); }),
+          metrics_(io_, {},
+                   [this](const auto& r, auto e) { on_internal(r, e); }) {}
 
     std::optional<listen_failed> run() {
         if (const auto failed = listen()) {
             return failed;
         }
-        state_.log.write("start", {{"zone", state_.config.zone},
-                                   {"callers", to_string(state_.config.listen_callers)},
-                                   {"store", to_string(state_.config.store)}});
+        state_.log.write("start",
+                         {{"zone", state_.config.zone},
+                          {"callers", to_string(state_.config.listen_callers)},
+                          {"store", to_string(state_.config.store)}});
         wait_for_signal();
         config_.start();
         registry_.start();
@@ -109,7 +108,8 @@
         flush();
         watch_link();
         io_.run();
-        state_.log.write("stop", {{"in_flight", static_cast<int>(callers_.in_flight())}});
+        state_.log.write(
+            "stop", {{"in_flight", static_cast<int>(callers_.in_flight())}});
         state_.log.flush();
         return std::nullopt;
     }
@@ -180,8 +180,9 @@
         }
         state_.stopping = true;
         stop_at_ = state_.clock.now();
-        state_.log.write("stopping", {{"in_flight", static_cast<int>(callers_.in_flight())},
-                                      {"owns", owner_.owns()}});
+        state_.log.write("stopping",
+                         {{"in_flight", static_cast<int>(callers_.in_flight())},
+                          {"owns", owner_.owns()}});
         directory_.leave();
         owner_.hand_over([this] { handed_over_ = true; });
         callers_.drain();
@@ -190,8 +191,8 @@
 
     void check_stop() {
         const auto since = state_.clock.now() - stop_at_;
-        const bool idle = callers_.in_flight() == 0 && handed_over_ &&
-                          since >= least_stop_ms;
+        const bool idle =
+            callers_.in_flight() == 0 && handed_over_ && since >= least_stop_ms;
         if (idle || since >= state_.config.grace_ms - exit_margin_ms) {
             io_.stop();
             return;
@@ -214,13 +215,13 @@
                                  {{"topic", "operator"}, {"key", c.key}});
                 continue;
             }
-            std::visit(base::overloaded{
-                           [&](gateway::configuration& n) {
-                               take_configuration(std::move(n));
-                           },
-                           [&](const adapter::named_version& v) {
-                               owner_.version_named(v.model, v.version);
-                           }},
+            std::visit(base::overloaded{[&](gateway::configuration& n) {
+                                            take_configuration(std::move(n));
+                                        },
+                                        [&](const adapter::named_version& v) {
+                                            owner_.version_named(v.model,
+                                                                 v.version);
+                                        }},
                        *record);
         }
     }
@@ -229,12 +230,14 @@
         if (state_.routes && next.version <= state_.routes->version) {
             return;
         }
-        state_.log.write("configuration",
-                         {{"version", next.version},
-                          {"before", state_.routes ? state_.routes->version : 0},
-                          {"routes", static_cast<int>(next.routes.size())}});
+        state_.log.write(
+            "configuration",
+            {{"version", next.version},
+             {"before", state_.routes ? state_.routes->version : 0},
+             {"routes", static_cast<int>(next.routes.size())}});
         const auto& l = next.limits;
-        callers_.set_limits({l.header_bytes, l.body_bytes, l.header_ms, l.idle_ms});
+        callers_.set_limits(
+            {l.header_bytes, l.body_bytes, l.header_ms, l.idle_ms});
         for (const auto& s : next.token_services) {
             state_.samplers.set_memory(samplers::service_name(s.name),
                                        s.memory_tokens);
@@ -255,9 +258,9 @@
 
     void on_readiness(const transport::inbound_request& request,
                       transport::exchange& answer) {
-        const bool ready = adapter::is_ready_call(request) && !state_.stopping &&
-                           state_.routes && registry_.loaded() &&
-                           journal_.loaded();
+        const bool ready = adapter::is_ready_call(request) &&
+                           !state_.stopping && state_.routes &&
+                           registry_.loaded() && journal_.loaded();
         answer.respond(adapter::plain_status(ready ? 200 : 503));
     }
 
@@ -307,32 +310,38 @@
 
     void on_metrics(transport::exchange& answer) {
         const auto c = client_.counts();
-        state_.counters.set("connections_opened", static_cast<double>(c.connections));
-        state_.counters.set("connections_reused", static_cast<double>(c.reused));
+        state_.counters.set("connections_opened",
+                            static_cast<double>(c.connections));
+        state_.counters.set("connections_reused",
+                            static_cast<double>(c.reused));
         state_.counters.set("stray_bytes", static_cast<double>(c.stray_bytes));
-        state_.counters.set("log_lines_dropped", static_cast<double>(state_.log.dropped()));
+        state_.counters.set("log_lines_dropped",
+                            static_cast<double>(state_.log.dropped()));
         state_.counters.set("owner", owner_.owns() ? 1 : 0);
-        state_.counters.set("jobs", static_cast<double>(state_.jobs.jobs().size()));
-        state_.counters.set("records_unreadable", static_cast<double>(state_.jobs.unreadable()));
-        answer.respond({200, {{"Content-Type", "text/plain"}},
+        state_.counters.set("jobs",
+                            static_cast<double>(state_.jobs.jobs().size()));
+        state_.counters.set("records_unreadable",
+                            static_cast<double>(state_.jobs.unreadable()));
+        answer.respond({200,
+                        {{"Content-Type", "text/plain"}},
                         state_.counters.serialize()});
     }
 
     void on_caller(transport::inbound_request request,
                    std::shared_ptr<transport::exchange> answer) {
-        std::visit(base::overloaded{
-                       [&](const adapter::read_call& c) {
-                           batch_.read(c, std::move(answer));
-                       },
-                       [&](const adapter::body_call& c) {
-                           batch_.body(c, std::move(answer));
-                       },
-                       [&](const adapter::end_call& c) {
-                           batch_.end(c, std::move(answer));
-                       },
-                       [&](const adapter::routed_call& c) {
-                           on_routed(c, std::move(request), std::move(answer));
-                       }},
+        std::visit(base::overloaded{[&](const adapter::read_call& c) {
+                                        batch_.read(c, std::move(answer));
+                                    },
+                                    [&](const adapter::body_call& c) {
+                                        batch_.body(c, std::move(answer));
+                                    },
+                                    [&](const adapter::end_call& c) {
+                                        batch_.end(c, std::move(answer));
+                                    },
+                                    [&](const adapter::routed_call& c) {
+                                        on_routed(c, std::move(request),
+                                                  std::move(answer));
+                                    }},
                    adapter::parse_front(request));
     }
 
@@ -346,7 +355,8 @@
             answer->respond(adapter::not_run(start_retry_ms));
             return;
         }
-        const auto* r = gateway::match(*state_.routes, call.host, request.target);
+        const auto* r =
+            gateway::match(*state_.routes, call.host, request.target);
         if (r == nullptr) {
             log_refusal(call, "no_route");
             answer->respond(adapter::plain_status(404));
@@ -361,11 +371,12 @@
     }
 
     void log_refusal(const adapter::routed_call& call, const char* reason) {
-        state_.log.write("refused", {{"id", call.id},
-                                     {"host", call.host},
-                                     {"configuration",
-                                      state_.routes ? state_.routes->version : 0},
-                                     {"reason", reason}});
+        state_.log.write(
+            "refused",
+            {{"id", call.id},
+             {"host", call.host},
+             {"configuration", state_.routes ? state_.routes->version : 0},
+             {"reason", reason}});
     }
 
     void on_submission(const adapter::routed_call& call,
@@ -399,7 +410,8 @@
         f.attempts = r.attempts;
         f.repeatable = r.kind == gateway::route_kind::idempotent;
         f.streamed = r.kind == gateway::route_kind::streaming;
-        auto time = call.deadline_ms > 0 ? call.deadline_ms : default_deadline_ms;
+        auto time =
+            call.deadline_ms > 0 ? call.deadline_ms : default_deadline_ms;
         if (r.timeout_ms > 0) {
             time = std::min(time, r.timeout_ms);
         }
--- a/packages/entry/src/directory.cpp
+++ b/packages/entry/src/directory.cpp
@@ -37,10 +37,11 @@
 }
 
 void directory::renew() {
-    const nlohmann::json value{{"callers", to_string(state_.config.listen_callers)},
-                               {"nodes", to_string(state_.config.listen_metrics)},
-                               {"zone", state_.config.zone.str()},
-                               {"stopping", state_.stopping}};
+    const nlohmann::json value{
+        {"callers", to_string(state_.config.listen_callers)},
+        {"nodes", to_string(state_.config.listen_metrics)},
+        {"zone", state_.config.zone.str()},
+        {"stopping", state_.stopping}};
     std::string bytes;
     nlohmann::json::to_cbor(value, bytes);
     const bool last = state_.stopping;
@@ -66,16 +67,16 @@
         }
         const auto in = nlohmann::json::from_cbor(*c.value, true, false);
         if (!in.is_object()) {
-            state_.log.write("record_skipped", {{"topic", "nodes"},
-                                                {"key", c.key}});
+            state_.log.write("record_skipped",
+                             {{"topic", "nodes"}, {"key", c.key}});
             continue;
         }
         const auto address = base::parse_endpoint(in.value("callers", ""));
         const auto nodes = base::parse_endpoint(in.value("nodes", ""));
         if (address && nodes) {
-            nodes_.put(c.key, {*address, *nodes,
-                               base::zone_id(in.value("zone", "")),
-                               in.value("stopping", false)});
+            nodes_.put(c.key,
+                       {*address, *nodes, base::zone_id(in.value("zone", "")),
+                        in.value("stopping", false)});
         }
     }
 }
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -83,7 +83,8 @@
         transport::call_options options;
         options.connect_ms = std::min(connect_ms, left);
         options.total_ms = left;
-        if (!request_.streamed && request_.repeatable && sent_ < request_.attempts) {
+        if (!request_.streamed && request_.repeatable &&
+            sent_ < request_.attempts) {
             const auto usual =
                 static_cast<base::millis>(row->answer_ms) * slowest_answers;
             options.total_ms = std::min(left, std::max(least_try_ms, usual));
@@ -100,9 +101,9 @@
             self->on_end(end);
         };
         state_.samplers.started(to);
-        call_ = client_.start(row->registered.address, std::move(content),
-                              options, std::move(events),
-                              adapter::request_id_field);
+        call_ =
+            client_.start(row->registered.address, std::move(content), options,
+                          std::move(events), adapter::request_id_field);
     }
 
     void on_head(const transport::upstream_head& head) {
@@ -264,20 +265,20 @@
 constexpr base::millis retry_after_ms = 100;
 
 void attempt_series::answer_sink(const forward_result& result) {
-    std::visit(base::overloaded{
-                   [&](const forwarded& f) {
-                       sink_->respond({f.head.status, answer_fields(f.head),
-                                       f.body});
-                   },
-                   [&](const not_forwarded& n) {
-                       if (!n.may_have_run) {
-                           sink_->respond(adapter::not_run(retry_after_ms));
-                       } else {
-                           sink_->respond(
-                               adapter::plain_status(n.timed_out ? 504 : 502));
-                       }
-                   }},
-               result);
+    std::visit(
+        base::overloaded{
+            [&](const forwarded& f) {
+                sink_->respond({f.head.status, answer_fields(f.head), f.body});
+            },
+            [&](const not_forwarded& n) {
+                if (!n.may_have_run) {
+                    sink_->respond(adapter::not_run(retry_after_ms));
+                } else {
+                    sink_->respond(
+                        adapter::plain_status(n.timed_out ? 504 : 502));
+                }
+            }},
+        result);
 }
 
 } // namespace
--- a/packages/entry/src/forwarder.hpp
+++ b/packages/entry/src/forwarder.hpp
@@ -69,8 +69,8 @@
         : state_(state), client_(client) {}
 
     /// Sends a request and calls `done` once with what came of it.
-    std::shared_ptr<forwarding>
-    send(forward_request request, std::function<void(forward_result)> done);
+    std::shared_ptr<forwarding> send(forward_request request,
+                                     std::function<void(forward_result)> done);
 
     /// Sends a request whose answer goes to a caller. It is given up if the
     /// caller leaves.
--- a/packages/entry/src/job_files.cpp
+++ b/packages/entry/src/job_files.cpp
@@ -72,8 +72,7 @@
     std::function<void(std::optional<progress_map>)> done) const {
     const auto prefix = batch::job_prefix(job);
     store::read_prefix(
-        store_, part_of(adapter::progress_topic, job), prefix, prefix,
-        no_bound,
+        store_, part_of(adapter::progress_topic, job), prefix, prefix, no_bound,
         [done = std::move(done)](
             const std::optional<std::vector<store::record>>& records) {
             if (!records) {
@@ -94,12 +93,10 @@
 void job_files::load_texts(
     const batch::job_id& job, int position, const std::string& texts,
     std::size_t most_bytes,
-    std::function<void(std::optional<std::vector<store::record>>)> done)
-    const {
-    store::read_prefix(store_, part_of(adapter::texts_topic, job),
-                       batch::job_prefix(job),
-                       batch::before_texts(job, position, texts), most_bytes,
-                       std::move(done));
+    std::function<void(std::optional<std::vector<store::record>>)> done) const {
+    store::read_prefix(
+        store_, part_of(adapter::texts_topic, job), batch::job_prefix(job),
+        batch::before_texts(job, position, texts), most_bytes, std::move(done));
 }
 
 } // namespace hibiscus::entry
--- a/packages/entry/src/job_files.hpp
+++ b/packages/entry/src/job_files.hpp
@@ -31,10 +31,9 @@
                          append_done done) const;
 
     /// Each calls `done` with nothing if the store gave no answer.
-    void load_items(
-        const batch::job_id& job,
-        std::function<void(std::optional<std::vector<batch::item>>)> done)
-        const;
+    void load_items(const batch::job_id& job,
+                    std::function<void(std::optional<std::vector<batch::item>>)>
+                        done) const;
     using progress_map = std::map<int, std::vector<batch::progress_part>>;
     void
     load_progress(const batch::job_id& job,
@@ -42,14 +41,13 @@
     /// Reads the records with texts from those named `texts` at a listed
     /// position on, up to `most_bytes`.
     void
-    load_texts(const batch::job_id& job, int position,
-               const std::string& texts, std::size_t most_bytes,
+    load_texts(const batch::job_id& job, int position, const std::string& texts,
+               std::size_t most_bytes,
                std::function<void(std::optional<std::vector<store::record>>)>
                    done) const;
 
 private:
-    store::partition part_of(const char* topic,
-                             const batch::job_id& job) const;
+    store::partition part_of(const char* topic, const batch::job_id& job) const;
 
     const store::log_store& store_;
     int partitions_;
--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -70,11 +70,11 @@
              const store::store_link& link, store::follower& journal,
              const job_files& files, transport::upstream_client& client,
              forwarder& requests, store::delay_function after)
-    : state_(state), store_(store), link_(link), journal_(journal), files_(files),
-      client_(client), requests_(requests), after_(std::move(after)),
-      work_(state.clock, state.samplers), rollout_(state.clock),
-      incarnation_(std::to_string(state.random()) + "-" +
-                   std::to_string(state.random())),
+    : state_(state), store_(store), link_(link), journal_(journal),
+      files_(files), client_(client), requests_(requests),
+      after_(std::move(after)), work_(state.clock, state.samplers),
+      rollout_(state.clock), incarnation_(std::to_string(state.random()) + "-" +
+                                          std::to_string(state.random())),
       ownership_(state.clock, state.config.node, incarnation_, {},
                  state.draw()) {}
 
@@ -112,9 +112,10 @@
     }
     const auto& before = state_.jobs.owner();
     state_.log.write(
-        "claim", {{"before", before ? before->record.node.str() : ""},
-                  {"silent_ms", before ? state_.clock.now() - before->seen_at : 0},
-                  {"read_to", journal_.next()}});
+        "claim",
+        {{"before", before ? before->record.node.str() : ""},
+         {"silent_ms", before ? state_.clock.now() - before->seen_at : 0},
+         {"read_to", journal_.next()}});
     append({own_record(journal_.next(), false)}, [](bool) {});
 }
 
@@ -124,43 +125,44 @@
     appending_ = true;
     const auto at = journal_.next();
     const auto sent_at = state_.clock.now();
-    store_.append(
-        {adapter::journal_topic, 0}, records, &at,
-        [this, records, sent_at,
-         done = std::move(done)](const store::append_result& r) {
-            appending_ = false;
-            const auto ms = state_.clock.now() - sent_at;
-            state_.counters.observe("store_append", ms);
-            log_append(r, records.size(), ms);
-            const auto* a = base::value_if(r);
-            if (a != nullptr) {
-                ownership_.renewed();
-                journal_.appended_here(a->first, records);
-            }
-            done(a != nullptr);
-        });
+    store_.append({adapter::journal_topic, 0}, records, &at,
+                  [this, records, sent_at,
+                   done = std::move(done)](const store::append_result& r) {
+                      appending_ = false;
+                      const auto ms = state_.clock.now() - sent_at;
+                      state_.counters.observe("store_append", ms);
+                      log_append(r, records.size(), ms);
+                      const auto* a = base::value_if(r);
+                      if (a != nullptr) {
+                          ownership_.renewed();
+                          journal_.appended_here(a->first, records);
+                      }
+                      done(a != nullptr);
+                  });
 }
 
 void owner::log_append(const store::append_result& result, std::size_t records,
                        base::millis ms) {
-    std::visit(
-        base::overloaded{
-            [&](const store::appended&) {},
-            [&](const store::end_differs& d) {
-                state_.log.write("append_refused", {{"reason", "end_differs"},
-                                                    {"end", d.end},
-                                                    {"read_to", journal_.next()}});
-            },
-            [&](const store::refused& f) {
-                state_.log.write("append_refused",
-                                 {{"reason", "store"}, {"status", f.status}});
-            },
-            [&](const store::unanswered&) {
-                state_.log.write("append_unanswered",
-                                 {{"records", static_cast<std::int64_t>(records)},
-                                  {"ms", ms}});
-            }},
-        result);
+    std::visit(base::overloaded{
+                   [&](const store::appended&) {},
+                   [&](const store::end_differs& d) {
+                       state_.log.write("append_refused",
+                                        {{"reason", "end_differs"},
+                                         {"end", d.end},
+                                         {"read_to", journal_.next()}});
+                   },
+                   [&](const store::refused& f) {
+                       state_.log.write(
+                           "append_refused",
+                           {{"reason", "store"}, {"status", f.status}});
+                   },
+                   [&](const store::unanswered&) {
+                       state_.log.write(
+                           "append_unanswered",
+                           {{"records", static_cast<std::int64_t>(records)},
+                            {"ms", ms}});
+                   }},
+               result);
 }
 
 void owner::ledger_changed(const std::set<batch::job_id>& jobs) {
@@ -372,15 +374,15 @@
                     if (live == runs_.end()) {
                         return;
                     }
-                    state_.log.write("run_stopped",
-                                     {{"job", live->second.job},
-                                      {"item", live->second.number},
-                                      {"server", live->second.server},
-                                      {"events", live->second.events},
-                                      {"status", live->second.status},
-                                      {"ms", state_.clock.now() -
-                                                 live->second.started_at},
-                                      {"reason", s.reason}});
+                    state_.log.write(
+                        "run_stopped",
+                        {{"job", live->second.job},
+                         {"item", live->second.number},
+                         {"server", live->second.server},
+                         {"events", live->second.events},
+                         {"status", live->second.status},
+                         {"ms", state_.clock.now() - live->second.started_at},
+                         {"reason", s.reason}});
                     live->second.call->cancel();
                     runs_.erase(live);
                 },
@@ -441,9 +443,9 @@
                       {"version", row->version_of(r.model)},
                       {"after_event", r.last_event},
                       {"expected_tokens", r.content->expected_tokens}});
-    live.call = client_.start(row->registered.address, adapter::run_request(r),
-                              options, std::move(events),
-                              adapter::request_id_field);
+    live.call =
+        client_.start(row->registered.address, adapter::run_request(r), options,
+                      std::move(events), adapter::request_id_field);
 }
 
 batch::run_end owner::end_of(const live_run& live,
@@ -478,15 +480,14 @@
     }
     const auto what = end_of(at->second, end);
     const auto& live = at->second;
-    state_.log.write("run_ended",
-                     {{"job", live.job},
-                      {"item", live.number},
-                      {"server", live.server},
-                      {"events", live.events},
-                      {"status", live.status},
-                      {"ms", state_.clock.now() - live.started_at},
-                      {"how", base::name_of(end)},
-                      {"outcome", base::name_of(what)}});
+    state_.log.write("run_ended", {{"job", live.job},
+                                   {"item", live.number},
+                                   {"server", live.server},
+                                   {"events", live.events},
+                                   {"status", live.status},
+                                   {"ms", state_.clock.now() - live.started_at},
+                                   {"how", base::name_of(end)},
+                                   {"outcome", base::name_of(what)}});
     state_.counters.observe("run", state_.clock.now() - live.started_at);
     state_.counters.count_answer("run", std::string(base::name_of(what)), "");
     runs_.erase(at);
@@ -495,8 +496,7 @@
     commit();
 }
 
-std::size_t
-owner::reward_places(const samplers::service_name& service) const {
+std::size_t owner::reward_places(const samplers::service_name& service) const {
     int slots = 0;
     for (const auto& [id, row] : state_.samplers.rows()) {
         if (row.registered.service == service && !row.registered.draining) {
@@ -526,12 +526,12 @@
 }
 
 void owner::send_reward(const reward_task& task) {
-    const auto* r = gateway::match(*state_.routes, task.call.host,
-                                   task.call.path);
+    const auto* r =
+        gateway::match(*state_.routes, task.call.host, task.call.path);
     if (r == nullptr) {
-        state_.log.write("reward_failed", {{"job", task.job},
-                                           {"item", task.number},
-                                           {"reason", "no route"}});
+        state_.log.write(
+            "reward_failed",
+            {{"job", task.job}, {"item", task.number}, {"reason", "no route"}});
         run(work_.reward_ended(task.job, task.number, batch::reward_failed{}));
         return;
     }
@@ -547,8 +547,7 @@
     f.objective_ms = r->objective_ms;
     const auto number = ++last_judging_;
     const int attempts = r->attempts;
-    auto judged = [this, number, attempts,
-                   task](const forward_result& result) {
+    auto judged = [this, number, attempts, task](const forward_result& result) {
         judging_.erase(number);
         const auto outcome = std::visit(
             base::overloaded{
@@ -592,7 +591,8 @@
     last_commit_ = now;
     auto waiting = std::make_shared<int>(static_cast<int>(lists.size()));
     auto whole = std::make_shared<bool>(true);
-    auto all = std::make_shared<std::vector<batch::planned_listing>>(std::move(lists));
+    auto all =
+        std::make_shared<std::vector<batch::planned_listing>>(std::move(lists));
     for (const auto& l : *all) {
         files_.append_texts(
             l.job, {l.texts},
@@ -613,7 +613,8 @@
         });
 }
 
-void owner::list(const std::vector<batch::planned_listing>& lists, bool stored) {
+void owner::list(const std::vector<batch::planned_listing>& lists,
+                 bool stored) {
     const bool fits = batch::still_fits(state_.jobs, lists);
     if (!stored || !fits || !owns() || appending_) {
         committing_ = false;
@@ -639,11 +640,11 @@
             return;
         }
         for (const auto& l : lists) {
-            state_.log.write("listed",
-                             {{"job", l.job},
-                              {"position", l.position},
-                              {"items", static_cast<int>(l.content.rows.size())},
-                              {"ms", state_.clock.now() - last_commit_}});
+            state_.log.write(
+                "listed", {{"job", l.job},
+                           {"position", l.position},
+                           {"items", static_cast<int>(l.content.rows.size())},
+                           {"ms", state_.clock.now() - last_commit_}});
         }
     });
 }
@@ -671,31 +672,30 @@
     for (auto& [id, parts] : by_job) {
         std::vector<store::record> records;
         for (const auto& p : parts) {
-            records.push_back({batch::progress_text(p.job, p.part),
-                               batch::encode(p.part)});
+            records.push_back(
+                {batch::progress_text(p.job, p.part), batch::encode(p.part)});
         }
-        files_.append_progress(
-            id, records,
-            [this, parts = std::move(parts),
-             done](const store::append_result& r) {
-                if (base::value_if(r) != nullptr) {
-                    for (const auto& p : parts) {
-                        work_.saved(p);
-                    }
-                } else {
-                    state_.log.write("append_refused",
-                                     {{"reason", "progress"}});
-                }
-                if (--saving_ == 0) {
-                    done();
-                }
-            });
+        files_.append_progress(id, records,
+                               [this, parts = std::move(parts),
+                                done](const store::append_result& r) {
+                                   if (base::value_if(r) != nullptr) {
+                                       for (const auto& p : parts) {
+                                           work_.saved(p);
+                                       }
+                                   } else {
+                                       state_.log.write(
+                                           "append_refused",
+                                           {{"reason", "progress"}});
+                                   }
+                                   if (--saving_ == 0) {
+                                       done();
+                                   }
+                               });
     }
 }
 
 void owner::order_loads() {
-    if (!store_heard() || leaving_ ||
-        state_.clock.now() < may_order_at_) {
+    if (!store_heard() || leaving_ || state_.clock.now() < may_order_at_) {
         return;
     }
     for (const auto& id : rollout_.checks()) {
@@ -737,10 +737,10 @@
                       const std::optional<adapter::server_report>& report) {
     if (!report || !owns() || !store_heard() || leaving_) {
         rollout_.not_taken(order);
-        state_.log.write("order_waits", {{"server", order.sampler},
-                                         {"version", order.version},
-                                         {"reason", report ? "not_holder"
-                                                           : "no_report"}});
+        state_.log.write("order_waits",
+                         {{"server", order.sampler},
+                          {"version", order.version},
+                          {"reason", report ? "not_holder" : "no_report"}});
         return;
     }
     if (report->busy) {
@@ -762,30 +762,30 @@
 void owner::send_order(const samplers::load_order& order,
                        std::int64_t after_orders) {
     const auto fence = state_.jobs.owner()->record.fence + 1;
-    call_server(
-        order.sampler,
-        adapter::order_request(order, state_.config.node.str(), fence,
-                               after_orders),
-        [this, order, after_orders, fence](const server_reply& reply) {
-            const auto a = adapter::read_order_answer(reply.status);
-            if (a == adapter::order_answer::accepted) {
-                rollout_.accepted(order);
-                state_.samplers.set_loading(order.sampler, true);
-            } else if (a == adapter::order_answer::already_held) {
-                rollout_.done(order.sampler);
-                state_.samplers.saw_version(order.sampler, order.model,
-                                            order.version);
-            } else {
-                rollout_.not_taken(order);
-            }
-            state_.log.write("order", {{"server", order.sampler},
-                                       {"version", order.version},
-                                       {"after_orders", after_orders},
-                                       {"fence", fence},
-                                       {"status", reply.status},
-                                       {"how", base::name_of(reply.end)},
-                                       {"outcome", base::name_of(a)}});
-        });
+    call_server(order.sampler,
+                adapter::order_request(order, state_.config.node.str(), fence,
+                                       after_orders),
+                [this, order, after_orders, fence](const server_reply& reply) {
+                    const auto a = adapter::read_order_answer(reply.status);
+                    if (a == adapter::order_answer::accepted) {
+                        rollout_.accepted(order);
+                        state_.samplers.set_loading(order.sampler, true);
+                    } else if (a == adapter::order_answer::already_held) {
+                        rollout_.done(order.sampler);
+                        state_.samplers.saw_version(order.sampler, order.model,
+                                                    order.version);
+                    } else {
+                        rollout_.not_taken(order);
+                    }
+                    state_.log.write("order",
+                                     {{"server", order.sampler},
+                                      {"version", order.version},
+                                      {"after_orders", after_orders},
+                                      {"fence", fence},
+                                      {"status", reply.status},
+                                      {"how", base::name_of(reply.end)},
+                                      {"outcome", base::name_of(a)}});
+                });
 }
 
 void owner::call_server(const samplers::sampler_id& id,
--- a/packages/entry/src/owner.hpp
+++ b/packages/entry/src/owner.hpp
@@ -106,8 +106,7 @@
     void order_loads();
     void ask_report(
         const samplers::sampler_id& id,
-        std::function<void(const std::optional<adapter::server_report>&)>
-            done);
+        std::function<void(const std::optional<adapter::server_report>&)> done);
     void load_done(const samplers::sampler_id& id,
                    const adapter::server_report& report);
     void on_report(const samplers::load_order& order,
--- a/packages/gateway/src/configuration.cpp
+++ b/packages/gateway/src/configuration.cpp
@@ -9,10 +9,12 @@
     const auto bare = path.substr(0, path.find('?'));
     const route* best = nullptr;
     for (const auto& r : c.routes) {
-        if (r.host != host || bare.substr(0, r.path_prefix.size()) != r.path_prefix) {
+        if (r.host != host ||
+            bare.substr(0, r.path_prefix.size()) != r.path_prefix) {
             continue;
         }
-        if (best == nullptr || r.path_prefix.size() > best->path_prefix.size()) {
+        if (best == nullptr ||
+            r.path_prefix.size() > best->path_prefix.size()) {
             best = &r;
         }
     }
--- a/packages/node/src/callers_api.cpp
+++ b/packages/node/src/callers_api.cpp
@@ -167,7 +167,8 @@
 
 callers_api::callers_api(base::node_id self, control& state,
                          const shared_view& shared, service_gateway& services,
-                         telemetry::metrics& counters, base::clock clock, std::size_t most)
+                         telemetry::metrics& counters, base::clock clock,
+                         std::size_t most)
     : self_(std::move(self)), control_(state), shared_(shared),
       services_(services), counters_(counters), clock_(std::move(clock)),
       claimed_(most) {}
--- a/packages/node/src/callers_api.hpp
+++ b/packages/node/src/callers_api.hpp
@@ -17,8 +17,8 @@
     /// Constructs the API of a node that takes `most` non-idempotent requests
     /// at a time.
     callers_api(base::node_id self, control& state, const shared_view& shared,
-                service_gateway& services, telemetry::metrics& counters, base::clock clock,
-                std::size_t most);
+                service_gateway& services, telemetry::metrics& counters,
+                base::clock clock, std::size_t most);
 
     /// Handles one request.
     void handle(net::http_request request, net::http_responder respond);
--- a/packages/node/src/config_follower.hpp
+++ b/packages/node/src/config_follower.hpp
@@ -21,8 +21,8 @@
     /// Constructs a follower that calls `changed` after each change.
     config_follower(base::node_id self, boost::asio::io_context& control,
                     platform::log_client& log, net::peer_mesh& mesh,
-                    decision_log& lines, telemetry::metrics& counters, base::clock clock,
-                    std::function<void()> changed);
+                    decision_log& lines, telemetry::metrics& counters,
+                    base::clock clock, std::function<void()> changed);
 
     /// Starts to read.
     void start();
--- a/packages/node/src/service_gateway.cpp
+++ b/packages/node/src/service_gateway.cpp
@@ -57,7 +57,8 @@
                                  boost::asio::io_context& io,
                                  net::http_client& http,
                                  const shared_view& shared, decision_log& log,
-                                 telemetry::metrics& counters, base::clock clock)
+                                 telemetry::metrics& counters,
+                                 base::clock clock)
     : self_(std::move(self)), io_(io), http_(http), shared_(shared), log_(log),
       counters_(counters), clock_(std::move(clock)),
       router_(base::stable_hash(self_.str())),
--- a/packages/node/src/service_gateway.hpp
+++ b/packages/node/src/service_gateway.hpp
@@ -3,8 +3,8 @@
 #include "decision_log.hpp"
 #include "hibiscus/net/http_client.hpp"
 #include "hibiscus/policy/admission.hpp"
-#include "hibiscus/wire/answers.hpp"
 #include "hibiscus/telemetry/metrics.hpp"
+#include "hibiscus/wire/answers.hpp"
 #include "shared_view.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -27,7 +27,8 @@
     /// Constructs a gateway of the node `self`, with its timers on `io`.
     service_gateway(base::node_id self, boost::asio::io_context& io,
                     net::http_client& http, const shared_view& shared,
-                    decision_log& log, telemetry::metrics& counters, base::clock clock);
+                    decision_log& log, telemetry::metrics& counters,
+                    base::clock clock);
 
     /// Sends a request and calls `done` once. An idempotent one is tried again
     /// within the retry budget, also when an answer takes much longer than
--- a/packages/samplers/include/hibiscus/samplers/placement.hpp
+++ b/packages/samplers/include/hibiscus/samplers/placement.hpp
@@ -24,8 +24,8 @@
 /// server that makes events fastest, so that the longest, which are placed
 /// first, end soonest; a fuller server counts as slower by what its batch
 /// costs, and one whose memory will not do for its runs as much slower.
-std::optional<sampler_id>
-place_run(const sampler_table& table, const run_needs& needs, base::millis now);
+std::optional<sampler_id> place_run(const sampler_table& table,
+                                    const run_needs& needs, base::millis now);
 
 /// Returns a server that makes events so much faster than `from` that a long
 /// run should go on there, or nothing. Samples of a step end together only if
@@ -37,10 +37,11 @@
 
 /// Returns the server for a plain request: the one with the least work of
 /// this process for its places, nearest first. Those in `tried` come last.
-std::optional<sampler_id>
-place_plain(const sampler_table& table, const service_name& service,
-            const base::zone_id& near, const std::set<sampler_id>& tried,
-            base::millis now);
+std::optional<sampler_id> place_plain(const sampler_table& table,
+                                      const service_name& service,
+                                      const base::zone_id& near,
+                                      const std::set<sampler_id>& tried,
+                                      base::millis now);
 
 /// Returns the servers of a service that make events much more slowly than
 /// most, so that long runs should leave them.
--- a/packages/samplers/src/placement.cpp
+++ b/packages/samplers/src/placement.cpp
@@ -41,8 +41,7 @@
 constexpr base::millis longest_load_ms = 6000;
 
 bool loads(const sampler_row& row, base::millis now) {
-    return row.loading_since != 0 &&
-           now - row.loading_since < longest_load_ms;
+    return row.loading_since != 0 && now - row.loading_since < longest_load_ms;
 }
 
 bool usable(const sampler_row& row, const service_name& service,
@@ -52,8 +51,7 @@
 }
 
 double pace_of(const sampler_row& row, base::millis now) {
-    const bool fresh =
-        row.event_ms > 0 && now - row.event_seen < pace_age_ms;
+    const bool fresh = row.event_ms > 0 && now - row.event_seen < pace_age_ms;
     return fresh ? row.event_ms : first_pace_ms;
 }
 
@@ -70,15 +68,14 @@
         static_cast<double>(row.version_of(needs.model) - needs.least);
     const double over =
         std::max(0.0, table.memory_share(row, needs.tokens) - full_memory);
-    return pace_of(row, now) * (1 + full_cost * fill + newer_cost * ahead +
-                                memory_cost * over);
+    return pace_of(row, now) *
+           (1 + full_cost * fill + newer_cost * ahead + memory_cost * over);
 }
 
 } // namespace
 
-std::optional<sampler_id>
-place_run(const sampler_table& table, const run_needs& needs,
-          base::millis now) {
+std::optional<sampler_id> place_run(const sampler_table& table,
+                                    const run_needs& needs, base::millis now) {
     std::optional<sampler_id> best;
     double best_cost = 0;
     for (const auto& [id, row] : table.rows()) {
@@ -113,10 +110,11 @@
     return room && faster ? to : std::nullopt;
 }
 
-std::optional<sampler_id>
-place_plain(const sampler_table& table, const service_name& service,
-            const base::zone_id& near, const std::set<sampler_id>& tried,
-            base::millis now) {
+std::optional<sampler_id> place_plain(const sampler_table& table,
+                                      const service_name& service,
+                                      const base::zone_id& near,
+                                      const std::set<sampler_id>& tried,
+                                      base::millis now) {
     const sampler_id* best = nullptr;
     double best_cost = 0;
     // A request that waits for a blocked server is worse off than one that
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -105,8 +105,8 @@
     if (row == nullptr) {
         return;
     }
-    const auto pause =
-        std::min(longest_pause_ms, first_pause_ms << std::min(row->failures, 4));
+    const auto pause = std::min(longest_pause_ms,
+                                first_pause_ms << std::min(row->failures, 4));
     ++row->failures;
     row->blocked_until = std::max(row->blocked_until, clock_.now() + pause);
 }
--- a/packages/store/include/hibiscus/store/log_store.hpp
+++ b/packages/store/include/hibiscus/store/log_store.hpp
@@ -54,8 +54,7 @@
     log_offset end = 0;
 };
 
-using append_result =
-    base::result<appended, end_differs, refused, unanswered>;
+using append_result = base::result<appended, end_differs, refused, unanswered>;
 
 /// What a partition held from the asked offset on; no records if none came
 /// within the wait.
@@ -119,7 +118,6 @@
 };
 
 /// Calls a function after so many ms, on the caller's thread.
-using delay_function =
-    std::function<void(base::millis, std::function<void()>)>;
+using delay_function = std::function<void(base::millis, std::function<void()>)>;
 
 } // namespace hibiscus::store
--- a/packages/store/src/follower.cpp
+++ b/packages/store/src/follower.cpp
@@ -43,7 +43,7 @@
     }
 
     void page(const std::string& after) {
-        
+
         store_.newest(source_, after,
                       [self = shared_from_this()](newest_result r) {
                           self->on_page(std::move(r));
@@ -211,7 +211,7 @@
     std::optional<log_offset> snapshot_end_;
     log_offset next_ = 0;
     base::millis current_at_ = 0;
-    
+
     bool loaded_ = false;
     bool contact_ = false;
     bool stopped_ = false;
--- a/packages/store/src/prefix_reader.cpp
+++ b/packages/store/src/prefix_reader.cpp
@@ -58,10 +58,10 @@
 
 } // namespace
 
-void read_prefix(
-    const log_store& store, const partition& source, const std::string& prefix,
-    const std::string& after, std::size_t most_bytes,
-    std::function<void(std::optional<std::vector<record>>)> done) {
+void read_prefix(const log_store& store, const partition& source,
+                 const std::string& prefix, const std::string& after,
+                 std::size_t most_bytes,
+                 std::function<void(std::optional<std::vector<record>>)> done) {
     std::make_shared<reading>(store, source, prefix, most_bytes,
                               std::move(done))
         ->page(after);
--- a/packages/transport/src/event_server.cpp
+++ b/packages/transport/src/event_server.cpp
@@ -35,7 +35,8 @@
 
 std::string head_of(int status, const headers& fields) {
     std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
-    const auto reason = http::obsolete_reason(static_cast<http::status>(status));
+    const auto reason =
+        http::obsolete_reason(static_cast<http::status>(status));
     out.append(reason.data(), reason.size());
     out += "\r\n";
     for (const auto& f : fields) {
@@ -126,11 +127,11 @@
         parser_->body_limit(state_->limits.body_bytes);
         idle_ = buffer_.size() == 0;
         read_due_ = state_->clock.now() + state_->limits.idle_ms;
-        http::async_read(socket_, buffer_, *parser_,
-                         [self = shared_from_this()](beast::error_code error,
-                                                     std::size_t) {
-                             self->on_read(error);
-                         });
+        http::async_read(
+            socket_, buffer_, *parser_,
+            [self = shared_from_this()](beast::error_code error, std::size_t) {
+                self->on_read(error);
+            });
     }
 
     void on_read(beast::error_code error) {
@@ -175,7 +176,8 @@
         keep_alive_ = false;
         linger_ = true;
         send(current_,
-             head_of(status, {{"Connection", "close"}, {"Content-Length", "0"}}) +
+             head_of(status,
+                     {{"Connection", "close"}, {"Content-Length", "0"}}) +
                  "\r\n",
              true);
     }
@@ -432,20 +434,20 @@
 
 private:
     void accept() {
-        acceptor_.async_accept([self = shared_from_this()](
-                                   beast::error_code error,
-                                   tcp::socket socket) {
-            if (!self->acceptor_.is_open()) {
-                return;
-            }
-            if (!error) {
-                beast::error_code ignored;
-                socket.set_option(tcp::no_delay(true), ignored);
-                std::make_shared<session>(std::move(socket), self->state_)
-                    ->run();
-            }
-            self->accept();
-        });
+        acceptor_.async_accept(
+            [self = shared_from_this()](beast::error_code error,
+                                        tcp::socket socket) {
+                if (!self->acceptor_.is_open()) {
+                    return;
+                }
+                if (!error) {
+                    beast::error_code ignored;
+                    socket.set_option(tcp::no_delay(true), ignored);
+                    std::make_shared<session>(std::move(socket), self->state_)
+                        ->run();
+                }
+                self->accept();
+            });
     }
 
     void sweep() {
--- a/packages/transport/src/headers.cpp
+++ b/packages/transport/src/headers.cpp
@@ -17,9 +17,9 @@
 
 /// RFC 9110, section 7.6.1, and the framing of the message itself.
 constexpr std::array<std::string_view, 11> hop_by_hop{
-    "connection",        "keep-alive",     "proxy-connection", "te",
-    "transfer-encoding", "upgrade",        "trailer",          "content-length",
-    "host",              "accept-encoding", "expect"};
+    "connection", "keep-alive", "proxy-connection", "te",   "transfer-encoding",
+    "upgrade",    "trailer",    "content-length",   "host", "accept-encoding",
+    "expect"};
 
 } // namespace
 
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -66,8 +66,8 @@
 /// that belong to no request.
 bool is_quiet(tcp::socket& socket, upstream_counts& counts) {
     char byte = 0;
-    const auto n = ::recv(socket.native_handle(), &byte, 1,
-                          MSG_PEEK | MSG_DONTWAIT);
+    const auto n =
+        ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (n > 0) {
         ++counts.stray_bytes;
     }
@@ -80,9 +80,9 @@
          base::endpoint target, upstream_request request, call_options options,
          upstream_events events, std::string echo)
         : io_(io), state_(std::move(state)), target_(std::move(target)),
-          options_(options), events_(std::move(events)),
-          echo_(std::move(echo)), started_(state_->clock.now()),
-          heard_(started_), head_only_(request.method == "HEAD") {
+          options_(options), events_(std::move(events)), echo_(std::move(echo)),
+          started_(state_->clock.now()), heard_(started_),
+          head_only_(request.method == "HEAD") {
         if (const auto* id = find_header(request.fields, echo_)) {
             echo_value_ = *id;
         }
@@ -125,7 +125,8 @@
 
 private:
     std::string serialize(const upstream_request& request) const {
-        std::string out = request.method + " " + request.target + " HTTP/1.1\r\n";
+        std::string out =
+            request.method + " " + request.target + " HTTP/1.1\r\n";
         if (find_header(request.fields, "host") == nullptr) {
             out += "Host: " + to_string(target_) + "\r\n";
         }
@@ -195,11 +196,11 @@
 
     void send() {
         heard_ = state_->clock.now();
-        asio::async_write(*socket_, asio::buffer(bytes_),
-                          [self = shared_from_this()](beast::error_code error,
-                                                      std::size_t) {
-                              self->written_ = !error;
-                          });
+        asio::async_write(
+            *socket_, asio::buffer(bytes_),
+            [self = shared_from_this()](beast::error_code error, std::size_t) {
+                self->written_ = !error;
+            });
         parser_.emplace();
         parser_->body_limit(body_limit);
         parser_->header_limit(64 * 1024);
@@ -212,12 +213,11 @@
     /// of a chunk until the next one comes: an event would then wait for the
     /// one behind it.
     void read() {
-        socket_->async_read_some(
-            buffer_.prepare(read_bytes),
-            [self = shared_from_this()](beast::error_code error,
-                                        std::size_t n) {
-                self->on_read(error, n);
-            });
+        socket_->async_read_some(buffer_.prepare(read_bytes),
+                                 [self = shared_from_this()](
+                                     beast::error_code error, std::size_t n) {
+                                     self->on_read(error, n);
+                                 });
     }
 
     void on_read(beast::error_code error, std::size_t n) {
@@ -297,8 +297,8 @@
         // where this one's is due; taken as this one's, a caller would get
         // what belongs to another.
         const auto* id = find_header(head.fields, echo_);
-        if (!echo_.empty() && (id != nullptr ? *id != echo_value_
-                                             : head.status < 400)) {
+        if (!echo_.empty() &&
+            (id != nullptr ? *id != echo_value_ : head.status < 400)) {
             ++state_->counts.stray_bytes;
             finish(call_end::broken);
             return false;
@@ -319,8 +319,8 @@
         if (at == std::string::npos) {
             return;
         }
-        const auto seconds =
-            std::strtol(value->c_str() + at + sizeof "timeout=" - 1, nullptr, 10);
+        const auto seconds = std::strtol(
+            value->c_str() + at + sizeof "timeout=" - 1, nullptr, 10);
         keep_for_ = std::min<base::millis>(longest_keep_ms,
                                            seconds * 1000 - keep_margin_ms);
     }
--- a/packages/transport/test/upstream_test.cpp
+++ b/packages/transport/test/upstream_test.cpp
@@ -130,7 +130,8 @@
 const std::string chunked_head =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-TEST_F(upstream_test, hands_on_all_of_a_body_in_chunks_that_comes_with_the_head) {
+TEST_F(upstream_test,
+       hands_on_all_of_a_body_in_chunks_that_comes_with_the_head) {
     const std::string event(350, 'x');
     std::string bytes = chunked_head;
     for (int i = 0; i < 20; ++i) {
