--- a/packages/batch/test/listing_plan_test.cpp
+++ b/packages/batch/test/listing_plan_test.cpp
@@ -28,6 +28,7 @@
     std::vector<planned_listing> plan(const std::vector<int>& items,
                                       std::size_t bytes = 1000) {
         std::vector<ready_result> results;
+        results.reserve(items.size());
         for (const int n : items) {
             results.push_back(
                 {job_, n, {item_id(std::to_string(n)), {}, "text", {1}, "s"}});
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -91,7 +91,7 @@
                    [this](const auto& r, auto e) { on_internal(r, e); }) {}
 
     std::optional<listen_failed> run() {
-        if (const auto failed = listen()) {
+        if (auto failed = listen()) {
             return failed;
         }
         state_.log.write("start",
--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -625,6 +625,7 @@
         return;
     }
     std::vector<store::record> records;
+    records.reserve(lists.size() + 1);
     for (const auto& l : lists) {
         records.push_back(
             {batch::to_text(batch::listing_key{l.job, l.position}),
--- a/packages/store/src/follower.cpp
+++ b/packages/store/src/follower.cpp
@@ -28,6 +28,7 @@
             return;
         }
         std::vector<stored_record> stored;
+        stored.reserve(records.size());
         for (const auto& r : records) {
             stored.push_back({first++, r});
         }
--- /dev/null
+++ b/packages/store/test/follower_test.cpp
@@ -0,0 +1,144 @@
+#include "hibiscus/store/follower.hpp"
+#include "hibiscus/store/prefix_reader.hpp"
+#include "support/memory_store.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+
+namespace hibiscus::store {
+
+namespace {
+
+class follower_test : public ::testing::Test {
+protected:
+    follower_test() {
+        follower_.emplace(
+            store_.port(), partition{"t", 0}, base::clock(time_),
+            [this](base::millis, std::function<void()> f) {
+                later_.push_back(std::move(f));
+            },
+            follower_times{},
+            follower_events{[this](const auto& changes) { apply(changes); },
+                            [this](bool up) { contact_.push_back(up); }});
+    }
+
+    void apply(const std::vector<change>& changes) {
+        for (const auto& c : changes) {
+            if (c.value) {
+                view_[c.key] = *c.value;
+            } else {
+                view_.erase(c.key);
+            }
+        }
+    }
+
+    void append(const std::string& key, const std::string& value) {
+        store_.port().append({"t", 0}, {{key, value}}, nullptr,
+                             [](const append_result&) {});
+    }
+
+    /// Lets the store answer a few calls, and timers run in between.
+    void run(int rounds = 12) {
+        for (int n = 0; n < rounds; ++n) {
+            time_->advance(10);
+            store_.deliver();
+            for (const auto& f : std::exchange(later_, {})) {
+                f();
+            }
+        }
+    }
+
+    std::shared_ptr<base::manual_time> time_ =
+        std::make_shared<base::manual_time>();
+    testing::memory_store store_;
+    std::vector<std::function<void()>> later_;
+    std::map<std::string, std::string> view_;
+    std::vector<bool> contact_;
+    std::optional<follower> follower_;
+};
+
+TEST_F(follower_test, takes_a_snapshot_by_pages_and_then_what_comes) {
+    for (const char* key : {"a", "b", "c", "d", "e"}) {
+        append(key, "1");
+    }
+    follower_->start();
+    run();
+    EXPECT_EQ(view_.size(), 5U);
+    EXPECT_TRUE(follower_->loaded());
+    append("b", "2");
+    run();
+    EXPECT_EQ(view_.at("b"), "2");
+    EXPECT_EQ(follower_->next(), 6U);
+}
+
+TEST_F(follower_test, tells_when_its_view_was_last_current) {
+    follower_->start();
+    run();
+    const auto before = time_->now();
+    run();
+    EXPECT_GE(follower_->current_at(), before - 10);
+    store_.set_refusing(true);
+    run();
+    const auto lost = time_->now();
+    run();
+    EXPECT_LT(follower_->current_at(), lost);
+}
+
+TEST_F(follower_test, goes_on_after_the_history_was_dropped) {
+    // The store drops the records that a node has not read yet. The node must
+    // not stand still, and must see what was deleted meanwhile.
+    append("a", "1");
+    append("b", "1");
+    follower_->start();
+    run();
+    store_.set_refusing(true);
+    run();
+    append("a", "");
+    append("c", "3");
+    store_.compact("t");
+    store_.set_refusing(false);
+    run(30);
+    EXPECT_EQ(view_.count("a"), 0U);
+    EXPECT_EQ(view_.at("c"), "3");
+}
+
+TEST_F(follower_test, tells_the_loss_of_the_store_and_its_return_once) {
+    follower_->start();
+    run();
+    store_.set_refusing(true);
+    run();
+    store_.set_refusing(false);
+    run();
+    EXPECT_EQ(contact_, (std::vector<bool>{true, false, true}));
+}
+
+TEST_F(follower_test, takes_in_what_its_owner_appended_only_at_its_end) {
+    append("a", "1");
+    follower_->start();
+    run();
+    follower_->appended_here(1, {{"b", "1"}});
+    EXPECT_EQ(view_.at("b"), "1");
+    EXPECT_EQ(follower_->next(), 2U);
+    // Somebody else's record lies between: what follows must wait for it.
+    follower_->appended_here(3, {{"c", "1"}});
+    EXPECT_EQ(view_.count("c"), 0U);
+}
+
+TEST_F(follower_test, a_prefix_is_read_over_pages_and_no_further) {
+    for (const char* key : {"a/1", "b/1", "b/2", "b/3", "b/4", "c/1"}) {
+        append(key, "x");
+    }
+    std::optional<std::vector<record>> found;
+    read_prefix(store_.port(), {"t", 0}, "b/", "b/", 1000,
+                [&](auto records) { found = std::move(records); });
+    run();
+    ASSERT_TRUE(found);
+    ASSERT_EQ(found->size(), 4U);
+    EXPECT_EQ(found->back().key, "b/4");
+}
+
+} // namespace
+
+} // namespace hibiscus::store
