--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -30,6 +30,10 @@
 /// would be one read of every node; callers ask twice a second.
 constexpr base::millis journal_pace_ms = 60;
 
+/// How long a read of the journal waits, in ms. An owner's silence shows only
+/// in reads that have ended, so that this adds to the time of a takeover.
+constexpr base::millis journal_wait_ms = 150;
+
 /// How often held log lines are written, in ms.
 constexpr base::millis flush_ms = 200;
 
@@ -70,7 +74,7 @@
                   {}, {[this](const auto& c) { operator_changed(c); }, {}}),
           registry_(state_, store_, after_),
           journal_(store_, {adapter::journal_topic, 0}, state_.clock, after_,
-                   {store::follower_times().wait, store::follower_times().retry,
+                   {journal_wait_ms, store::follower_times().retry,
                     [this] { return owner_.owns() ? 0 : journal_pace_ms; }},
                    {[this](const auto& c) { journal_changed(c); },
                     [this](bool up) { owner_.contact(up); }}),
--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -18,6 +18,9 @@
 /// of every node, and readers ask only twice a second.
 constexpr base::millis commit_ms = 30;
 
+/// The pause before results are stored again after a failure, in ms.
+constexpr base::millis commit_retry_ms = 150;
+
 /// How often texts under way are saved, in ms, and the least number of new
 /// events of a run. A kill then costs half a second of a run.
 constexpr base::millis progress_ms = 500;
@@ -621,6 +624,9 @@
         if (!stored || !fits) {
             state_.log.write("append_refused",
                              {{"reason", stored ? "listed_before" : "texts"}});
+            // While the store is away, each try would encode and send all
+            // that has become ready once more.
+            last_commit_ = state_.clock.now() + (stored ? 0 : commit_retry_ms);
         }
         return;
     }
--- a/packages/store/src/follower.cpp
+++ b/packages/store/src/follower.cpp
@@ -139,9 +139,11 @@
             current_at_ = std::max(current_at_, started);
         }
         if (r.records.empty() && r.end >= next_) {
-            // An empty return comes after the wait: the view was current
-            // until the store sent it.
-            current_at_ = std::max(current_at_, started);
+            // The store waited before it said that nothing came, and began to
+            // wait after the read was sent.
+            const bool waited = clock_.now() - started >= times_.wait;
+            current_at_ = std::max(current_at_,
+                                   started + (waited ? times_.wait : 0));
         }
         const bool pause = !fresh.empty() && times_.pace;
         apply(fresh);
