--- /dev/null
+++ b/packages/transport/test/event_server_test.cpp
@@ -0,0 +1,145 @@
+#include "hibiscus/transport/event_server.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hibiscus::transport {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+class event_server_test : public testing::Test {
+protected:
+    event_server_test()
+        : server_(io_, {}, [this](auto request, auto answer) {
+              requests_.push_back(std::move(request));
+              answers_.push_back(std::move(answer));
+              if (handler_) {
+                  handler_();
+              }
+          }) {
+        const auto at = server_.listen({"127.0.0.1", 0});
+        socket_.connect(
+            tcp::endpoint(asio::ip::address_v4::loopback(), at->port));
+    }
+
+    void send(const std::string& text) {
+        asio::write(socket_, asio::buffer(text));
+    }
+
+    /// Runs until a condition holds; each round waits for work a little.
+    template <class Condition>
+    void run_until(Condition holds) {
+        for (int n = 0; n < 2000 && !holds(); ++n) {
+            io_.restart();
+            io_.run_for(std::chrono::milliseconds(10));
+        }
+        EXPECT_TRUE(holds());
+    }
+
+    /// Reads what has come until `text` is in it.
+    void expect(const std::string& text) {
+        run_until([&] {
+            if (socket_.available() > 0) {
+                std::vector<char> bytes(socket_.available());
+                asio::read(socket_, asio::buffer(bytes));
+                got_.append(bytes.begin(), bytes.end());
+            }
+            return got_.find(text) != std::string::npos;
+        });
+    }
+
+    asio::io_context io_{1};
+    std::vector<inbound_request> requests_;
+    std::vector<std::shared_ptr<exchange>> answers_;
+    std::function<void()> handler_;
+    event_server server_;
+    tcp::socket socket_{io_};
+    std::string got_;
+};
+
+const std::string request = "POST /a HTTP/1.1\r\nHost: h\r\n"
+                            "Content-Length: 2\r\n\r\nhi";
+
+TEST_F(event_server_test, reads_a_request_whole_and_answers) {
+    send(request);
+    run_until([&] { return !answers_.empty(); });
+    EXPECT_EQ(requests_[0].body, "hi");
+    answers_[0]->respond({200, {{"X", "y"}}, "ok"});
+    expect("X: y\r\nContent-Length: 2\r\n\r\nok");
+}
+
+TEST_F(event_server_test, answers_in_pieces_and_keeps_the_connection) {
+    send(request + request);
+    run_until([&] { return !answers_.empty(); });
+    answers_[0]->begin(200, {});
+    answers_[0]->write("abc");
+    answers_[0]->end();
+    expect("3\r\nabc\r\n0\r\n\r\n");
+    run_until([&] { return answers_.size() == 2; });
+    answers_[1]->respond({204, {}, ""});
+    expect("204");
+}
+
+TEST_F(event_server_test, tells_when_a_caller_leaves) {
+    // A caller gives up and closes its connection. Its request would go on at
+    // a backend server for nobody.
+    bool left = false;
+    handler_ = [&] { answers_.back()->on_closed([&] { left = true; }); };
+    send(request);
+    run_until([&] { return !answers_.empty(); });
+    EXPECT_FALSE(left);
+    socket_.close();
+    run_until([&] { return left; });
+    answers_[0]->respond({200, {}, "late"});
+    EXPECT_EQ(server_.in_flight(), 0U);
+}
+
+TEST_F(event_server_test, closes_after_the_answer_once_it_drains) {
+    send(request);
+    run_until([&] { return !answers_.empty(); });
+    server_.drain();
+    answers_[0]->respond({200, {}, "ok"});
+    expect("Connection: close");
+    expect("ok");
+}
+
+TEST_F(event_server_test, refuses_a_body_over_the_limit) {
+    server_.set_limits({1024, 10, 3000, 15000});
+    send(request);
+    run_until([&] { return !answers_.empty(); });
+    answers_[0]->respond({200, {}, ""});
+    expect("200");
+    send("POST /a HTTP/1.1\r\nContent-Length: 2000\r\n\r\n");
+    expect("413");
+    EXPECT_EQ(requests_.size(), 1U);
+}
+
+TEST_F(event_server_test, an_answer_that_is_forgotten_ends_the_connection) {
+    // A handler drops its request without an answer. The caller must not wait
+    // until its own time is over.
+    send(request);
+    run_until([&] { return !answers_.empty(); });
+    answers_.clear();
+    run_until([&] {
+        boost::system::error_code error;
+        char byte = 0;
+        socket_.non_blocking(true);
+        socket_.read_some(asio::buffer(&byte, 1), error);
+        return error && error != asio::error::would_block;
+    });
+}
+
+} // namespace
+
+} // namespace hibiscus::transport
