--- /dev/null
+++ b/testing/entry/keyed_store.cpp
@@ -0,0 +1,186 @@
+#include "keyed_store.hpp"
+
+#include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace hibiscus::testing {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// How often a waiting read looks again, in ms.
+constexpr int poll_ms = 5;
+
+std::string parameter(const std::string& target, const std::string& name) {
+    const auto query = target.find('?');
+    const auto sign = "&" + name + "=";
+    const auto text = "&" + target.substr(query + 1);
+    const auto at = text.find(sign);
+    if (query == std::string::npos || at == std::string::npos) {
+        return {};
+    }
+    const auto begin = at + sign.size();
+    return text.substr(begin, text.find('&', begin) - begin);
+}
+
+std::string unescaped(const std::string& text) {
+    std::string out;
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        if (text[n] == '%' && n + 2 < text.size()) {
+            out += static_cast<char>(
+                std::strtol(text.substr(n + 1, 2).c_str(), nullptr, 16));
+            n += 2;
+        } else {
+            out += text[n];
+        }
+    }
+    return out;
+}
+
+void put_number(std::string& out, std::uint64_t value, int bytes) {
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) {
+        out += static_cast<char>(value >> static_cast<unsigned>(shift) & 0xffU);
+    }
+}
+
+std::size_t get_number(const std::string& in, std::size_t at) {
+    std::size_t value = 0;
+    for (std::size_t n = 0; n < 4; ++n) {
+        value = value << 8U | static_cast<unsigned char>(in[at + n]);
+    }
+    return value;
+}
+
+void respond(const std::shared_ptr<transport::exchange>& to, int status,
+             const json& body) {
+    to->respond({status, {{"Content-Type", "application/json"}}, body.dump()});
+}
+
+} // namespace
+
+keyed_store::keyed_store(boost::asio::io_context& io)
+    : io_(io),
+      server_(io, {}, [this](const auto& r, auto e) { handle(r, e); }) {
+    address_ = *server_.listen({"127.0.0.1", 0});
+}
+
+void keyed_store::put(const std::string& topic, const std::string& key,
+                      const std::string& value) {
+    logs_[{topic, 0}].push_back({key, value});
+}
+
+std::string keyed_store::newest(const std::string& topic,
+                                const std::string& key) const {
+    const auto log = logs_.find({topic, 0});
+    std::string value;
+    if (log != logs_.end()) {
+        for (const auto& r : log->second) {
+            value = r.key == key ? r.value : value;
+        }
+    }
+    return value;
+}
+
+void keyed_store::handle(const transport::inbound_request& request,
+                         const answer& to) {
+    const auto& target = request.target;
+    const partition part{parameter(target, "topic"),
+                         std::atoi(parameter(target, "part").c_str())};
+    if (refusing_) {
+        respond(to, 503, json::object());
+    } else if (target.rfind("/log-append?", 0) == 0) {
+        append(request, to);
+    } else if (target.rfind("/log-read?", 0) == 0) {
+        read(part,
+             std::strtoull(parameter(target, "from").c_str(), nullptr, 10),
+             std::atoi(parameter(target, "waitMs").c_str()), to);
+    } else if (target.rfind("/log-newest?", 0) == 0) {
+        newest_page(part, unescaped(parameter(target, "after")), to);
+    } else {
+        respond(to, 404, json::object());
+    }
+}
+
+void keyed_store::append(const transport::inbound_request& request,
+                         const answer& to) {
+    const auto& target = request.target;
+    auto& log = logs_[{parameter(target, "topic"),
+                       std::atoi(parameter(target, "part").c_str())}];
+    const auto at = parameter(target, "at");
+    if (!at.empty() && std::strtoull(at.c_str(), nullptr, 10) != log.size()) {
+        respond(to, 412, {{"end", log.size()}});
+        return;
+    }
+    const auto first = log.size();
+    std::size_t begin = 0;
+    while (begin + 4 <= request.body.size()) {
+        const auto length = get_number(request.body, begin);
+        const auto bytes = request.body.substr(begin + 4, length);
+        const auto key = static_cast<unsigned char>(bytes.at(0));
+        log.push_back({bytes.substr(1, key), bytes.substr(1U + key)});
+        begin += 4 + length;
+    }
+    respond(to, 200, {{"offset", first}, {"end", log.size()}});
+}
+
+void keyed_store::read(const partition& from, std::size_t offset, int wait_ms,
+                       const answer& to) {
+    if (logs_[from].size() > offset || wait_ms <= 0) {
+        send_records(from, offset, to);
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        io_, std::chrono::milliseconds(poll_ms));
+    timer->async_wait([this, timer, from, offset, wait_ms, to](auto error) {
+        if (!error) {
+            read(from, offset, wait_ms - poll_ms, to);
+        }
+    });
+}
+
+void keyed_store::send_records(const partition& from, std::size_t offset,
+                               const answer& to) {
+    const auto& log = logs_[from];
+    std::string body;
+    put_number(body, log.size(), 8);
+    put_number(body, 0, 8);
+    for (auto n = offset; n < log.size(); ++n) {
+        const auto& r = log[n];
+        put_number(body, 1 + r.key.size() + r.value.size(), 4);
+        body += static_cast<char>(r.key.size());
+        body += r.key;
+        body += r.value;
+    }
+    to->respond({200, {}, body});
+}
+
+void keyed_store::newest_page(const partition& from, const std::string& after,
+                              const answer& to) {
+    constexpr std::size_t most = 500;
+    const auto& log = logs_[from];
+    std::map<std::string, std::size_t> newest;
+    for (std::size_t n = 0; n < log.size(); ++n) {
+        newest[log[n].key] = n;
+    }
+    json page{
+        {"items", json::array()}, {"hasMore", false}, {"end", log.size()}};
+    for (const auto& [key, n] : newest) {
+        if (key <= after || log[n].value.empty()) {
+            continue;
+        }
+        if (page["items"].size() == most) {
+            page["hasMore"] = true;
+            break;
+        }
+        page["items"].push_back({{"key", key},
+                                 {"value", absl::Base64Escape(log[n].value)},
+                                 {"offset", n}});
+    }
+    respond(to, 200, page);
+}
+
+} // namespace hibiscus::testing
--- /dev/null
+++ b/testing/entry/keyed_store.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "hibiscus/transport/event_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hibiscus::testing {
+
+/// A stand-in for the users' store: partitions of keyed records over HTTP, in
+/// memory. What it speaks is written down in the users' pages.
+class keyed_store {
+public:
+    explicit keyed_store(boost::asio::io_context& io);
+
+    base::endpoint address() const { return address_; }
+
+    /// Writes a record as the operator, a trainer or a server would.
+    void put(const std::string& topic, const std::string& key,
+             const std::string& value);
+
+    /// Sets which calls are refused with 503; none if empty.
+    void set_refusing(bool refusing) { refusing_ = refusing; }
+
+    /// Returns the newest value of a key, or "".
+    std::string newest(const std::string& topic, const std::string& key) const;
+
+private:
+    struct record {
+        std::string key;
+        std::string value;
+    };
+    using partition = std::pair<std::string, int>;
+    using answer = std::shared_ptr<transport::exchange>;
+
+    void handle(const transport::inbound_request& request, const answer& to);
+    void append(const transport::inbound_request& request, const answer& to);
+    void read(const partition& from, std::size_t offset, int wait_ms,
+              const answer& to);
+    void send_records(const partition& from, std::size_t offset,
+                      const answer& to);
+    void newest_page(const partition& from, const std::string& after,
+                     const answer& to);
+
+    boost::asio::io_context& io_;
+    std::map<partition, std::vector<record>> logs_;
+    bool refusing_ = false;
+    transport::event_server server_;
+    base::endpoint address_;
+};
+
+} // namespace hibiscus::testing
--- /dev/null
+++ b/testing/entry/token_server.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "hibiscus/transport/event_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace hibiscus::testing {
+
+/// A stand-in for a server of the users: it makes events for requests that
+/// name a model, resumes them, takes orders for weights, and answers all else
+/// at once. Its events depend on the request's id and their number only.
+class token_server {
+public:
+    token_server(boost::asio::io_context& io, std::string id, int events,
+                 int event_ms);
+
+    base::endpoint address() const { return address_; }
+    std::int64_t version() const { return version_; }
+    int runs() const { return runs_; }
+
+    /// Returns the whole text of a request.
+    static std::string text_of(const std::string& id, int events);
+
+    /// Returns the entry that such a server registers.
+    std::string entry(const std::string& service, bool tokens) const;
+
+private:
+    using answer = std::shared_ptr<transport::exchange>;
+
+    void handle(const transport::inbound_request& request, const answer& to);
+    void run(const std::string& id, int next, const answer& to);
+
+    boost::asio::io_context& io_;
+    std::string id_;
+    int events_;
+    int event_ms_;
+    std::int64_t version_ = 1;
+    std::int64_t orders_ = 0;
+    int runs_ = 0;
+    transport::event_server server_;
+    base::endpoint address_;
+};
+
+} // namespace hibiscus::testing
