--- /dev/null
+++ b/testing/entry/entry_world.hpp
@@ -0,0 +1,184 @@
+#pragma once
+
+#include "entry/keyed_store.hpp"
+#include "entry/token_server.hpp"
+#include "hibiscus/base/result.hpp"
+#include "hibiscus/transport/upstream.hpp"
+#include "support/process.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hibiscus::testing {
+
+using json = nlohmann::json;
+
+/// The items of a job, the events of each, and the time between two, in ms.
+constexpr int items = 12;
+constexpr int events = 30;
+constexpr int event_ms = 10;
+
+constexpr const char* configuration = R"({"version":1,"routes":[
+  {"name":"l","host":"h","pathPrefix":"/look/","kind":"idempotent",
+   "timeoutMs":2000,"targetLatencyMs":150,"attempts":2,"service":"app"},
+  {"name":"b","host":"h","pathPrefix":"/batch/","kind":"rollout",
+   "targetLatencyMs":500,"runTargetMs":7500,"retentionS":60,"attempts":3,
+   "service":"llm"}],"services":[],"limits":{}})";
+
+/// Answers that callers get; status 0 stands for none.
+struct reply {
+    int status = 0;
+    std::string body;
+};
+
+/// Nodes as processes before stand-ins of store and servers, and a caller.
+class entry_world {
+public:
+    entry_world() {
+        char name[] = "/tmp/hibiscus-entry-XXXXXX";
+        folder_ = mkdtemp(name);
+        for (int n = 0; n < 2; ++n) {
+            const auto id = "llm-" + std::to_string(n);
+            engines_.push_back(
+                std::make_unique<token_server>(io_, id, events, event_ms));
+            store_.put("keyed.servers", id,
+                       engines_.back()->entry("llm", true));
+        }
+        store_.put("keyed.servers", "app-0", app_.entry("app", false));
+    }
+
+    ~entry_world() {
+        nodes_.clear();
+        // HIBISCUS_KEEP keeps what the nodes wrote.
+        if (std::getenv("HIBISCUS_KEEP") == nullptr) { // NOLINT
+            std::filesystem::remove_all(folder_);
+        }
+    }
+
+    entry_world(const entry_world&) = delete;
+    entry_world& operator=(const entry_world&) = delete;
+
+    void configure() { store_.put("keyed.op", "config", configuration); }
+
+    /// Starts a node; its calls to the store go to `store` if that is given.
+    void start_node(const std::string& name,
+                    std::optional<base::endpoint> store = std::nullopt) {
+        auto& ports = ports_[name];
+        if (ports.empty()) {
+            for (int n = 0; n < 4; ++n) {
+                ports.push_back(free_port("127.0.0.1"));
+            }
+        }
+        const auto file = folder_ + "/" + name + ".yaml";
+        const auto at = [&](std::size_t n) {
+            return "127.0.0.1:" + std::to_string(ports[n]) + "\n";
+        };
+        std::ofstream(file)
+            << "node: " << name << "\nzone: z\nlisten:\n"
+            << "  callers: " << at(0) << "  readiness: " << at(1)
+            << "  directory: " << at(2) << "  metrics: " << at(3)
+            << "store:\n  address: "
+            << to_string(store.value_or(store_.address())) << "\n";
+        nodes_[name] = std::make_unique<process>(
+            std::vector<std::string>{HIBISCUS_ENTRYD, "--settings=" + file},
+            folder_ + "/" + name + ".log");
+    }
+
+    reply call(const std::string& name, const std::string& method,
+               const std::string& target, const transport::headers& fields = {},
+               const std::string& body = "", std::size_t port = 0) {
+        transport::upstream_request request;
+        request.method = method;
+        request.target = target;
+        request.fields = fields;
+        request.fields.push_back({"Host", "h"});
+        request.body = body;
+        auto out = std::make_shared<reply>();
+        auto ended = std::make_shared<bool>(false);
+        transport::call_options options;
+        options.total_ms = 2500;
+        options.reuse = false;
+        transport::upstream_events on;
+        on.head = [out](const auto& h) { out->status = h.status; };
+        on.data = [out](std::string_view piece) { out->body += piece; };
+        on.ended = [out, ended](transport::call_end end) {
+            out->status =
+                end == transport::call_end::complete ? out->status : 0;
+            *ended = true;
+        };
+        const auto c =
+            client_.start({"127.0.0.1", ports_.at(name).at(port)},
+                          std::move(request), options, std::move(on));
+        run_until([&] { return *ended; });
+        return *out;
+    }
+
+    /// Runs the stand-ins until a condition holds, at most half a minute.
+    template <class Condition>
+    bool run_until(Condition holds) {
+        const base::clock clock;
+        const auto until = clock.now() + 30000;
+        while (!holds() && clock.now() < until) {
+            io_.restart();
+            io_.run_for(std::chrono::milliseconds(5));
+        }
+        return holds();
+    }
+
+    bool wait_ready(const std::string& name) {
+        return run_until([&] {
+            return call(name, "GET", "/readyz", {}, "", 1).status == 200;
+        });
+    }
+
+    /// Returns the body of a job whose items' ids begin with `prefix`.
+    static std::string job_body(const std::string& prefix, int least = 1) {
+        json job{{"step", 0},
+                 {"model", "m"},
+                 {"minVersion", least},
+                 {"targetGroups", 3},
+                 {"items", json::array()}};
+        for (int n = 0; n < items; ++n) {
+            const auto id = prefix + std::to_string(n);
+            job["items"].push_back(
+                {{"id", id},
+                 {"path", "/batch/" + id},
+                 {"headers", {{"Model", "m"}, {"Token-Counts", "10,100"}}},
+                 {"body", "YQ=="},
+                 {"tokens", 110},
+                 {"group", "g" + std::to_string(n / 4)},
+                 {"scorer",
+                  {{"id", "s" + id},
+                   {"host", "h"},
+                   {"path", "/look/s"},
+                   {"body", ""}}}});
+        }
+        return job.dump();
+    }
+
+    /// Returns the node that owns the jobs by the journal, or "".
+    std::string owner() const {
+        const auto bytes = store_.newest("keyed.journal", "!owner");
+        const auto in = json::from_cbor(bytes, true, false);
+        return in.is_object() ? in.at("node").get<std::string>() : "";
+    }
+
+    boost::asio::io_context io_{1};
+    transport::upstream_client client_{io_};
+    keyed_store store_{io_};
+    std::vector<std::unique_ptr<token_server>> engines_;
+    token_server app_{io_, "app-0", events, event_ms};
+    std::string folder_;
+    std::map<std::string, std::vector<std::uint16_t>> ports_;
+    std::map<std::string, std::unique_ptr<process>> nodes_;
+};
+
+} // namespace hibiscus::testing
--- a/testing/entry/keyed_store.cpp
+++ b/testing/entry/keyed_store.cpp
@@ -1,4 +1,4 @@
-#include "keyed_store.hpp"
+#include "entry/keyed_store.hpp"
 
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
@@ -124,6 +124,13 @@
         log.push_back({bytes.substr(1, key), bytes.substr(1U + key)});
         begin += 4 + length;
     }
+    // Spread evenly, so that a run repeats.
+    constexpr int hundred = 100;
+    constexpr int stride = 37;
+    if (++appends_ * stride % hundred < losing_) {
+        unanswered_.push_back(to);
+        return;
+    }
     respond(to, 200, {{"offset", first}, {"end", log.size()}});
 }
 
--- a/testing/entry/keyed_store.hpp
+++ b/testing/entry/keyed_store.hpp
@@ -29,6 +29,9 @@
     /// Sets which calls are refused with 503; none if empty.
     void set_refusing(bool refusing) { refusing_ = refusing; }
 
+    /// Sets how many of a hundred appends are carried out without an answer.
+    void set_losing(int percent) { losing_ = percent; }
+
     /// Returns the newest value of a key, or "".
     std::string newest(const std::string& topic, const std::string& key) const;
 
@@ -52,6 +55,9 @@
     boost::asio::io_context& io_;
     std::map<partition, std::vector<record>> logs_;
     bool refusing_ = false;
+    int losing_ = 0;
+    int appends_ = 0;
+    std::vector<answer> unanswered_;
     transport::event_server server_;
     base::endpoint address_;
 };
--- a/testing/entry/token_server.cpp
+++ b/testing/entry/token_server.cpp
@@ -1,4 +1,4 @@
-#include "token_server.hpp"
+#include "entry/token_server.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -75,14 +75,21 @@
                      "answer to " + id});
     } else {
         ++runs_;
+        worked_on_.insert(id);
         to->begin(200, {{"Request-Id", id},
                         {"Response-Stamp", "of-" + id},
                         {"Weight-Versions", std::to_string(version_)}});
-        run(id, std::atoi(field(request, "Last-Event-Id").c_str()) + 1, to);
+        run(id, std::atoi(field(request, "Last-Event-Id").c_str()) + 1, breaks_,
+            to);
     }
 }
 
-void token_server::run(const std::string& id, int next, const answer& to) {
+void token_server::run(const std::string& id, int next, int breaks,
+                       const answer& to) {
+    if (breaks != breaks_) {
+        to->abort();
+        return;
+    }
     if (next > events_) {
         to->end();
         return;
@@ -91,9 +98,9 @@
               "\n\n");
     auto timer = std::make_shared<boost::asio::steady_timer>(
         io_, std::chrono::milliseconds(event_ms_));
-    timer->async_wait([this, timer, id, next, to](auto error) {
+    timer->async_wait([this, timer, id, next, breaks, to](auto error) {
         if (!error) {
-            run(id, next + 1, to);
+            run(id, next + 1, breaks, to);
         }
     });
 }
--- a/testing/entry/token_server.hpp
+++ b/testing/entry/token_server.hpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace hibiscus::testing {
@@ -23,6 +24,12 @@
     std::int64_t version() const { return version_; }
     int runs() const { return runs_; }
 
+    /// Returns the requests that it has worked on.
+    const std::set<std::string>& worked_on() const { return worked_on_; }
+
+    /// Breaks off all streams at their next event.
+    void break_streams() { ++breaks_; }
+
     /// Returns the whole text of a request.
     static std::string text_of(const std::string& id, int events);
 
@@ -33,7 +40,7 @@
     using answer = std::shared_ptr<transport::exchange>;
 
     void handle(const transport::inbound_request& request, const answer& to);
-    void run(const std::string& id, int next, const answer& to);
+    void run(const std::string& id, int next, int breaks, const answer& to);
 
     boost::asio::io_context& io_;
     std::string id_;
@@ -42,6 +49,8 @@
     std::int64_t version_ = 1;
     std::int64_t orders_ = 0;
     int runs_ = 0;
+    int breaks_ = 0;
+    std::set<std::string> worked_on_;
     transport::event_server server_;
     base::endpoint address_;
 };
