--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -10,16 +10,6 @@
 
 namespace {
 
-/// A run without its first event for so long has met a server that does not
-/// work, in ms. The first event comes 8 ms after the request, 1.1 s when two
-/// wait for a place that others had taken.
-constexpr base::millis first_event_ms = 900;
-
-/// A run whose events stop for so long, in ms: seven times the pace of a
-/// sound server, and more than the pause of a step that reads in a long
-/// prompt.
-constexpr base::millis next_event_ms = 400;
-
 /// The pause before an item goes out again after an answer that says nothing
 /// of the item, in ms; the server itself is left alone for longer.
 constexpr base::millis retry_ms = 20;
@@ -35,49 +25,22 @@
 /// The pause before a reward call is made again, in ms.
 constexpr base::millis reward_retry_ms = 100;
 
-/// The share of runs that may move at one tick: all at once would meet the
-/// same few free places.
-constexpr int moves_a_tick = 6;
-
-/// A run with so many events is long: nine in ten have ended by then, and
-/// those that have not go on for as long again.
-constexpr int long_events = 45;
-
-/// A run stays at a server for so many events before it may wander on.
-constexpr int settled_events = 20;
-
-/// A run leaves a slow server after so many events there, which show that it
-/// still is slow, if its text is not short: less than a second on a sound one.
-constexpr int slow_events = 4;
-constexpr std::int64_t short_tokens = 1500;
-
-/// How many long runs may wander at one tick: the first that comes to a server
-/// changes what the next one finds there.
-constexpr int long_moves_a_tick = 2;
-
 /// The tokens of one event, for what a run holds in memory.
 constexpr std::int64_t tokens_an_event = 64;
 
 /// Runs that expect more tokens than this are long; they go first where
 /// memory is short, since a long run that is read in anew is late.
 constexpr std::int64_t long_tokens = 3000;
+
 constexpr int carried_priority = 1;
+
 constexpr int long_priority = 3;
-constexpr int usual_priority = 5;
 
-/// How long items run ahead of the job that will carry them, in ms: training
-/// takes up to a second, and a trainer that is late by more may not carry them
-/// at all. The same bounds when they begin; an ended job's items must not
-/// start later than a few seconds after its end.
-constexpr base::millis ahead_ms = 2000;
+constexpr int usual_priority = 5;
 
 /// Puts what runs ahead behind all jobs, in ms: more than any job lasts.
 constexpr base::millis after_all_jobs_ms = 3600000;
 
-/// Texts of ended jobs are kept for so long, in ms: groups that were not
-/// complete come again in the trainer's next job, some seconds later.
-constexpr base::millis old_text_ms = 30000;
-
 void add_version(std::vector<weight_version>& versions, weight_version v) {
     if (std::find(versions.begin(), versions.end(), v) == versions.end()) {
         versions.push_back(v);
@@ -131,139 +94,6 @@
     newest = std::max(newest, version);
 }
 
-void work::reuse(job_state& job, item_row& row) {
-    const auto old = old_texts_.find(row.content.id);
-    if (old == old_texts_.end()) {
-        return;
-    }
-    ++counts_.carried;
-    const auto& versions = old->second.got.versions;
-    const bool fits =
-        std::all_of(versions.begin(), versions.end(),
-                    [&](auto v) { return v >= job.header.least_version; });
-    // That it outlasted its step before says more of its length than the
-    // caller's guess.
-    row.content.expected_tokens =
-        std::max<std::int64_t>(row.content.expected_tokens,
-                               2 * old->second.got.events * tokens_an_event);
-    row.carried = true;
-    if (!fits || versions.empty()) {
-        counts_.void_events +=
-            static_cast<std::uint64_t>(old->second.got.events);
-        return;
-    }
-    ++counts_.reused_texts;
-    row.got = old->second.got;
-    if (old->second.complete) {
-        row.at = state::judge_due;
-        row.not_before = clock_.now();
-    }
-}
-
-void work::keep_texts(const job_state& job) {
-    const auto now = clock_.now();
-    for (auto t = old_texts_.begin(); t != old_texts_.end();) {
-        t = now - t->second.kept_at > old_text_ms ? old_texts_.erase(t)
-                                                  : std::next(t);
-    }
-    const auto open = open_groups(job);
-    for (const auto& row : job.items) {
-        const bool complete =
-            row.at != state::running && row.at != state::waiting;
-        if (row.got.events == 0 || open.count(row.content.group) == 0 ||
-            row.outcome == item_outcome::errored) {
-            continue;
-        }
-        const auto known = old_texts_.find(row.content.id);
-        // Of two texts of an item the one under newer weights is of use.
-        if (known == old_texts_.end() ||
-            known->second.got.versions.front() <= row.got.versions.front()) {
-            old_texts_[row.content.id] = {row.got, complete, now};
-        }
-    }
-}
-
-/// Returns the groups that are not listed whole: their trainer may carry them,
-/// with all their items.
-std::set<std::string> work::open_groups(const job_state& job) {
-    std::set<std::string> out;
-    for (const auto& row : job.items) {
-        if (row.at != state::done) {
-            out.insert(row.content.group);
-        }
-    }
-    return out;
-}
-
-/// The groups that a trainer did not wait for come again in a step that admits
-/// only weights which were not there when they began, and which then waits for
-/// them whatever else is complete. While the trainer trains, places are free:
-/// the longest of them begin at once under the newest weights. A step of 7.2 s
-/// ends sooner by the time of training, 0.5 to 1 s.
-void work::begin_ahead(const job_state& job) {
-    const auto newest = newest_.find(job.header.model);
-    if (newest == newest_.end()) {
-        return;
-    }
-    const job_id id(job.header.id.str() + "~");
-    job_state ahead;
-    ahead.header = job.header;
-    ahead.header.id = id;
-    ahead.header.least_version = newest->second;
-    ahead.terms = job.terms;
-    ahead.seen_at = clock_.now();
-    ahead.ahead_until = ahead.seen_at + ahead_ms;
-    const auto open = open_groups(job);
-    for (const auto& row : job.items) {
-        const bool is_void = !row.got.versions.empty() &&
-                             row.got.versions.front() < newest->second;
-        if (open.count(row.content.group) == 0 || !is_void ||
-            row.got.events < long_events ||
-            row.outcome == item_outcome::errored) {
-            continue;
-        }
-        item_row r;
-        r.content = row.content;
-        r.content.reward.reset();
-        r.content.expected_tokens = 2 * row.got.events * tokens_an_event;
-        ahead.items.push_back(std::move(r));
-        ++counts_.ahead;
-    }
-    if (!ahead.items.empty()) {
-        jobs_[id] = std::move(ahead);
-    }
-}
-
-effects work::drop_ahead(const std::string& model) {
-    effects out;
-    for (auto job = jobs_.begin(); job != jobs_.end();) {
-        if (!job->second.ahead_until || job->second.header.model != model) {
-            ++job;
-            continue;
-        }
-        stop_runs(job->first, "job_came", out);
-        keep_texts(job->second);
-        job = jobs_.erase(job);
-    }
-    return out;
-}
-
-effects work::drop_overdue() {
-    effects out;
-    const auto now = clock_.now();
-    std::set<std::string> models;
-    for (const auto& [id, job] : jobs_) {
-        if (job.ahead_until && now > *job.ahead_until) {
-            models.insert(job.header.model);
-        }
-    }
-    for (const auto& model : models) {
-        const auto stops = drop_ahead(model);
-        out.insert(out.end(), stops.begin(), stops.end());
-    }
-    return out;
-}
-
 void work::stop_runs(const job_id& id, const char* reason, effects& out) {
     std::vector<run_number> stopped;
     for (const auto& [run, row] : runs_) {
@@ -450,112 +280,6 @@
             row.content.prompt_tokens + written};
 }
 
-void work::move(effects& out) {
-    move_silent(out);
-    move_slow(out);
-    move_long(out);
-}
-
-/// Stops a run so that its item goes on elsewhere.
-void work::move_one(run_number run, const char* reason, effects& out) {
-    const auto row = runs_.at(run);
-    stop(run, reason, out);
-    if (auto* item = row_of(row)) {
-        requeue(*item, 0);
-    }
-}
-
-void work::move_silent(effects& out) {
-    const auto now = clock_.now();
-    std::vector<run_number> silent;
-    for (const auto& [run, row] : runs_) {
-        const auto bound = row.events == 0 ? first_event_ms : next_event_ms;
-        if (now - row.heard_at > bound) {
-            silent.push_back(run);
-        }
-    }
-    for (const auto run : silent) {
-        ++counts_.silent;
-        table_.failed(runs_.at(run).sampler);
-        move_one(run, "silent", out);
-    }
-}
-
-void work::move_slow(effects& out) {
-    const auto now = clock_.now();
-    std::map<samplers::service_name, std::set<samplers::sampler_id>> slow;
-    const int queued = waiting();
-    std::vector<run_number> leaving;
-    for (const auto& [run, row] : runs_) {
-        const auto job = jobs_.find(row.job);
-        const int moves = static_cast<int>(leaving.size());
-        if (job == jobs_.end() || moves >= moves_a_tick) {
-            continue;
-        }
-        const auto& service = job->second.terms.service;
-        auto known = slow.find(service);
-        if (known == slow.end()) {
-            known = slow.emplace(service,
-                                 samplers::slow_samplers(table_, service, now))
-                        .first;
-        }
-        const auto* s = table_.find(row.sampler);
-        const bool drains = s != nullptr && s->registered.draining;
-        const bool is_slow =
-            known->second.count(row.sampler) != 0 && is_worth_moving(row);
-        if (!drains && !is_slow) {
-            continue;
-        }
-        if (samplers::free_places(table_, service, known->second, now) >
-            moves + queued) {
-            leaving.push_back(run);
-        }
-    }
-    for (const auto run : leaving) {
-        ++counts_.moved;
-        move_one(run, "moved", out);
-    }
-}
-
-/// A short text ends soon on a slow server too, and no step waits for it;
-/// each move costs a connection.
-bool work::is_worth_moving(const run_row& run) {
-    const auto* item = row_of(run);
-    return item != nullptr && run.events >= slow_events &&
-           (item->content.expected_tokens >= short_tokens ||
-            item->got.events >= settled_events);
-}
-
-/// Long runs wander to faster servers once there are places for all that wait.
-void work::move_long(effects& out) {
-    if (waiting() > 0) {
-        return;
-    }
-    const auto now = clock_.now();
-    std::vector<std::pair<int, run_number>> longest;
-    for (const auto& [run, row] : runs_) {
-        const auto* item = row_of(row);
-        if (item != nullptr && row.events >= settled_events &&
-            item->got.events >= long_events) {
-            longest.emplace_back(-item->got.events, run);
-        }
-    }
-    std::sort(longest.begin(), longest.end());
-    int moves = 0;
-    for (const auto& [events, run] : longest) {
-        const auto row = runs_.at(run);
-        const auto needs = needs_of(jobs_.at(row.job), *row_of(row));
-        if (moves >= long_moves_a_tick) {
-            return;
-        }
-        if (samplers::faster_place(table_, needs, row.sampler, now)) {
-            ++moves;
-            ++counts_.moved;
-            move_one(run, "to_faster", out);
-        }
-    }
-}
-
 effects work::head(run_number run, weight_version version) {
     effects out;
     const auto at = runs_.find(run);
--- /dev/null
+++ b/packages/batch/src/work_moves.cpp
@@ -0,0 +1,149 @@
+#include "hibiscus/batch/work.hpp"
+
+#include <algorithm>
+
+/// Which runs leave their servers.
+namespace hibiscus::batch {
+
+namespace {
+
+/// A run without its first event for so long has met a server that does not
+/// work, in ms. The first event comes 8 ms after the request, 1.1 s when two
+/// wait for a place that others had taken.
+constexpr base::millis first_event_ms = 900;
+
+/// A run whose events stop for so long, in ms: seven times the pace of a
+/// sound server, and more than the pause of a step that reads in a long
+/// prompt.
+constexpr base::millis next_event_ms = 400;
+
+/// The share of runs that may move at one tick: all at once would meet the
+/// same few free places.
+constexpr int moves_a_tick = 6;
+
+/// A run with so many events is long: nine in ten have ended by then, and
+/// those that have not go on for as long again.
+constexpr int long_events = 45;
+
+/// A run stays at a server for so many events before it may wander on.
+constexpr int settled_events = 20;
+
+/// A run leaves a slow server after so many events there, which show that it
+/// still is slow, if its text is not short: less than a second on a sound one.
+constexpr int slow_events = 4;
+
+constexpr std::int64_t short_tokens = 1500;
+
+/// How many long runs may wander at one tick: the first that comes to a server
+/// changes what the next one finds there.
+constexpr int long_moves_a_tick = 2;
+
+} // namespace
+
+void work::move(effects& out) {
+    move_silent(out);
+    move_slow(out);
+    move_long(out);
+}
+
+/// Stops a run so that its item goes on elsewhere.
+void work::move_one(run_number run, const char* reason, effects& out) {
+    const auto row = runs_.at(run);
+    stop(run, reason, out);
+    if (auto* item = row_of(row)) {
+        requeue(*item, 0);
+    }
+}
+
+void work::move_silent(effects& out) {
+    const auto now = clock_.now();
+    std::vector<run_number> silent;
+    for (const auto& [run, row] : runs_) {
+        const auto bound = row.events == 0 ? first_event_ms : next_event_ms;
+        if (now - row.heard_at > bound) {
+            silent.push_back(run);
+        }
+    }
+    for (const auto run : silent) {
+        ++counts_.silent;
+        table_.failed(runs_.at(run).sampler);
+        move_one(run, "silent", out);
+    }
+}
+
+void work::move_slow(effects& out) {
+    const auto now = clock_.now();
+    std::map<samplers::service_name, std::set<samplers::sampler_id>> slow;
+    const int queued = waiting();
+    std::vector<run_number> leaving;
+    for (const auto& [run, row] : runs_) {
+        const auto job = jobs_.find(row.job);
+        const int moves = static_cast<int>(leaving.size());
+        if (job == jobs_.end() || moves >= moves_a_tick) {
+            continue;
+        }
+        const auto& service = job->second.terms.service;
+        auto known = slow.find(service);
+        if (known == slow.end()) {
+            known = slow.emplace(service,
+                                 samplers::slow_samplers(table_, service, now))
+                        .first;
+        }
+        const auto* s = table_.find(row.sampler);
+        const bool drains = s != nullptr && s->registered.draining;
+        const bool is_slow =
+            known->second.count(row.sampler) != 0 && is_worth_moving(row);
+        if (!drains && !is_slow) {
+            continue;
+        }
+        if (samplers::free_places(table_, service, known->second, now) >
+            moves + queued) {
+            leaving.push_back(run);
+        }
+    }
+    for (const auto run : leaving) {
+        ++counts_.moved;
+        move_one(run, "moved", out);
+    }
+}
+
+/// A short text ends soon on a slow server too, and no step waits for it;
+/// each move costs a connection.
+bool work::is_worth_moving(const run_row& run) {
+    const auto* item = row_of(run);
+    return item != nullptr && run.events >= slow_events &&
+           (item->content.expected_tokens >= short_tokens ||
+            item->got.events >= settled_events);
+}
+
+/// Long runs wander to faster servers once there are places for all that wait.
+void work::move_long(effects& out) {
+    if (waiting() > 0) {
+        return;
+    }
+    const auto now = clock_.now();
+    std::vector<std::pair<int, run_number>> longest;
+    for (const auto& [run, row] : runs_) {
+        const auto* item = row_of(row);
+        if (item != nullptr && row.events >= settled_events &&
+            item->got.events >= long_events) {
+            longest.emplace_back(-item->got.events, run);
+        }
+    }
+    std::sort(longest.begin(), longest.end());
+    int moves = 0;
+    for (const auto& [events, run] : longest) {
+        const auto row = runs_.at(run);
+        const auto needs = needs_of(jobs_.at(row.job), *row_of(row));
+        if (moves >= long_moves_a_tick) {
+            return;
+        }
+        if (samplers::faster_place(table_, needs, row.sampler, now)) {
+            ++moves;
+            ++counts_.moved;
+            move_one(run, "to_faster", out);
+        }
+    }
+}
+
+} // namespace hibiscus::batch
--- a/packages/batch/test/owners_fuzz_test.cpp
+++ b/packages/batch/test/owners_fuzz_test.cpp
@@ -59,18 +59,17 @@
         : store_(store), time_(std::move(time)), clock_(time_), ledger_(clock_),
           name_("n" + std::to_string(number)),
           ownership_(clock_, base::node_id(name_), "x", {}, 0.1 * number, 1),
-          follower_(
-              store.port(), journal, clock_,
-              [this](base::millis, std::function<void()> f) {
-                  later_.push_back(std::move(f));
-              },
-              {},
-              {[this](const auto& changes) {
-                   for (const auto& c : changes) {
-                       ledger_.apply(c);
-                   }
-               },
-               [this](bool up) { ownership_.contact(up); }}) {
+          follower_(store.port(), journal, clock_,
+                    [this](base::millis, std::function<void()> f) {
+                        later_.push_back(std::move(f));
+                    },
+                    {},
+                    {[this](const auto& changes) {
+                         for (const auto& c : changes) {
+                             ledger_.apply(c);
+                         }
+                     },
+                     [this](bool up) { ownership_.contact(up); }}) {
         follower_.start();
     }
 
@@ -92,11 +91,11 @@
         if (step == ownership_step::nothing && (mine || !hasty)) {
             return;
         }
-        const auto fence = mine ? ledger_.owner()->record.fence
-                                : follower_.next();
+        const auto fence =
+            mine ? ledger_.owner()->record.fence : follower_.next();
         append({{to_text(owner_key{}),
-                 encode(owner_record{base::node_id(name_), "x", fence,
-                                     ++beats_, false})}});
+                 encode(owner_record{base::node_id(name_), "x", fence, ++beats_,
+                                     false})}});
     }
 
     /// Plans results of `count` items from `from` on.
@@ -132,15 +131,14 @@
     void append(const std::vector<store::record>& records) {
         appending_ = true;
         const auto at = follower_.next();
-        store_.port().append(
-            journal, records, &at,
-            [this, records](const store::append_result& r) {
-                appending_ = false;
-                if (const auto* a = base::value_if(r)) {
-                    ownership_.renewed();
-                    follower_.appended_here(a->first, records);
-                }
-            });
+        store_.port().append(journal, records, &at,
+                             [this, records](const store::append_result& r) {
+                                 appending_ = false;
+                                 if (const auto* a = base::value_if(r)) {
+                                     ownership_.renewed();
+                                     follower_.appended_here(a->first, records);
+                                 }
+                             });
     }
 
     testing::memory_store& store_;
@@ -167,6 +165,7 @@
     store.port().append(journal, {{to_text(header_key{job}), encode(header)}},
                         nullptr, [](const auto&) {});
     std::vector<std::unique_ptr<fuzz_node>> nodes;
+    nodes.reserve(3);
     for (int n = 0; n < 3; ++n) {
         nodes.push_back(std::make_unique<fuzz_node>(n, store, time));
     }
--- /dev/null
+++ b/packages/entry/src/owner_writes.cpp
@@ -0,0 +1,211 @@
+#include "hibiscus/base/result.hpp"
+#include "owner.hpp"
+#include "platform/store_client.hpp"
+
+/// What an owner writes: listings, its own record, texts under way.
+namespace hibiscus::entry {
+
+namespace {
+
+/// The least time between two appends of results, in ms: each wakes a read
+/// of every node, and readers ask only twice a second.
+constexpr base::millis commit_ms = 30;
+
+/// The pause before results are stored again after a failure, in ms.
+constexpr base::millis commit_retry_ms = 150;
+
+/// How often texts under way are saved, in ms, and the least number of new
+/// events of a run. A kill then costs half a second of a run.
+constexpr base::millis progress_ms = 500;
+
+constexpr int progress_events = 6;
+
+/// The text in one append, in bytes; half of what the store takes, since the
+/// last result may be long.
+constexpr std::size_t commit_bytes = 768 * 1024;
+
+/// The share of a record that results fill before the next one is begun; the
+/// last result may be long.
+constexpr std::size_t record_share = 2;
+
+} // namespace
+
+store::record owner::own_record(store::log_offset fence, bool left) {
+    return {batch::to_text(batch::owner_key{}),
+            batch::encode(batch::owner_record{state_.config.node, incarnation_,
+                                              fence, ++beats_, left})};
+}
+
+/// Appends to the journal if nothing came that this node has not read.
+void owner::append(const std::vector<store::record>& records,
+                   std::function<void(bool)> done) {
+    appending_ = true;
+    const auto at = journal_.next();
+    const auto sent_at = state_.clock.now();
+    store_.append({adapter::journal_topic, 0}, records, &at,
+                  [this, records, sent_at,
+                   done = std::move(done)](const store::append_result& r) {
+                      appending_ = false;
+                      const auto ms = state_.clock.now() - sent_at;
+                      state_.counters.observe("store_append", ms);
+                      log_append(r, records.size(), ms);
+                      const auto* a = base::value_if(r);
+                      if (a != nullptr) {
+                          ownership_.renewed();
+                          journal_.appended_here(a->first, records);
+                      }
+                      done(a != nullptr);
+                  });
+}
+
+void owner::log_append(const store::append_result& result, std::size_t records,
+                       base::millis ms) {
+    std::visit(base::overloaded{
+                   [&](const store::appended&) {},
+                   [&](const store::end_differs& d) {
+                       state_.log.write("append_refused",
+                                        {{"reason", "end_differs"},
+                                         {"end", d.end},
+                                         {"read_to", journal_.next()}});
+                   },
+                   [&](const store::refused& f) {
+                       state_.log.write(
+                           "append_refused",
+                           {{"reason", "store"}, {"status", f.status}});
+                   },
+                   [&](const store::unanswered&) {
+                       state_.log.write(
+                           "append_unanswered",
+                           {{"records", static_cast<std::int64_t>(records)},
+                            {"ms", ms}});
+                   }},
+               result);
+}
+
+/// Lists what is ready: first the texts, under keys that nobody else uses,
+/// then, on the condition that this node is still the owner, where they are.
+void owner::commit() {
+    const auto now = state_.clock.now();
+    if (committing_ || !owns() || now - last_commit_ < commit_ms) {
+        return;
+    }
+    auto lists = collect();
+    if (lists.empty()) {
+        if (std::exchange(renew_due_, false) && !appending_) {
+            const auto fence = state_.jobs.owner()->record.fence;
+            append({own_record(fence, false)}, [](bool) {});
+        }
+        return;
+    }
+    committing_ = true;
+    last_commit_ = now;
+    auto waiting = std::make_shared<int>(static_cast<int>(lists.size()));
+    auto whole = std::make_shared<bool>(true);
+    auto all =
+        std::make_shared<std::vector<batch::planned_listing>>(std::move(lists));
+    for (const auto& l : *all) {
+        files_.append_texts(
+            l.job, {l.texts},
+            [this, waiting, whole, all](const store::append_result& r) {
+                *whole = *whole && base::value_if(r) != nullptr;
+                if (--*waiting == 0) {
+                    list(*all, *whole);
+                }
+            });
+    }
+}
+
+std::vector<batch::planned_listing> owner::collect() {
+    return batch::plan_listings(
+        state_.jobs, work_.ready(commit_bytes),
+        state_.config.record_bytes / record_share, [this] {
+            return incarnation_ + "-" + std::to_string(++texts_written_);
+        });
+}
+
+void owner::list(const std::vector<batch::planned_listing>& lists,
+                 bool stored) {
+    const bool fits = batch::still_fits(state_.jobs, lists);
+    if (!stored || !fits || !owns() || appending_) {
+        committing_ = false;
+        if (!stored || !fits) {
+            state_.log.write("append_refused",
+                             {{"reason", stored ? "listed_before" : "texts"}});
+            // While the store is away, each try would encode and send all
+            // that has become ready once more.
+            last_commit_ = state_.clock.now() + (stored ? 0 : commit_retry_ms);
+        }
+        return;
+    }
+    std::vector<store::record> records;
+    records.reserve(lists.size() + 1);
+    for (const auto& l : lists) {
+        records.push_back(
+            {batch::to_text(batch::listing_key{l.job, l.position}),
+             batch::encode(l.content)});
+    }
+    // Each append renews the ownership as well; a separate one would find the
+    // journal's end moved half of the time.
+    renew_due_ = false;
+    records.push_back(own_record(state_.jobs.owner()->record.fence, false));
+    append(records, [this, lists](bool done) {
+        committing_ = false;
+        if (!done) {
+            return;
+        }
+        for (const auto& l : lists) {
+            state_.log.write(
+                "listed", {{"job", l.job},
+                           {"position", l.position},
+                           {"items", static_cast<int>(l.content.rows.size())},
+                           {"ms", state_.clock.now() - last_commit_}});
+        }
+    });
+}
+
+/// Saves what has come of texts under way.
+void owner::save() {
+    const auto now = state_.clock.now();
+    if (saving_ > 0 || now - last_progress_ < progress_ms) {
+        return;
+    }
+    last_progress_ = now;
+    save_now(progress_events, [] {});
+}
+
+void owner::save_now(int least, std::function<void()> done) {
+    std::map<batch::job_id, std::vector<batch::unsaved_part>> by_job;
+    for (auto& p : work_.unsaved(least, commit_bytes)) {
+        by_job[p.job].push_back(std::move(p));
+    }
+    if (by_job.empty()) {
+        done();
+        return;
+    }
+    saving_ += static_cast<int>(by_job.size());
+    for (auto& [id, parts] : by_job) {
+        std::vector<store::record> records;
+        for (const auto& p : parts) {
+            records.push_back(
+                {batch::progress_text(p.job, p.part), batch::encode(p.part)});
+        }
+        files_.append_progress(id, records,
+                               [this, parts = std::move(parts),
+                                done](const store::append_result& r) {
+                                   if (base::value_if(r) != nullptr) {
+                                       for (const auto& p : parts) {
+                                           work_.saved(p);
+                                       }
+                                   } else {
+                                       state_.log.write(
+                                           "append_refused",
+                                           {{"reason", "progress"}});
+                                   }
+                                   if (--saving_ == 0) {
+                                       done();
+                                   }
+                               });
+    }
+}
+
+} // namespace hibiscus::entry
--- a/packages/store/src/follower.cpp
+++ b/packages/store/src/follower.cpp
@@ -142,8 +142,8 @@
             // The store waited before it said that nothing came, and began to
             // wait after the read was sent.
             const bool waited = clock_.now() - started >= times_.wait;
-            current_at_ = std::max(current_at_,
-                                   started + (waited ? times_.wait : 0));
+            current_at_ =
+                std::max(current_at_, started + (waited ? times_.wait : 0));
         }
         const bool pause = !fresh.empty() && times_.pace;
         apply(fresh);
