--- a/testing/support/failure_run.hpp
+++ b/testing/support/failure_run.hpp
@@ -14,7 +14,10 @@
 /// How much load a failure run has.
 struct failure_load {
     int steps = 5;
-    int seconds = 12;
+    /// How long callers go on, in s. More than any failure lasts: a caller that
+    /// ends before its test has seen what it waits for fails the test, however
+    /// well the system does.
+    int seconds = 20;
     int train_ms = 300;
 };
 
