store, batch, entry: values of any size are stored in pieces

Cause: a record of the store holds 256 KB. An item with a larger body was refused with 413, and a larger result was appended again and again and never listed, nor anything that was listed in the same call. Ruled out: a smaller share of a record for results (one result alone may be larger than any share). Change: values that do not fit are cut into pieces under keys that sort directly behind their own; readers join them and pass over values of which a piece is missing. The dealing of records to appends moves from batch to store. The stand-in store now refuses large records and appends as the users' does.

--- a/packages/batch/include/hibiscus/batch/records.hpp
+++ b/packages/batch/include/hibiscus/batch/records.hpp
@@ -88,18 +88,12 @@
 decode_results(const std::string& bytes);
 std::optional<progress_part> decode_progress(const std::string& bytes);
 
-/// The size of a record, and of all records of one append, in bytes.
-struct record_limits {
-    std::size_t record = 262144;
-    std::size_t call = 2097152;
-};
-
-/// Cuts the items of a job into the appends that store them, and sets the
-/// number of chunks in `header`. Returns nothing if an item alone is larger
-/// than a record.
-std::optional<std::vector<std::vector<store::record>>>
-cut_into_appends(job_header& header, std::vector<item> items,
-                 const record_limits& limits);
+/// Cuts the items of a job into records of about `record_bytes`, and sets the
+/// number of these chunks in `header`. An item that is larger alone gets a
+/// record of its own, which the store takes in pieces.
+std::vector<store::record> cut_into_chunks(job_header& header,
+                                           std::vector<item> items,
+                                           std::size_t record_bytes);
 
 /// Text that a takeover can go on from.
 struct saved_text {
--- a/packages/batch/src/records.cpp
+++ b/packages/batch/src/records.cpp
@@ -327,43 +327,32 @@
     });
 }
 
-std::optional<std::vector<std::vector<store::record>>>
-cut_into_appends(job_header& header, std::vector<item> items,
-                 const record_limits& limits) {
+std::vector<store::record> cut_into_chunks(job_header& header,
+                                           std::vector<item> items,
+                                           std::size_t record_bytes) {
     header.items = static_cast<int>(items.size());
     header.chunks = 0;
-    std::vector<std::vector<store::record>> appends(1);
-    std::size_t in_append = 0;
+    std::vector<store::record> out;
     std::vector<item> chunk;
     std::size_t in_chunk = 0;
     const auto flush = [&] {
         if (chunk.empty()) {
             return;
         }
-        store::record r{chunk_text(header.id, header.chunks++), encode(chunk)};
-        const auto size = r.value.size() + record_overhead;
-        if (in_append + size > limits.call && !appends.back().empty()) {
-            appends.emplace_back();
-            in_append = 0;
-        }
-        in_append += size;
-        appends.back().push_back(std::move(r));
+        out.push_back({chunk_text(header.id, header.chunks++), encode(chunk)});
         chunk.clear();
         in_chunk = 0;
     };
     for (auto& i : items) {
         const auto size = pack(to_json(i)).size();
-        if (size + record_overhead > limits.record) {
-            return std::nullopt;
-        }
-        if (in_chunk + size + record_overhead > limits.record) {
+        if (in_chunk + size + record_overhead > record_bytes) {
             flush();
         }
         in_chunk += size;
         chunk.push_back(std::move(i));
     }
     flush();
-    return appends;
+    return out;
 }
 
 saved_text join_parts(std::vector<progress_part> parts) {
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -403,26 +403,26 @@
     if (row.at != state::judged) {
         return {};
     }
-    std::visit(base::overloaded{[&](const rewarded& r) {
-                                    row.score = r.score;
-                                    row.at = state::ready;
-                                    row.life.ready =
-                                        clock_.now() - job->second.seen_at;
-                                },
-                                [&](const reward_failed& f) {
-                                    // Sends that were refused or lost say
-                                    // nothing of the text; only failed answers
-                                    // count.
-                                    row.reward_failures += f.failures;
-                                    if (row.reward_failures >= f.allowed) {
-                                        row.outcome = item_outcome::errored;
-                                        row.at = state::ready;
-                                        return;
-                                    }
-                                    row.at = state::judge_due;
-                                    row.not_before =
-                                        clock_.now() + reward_retry_ms;
-                                }},
+    std::visit(base::overloaded{
+                   [&](const rewarded& r) {
+                       row.score = r.score;
+                       row.at = state::ready;
+                       row.life.ready = clock_.now() - job->second.seen_at;
+                   },
+                   [&](const reward_failed& f) {
+                       // Sends that were refused or lost say
+                       // nothing of the text; only failed answers
+                       // count.
+                       row.reward_failures += f.failures;
+                       if (row.reward_failures >= f.allowed) {
+                           row.outcome = item_outcome::errored;
+                           row.at = state::ready;
+                           row.life.ready = clock_.now() - job->second.seen_at;
+                           return;
+                       }
+                       row.at = state::judge_due;
+                       row.not_before = clock_.now() + reward_retry_ms;
+                   }},
                outcome);
     return {};
 }
--- a/packages/batch/test/records_test.cpp
+++ b/packages/batch/test/records_test.cpp
@@ -1,4 +1,5 @@
 #include "hibiscus/batch/records.hpp"
+#include "hibiscus/store/pieces.hpp"
 #include "support/fuzz.hpp"
 
 #include <gtest/gtest.h>
@@ -78,37 +79,42 @@
     for (const auto& size : sizes) {
         item i;
         i.id = item_id(std::to_string(items.size()));
-        i.body = std::string(static_cast<std::size_t>(size.a), 'x');
+        // One in nine is larger than a record.
+        const auto times = size.b % 9 == 0 ? 8 : 1;
+        i.body = std::string(static_cast<std::size_t>(size.a * times), 'x');
         items.push_back(i);
     }
     job_header header;
     header.id = job;
-    const record_limits limits{2048, 4096};
-    const auto appends = cut_into_appends(header, items, limits);
-    if (!appends) {
-        return "an item did not fit";
-    }
-    std::size_t read = 0;
-    int chunks = 0;
-    for (const auto& append : *appends) {
+    const store::append_limits limits{2048, 4096};
+    std::vector<store::record> stored;
+    for (const auto& append : store::to_appends(
+             cut_into_chunks(header, items, limits.record), limits)) {
         std::size_t size = 0;
         for (const auto& r : append) {
-            const auto decoded = decode_items(r.value);
-            if (r.key != chunk_text(job, chunks++) || !decoded ||
-                r.value.size() > limits.record) {
-                return "a wrong record: " + r.key;
+            if (r.value.size() > limits.record) {
+                return "a record is too large: " + r.key;
             }
             size += r.value.size();
-            for (const auto& i : *decoded) {
-                if (i.body != items[read++].body) {
-                    return "an item came back with another body";
-                }
-            }
+            stored.push_back(r);
         }
         if (size > limits.call) {
             return "an append is too large";
         }
     }
+    std::size_t read = 0;
+    int chunks = 0;
+    for (const auto& r : store::join_pieces(stored)) {
+        const auto decoded = decode_items(r.value);
+        if (r.key != chunk_text(job, chunks++) || !decoded) {
+            return "a wrong record: " + r.key;
+        }
+        for (const auto& i : *decoded) {
+            if (i.body != items[read++].body) {
+                return "an item came back with another body";
+            }
+        }
+    }
     const bool all = read == items.size() && header.chunks == chunks;
     return all ? "" : "items are missing";
 }
--- a/packages/entry/src/batch_api.cpp
+++ b/packages/entry/src/batch_api.cpp
@@ -59,41 +59,23 @@
         return;
     }
     s->header.accepted_wall = state_.clock.wall();
-    auto appends = batch::cut_into_appends(
-        s->header, std::move(job.items),
-        {state_.config.record_bytes, state_.config.append_bytes});
-    if (!appends) {
-        state_.log.write(
-            "submit", {{"job", s->header.id}, {"outcome", "item_too_large"}});
-        s->caller->respond(adapter::plain_status(413));
-        return;
-    }
-    s->appends = std::move(*appends);
-    append(s);
-}
-
-/// Stores the items; until the header stands in the journal they are nothing.
-void batch_api::append(const std::shared_ptr<submission>& s) {
+    const auto chunks = batch::cut_into_chunks(s->header, std::move(job.items),
+                                               state_.config.record_bytes);
+    // Until the header stands in the journal, the items are nothing.
     files_.append_items(
-        s->header.id, s->appends[s->next],
-        [this, s](const store::append_result& r) { appended(s, r); });
+        s->header.id, chunks,
+        [this, s](const store::append_result& r) { items_appended(s, r); });
 }
 
-void batch_api::appended(const std::shared_ptr<submission>& s,
-                         const store::append_result& result) {
-    if (!std::holds_alternative<store::appended>(result)) {
-        if (state_.jobs.find(s->header.id) != nullptr) {
-            accept(*s, "seen");
-        } else {
-            refuse(*s, "items_not_stored");
-        }
-        return;
-    }
-    if (++s->next < s->appends.size()) {
-        append(s);
-        return;
+void batch_api::items_appended(const std::shared_ptr<submission>& s,
+                               const store::append_result& result) {
+    if (std::holds_alternative<store::appended>(result)) {
+        append_header(s);
+    } else if (state_.jobs.find(s->header.id) != nullptr) {
+        accept(*s, "seen");
+    } else {
+        refuse(*s, "items_not_stored");
     }
-    append_header(s);
 }
 
 void batch_api::append_header(const std::shared_ptr<submission>& s) {
@@ -318,6 +300,12 @@
         unreachable(w, "texts_missing", static_cast<int>(texts->size()));
         return;
     }
+    state_.log.write("read", {{"job", w.job},
+                              {"after", static_cast<std::int64_t>(w.after)},
+                              {"next", static_cast<std::int64_t>(position)},
+                              {"listed", row->next_position()},
+                              {"bytes", static_cast<std::int64_t>(bytes)},
+                              {"ms", state_.clock.now() - w.came_at}});
     w.caller->respond(adapter::results(
         static_cast<std::size_t>(row->header->items), position, out));
 }
--- a/packages/entry/src/batch_api.hpp
+++ b/packages/entry/src/batch_api.hpp
@@ -41,8 +41,6 @@
 private:
     struct submission {
         batch::job_header header;
-        std::vector<std::vector<store::record>> appends;
-        std::size_t next = 0;
         bool may_be_stored = false;
         base::millis started_at = 0;
         base::millis due = 0;
@@ -60,9 +58,8 @@
         std::shared_ptr<transport::exchange> caller;
     };
 
-    void append(const std::shared_ptr<submission>& s);
-    void appended(const std::shared_ptr<submission>& s,
-                  const store::append_result& result);
+    void items_appended(const std::shared_ptr<submission>& s,
+                        const store::append_result& result);
     void append_header(const std::shared_ptr<submission>& s);
     void header_appended(const std::shared_ptr<submission>& s,
                          const store::append_result& result);
--- a/packages/entry/src/job_files.cpp
+++ b/packages/entry/src/job_files.cpp
@@ -1,9 +1,13 @@
 #include "job_files.hpp"
 
 #include "hibiscus/base/hash.hpp"
+#include "hibiscus/base/result.hpp"
 #include "hibiscus/store/prefix_reader.hpp"
 #include "platform/store_client.hpp"
 
+#include <memory>
+#include <utility>
+
 namespace hibiscus::entry {
 
 namespace {
@@ -11,6 +15,41 @@
 /// More than any job holds: a call without a bound.
 constexpr std::size_t no_bound = std::size_t{1} << 40U;
 
+/// Appends to one partition that follow on each other.
+struct append_series : std::enable_shared_from_this<append_series> {
+    const store::log_store& store;
+    store::partition to;
+    std::vector<std::vector<store::record>> appends;
+    job_files::append_done done;
+    std::size_t at = 0;
+
+    append_series(const store::log_store& s, store::partition p,
+                  std::vector<std::vector<store::record>> a,
+                  job_files::append_done d)
+        : store(s), to(std::move(p)), appends(std::move(a)),
+          done(std::move(d)) {}
+
+    void next() {
+        if (appends.empty()) {
+            done(store::appended{});
+            return;
+        }
+        store.append(to, appends[at], nullptr,
+                     [self = shared_from_this()](const auto& result) {
+                         self->appended(result);
+                     });
+    }
+
+    void appended(const store::append_result& result) {
+        const bool stored = base::value_if(result) != nullptr;
+        if (stored && ++at < appends.size()) {
+            next();
+            return;
+        }
+        done(result);
+    }
+};
+
 } // namespace
 
 store::partition job_files::part_of(const char* topic,
@@ -20,25 +59,31 @@
             static_cast<int>(hash % static_cast<std::uint64_t>(partitions_))};
 }
 
+void job_files::append(const char* topic, const batch::job_id& job,
+                       const std::vector<store::record>& records,
+                       append_done done) const {
+    auto series = std::make_shared<append_series>(
+        store_, part_of(topic, job), store::to_appends(records, limits_),
+        std::move(done));
+    series->next();
+}
+
 void job_files::append_items(const batch::job_id& job,
                              const std::vector<store::record>& records,
                              append_done done) const {
-    store_.append(part_of(adapter::items_topic, job), records, nullptr,
-                  std::move(done));
+    append(adapter::items_topic, job, records, std::move(done));
 }
 
 void job_files::append_texts(const batch::job_id& job,
                              const std::vector<store::record>& records,
                              append_done done) const {
-    store_.append(part_of(adapter::texts_topic, job), records, nullptr,
-                  std::move(done));
+    append(adapter::texts_topic, job, records, std::move(done));
 }
 
 void job_files::append_progress(const batch::job_id& job,
                                 const std::vector<store::record>& records,
                                 append_done done) const {
-    store_.append(part_of(adapter::progress_topic, job), records, nullptr,
-                  std::move(done));
+    append(adapter::progress_topic, job, records, std::move(done));
 }
 
 void job_files::load_items(
--- a/packages/entry/src/job_files.hpp
+++ b/packages/entry/src/job_files.hpp
@@ -2,6 +2,7 @@
 
 #include "hibiscus/batch/records.hpp"
 #include "hibiscus/store/log_store.hpp"
+#include "hibiscus/store/pieces.hpp"
 
 #include <functional>
 #include <map>
@@ -15,11 +16,15 @@
 /// topic, so that one reading finds little of other jobs.
 class job_files {
 public:
-    job_files(const store::log_store& store, int partitions)
-        : store_(store), partitions_(partitions) {}
+    job_files(const store::log_store& store, int partitions,
+              store::append_limits limits)
+        : store_(store), partitions_(partitions), limits_(limits) {}
 
     using append_done = std::function<void(const store::append_result&)>;
 
+    /// Each stores records of any size, in as many appends as it takes; the
+    /// first that fails ends them and is what `done` gets.
+
     void append_items(const batch::job_id& job,
                       const std::vector<store::record>& records,
                       append_done done) const;
@@ -49,8 +54,13 @@
 private:
     store::partition part_of(const char* topic, const batch::job_id& job) const;
 
+    void append(const char* topic, const batch::job_id& job,
+                const std::vector<store::record>& records,
+                append_done done) const;
+
     const store::log_store& store_;
     int partitions_;
+    store::append_limits limits_;
 };
 
 } // namespace hibiscus::entry
--- a/packages/store/src/prefix_reader.cpp
+++ b/packages/store/src/prefix_reader.cpp
@@ -1,5 +1,7 @@
 #include "hibiscus/store/prefix_reader.hpp"
 
+#include "hibiscus/store/pieces.hpp"
+
 #include <memory>
 #include <utility>
 
@@ -38,13 +40,13 @@
         for (auto& r : p->records) {
             last = r.content.key;
             if (last.compare(0, prefix.size(), prefix) != 0) {
-                done(std::move(found));
+                finish();
                 return;
             }
             bytes += r.content.value.size();
             found.push_back(std::move(r.content));
-            if (bytes >= most_bytes) {
-                done(std::move(found));
+            if (bytes >= most_bytes && ends_value(found.back())) {
+                finish();
                 return;
             }
         }
@@ -52,8 +54,10 @@
             page(last);
             return;
         }
-        done(std::move(found));
+        finish();
     }
+
+    void finish() { done(join_pieces(std::move(found))); }
 };
 
 } // namespace
--- a/packages/store/test/follower_test.cpp
+++ b/packages/store/test/follower_test.cpp
@@ -1,4 +1,5 @@
 #include "hibiscus/store/follower.hpp"
+#include "hibiscus/store/pieces.hpp"
 #include "hibiscus/store/prefix_reader.hpp"
 #include "support/memory_store.hpp"
 
@@ -139,6 +140,27 @@
     EXPECT_EQ(found->back().key, "b/4");
 }
 
+TEST_F(follower_test, a_prefix_is_read_to_the_end_of_a_large_value) {
+    // A result larger than a record lies in pieces. A reader that stopped at
+    // its bound in the middle of them would find nothing it can hand out, each
+    // time it is asked.
+    const append_limits small{1024, 4096};
+    for (const auto& a :
+         to_appends({{"b/1", std::string(5000, 'x')}, {"b/2", "y"}}, small)) {
+        for (const auto& r : a) {
+            append(r.key, r.value);
+        }
+    }
+    std::optional<std::vector<record>> found;
+    read_prefix(store_.port(), {"t", 0}, "b/", "b/", 1000,
+                [&](auto records) { found = std::move(records); });
+    run(40);
+    ASSERT_TRUE(found);
+    ASSERT_EQ(found->size(), 1U);
+    EXPECT_EQ(found->front().key, "b/1");
+    EXPECT_EQ(found->front().value, std::string(5000, 'x'));
+}
+
 } // namespace
 
 } // namespace hibiscus::store
--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -168,6 +168,23 @@
     EXPECT_TRUE(read_all("n1"));
 }
 
+TEST_F(entry_path_test, items_and_results_may_be_larger_than_a_record) {
+    // A long text, or a prompt with much in it, exceeds what the store takes
+    // as one record. Refused whole, the job could not be accepted, or its
+    // result never be listed, nor those that were listed together with it.
+    configure();
+    start_node("n1");
+    ASSERT_TRUE(wait_ready("n1"));
+    const std::string content(400000, 'A'); // 300,000 bytes of zeros.
+    ASSERT_EQ(call("n1", "POST", "/batch/1", {{"Request-Id", "job1"}},
+                   job_body("big", 1, content))
+                  .status,
+              202);
+    EXPECT_EQ(call("n1", "GET", "/items/job1?id=big7").body,
+              std::string(300000, '\0'));
+    EXPECT_TRUE(read_all("n1"));
+}
+
 TEST_F(entry_path_test, a_wrong_setting_ends_the_start) {
     const auto file = folder_ + "/wrong.yaml";
     std::ofstream(file) << "node: n\nzone: z\nlisten:\n  callers: nowhere\n";
--- a/testing/entry/entry_world.hpp
+++ b/testing/entry/entry_world.hpp
@@ -139,8 +139,10 @@
         });
     }
 
-    /// Returns the body of a job whose items' ids begin with `prefix`.
-    static std::string job_body(const std::string& prefix, int least = 1) {
+    /// Returns the body of a job whose items' ids begin with `prefix` and
+    /// whose items have the body `content`, in base64.
+    static std::string job_body(const std::string& prefix, int least = 1,
+                                const std::string& content = "YQ==") {
         json job{{"step", 0},
                  {"model", "m"},
                  {"minVersion", least},
@@ -152,7 +154,7 @@
                 {{"id", id},
                  {"path", "/batch/" + id},
                  {"headers", {{"Model", "m"}, {"Token-Counts", "10,100"}}},
-                 {"body", "YQ=="},
+                 {"body", content},
                  {"tokens", 110},
                  {"group", "g" + std::to_string(n / 4)},
                  {"scorer",
--- a/testing/entry/keyed_store.cpp
+++ b/testing/entry/keyed_store.cpp
@@ -55,6 +55,26 @@
     return value;
 }
 
+/// The largest record, the largest append and the values of one page, in
+/// bytes, as the users' pages give them.
+constexpr std::size_t record_bytes = 262144;
+constexpr std::size_t append_bytes = 2097152;
+constexpr std::size_t page_bytes = std::size_t{1} << 20U;
+
+bool records_fit(const std::string& body) {
+    if (body.size() > append_bytes) {
+        return false;
+    }
+    for (std::size_t at = 0; at + 4 <= body.size();) {
+        const auto length = get_number(body, at);
+        if (length > record_bytes) {
+            return false;
+        }
+        at += 4 + length;
+    }
+    return true;
+}
+
 void respond(const std::shared_ptr<transport::exchange>& to, int status,
              const json& body) {
     to->respond({status, {{"Content-Type", "application/json"}}, body.dump()});
@@ -115,6 +135,10 @@
         respond(to, 412, {{"end", log.size()}});
         return;
     }
+    if (!records_fit(request.body)) {
+        to->respond({413, {}, ""});
+        return;
+    }
     const auto first = log.size();
     std::size_t begin = 0;
     while (begin + 4 <= request.body.size()) {
@@ -168,6 +192,7 @@
 void keyed_store::newest_page(const partition& from, const std::string& after,
                               const answer& to) {
     constexpr std::size_t most = 500;
+    std::size_t bytes = 0;
     const auto& log = logs_[from];
     std::map<std::string, std::size_t> newest;
     for (std::size_t n = 0; n < log.size(); ++n) {
@@ -179,10 +204,11 @@
         if (key <= after || log[n].value.empty()) {
             continue;
         }
-        if (page["items"].size() == most) {
+        if (page["items"].size() == most || bytes > page_bytes) {
             page["hasMore"] = true;
             break;
         }
+        bytes += log[n].value.size();
         page["items"].push_back({{"key", key},
                                  {"value", absl::Base64Escape(log[n].value)},
                                  {"offset", n}});
--- a/testing/entry/token_server.cpp
+++ b/testing/entry/token_server.cpp
@@ -15,8 +15,14 @@
     return value == nullptr ? std::string() : *value;
 }
 
+/// The bytes of an event of a request whose id begins with "big": with 30
+/// events, the text is larger than a record of the store.
+constexpr std::size_t big_event_bytes = 12000;
+
 std::string event_of(const std::string& id, int number) {
-    return id + "." + std::to_string(number);
+    const bool big = id.compare(0, 3, "big") == 0;
+    return id + "." + std::to_string(number) +
+           std::string(big ? big_event_bytes : 0, 'x');
 }
 
 } // namespace
