entry: a resumable stream goes on at another server

Cause: the node handed a stream on byte by byte and broke it off with its server, though its route allows it to go on; the caller had to come back. Change: on resumable routes whole events are handed on, and a stream that breaks off, is silent for a second or ends without its end is asked for behind the last one at another server, within the route's attempts. Ruled out: to resume in the caller only (it costs a connection and a second's patience, and the half event that it has got). Test first: against the program before, a_resumable_stream_goes_on fails (the answer is cut); now it passes, three whole runs of entry_path_test too. New guards that passed before as well: a_stream_that_may_not_be_resumed and what_may_not_be_repeated_is_sent_once, with real processes.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -413,8 +413,9 @@
         }
         f.service = samplers::service_name(choose_target(r, state_.draw()));
         f.attempts = r.attempts;
-        f.repeatable = r.kind == gateway::route_kind::idempotent;
         f.streamed = r.kind == gateway::route_kind::streaming;
+        f.resumable = f.streamed && r.resumable;
+        f.repeatable = r.kind == gateway::route_kind::idempotent || f.resumable;
         auto time =
             call.deadline_ms > 0 ? call.deadline_ms : default_deadline_ms;
         if (r.timeout_ms > 0) {
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "hibiscus/base/result.hpp"
 #include "hibiscus/samplers/placement.hpp"
+#include "hibiscus/transport/event_stream.hpp"
 #include "platform/front.hpp"
 #include "platform/sampler_calls.hpp"
 
@@ -26,6 +27,11 @@
 /// How long a server that refused is left alone, in ms.
 constexpr base::millis refusal_ms = 60;
 
+/// A resumable stream whose server is silent for so long goes on at another,
+/// in ms: ten times the time between two events of a sound server, and half
+/// of the least gap after which callers abandon a stream.
+constexpr base::millis stream_silence_ms = 1000;
+
 /// Sends to one server after the other until one answers.
 class attempt_series : public forwarding,
                        public std::enable_shared_from_this<attempt_series> {
@@ -76,9 +82,13 @@
         sent_at_ = state_.clock.now();
         head_ = {};
         body_.clear();
-        streaming_ = false;
+        gate_.reset();
+        on_stream_ = false;
         const auto* row = state_.samplers.find(to);
         auto content = request_.content;
+        if (!last_event_.empty()) {
+            adapter::resume_behind(content, last_event_);
+        }
         adapter::address_to(content, to, left);
         transport::call_options options;
         options.connect_ms = std::min(connect_ms, left);
@@ -89,6 +99,9 @@
                 static_cast<base::millis>(row->answer_ms) * slowest_answers;
             options.total_ms = std::min(left, std::max(least_try_ms, usual));
         }
+        if (request_.resumable && sent_ < request_.attempts) {
+            options.silence_ms = stream_silence_ms;
+        }
         options.reuse = request_.repeatable;
         transport::upstream_events events;
         events.head = [self = shared_from_this()](const auto& h) {
@@ -111,16 +124,27 @@
         const auto a = adapter::read_answer(head);
         if (request_.streamed && sink_ && head.status / 100 == 2 &&
             !a.signature.empty()) {
-            streaming_ = true;
-            sink_->begin(head.status, answer_fields(head));
+            on_stream_ = true;
+            // A stream that goes on keeps the head of its first server.
+            if (!std::exchange(began_, true)) {
+                sink_->begin(head.status, answer_fields(head));
+            }
         }
     }
 
     void on_data(std::string_view piece) {
-        if (streaming_) {
+        if (!on_stream_) {
+            body_ += piece;
+        } else if (!request_.resumable) {
             sink_->write(piece);
         } else {
-            body_ += piece;
+            auto whole = gate_.feed(piece);
+            if (!whole.last_id.empty()) {
+                last_event_ = std::move(whole.last_id);
+            }
+            if (!whole.bytes.empty()) {
+                sink_->write(whole.bytes);
+            }
         }
     }
 
@@ -132,8 +156,8 @@
         }
         const bool whole = end == transport::call_end::complete ||
                            end == transport::call_end::closed;
-        if (streaming_) {
-            end_stream(whole);
+        if (on_stream_) {
+            end_stream(end);
             return;
         }
         if (!whole) {
@@ -143,15 +167,33 @@
         on_answer();
     }
 
-    void end_stream(bool whole) {
-        ended_ = true;
+    void end_stream(transport::call_end end) {
+        // A resumable stream without a length that ends with its connection
+        // may have been cut between two events.
+        const bool whole =
+            end == transport::call_end::complete ||
+            (end == transport::call_end::closed && !request_.resumable);
         if (whole) {
+            ended_ = true;
             sink_->end();
-        } else {
-            state_.samplers.failed(server_);
-            sink_->abort();
+            log("stream", "whole");
+            return;
         }
-        log("stream", whole ? "whole" : "cut");
+        state_.samplers.failed(server_);
+        if (request_.resumable) {
+            may_have_run_ = true;
+            log("stream", "moves");
+            next();
+            return;
+        }
+        break_off();
+    }
+
+    /// Ends a stream that can't be finished so that it does not look whole.
+    void break_off() {
+        ended_ = true;
+        sink_->abort();
+        log("stream", "cut");
     }
 
     void on_broken(transport::call_end end) {
@@ -175,8 +217,9 @@
             next();
             return;
         }
-        if (a.status / 100 == 2 && a.signature.empty()) {
-            // Bytes that no server signed are not its answer.
+        if (began_ || (a.status / 100 == 2 && a.signature.empty())) {
+            // Bytes that no server signed are not its answer, and what does
+            // not go on with a stream is none to one that began.
             on_broken(transport::call_end::broken);
             return;
         }
@@ -198,6 +241,10 @@
     }
 
     void finish(forward_result result) {
+        if (began_ && !ended_) {
+            break_off();
+            return;
+        }
         if (std::exchange(ended_, true)) {
             return;
         }
@@ -256,7 +303,13 @@
     int sent_ = 0;
     int failures_ = 0;
     bool may_have_run_ = false;
-    bool streaming_ = false;
+    /// The answer of the present server is handed on as it comes.
+    bool on_stream_ = false;
+    /// The caller has got the head of a stream.
+    bool began_ = false;
+    /// The id of the last event that was handed on.
+    std::string last_event_;
+    transport::event_gate gate_;
     bool ended_ = false;
 };
 
--- a/packages/entry/src/forwarder.hpp
+++ b/packages/entry/src/forwarder.hpp
@@ -24,6 +24,8 @@
     bool repeatable = false;
     /// Whether the answer is handed on as it comes.
     bool streamed = false;
+    /// Whether a stream that breaks off goes on at another server.
+    bool resumable = false;
     /// Whether a server's own failure is tried again elsewhere.
     bool retry_failures = false;
     /// When it must be answered, by the node's clock.
--- a/packages/transport/include/hibiscus/transport/event_stream.hpp
+++ b/packages/transport/include/hibiscus/transport/event_stream.hpp
@@ -33,4 +33,27 @@
     bool has_data_ = false;
 };
 
+/// The whole events in a piece of a stream.
+struct whole_events {
+    /// Their bytes as they came, to be handed on.
+    std::string bytes;
+    /// The id of the last one that has one; empty if none has.
+    std::string last_id;
+};
+
+/// Hands on a stream event by event. A stream that goes on at another server
+/// begins with a whole event; what the first server had sent of that event
+/// must not have been handed on before.
+class event_gate {
+public:
+    /// Takes the next bytes and returns the events that they complete.
+    whole_events feed(std::string_view bytes);
+
+    /// Drops what has come of an event that is not complete.
+    void reset();
+
+private:
+    std::string rest_;
+};
+
 } // namespace hibiscus::transport
--- a/packages/transport/src/event_stream.cpp
+++ b/packages/transport/src/event_stream.cpp
@@ -1,5 +1,7 @@
 #include "hibiscus/transport/event_stream.hpp"
 
+#include <algorithm>
+
 namespace hibiscus::transport {
 
 std::vector<stream_event> event_stream_parser::feed(std::string_view bytes) {
@@ -55,4 +57,30 @@
     }
 }
 
+whole_events event_gate::feed(std::string_view bytes) {
+    rest_.append(bytes);
+    // An event ends with an empty line, whichever ends of lines are used.
+    std::size_t end = 0;
+    for (const std::string_view mark : {"\n\n", "\n\r\n"}) {
+        const auto at = rest_.rfind(mark);
+        if (at != std::string::npos) {
+            end = std::max(end, at + mark.size());
+        }
+    }
+    whole_events out;
+    out.bytes = rest_.substr(0, end);
+    rest_.erase(0, end);
+    event_stream_parser parser;
+    for (auto& e : parser.feed(out.bytes)) {
+        if (!e.id.empty()) {
+            out.last_id = std::move(e.id);
+        }
+    }
+    return out;
+}
+
+void event_gate::reset() {
+    rest_.clear();
+}
+
 } // namespace hibiscus::transport
--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -43,6 +43,29 @@
         });
     }
 
+    /// Reads a stream whose first server breaks off once it is under way.
+    reply stream_with_a_break(const std::string& path) {
+        boost::asio::steady_timer timer(io_, break_after);
+        timer.async_wait([this](const auto&) {
+            engines_[0]->break_streams();
+            engines_[1]->break_streams();
+        });
+        return call("n1", "POST", path, {{"Request-Id", "s1"}, {"Model", "m"}});
+    }
+
+    static std::string whole_stream(const std::string& id) {
+        std::string out;
+        for (int n = 1; n <= events; ++n) {
+            out += "id: " + std::to_string(n) + "\ndata: " + id + "." +
+                   std::to_string(n) + "\n\n";
+        }
+        return out;
+    }
+
+    /// A third of the time that a stream lasts.
+    static constexpr std::chrono::milliseconds break_after{events * event_ms /
+                                                           3};
+
     std::vector<std::string> read_;
     std::set<std::string> ids_;
 };
@@ -168,6 +191,47 @@
     EXPECT_TRUE(read_all("n1"));
 }
 
+TEST_F(entry_path_test, a_resumable_stream_goes_on_at_another_server) {
+    // The server of a stream crashes in the middle of an event. Its caller
+    // must see each event once and whole, and nothing of the crash.
+    configure();
+    start_node("n1");
+    ASSERT_TRUE(wait_ready("n1"));
+    const auto got = stream_with_a_break("/stream/1");
+    EXPECT_EQ(got.status, 200);
+    EXPECT_EQ(got.body, whole_stream("s1"));
+    EXPECT_EQ(engines_[0]->runs() + engines_[1]->runs(), 2);
+}
+
+TEST_F(entry_path_test, a_stream_that_may_not_be_resumed_breaks_off) {
+    // The same crash on a route whose streams run once only. What the caller
+    // gets must not look whole, and no second run may begin.
+    configure();
+    start_node("n1");
+    ASSERT_TRUE(wait_ready("n1"));
+    EXPECT_EQ(stream_with_a_break("/plain-stream/1").status, 0);
+    EXPECT_EQ(engines_[0]->runs() + engines_[1]->runs(), 1);
+}
+
+TEST_F(entry_path_test, what_may_not_be_repeated_is_sent_once) {
+    // A server charges a student's account and its answer is lost. The node
+    // can't know whether it ran, so it must neither send it again nor say
+    // that it did not run.
+    configure();
+    start_node("n1");
+    ASSERT_TRUE(wait_ready("n1"));
+    app_.set_losing_answers(true);
+    const auto once = call("n1", "POST", "/once/x", {{"Request-Id", "q1"}});
+    EXPECT_EQ(once.status, 502);
+    EXPECT_EQ(app_.runs(), 1);
+    EXPECT_EQ(call("n1", "POST", "/look/x", {{"Request-Id", "q2"}}).status,
+              502);
+    EXPECT_EQ(app_.runs(), 3);
+    app_.set_losing_answers(false);
+    EXPECT_EQ(call("n1", "POST", "/once/x", {{"Request-Id", "q3"}}).status,
+              200);
+}
+
 TEST_F(entry_path_test, items_and_results_may_be_larger_than_a_record) {
     // A long text, or a prompt with much in it, exceeds what the store takes
     // as one record. Refused whole, the job could not be accepted, or its
--- a/testing/entry/entry_world.hpp
+++ b/testing/entry/entry_world.hpp
@@ -31,7 +31,16 @@
    "timeoutMs":2000,"targetLatencyMs":150,"attempts":2,"service":"app"},
   {"name":"b","host":"h","pathPrefix":"/batch/","kind":"rollout",
    "targetLatencyMs":500,"runTargetMs":7500,"retentionS":60,"attempts":3,
-   "service":"llm"}],"services":[],"limits":{}})";
+   "service":"llm"},
+  {"name":"s","host":"h","pathPrefix":"/stream/","kind":"non_idempotent",
+   "streaming":true,"resumable":true,"timeoutMs":5000,"targetLatencyMs":500,
+   "attempts":3,"service":"llm"},
+  {"name":"p","host":"h","pathPrefix":"/plain-stream/","kind":"non_idempotent",
+   "streaming":true,"timeoutMs":5000,"targetLatencyMs":500,
+   "attempts":3,"service":"llm"},
+  {"name":"o","host":"h","pathPrefix":"/once/","kind":"non_idempotent",
+   "timeoutMs":2000,"targetLatencyMs":150,"attempts":3,"service":"app"}
+  ],"services":[],"limits":{}})";
 
 /// Answers that callers get; status 0 stands for none.
 struct reply {
--- a/testing/entry/token_server.cpp
+++ b/testing/entry/token_server.cpp
@@ -75,7 +75,11 @@
             version_ = order.at("version").get<std::int64_t>();
         }
         to->respond({next ? 202 : 409, {}, ""});
+    } else if (field(request, "Model").empty() && losing_answers_) {
+        ++runs_;
+        to->abort();
     } else if (field(request, "Model").empty()) {
+        ++runs_;
         to->respond({200,
                      {{"Request-Id", id}, {"Response-Stamp", "of-" + id}},
                      "answer to " + id});
@@ -93,6 +97,7 @@
 void token_server::run(const std::string& id, int next, int breaks,
                        const answer& to) {
     if (breaks != breaks_) {
+        to->write("id: " + std::to_string(next) + "\ndata: half of ");
         to->abort();
         return;
     }
--- a/testing/entry/token_server.hpp
+++ b/testing/entry/token_server.hpp
@@ -28,9 +28,13 @@
     /// Returns the requests that it has worked on.
     const std::set<std::string>& worked_on() const { return worked_on_; }
 
-    /// Breaks off all streams at their next event.
+    /// Breaks off all streams at their next event, in the middle of it.
     void break_streams() { ++breaks_; }
 
+    /// Sets whether answers to requests without a model are lost once the
+    /// server has worked on them.
+    void set_losing_answers(bool losing) { losing_answers_ = losing; }
+
     /// Returns the whole text of a request.
     static std::string text_of(const std::string& id, int events);
 
@@ -51,6 +55,7 @@
     std::int64_t orders_ = 0;
     int runs_ = 0;
     int breaks_ = 0;
+    bool losing_answers_ = false;
     std::set<std::string> worked_on_;
     transport::event_server server_;
     base::endpoint address_;
