batch, entry, store: the records of ended jobs leave the store

Cause: nothing was ever erased; the store refuses all appends at 400 MB, which four trainers reach within minutes (worked out from 3 MB a job, an estimate). Open jobs stay. Weighed: reading the keys of texts under way at each job's end (a megabyte to decode at the busiest moment); the owner remembers the keys in place of that.

--- a/packages/entry/include/hibiscus/entry/settings.hpp
+++ b/packages/entry/include/hibiscus/entry/settings.hpp
@@ -34,6 +34,9 @@
     base::millis drain_ms = 2000;
     /// How long results stay readable after a submission, in ms.
     base::millis status_ms = 120000;
+    /// How much longer the records of an ended job are kept, in ms: its caller
+    /// may still repeat the end, or read a little late.
+    base::millis margin_ms = 60000;
     /// The time from SIGTERM to SIGKILL, in ms.
     base::millis grace_ms = 8000;
     /// Within this time of its end, no item of a job may start, in ms.
--- a/packages/entry/src/job_files.cpp
+++ b/packages/entry/src/job_files.cpp
@@ -86,6 +86,25 @@
     append(adapter::progress_topic, job, records, std::move(done));
 }
 
+void job_files::erase(const batch::job_id& job,
+                      std::function<void(bool)> done) const {
+    struct erasing {
+        int topics = 3;
+        bool all = true;
+    };
+    auto state = std::make_shared<erasing>();
+    for (const auto* topic : {adapter::items_topic, adapter::texts_topic,
+                              adapter::progress_topic}) {
+        store::erase_prefix(store_, part_of(topic, job), batch::job_prefix(job),
+                            [state, done](bool gone) {
+                                state->all = state->all && gone;
+                                if (--state->topics == 0) {
+                                    done(state->all);
+                                }
+                            });
+    }
+}
+
 void job_files::load_items(
     const batch::job_id& job,
     std::function<void(std::optional<std::vector<batch::item>>)> done) const {
--- a/packages/entry/src/job_files.hpp
+++ b/packages/entry/src/job_files.hpp
@@ -35,6 +35,9 @@
                          const std::vector<store::record>& records,
                          append_done done) const;
 
+    /// Erases all of a job; `done` is told whether all of it is gone.
+    void erase(const batch::job_id& job, std::function<void(bool)> done) const;
+
     /// Each calls `done` with nothing if the store gave no answer.
     void load_items(const batch::job_id& job,
                     std::function<void(std::optional<std::vector<batch::item>>)>
--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -98,6 +98,7 @@
         if (row != nullptr && row->ended) {
             log_lives(id, *row);
             run(work_.drop(id));
+            erase_progress(id);
         } else if (row != nullptr) {
             run(work_.listed(id, row->listed));
         }
@@ -128,6 +129,7 @@
     }
     run(work_.drop_all());
     rewards_.clear();
+    progress_keys_.clear();
     loading_.clear();
     for (auto& j : judging_) {
         j.second->cancel();
@@ -278,6 +280,7 @@
         order_loads();
         commit();
         save();
+        expire();
     }
     after_(tick_ms, [this] { tick(); });
 }
--- a/packages/entry/src/owner.hpp
+++ b/packages/entry/src/owner.hpp
@@ -103,6 +103,9 @@
     void save();
     void save_now(int least, std::function<void()> done);
     void leave();
+    void expire();
+    void expired(const batch::job_id& id, bool done);
+    void erase_progress(const batch::job_id& id);
     void order_loads();
     void ask_report(
         const samplers::sampler_id& id,
@@ -140,6 +143,10 @@
     std::int64_t beats_ = 0;
     std::uint64_t texts_written_ = 0;
     base::node_id last_owner_;
+    /// The keys of the texts under way that this owner saved, by open job.
+    std::map<batch::job_id, std::vector<std::string>> progress_keys_;
+    bool expiring_ = false;
+    base::millis next_expiry_ = 0;
     int saving_ = 0;
     bool appending_ = false;
     bool committing_ = false;
--- a/packages/entry/src/owner_writes.cpp
+++ b/packages/entry/src/owner_writes.cpp
@@ -188,6 +188,7 @@
         for (const auto& p : parts) {
             records.push_back(
                 {batch::progress_text(p.job, p.part), batch::encode(p.part)});
+            progress_keys_[id].push_back(records.back().key);
         }
         files_.append_progress(id, records,
                                [this, parts = std::move(parts),
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -39,7 +39,10 @@
         s.fences_checked = checked == "true";
         base::millis status_s = s.status_ms / 1000;
         base::millis grace_s = s.grace_ms / 1000;
+        base::millis margin_s = s.margin_ms / 1000;
         m.integer("status_s", status_s, 1, longest_ms);
+        m.integer("margin_s", margin_s, 0, longest_ms);
+        s.margin_ms = margin_s * 1000;
         m.integer("grace_s", grace_s, 1, longest_ms);
         s.status_ms = status_s * 1000;
         s.grace_ms = grace_s * 1000;
--- a/packages/store/include/hibiscus/store/prefix_reader.hpp
+++ b/packages/store/include/hibiscus/store/prefix_reader.hpp
@@ -15,4 +15,10 @@
                  std::size_t most_bytes,
                  std::function<void(std::optional<std::vector<record>>)> done);
 
+/// Erases the records whose keys begin with `prefix`. Calls `done` with true
+/// once the store has taken it for all, with false if it gave no answer or
+/// refused; what is erased by then stays so.
+void erase_prefix(const log_store& store, const partition& source,
+                  const std::string& prefix, std::function<void(bool)> done);
+
 } // namespace hibiscus::store
--- a/packages/store/test/follower_test.cpp
+++ b/packages/store/test/follower_test.cpp
@@ -140,6 +140,32 @@
     EXPECT_EQ(found->back().key, "b/4");
 }
 
+TEST_F(follower_test, a_prefix_is_erased_over_pages_and_nothing_else) {
+    for (const char* key : {"a/1", "b/1", "b/2", "b/3", "b/4", "c/1"}) {
+        append(key, "x");
+    }
+    std::optional<bool> gone;
+    erase_prefix(store_.port(), {"t", 0}, "b/", [&](bool all) { gone = all; });
+    run(40);
+    EXPECT_EQ(gone, true);
+    follower_->start();
+    run(40);
+    EXPECT_EQ(view_.size(), 2U);
+    EXPECT_EQ(view_.count("a/1") + view_.count("c/1"), 2U);
+}
+
+TEST_F(follower_test, an_erasure_that_the_store_refuses_is_said) {
+    // The store goes away while a job is erased. Its header must stay in the
+    // journal then, or nobody would ever find the rest.
+    append("b/1", "x");
+    run(2);
+    store_.set_fate(testing::append_fate::refused);
+    std::optional<bool> gone;
+    erase_prefix(store_.port(), {"t", 0}, "b/", [&](bool all) { gone = all; });
+    run(10);
+    EXPECT_EQ(gone, false);
+}
+
 TEST_F(follower_test, a_prefix_is_read_to_the_end_of_a_large_value) {
     // A result larger than a record lies in pieces. A reader that stopped at
     // its bound in the middle of them would find nothing it can hand out, each
--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -249,6 +249,35 @@
     EXPECT_TRUE(read_all("n1"));
 }
 
+TEST_F(entry_path_test, the_records_of_an_ended_job_leave_the_store) {
+    // The store refuses all appends once it is full. Records of jobs that
+    // nobody reads any more must go, before no job is accepted any longer.
+    more_settings_ = "bounds:\n  status_s: 1\n  margin_s: 0\n";
+    configure();
+    start_node("n1");
+    ASSERT_TRUE(wait_ready("n1"));
+    ASSERT_EQ(
+        call("n1", "POST", "/batch/2", {{"Request-Id", "job2"}}, job_body("o"))
+            .status,
+        202);
+    ASSERT_EQ(submit("n1").status, 202);
+    ASSERT_TRUE(read_all("n1"));
+    ASSERT_EQ(call("n1", "DELETE", "/lots/job1").status, 200);
+    const auto left = [&](const std::string& job) {
+        std::size_t keys = 0;
+        for (const char* topic : {"keyed.journal", "keyed.items", "keyed.texts",
+                                  "keyed.progress"}) {
+            keys += store_.keys(topic, job + "/");
+        }
+        return keys;
+    };
+    EXPECT_TRUE(run_until([&] { return left("job1") == 0; }));
+    EXPECT_EQ(call("n1", "GET", "/lots/job1").status, 404);
+    // The other job is still open.
+    EXPECT_GT(left("job2"), 0U);
+    EXPECT_EQ(call("n1", "GET", "/lots/job2").status, 200);
+}
+
 TEST_F(entry_path_test, a_wrong_setting_ends_the_start) {
     const auto file = folder_ + "/wrong.yaml";
     std::ofstream(file) << "node: n\nzone: z\nlisten:\n  callers: nowhere\n";
--- a/testing/entry/entry_world.hpp
+++ b/testing/entry/entry_world.hpp
@@ -95,7 +95,8 @@
             << "  callers: " << at(0) << "  readiness: " << at(1)
             << "  directory: " << at(2) << "  metrics: " << at(3)
             << "store:\n  address: "
-            << to_string(store.value_or(store_.address())) << "\n";
+            << to_string(store.value_or(store_.address())) << "\n"
+            << more_settings_;
         nodes_[name] = std::make_unique<process>(
             std::vector<std::string>{HIBISCUS_ENTRYD, "--settings=" + file},
             folder_ + "/" + name + ".log");
@@ -188,6 +189,8 @@
     std::vector<std::unique_ptr<token_server>> engines_;
     token_server app_{io_, "app-0", events, event_ms};
     std::string folder_;
+    /// Lines behind the settings of the nodes that are started.
+    std::string more_settings_;
     std::map<std::string, std::vector<std::uint16_t>> ports_;
     std::map<std::string, std::unique_ptr<process>> nodes_;
 };
--- a/testing/entry/keyed_store.cpp
+++ b/testing/entry/keyed_store.cpp
@@ -125,6 +125,21 @@
     }
 }
 
+std::size_t keyed_store::keys(const std::string& topic,
+                              const std::string& prefix) const {
+    std::map<std::string, bool> live;
+    for (const auto& [name, log] : logs_) {
+        for (const auto& r : log) {
+            if (name.first == topic &&
+                r.key.compare(0, prefix.size(), prefix) == 0) {
+                live[r.key] = !r.value.empty();
+            }
+        }
+    }
+    return static_cast<std::size_t>(std::count_if(
+        live.begin(), live.end(), [](const auto& l) { return l.second; }));
+}
+
 void keyed_store::append(const transport::inbound_request& request,
                          const answer& to) {
     const auto& target = request.target;
--- a/testing/entry/keyed_store.hpp
+++ b/testing/entry/keyed_store.hpp
@@ -32,6 +32,9 @@
     /// Sets how many of a hundred appends are carried out without an answer.
     void set_losing(int percent) { losing_ = percent; }
 
+    /// Returns how many keys of a topic begin with `prefix`.
+    std::size_t keys(const std::string& topic, const std::string& prefix) const;
+
     /// Returns the newest value of a key, or "".
     std::string newest(const std::string& topic, const std::string& key) const;
 
