samplers: servers that are slower for good are remembered as such

Cause: a server that had not been seen for 3 s counted as the fastest of all (37 ms an event, where grown servers take 50). A third of the servers take 1.3 times as long; idle between two steps, they got the next step's longest items. Change: an unseen server counts as usual (the median), one that was not seen lately as what it was, at most 1.35 times the usual, so that one that was in trouble is tried again.

--- a/packages/samplers/src/placement.cpp
+++ b/packages/samplers/src/placement.cpp
@@ -7,10 +7,15 @@
 
 namespace {
 
-/// The pace that a server is given before it was seen, in ms an event: that
-/// of a sound one alone, so that a new one is tried at once.
+/// The pace that servers are given before any was seen, in ms an event; it
+/// only has to be the same for all.
 constexpr double first_pace_ms = 37;
 
+/// The slowest of sound servers take so many times as long as the usual ones.
+/// What was slower than that was in trouble, which may be over once it has not
+/// been seen for a while.
+constexpr double sound_spread = 1.35;
+
 /// What a full server counts as more than an empty one. Its tokens come only
 /// 8 % slower, but the longest runs, which are placed first, would then all
 /// stand on the fastest servers and slow each other down to their end; spread
@@ -22,7 +27,8 @@
 /// 1.3; at 1.7 a move pays for a run with a second or more to go.
 constexpr double slow_factor = 1.7;
 
-/// A pace that was last seen so long ago says nothing of now, in ms.
+/// A pace that was last seen so long ago does not show a trouble of now, in
+/// ms; that a server is one of the slower ones it still shows.
 constexpr base::millis pace_age_ms = 3000;
 
 /// How much dearer a place counts for each version that its server is ahead
@@ -53,9 +59,31 @@
            !row.unlisted && now >= row.blocked_until && !loads(row, now);
 }
 
-double pace_of(const sampler_row& row, base::millis now) {
-    const bool fresh = row.event_ms > 0 && now - row.event_seen < pace_age_ms;
-    return fresh ? row.event_ms : first_pace_ms;
+/// Returns the usual pace of a service: the median of those that were seen.
+double usual_pace(const sampler_table& table, const service_name& service) {
+    std::vector<double> paces;
+    for (const auto& [id, row] : table.rows()) {
+        if (row.registered.service == service && row.event_ms > 0) {
+            paces.push_back(row.event_ms);
+        }
+    }
+    if (paces.empty()) {
+        return first_pace_ms;
+    }
+    const auto middle = paces.begin() + static_cast<long>(paces.size() / 2);
+    std::nth_element(paces.begin(), middle, paces.end());
+    return *middle;
+}
+
+/// Servers differ for good, by a third. One that had been idle for some
+/// seconds was taken for the fastest of all, and the longest runs, which are
+/// placed first, went to the slower ones just then.
+double pace_of(const sampler_row& row, double usual, base::millis now) {
+    if (row.event_ms <= 0) {
+        return usual;
+    }
+    const bool fresh = now - row.event_seen < pace_age_ms;
+    return fresh ? row.event_ms : std::min(row.event_ms, sound_spread * usual);
 }
 
 bool takes(const sampler_row& row, const run_needs& needs, base::millis now) {
@@ -65,13 +93,13 @@
 }
 
 double cost_of(const sampler_table& table, const sampler_row& row,
-               const run_needs& needs, base::millis now) {
+               const run_needs& needs, double usual, base::millis now) {
     const double fill = static_cast<double>(row.running) / row.registered.slots;
     const auto ahead =
         static_cast<double>(row.version_of(needs.model) - needs.least);
     const double over =
         std::max(0.0, table.memory_share(row, needs.tokens) - full_memory);
-    return pace_of(row, now) *
+    return pace_of(row, usual, now) *
            (1 + full_cost * fill + newer_cost * ahead + memory_cost * over);
 }
 
@@ -81,11 +109,12 @@
                                     const run_needs& needs, base::millis now) {
     std::optional<sampler_id> best;
     double best_cost = 0;
+    const double usual = usual_pace(table, needs.service);
     for (const auto& [id, row] : table.rows()) {
         if (!takes(row, needs, now)) {
             continue;
         }
-        const double cost = cost_of(table, row, needs, now);
+        const double cost = cost_of(table, row, needs, usual, now);
         if (!best || cost < best_cost) {
             best = id;
             best_cost = cost;
@@ -108,8 +137,9 @@
     }
     const auto& there = table.rows().at(*to);
     const bool room = table.memory_share(there, needs.tokens) < full_memory;
-    const bool faster =
-        pace_of(there, now) * worthwhile_gain < pace_of(here->second, now);
+    const double usual = usual_pace(table, needs.service);
+    const bool faster = pace_of(there, usual, now) * worthwhile_gain <
+                        pace_of(here->second, usual, now);
     return room && faster ? to : std::nullopt;
 }
 
@@ -151,9 +181,10 @@
                                    const service_name& service,
                                    base::millis now) {
     std::vector<double> paces;
+    const double usual = usual_pace(table, service);
     for (const auto& [id, row] : table.rows()) {
         if (usable(row, service, now)) {
-            paces.push_back(pace_of(row, now));
+            paces.push_back(pace_of(row, usual, now));
         }
     }
     std::set<sampler_id> out;
@@ -164,7 +195,7 @@
     std::nth_element(paces.begin(), middle, paces.end());
     for (const auto& [id, row] : table.rows()) {
         if (row.registered.service == service &&
-            pace_of(row, now) > slow_factor * *middle) {
+            pace_of(row, usual, now) > slow_factor * *middle) {
             out.insert(id);
         }
     }
