entry: a settings file that changes is taken without a signal

Cause: only SIGHUP led to a reading of the file, and the store's address needed a restart, though the platform may change the file without a signal. Change: the file is compared every two seconds; bounds, margins and the store's address are taken; a line says whether a listening address needs a restart. Test first: a_settings_file_that_changes_is_taken_without_a_signal asks what nothing did before.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -17,6 +17,8 @@
 
 #include <chrono>
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <memory>
 
 namespace hibiscus::entry {
@@ -56,6 +58,10 @@
 /// in ms.
 constexpr base::millis probe_ms = 300;
 
+/// How often the settings file is looked at, in ms: a kilobyte, which is read
+/// far sooner than operators need a change in force.
+constexpr base::millis settings_check_ms = 2000;
+
 /// The default patience of a caller that names none, in ms.
 constexpr base::millis default_deadline_ms = 10000;
 
@@ -112,6 +118,8 @@
         batch_.start();
         flush();
         watch_link();
+        settings_text_ = settings_text();
+        watch_settings();
         io_.run();
         state_.log.write(
             "stop", {{"in_flight", static_cast<int>(callers_.in_flight())}});
@@ -156,7 +164,8 @@
                 return;
             }
             if (signal == SIGHUP) {
-                reload();
+                settings_text_ = settings_text();
+                reload("signal");
             } else {
                 stop();
             }
@@ -164,19 +173,57 @@
         });
     }
 
-    /// Addresses can't change while the process runs; a file that can't be
+    /// Takes the bounds and the store's address from the settings file. What
+    /// the process listens on can't change while it runs; a file that can't be
     /// read leaves the settings in force as they are.
-    void reload() {
+    void reload(const char* cause) {
         const auto loaded = load_node_settings(path_);
         const auto* fresh = base::value_if(loaded);
-        if (fresh != nullptr) {
-            state_.config.lease_ms = fresh->lease_ms;
-            state_.config.drain_ms = fresh->drain_ms;
-            state_.config.cancel_ms = fresh->cancel_ms;
-            state_.config.grace_ms = fresh->grace_ms;
-            state_.config.status_ms = fresh->status_ms;
+        if (fresh == nullptr) {
+            state_.log.write("reload", {{"cause", cause}, {"taken", false}});
+            return;
+        }
+        auto& now = state_.config;
+        const bool store_moved = !(now.store == fresh->store);
+        now.lease_ms = fresh->lease_ms;
+        now.drain_ms = fresh->drain_ms;
+        now.cancel_ms = fresh->cancel_ms;
+        now.grace_ms = fresh->grace_ms;
+        now.status_ms = fresh->status_ms;
+        now.margin_ms = fresh->margin_ms;
+        now.fences_checked = fresh->fences_checked;
+        now.store = fresh->store;
+        if (store_moved) {
+            link_.move_to(now.store);
+        }
+        state_.log.write("reload",
+                         {{"cause", cause},
+                          {"taken", true},
+                          {"store_moved", store_moved},
+                          {"needs_restart", listens_on_other(*fresh)}});
+    }
+
+    bool listens_on_other(const node_settings& fresh) const {
+        const auto& now = state_.config;
+        return !(now.listen_callers == fresh.listen_callers &&
+                 now.listen_readiness == fresh.listen_readiness &&
+                 now.listen_directory == fresh.listen_directory &&
+                 now.listen_metrics == fresh.listen_metrics);
+    }
+
+    std::string settings_text() const {
+        std::ifstream in(path_);
+        return {std::istreambuf_iterator<char>(in), {}};
+    }
+
+    /// The file may change without a signal.
+    void watch_settings() {
+        auto text = settings_text();
+        if (!text.empty() && text != settings_text_) {
+            settings_text_ = std::move(text);
+            reload("file_changed");
         }
-        state_.log.write("reload", {{"taken", fresh != nullptr}});
+        after(settings_check_ms, [this] { watch_settings(); });
     }
 
     void stop() {
@@ -429,6 +476,8 @@
     asio::io_context io_{1};
     node_state state_;
     std::string path_;
+    /// The settings file as it was last read.
+    std::string settings_text_;
     asio::signal_set signals_;
     transport::upstream_client client_;
     store::store_link link_;
--- a/packages/store/include/hibiscus/store/store_link.hpp
+++ b/packages/store/include/hibiscus/store/store_link.hpp
@@ -74,6 +74,9 @@
     /// The store was tried and served.
     void back();
 
+    /// The store has moved to another address.
+    void move_to(const base::endpoint& address);
+
 private:
     struct pending {
         bool relayed = false;
--- a/packages/store/src/store_link.cpp
+++ b/packages/store/src/store_link.cpp
@@ -88,6 +88,11 @@
     }
 }
 
+void store_link::move_to(const base::endpoint& address) {
+    address_ = address;
+    back();
+}
+
 bool store_link::away() {
     check();
     return away_;
--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -278,6 +278,19 @@
     EXPECT_EQ(call("n1", "GET", "/lots/job2").status, 200);
 }
 
+TEST_F(entry_path_test,
+       a_settings_file_that_changes_is_taken_without_a_signal) {
+    // The store moves to another address and the platform writes it into the
+    // settings file, with or without a signal. A node that went by the old one
+    // would be out of touch until somebody restarts it.
+    configure();
+    start_node("n1", base::endpoint{"127.0.0.1", free_port("127.0.0.1")});
+    ASSERT_TRUE(run_until(
+        [&] { return call("n1", "GET", "/readyz", {}, "", 1).status == 503; }));
+    write_settings("n1");
+    EXPECT_TRUE(wait_ready("n1"));
+}
+
 TEST_F(entry_path_test, a_wrong_setting_ends_the_start) {
     const auto file = folder_ + "/wrong.yaml";
     std::ofstream(file) << "node: n\nzone: z\nlisten:\n  callers: nowhere\n";
--- a/testing/entry/entry_world.hpp
+++ b/testing/entry/entry_world.hpp
@@ -77,9 +77,11 @@
 
     void configure() { store_.put("keyed.op", "config", configuration); }
 
-    /// Starts a node; its calls to the store go to `store` if that is given.
-    void start_node(const std::string& name,
-                    std::optional<base::endpoint> store = std::nullopt) {
+    /// Writes the settings of a node; its calls to the store go to `store` if
+    /// that is given. Returns the file's path.
+    std::string
+    write_settings(const std::string& name,
+                   std::optional<base::endpoint> store = std::nullopt) {
         auto& ports = ports_[name];
         if (ports.empty()) {
             for (int n = 0; n < 4; ++n) {
@@ -97,6 +99,13 @@
             << "store:\n  address: "
             << to_string(store.value_or(store_.address())) << "\n"
             << more_settings_;
+        return file;
+    }
+
+    /// Starts a node with settings as write_settings() leaves them.
+    void start_node(const std::string& name,
+                    std::optional<base::endpoint> store = std::nullopt) {
+        const auto file = write_settings(name, store);
         nodes_[name] = std::make_unique<process>(
             std::vector<std::string>{HIBISCUS_ENTRYD, "--settings=" + file},
             folder_ + "/" + name + ".log");
