samplers: plain requests go to servers that are known already

Ruled out: runs and reward calls of the owner, which keep theirs. Change: an unseen server counts as the usual one, one that answered lately is 20 ms better, and processes part alike servers by a draw of their own.

--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -49,6 +49,10 @@
     base::millis event_seen = 0;
     /// The mean time of a plain answer, in ms; 0 if not known.
     double answer_ms = 0;
+    /// When it last answered a plain request; 0 for never.
+    base::millis answered_at = 0;
+    /// A number from 0 to 1 that differs between processes.
+    double draw = 0;
     /// Weights that its own answers or orders showed, newer than registered.
     std::map<std::string, std::int64_t> seen_versions;
     /// Set when its entry is gone from the registry, but the registry may be
@@ -62,7 +66,10 @@
 /// All backend servers that may take work.
 class sampler_table {
 public:
-    explicit sampler_table(base::clock clock) : clock_(std::move(clock)) {}
+    /// `salt` differs between processes, so that they choose differently
+    /// among servers that are alike.
+    explicit sampler_table(base::clock clock, std::uint64_t salt = 0)
+        : clock_(std::move(clock)), salt_(salt) {}
 
     /// Takes in an entry. A server that started anew under its id is a new
     /// one: what was seen of it before no longer holds.
@@ -117,6 +124,7 @@
 
 private:
     base::clock clock_;
+    std::uint64_t salt_;
     std::map<sampler_id, sampler_row> rows_;
     std::map<service_name, std::int64_t> memory_;
 };
--- a/packages/samplers/src/placement.cpp
+++ b/packages/samplers/src/placement.cpp
@@ -143,6 +143,34 @@
     return room && faster ? to : std::nullopt;
 }
 
+namespace {
+
+/// A server that answered so lately may have kept its connection, in ms. An
+/// estimate: servers close idle ones after some seconds. Where one has not,
+/// nothing is lost.
+constexpr base::millis warm_ms = 8000;
+
+/// Parts servers that are alike, so that not all nodes choose the same: less
+/// than the difference of any two answers that counts.
+constexpr double tie_cost = 0.005;
+
+/// Returns the mean time of answers of a service, in ms; what a server counts
+/// with that was not asked yet. Counted as the fastest, each server would be
+/// asked by each node before any is asked twice.
+double usual_answer(const sampler_table& table, const service_name& service) {
+    double sum = 0;
+    int seen = 0;
+    for (const auto& [id, row] : table.rows()) {
+        if (row.registered.service == service && row.answer_ms > 0) {
+            sum += row.answer_ms;
+            ++seen;
+        }
+    }
+    return seen == 0 ? 0 : sum / seen;
+}
+
+} // namespace
+
 std::optional<sampler_id> place_plain(const sampler_table& table,
                                       const service_name& service,
                                       const base::zone_id& near,
@@ -155,17 +183,25 @@
     constexpr double blocked_cost = 1000;
     constexpr double tried_cost = 100;
     constexpr double far_cost = 0.25;
+    // A node with a request each few seconds would open a connection for each
+    // if it went through the servers in turn.
+    constexpr double cold_cost = 0.02;
+    const double usual = usual_answer(table, service);
     for (const auto& [id, row] : table.rows()) {
         if (row.registered.service != service || row.registered.draining ||
             row.unlisted) {
             continue;
         }
+        const bool warm = row.answered_at > 0 && row.running == 0 &&
+                          now - row.answered_at < warm_ms;
         double cost = static_cast<double>(row.running) /
                       std::max(1, row.registered.slots);
         cost += row.registered.zone == near ? 0 : far_cost;
         cost += now < row.blocked_until ? blocked_cost : 0;
         cost += tried.count(id) != 0 ? tried_cost : 0;
-        cost += row.answer_ms / 1000;
+        cost += (row.answer_ms > 0 ? row.answer_ms : usual) / 1000;
+        cost += warm ? 0 : cold_cost;
+        cost += tie_cost * row.draw;
         if (best == nullptr || cost < best_cost) {
             best = &id;
             best_cost = cost;
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -1,6 +1,9 @@
 #include "hibiscus/samplers/sampler_table.hpp"
 
+#include "hibiscus/base/hash.hpp"
+
 #include <algorithm>
+#include <limits>
 
 namespace hibiscus::samplers {
 
@@ -48,6 +51,8 @@
     }
     row.unlisted = false;
     row.registered = std::move(r);
+    row.draw = static_cast<double>(base::stable_hash(id.str(), salt_)) /
+               static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
 
 void sampler_table::remove(const sampler_id& id) {
@@ -120,6 +125,7 @@
 void sampler_table::answered(const sampler_id& id, base::millis ms) {
     if (auto* row = find(id)) {
         row->failures = 0;
+        row->answered_at = clock_.now();
         mix(row->answer_ms, static_cast<double>(ms));
     }
 }
