entry: a stream whose events have no ids breaks off with its server

Test first: a_stream_without_ids_is_not_begun_anew fails on the commit before. Comments of placement and link now say which figures were measured.

--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -143,6 +143,7 @@
                 last_event_ = std::move(whole.last_id);
             }
             if (!whole.bytes.empty()) {
+                wrote_ = true;
                 sink_->write(whole.bytes);
             }
         }
@@ -180,7 +181,10 @@
             return;
         }
         state_.samplers.failed(server_);
-        if (request_.resumable) {
+        // Events without an id can't be named to the next server; it would
+        // send them again.
+        const bool can_go_on = !wrote_ || !last_event_.empty();
+        if (request_.resumable && can_go_on) {
             may_have_run_ = true;
             log("stream", "moves");
             next();
@@ -307,6 +311,8 @@
     bool on_stream_ = false;
     /// The caller has got the head of a stream.
     bool began_ = false;
+    /// Whether the caller has got events.
+    bool wrote_ = false;
     /// The id of the last event that was handed on.
     std::string last_event_;
     transport::event_gate gate_;
--- a/packages/samplers/src/placement.cpp
+++ b/packages/samplers/src/placement.cpp
@@ -184,7 +184,10 @@
     constexpr double tried_cost = 100;
     constexpr double far_cost = 0.25;
     // A node with a request each few seconds would open a connection for each
-    // if it went through the servers in turn.
+    // if it went through the servers in turn. With 75 nodes and 14 requests a
+    // second this and the usual answer for unseen servers took new connections
+    // of a minute from 2,254 to 1,553, the mean of three plays each. A cost of
+    // 0.1 kept nodes at servers that had become slow.
     constexpr double cold_cost = 0.02;
     const double usual = usual_answer(table, service);
     for (const auto& [id, row] : table.rows()) {
--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -44,13 +44,14 @@
     }
 
     /// Reads a stream whose first server breaks off once it is under way.
-    reply stream_with_a_break(const std::string& path) {
+    reply stream_with_a_break(const std::string& path,
+                              const std::string& id = "s1") {
         boost::asio::steady_timer timer(io_, break_after);
         timer.async_wait([this](const auto&) {
             engines_[0]->break_streams();
             engines_[1]->break_streams();
         });
-        return call("n1", "POST", path, {{"Request-Id", "s1"}, {"Model", "m"}});
+        return call("n1", "POST", path, {{"Request-Id", id}, {"Model", "m"}});
     }
 
     static std::string whole_stream(const std::string& id) {
@@ -213,6 +214,16 @@
     EXPECT_EQ(engines_[0]->runs() + engines_[1]->runs(), 1);
 }
 
+TEST_F(entry_path_test, a_stream_without_ids_is_not_begun_anew) {
+    // A server's events bear no ids, so that no other server can be told where
+    // to go on. It would send the first ones again, to a caller that has them.
+    configure();
+    start_node("n1");
+    ASSERT_TRUE(wait_ready("n1"));
+    EXPECT_EQ(stream_with_a_break("/stream/1", "noid1").status, 0);
+    EXPECT_EQ(engines_[0]->runs() + engines_[1]->runs(), 1);
+}
+
 TEST_F(entry_path_test, what_may_not_be_repeated_is_sent_once) {
     // A server charges a student's account and its answer is lost. The node
     // can't know whether it ran, so it must neither send it again nor say
--- a/testing/entry/token_server.cpp
+++ b/testing/entry/token_server.cpp
@@ -105,8 +105,9 @@
         to->end();
         return;
     }
-    to->write("id: " + std::to_string(next) + "\ndata: " + event_of(id, next) +
-              "\n\n");
+    const bool named = id.compare(0, 4, "noid") != 0;
+    to->write((named ? "id: " + std::to_string(next) + "\n" : "") +
+              "data: " + event_of(id, next) + "\n\n");
     auto timer = std::make_shared<boost::asio::steady_timer>(
         io_, std::chrono::milliseconds(event_ms_));
     timer->async_wait([this, timer, id, next, breaks, to](auto error) {
--- a/testing/entry/token_server.hpp
+++ b/testing/entry/token_server.hpp
@@ -15,7 +15,7 @@
 /// A stand-in for a server of the users: it makes events for requests that
 /// name a model, resumes them, takes orders for weights, and answers all else
 /// at once. Its events depend on the request's id and their number only; those
-/// of ids that begin with "big" are large.
+/// of ids that begin with "big" are large, those of "noid" have no id.
 class token_server {
 public:
     token_server(boost::asio::io_context& io, std::string id, int events,
