--- a/packages/batch/test/records_test.cpp
+++ b/packages/batch/test/records_test.cpp
@@ -80,8 +80,8 @@
         item i;
         i.id = item_id(std::to_string(items.size()));
         // One in nine is larger than a record.
-        const auto times = size.b % 9 == 0 ? 8 : 1;
-        i.body = std::string(static_cast<std::size_t>(size.a * times), 'x');
+        const std::size_t times = size.b % 9 == 0 ? 8 : 1;
+        i.body = std::string(static_cast<std::size_t>(size.a) * times, 'x');
         items.push_back(i);
     }
     job_header header;
--- a/packages/store/test/pieces_test.cpp
+++ b/packages/store/test/pieces_test.cpp
@@ -64,7 +64,8 @@
 std::string store_and_read(const std::vector<testing::fuzz_command>& sizes) {
     std::vector<record> records;
     for (const auto& s : sizes) {
-        const auto size = static_cast<std::size_t>(s.a * (1 + s.b % 12));
+        const auto size = static_cast<std::size_t>(s.a) *
+                          static_cast<std::size_t>(1 + s.b % 12);
         const auto name = std::to_string(100000 + records.size());
         records.push_back(
             {name, std::string(size + 1, static_cast<char>('a' + s.c % 26))});
--- a/testing/entry/entry_world.hpp
+++ b/testing/entry/entry_world.hpp
@@ -88,7 +88,7 @@
                 ports.push_back(free_port("127.0.0.1"));
             }
         }
-        const auto file = folder_ + "/" + name + ".yaml";
+        auto file = folder_ + "/" + name + ".yaml";
         const auto at = [&](std::size_t n) {
             return "127.0.0.1:" + std::to_string(ports[n]) + "\n";
         };
