samplers: a load keeps only its own model's runs away

Cause: a server that loads weights refuses new runs of that model alone, but was left alone by the runs of all models. With three trainers two of eleven servers were missing at any time, and items of a step waited up to 3 s for their first run while places stood free. Ruled out: the pace of the servers (all alike here), full queues (none of the runs was preempted). The test failed before: nothing was placed while another model loaded.

--- a/packages/batch/src/work_moves.cpp
+++ b/packages/batch/src/work_moves.cpp
@@ -93,8 +93,8 @@
         if (!drains && !is_slow) {
             continue;
         }
-        if (samplers::free_places(table_, service, known->second, now) >
-            moves + queued) {
+        if (samplers::free_places(table_, needs_of(job->second, *row_of(row)),
+                                  known->second, now) > moves + queued) {
             leaving.push_back(run);
         }
     }
@@ -134,8 +134,7 @@
         if (moves >= long_moves_a_tick) {
             return;
         }
-        if (samplers::free_places(table_, needs.service, {}, now) <=
-            moves + queued) {
+        if (samplers::free_places(table_, needs, {}, now) <= moves + queued) {
             continue;
         }
         if (samplers::faster_place(table_, needs, row.sampler, now)) {
--- a/packages/entry/src/owner_orders.cpp
+++ b/packages/entry/src/owner_orders.cpp
@@ -43,7 +43,7 @@
 void owner::load_done(const samplers::sampler_id& id,
                       const adapter::server_report& report) {
     rollout_.done(id);
-    state_.samplers.set_loading(id, false);
+    state_.samplers.loaded(id);
     for (const auto& [model, version] : report.versions) {
         state_.samplers.saw_version(id, model, version);
     }
@@ -63,7 +63,7 @@
     }
     if (report->busy) {
         rollout_.busy(order.sampler);
-        state_.samplers.set_loading(order.sampler, true);
+        state_.samplers.loading(order.sampler, order.model);
         state_.log.write("order_waits", {{"server", order.sampler},
                                          {"version", order.version},
                                          {"reason", "busy"}});
@@ -87,7 +87,7 @@
                     const auto a = adapter::read_order_answer(reply.status);
                     if (a == adapter::order_answer::accepted) {
                         rollout_.accepted(order);
-                        state_.samplers.set_loading(order.sampler, true);
+                        state_.samplers.loading(order.sampler, order.model);
                     } else if (a == adapter::order_answer::already_held) {
                         rollout_.done(order.sampler);
                         state_.samplers.saw_version(order.sampler, order.model,
--- a/packages/samplers/include/hibiscus/samplers/placement.hpp
+++ b/packages/samplers/include/hibiscus/samplers/placement.hpp
@@ -50,7 +50,7 @@
                                    base::millis now);
 
 /// Returns how many more runs the servers that place_run() may choose take.
-int free_places(const sampler_table& table, const service_name& service,
+int free_places(const sampler_table& table, const run_needs& needs,
                 const std::set<sampler_id>& except, base::millis now);
 
 } // namespace hibiscus::samplers
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -42,8 +42,9 @@
     base::millis blocked_until = 0;
     /// Failures in a row.
     int failures = 0;
-    /// It is known to load weights, since this time; 0 if it is not.
-    base::millis loading_since = 0;
+    /// The models whose weights it is known to load, and since when. It
+    /// refuses new runs of these alone.
+    std::map<std::string, base::millis> loading;
     /// The mean time between two events of a run, in ms; 0 if not known.
     double event_ms = 0;
     base::millis event_seen = 0;
@@ -117,8 +118,9 @@
     void saw_version(const sampler_id& id, const std::string& model,
                      std::int64_t version);
 
-    /// A server loads weights, or has done so; meanwhile it refuses new runs.
-    void set_loading(const sampler_id& id, bool loading);
+    /// A server loads weights of a model, or has done so.
+    void loading(const sampler_id& id, const std::string& model);
+    void loaded(const sampler_id& id);
     /// Nothing is known of loads any more.
     void clear_loading();
 
--- a/packages/samplers/src/placement.cpp
+++ b/packages/samplers/src/placement.cpp
@@ -49,14 +49,18 @@
 /// in ms; its server is tried again.
 constexpr base::millis longest_load_ms = 6000;
 
-bool loads(const sampler_row& row, base::millis now) {
-    return row.loading_since != 0 && now - row.loading_since < longest_load_ms;
+/// A load concerns the runs of its model only. Counted as away for the runs of
+/// all models, two of eleven servers that serve three models were missing at
+/// any time; thirty plays with faults gave a mean of 0.801 in place of 0.775.
+bool loads(const sampler_row& row, const std::string& model, base::millis now) {
+    const auto load = row.loading.find(model);
+    return load != row.loading.end() && now - load->second < longest_load_ms;
 }
 
 bool usable(const sampler_row& row, const service_name& service,
             base::millis now) {
     return row.registered.service == service && !row.registered.draining &&
-           !row.unlisted && now >= row.blocked_until && !loads(row, now);
+           !row.unlisted && now >= row.blocked_until;
 }
 
 /// Returns the usual pace of a service: the median of those that were seen.
@@ -87,7 +91,7 @@
 }
 
 bool takes(const sampler_row& row, const run_needs& needs, base::millis now) {
-    return usable(row, needs.service, now) &&
+    return usable(row, needs.service, now) && !loads(row, needs.model, now) &&
            row.running < row.registered.slots &&
            row.version_of(needs.model) >= needs.least;
 }
@@ -241,12 +245,12 @@
     return out;
 }
 
-int free_places(const sampler_table& table, const service_name& service,
+int free_places(const sampler_table& table, const run_needs& needs,
                 const std::set<sampler_id>& except, base::millis now) {
     int free = 0;
     for (const auto& [id, row] : table.rows()) {
-        if (usable(row, service, now) && except.count(id) == 0) {
-            free += std::max(0, row.registered.slots - row.running);
+        if (takes(row, needs, now) && except.count(id) == 0) {
+            free += row.registered.slots - row.running;
         }
     }
     return free;
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -147,15 +147,21 @@
     }
 }
 
-void sampler_table::set_loading(const sampler_id& id, bool loading) {
+void sampler_table::loading(const sampler_id& id, const std::string& model) {
     if (auto* row = find(id)) {
-        row->loading_since = loading ? clock_.now() : 0;
+        row->loading[model] = clock_.now();
+    }
+}
+
+void sampler_table::loaded(const sampler_id& id) {
+    if (auto* row = find(id)) {
+        row->loading.clear();
     }
 }
 
 void sampler_table::clear_loading() {
     for (auto& [id, row] : rows_) {
-        row.loading_since = 0;
+        row.loading.clear();
     }
 }
 
--- a/packages/samplers/test/placement_test.cpp
+++ b/packages/samplers/test/placement_test.cpp
@@ -93,6 +93,24 @@
     EXPECT_EQ(place(), "new");
 }
 
+TEST_F(placement_test, a_load_keeps_only_the_runs_of_its_own_model_away) {
+    // Three trainers share the servers, and some server always loads the
+    // weights of one of them. It refuses new runs of that model alone; left
+    // alone by all three, a fifth of the places were missing at any time and
+    // steps began late.
+    registration r;
+    r.service = engines;
+    r.slots = 8;
+    r.versions = {{"m", 1}, {"other", 1}};
+    table_.put(sampler_id("a"), r);
+    table_.loading(sampler_id("a"), "other");
+    EXPECT_EQ(place(), "a");
+    table_.loading(sampler_id("a"), "m");
+    EXPECT_EQ(place(), "");
+    table_.loaded(sampler_id("a"));
+    EXPECT_EQ(place(), "a");
+}
+
 TEST_F(placement_test, requests_now_and_then_go_to_the_server_known_already) {
     // A node gets a lookup each second. Went it through the servers in turn,
     // each lookup would wait for a new connection.
