entry: a store that was silent is used again as soon as it answers

Cause: while the store was silent, reads, appends and the try of the link hung for up to a second each, one after the other; after a silence of 7 s the nodes heard the store 1.05 to 1.2 s after it had returned, and all trainers stood still for that long. Now a try goes out each 200 ms without waiting for the one before, and once one is served, what was asked before it is given up.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -55,8 +55,9 @@
 constexpr base::millis start_retry_ms = 300;
 
 /// How often the link to the store is looked at, and tried while it is away,
-/// in ms.
-constexpr base::millis probe_ms = 300;
+/// in ms. A try does not wait for the one before: a silent store leaves each
+/// of them hanging for a second.
+constexpr base::millis probe_ms = 200;
 
 /// How often the settings file is looked at, in ms: a kilobyte, which is read
 /// far sooner than operators need a change in force.
@@ -348,16 +349,26 @@
             away_ = away;
             state_.log.write("store_link", {{"direct", !away}});
         }
-        if (!away) {
-            after(probe_ms, [this] { watch_link(); });
-            return;
+        if (away) {
+            probe_link();
         }
-        adapter::probe_store(client_, state_.config.store, [this](bool served) {
-            if (served) {
-                link_.back();
-            }
-            after(probe_ms, [this] { watch_link(); });
-        });
+        after(probe_ms, [this] { watch_link(); });
+    }
+
+    /// Tries the store itself. Once it serves, all that was asked before and
+    /// has no answer is given up: a store that was silent does not answer it
+    /// any more, and reads and appends would wait for up to another second
+    /// while every trainer stands still.
+    void probe_link() {
+        const auto began = state_.clock.now();
+        adapter::probe_store(client_, state_.config.store,
+                             [this, began](bool served) {
+                                 if (!served || !link_.away()) {
+                                     return;
+                                 }
+                                 link_.back();
+                                 client_.abandon(state_.config.store, began);
+                             });
     }
 
     void on_metrics(transport::exchange& answer) {
--- a/packages/transport/include/hibiscus/transport/upstream.hpp
+++ b/packages/transport/include/hibiscus/transport/upstream.hpp
@@ -95,6 +95,13 @@
                                          upstream_events events,
                                          const std::string& echo = "");
 
+    /// Ends all calls to `target` that began before `before` as timed out, or
+    /// as not sent if they had no connection. For
+    /// a target that was silent and answers again: what it was asked before
+    /// will never be answered, and would hold up its callers until their
+    /// bounds.
+    void abandon(const base::endpoint& target, base::millis before);
+
     /// Closes the kept connections to `target`.
     void forget(const base::endpoint& target);
 
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -108,6 +108,12 @@
 
     bool done() const { return done_; }
 
+    void abandon(const base::endpoint& target, base::millis before) {
+        if (target_ == target && started_ < before) {
+            finish(connected_ ? call_end::timed_out : call_end::not_sent);
+        }
+    }
+
     void check(base::millis now) {
         if (done_) {
             return;
@@ -412,6 +418,14 @@
 
     void stop() { timer_.cancel(); }
 
+    void abandon(const base::endpoint& target, base::millis before) {
+        // Callers may start new calls when theirs end.
+        const auto calls = calls_;
+        for (const auto& c : calls) {
+            c->abandon(target, before);
+        }
+    }
+
     client_state& state() { return *state_; }
 
 private:
@@ -475,6 +489,11 @@
                         echo);
 }
 
+void upstream_client::abandon(const base::endpoint& target,
+                              base::millis before) {
+    impl_->abandon(target, before);
+}
+
 void upstream_client::forget(const base::endpoint& target) {
     impl_->state().idle.erase(target);
 }
--- a/packages/transport/test/upstream_test.cpp
+++ b/packages/transport/test/upstream_test.cpp
@@ -8,7 +8,9 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -206,6 +208,34 @@
     EXPECT_EQ(get(nobody).end, call_end::not_sent);
 }
 
+TEST_F(upstream_test, calls_from_before_a_silence_are_abandoned) {
+    // A server takes requests and answers nothing for some seconds. It answers
+    // new ones then, but never those of before; who waits for these waits in
+    // vain until its bound.
+    scripted_server silent(io_, {{"HTTP/1.1 "}, {"HTTP/1.1 "}, {"HTTP/1.1 "}});
+    const auto now = base::clock().now();
+    std::map<std::string, call_end> ends;
+    const auto begin = [&](const std::string& name) {
+        upstream_events events;
+        events.ended = [&ends, name](call_end end) { ends[name] = end; };
+        return client_.start(silent.address(), {}, {}, std::move(events));
+    };
+    const auto kept = begin("other server");
+    client_.abandon({"127.0.0.1", 1}, now + 60000);
+    client_.abandon(silent.address(), now);
+    EXPECT_TRUE(ends.empty());
+    const auto unconnected = begin("without a connection");
+    client_.abandon(silent.address(), now + 60000);
+    EXPECT_EQ(ends.at("other server"), call_end::not_sent);
+    EXPECT_EQ(ends.at("without a connection"), call_end::not_sent);
+    const auto asked = begin("asked");
+    while (silent.requests() < 1) {
+        io_.run_one_for(std::chrono::seconds(20));
+    }
+    client_.abandon(silent.address(), now + 60000);
+    EXPECT_EQ(ends.at("asked"), call_end::timed_out);
+}
+
 TEST(event_stream_parser_test, splits_events_wherever_the_bytes_are_cut) {
     const std::string text = "id: 1\ndata: a\n\nweight-versions: 3\nid: 2\n"
                              "data: b\ndata: c\n\nid: 3\ndata: cut";
