samplers: how long a load of weights lasts is observed

Cause: 950 ms and 6 s were figures of the first deployments. Where a load takes 2.5 s a third was always begun beside two, and slowed them down.

--- a/packages/entry/src/owner_orders.cpp
+++ b/packages/entry/src/owner_orders.cpp
@@ -42,7 +42,7 @@
 
 void owner::load_done(const samplers::sampler_id& id,
                       const adapter::server_report& report) {
-    rollout_.done(id);
+    rollout_.done(id, report.versions);
     state_.samplers.loaded(id);
     for (const auto& [model, version] : report.versions) {
         state_.samplers.saw_version(id, model, version);
@@ -63,7 +63,8 @@
     }
     if (report->busy) {
         rollout_.busy(order.sampler);
-        state_.samplers.loading(order.sampler, order.model);
+        state_.samplers.loading(order.sampler, order.model,
+                                rollout_.longest_load_ms());
         state_.log.write("order_waits", {{"server", order.sampler},
                                          {"version", order.version},
                                          {"reason", "busy"}});
@@ -71,6 +72,7 @@
     }
     const auto has = report->versions.find(order.model);
     if (has != report->versions.end() && has->second >= order.version) {
+        rollout_.not_needed(order.sampler);
         load_done(order.sampler, *report);
         return;
     }
@@ -87,9 +89,10 @@
                     const auto a = adapter::read_order_answer(reply.status);
                     if (a == adapter::order_answer::accepted) {
                         rollout_.accepted(order);
-                        state_.samplers.loading(order.sampler, order.model);
+                        state_.samplers.loading(order.sampler, order.model,
+                                                rollout_.longest_load_ms());
                     } else if (a == adapter::order_answer::already_held) {
-                        rollout_.done(order.sampler);
+                        rollout_.not_needed(order.sampler);
                         state_.samplers.saw_version(order.sampler, order.model,
                                                     order.version);
                     } else {
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -42,8 +42,8 @@
     base::millis blocked_until = 0;
     /// Failures in a row.
     int failures = 0;
-    /// The models whose weights it is known to load, and since when. It
-    /// refuses new runs of these alone.
+    /// The models whose weights it is known to load, and until when at most.
+    /// It refuses new runs of these alone.
     std::map<std::string, base::millis> loading;
     /// The mean time between two events of a run, in ms; 0 if not known.
     double event_ms = 0;
@@ -118,8 +118,10 @@
     void saw_version(const sampler_id& id, const std::string& model,
                      std::int64_t version);
 
-    /// A server loads weights of a model, or has done so.
-    void loading(const sampler_id& id, const std::string& model);
+    /// A server loads weights of a model, for `longest` ms at most, or has
+    /// done so.
+    void loading(const sampler_id& id, const std::string& model,
+                 base::millis longest);
     void loaded(const sampler_id& id);
     /// Nothing is known of loads any more.
     void clear_loading();
--- a/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
+++ b/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hibiscus/samplers/load_time.hpp"
 #include "hibiscus/samplers/sampler_table.hpp"
 
 #include <map>
@@ -48,12 +49,19 @@
     /// The server did not take the order, or nothing is known of it; it is
     /// asked again after a pause.
     void not_taken(const load_order& order);
-    /// The server carries out no order any more.
-    void done(const sampler_id& id);
+    /// The server carries out no order any more, and has these weights.
+    void done(const sampler_id& id,
+              const std::map<std::string, std::int64_t>& versions);
+    /// The server had the weights before it was ordered to load them.
+    void not_needed(const sampler_id& id);
 
     /// Returns true until a load is known to be done.
     bool loading(const sampler_id& id) const { return loads_.count(id) != 0; }
 
+    /// Returns after how long a load that is not reported to have ended no
+    /// longer counts, in ms.
+    base::millis longest_load_ms() const { return load_time_.longest_ms(); }
+
     /// Returns the newest named version of a model, or 0.
     std::int64_t newest(const std::string& model) const;
 
@@ -97,10 +105,12 @@
     bool may_order(const sampler_id& id, const sampler_row& row) const;
     load_order take_next(std::map<std::string, supply>& from);
     void begin(const load_order& order);
+    base::millis first_check_ms() const;
     bool has_room(std::size_t servers) const;
     void forget_old(const sampler_table& table);
 
     base::clock clock_;
+    load_time load_time_;
     std::map<std::string, std::int64_t> newest_;
     std::map<sampler_id, load> loads_;
     std::map<sampler_id, base::millis> ask_again_;
--- a/packages/samplers/src/placement.cpp
+++ b/packages/samplers/src/placement.cpp
@@ -45,16 +45,12 @@
 /// differ by 1.3, and a pace is known to a tenth.
 constexpr double worthwhile_gain = 1.15;
 
-/// A load that is not reported to have ended after so long may as well have,
-/// in ms; its server is tried again.
-constexpr base::millis longest_load_ms = 6000;
-
 /// A load concerns the runs of its model only. Counted as away for the runs of
 /// all models, two of eleven servers that serve three models were missing at
 /// any time; thirty plays with faults gave a mean of 0.801 in place of 0.775.
 bool loads(const sampler_row& row, const std::string& model, base::millis now) {
     const auto load = row.loading.find(model);
-    return load != row.loading.end() && now - load->second < longest_load_ms;
+    return load != row.loading.end() && now < load->second;
 }
 
 bool usable(const sampler_row& row, const service_name& service,
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -147,9 +147,10 @@
     }
 }
 
-void sampler_table::loading(const sampler_id& id, const std::string& model) {
+void sampler_table::loading(const sampler_id& id, const std::string& model,
+                            base::millis longest) {
     if (auto* row = find(id)) {
-        row->loading[model] = clock_.now();
+        row->loading[model] = clock_.now() + longest;
     }
 }
 
--- a/packages/samplers/src/weight_rollout.cpp
+++ b/packages/samplers/src/weight_rollout.cpp
@@ -14,17 +14,9 @@
 constexpr std::size_t loading_share = 6;
 constexpr std::size_t least_loading = 2;
 
-/// How long a load is expected to last, in ms. A load lasts 0.9 s; the next
-/// one may begin while its end is still being reported, which takes 200 ms.
-constexpr base::millis load_ms = 950;
-
 /// How often a server whose load should have ended is asked, in ms.
 constexpr base::millis check_ms = 200;
 
-/// A load that is not reported to have ended after so long is forgotten, in
-/// ms: its server may be out of reach, and must not hold up the others.
-constexpr base::millis forget_ms = 6000;
-
 /// The pause before a server that did not take an order is asked again, in
 /// ms: what it reports of itself is some 200 ms old.
 constexpr base::millis retry_ms = 400;
@@ -42,12 +34,18 @@
     return row == newest_.end() ? 0 : row->second;
 }
 
+/// A load is asked for its end a little before it is due: asked later than it
+/// ends, all would seem to last longer than they do.
+base::millis weight_rollout::first_check_ms() const {
+    return std::max(check_ms, load_time_.expected_ms() - check_ms);
+}
+
 bool weight_rollout::has_room(std::size_t servers) const {
     const auto most = std::max(least_loading, servers / loading_share);
     const auto now = clock_.now();
     std::size_t fresh = 0;
     for (const auto& [id, l] : loads_) {
-        fresh += now - l.since < load_ms ? 1 : 0;
+        fresh += now - l.since < first_check_ms() ? 1 : 0;
     }
     // Those that are past their time are about to be reported as done, but
     // for one that is not, no more than another may begin.
@@ -58,8 +56,9 @@
     const auto now = clock_.now();
     for (auto l = loads_.begin(); l != loads_.end();) {
         const bool gone = table.rows().count(l->first) == 0;
-        l = gone || now - l->second.since > forget_ms ? loads_.erase(l)
-                                                      : std::next(l);
+        l = gone || now - l->second.since > load_time_.longest_ms()
+                ? loads_.erase(l)
+                : std::next(l);
     }
 }
 
@@ -183,7 +182,11 @@
 
 void weight_rollout::begin(const load_order& order) {
     const auto now = clock_.now();
-    loads_[order.sampler] = {now, now + load_ms, order.model, order.version};
+    auto& l = loads_[order.sampler];
+    l.since = now;
+    l.check_at = now + first_check_ms();
+    l.model = order.model;
+    l.version = order.version;
 }
 
 void weight_rollout::accepted(const load_order& order) {
@@ -205,7 +208,22 @@
     ask_again_[order.sampler] = clock_.now() + retry_ms;
 }
 
-void weight_rollout::done(const sampler_id& id) {
+void weight_rollout::done(const sampler_id& id,
+                          const std::map<std::string, std::int64_t>& versions) {
+    const auto l = loads_.find(id);
+    if (l == loads_.end()) {
+        return;
+    }
+    // A server that started anew meanwhile has not loaded anything, and says
+    // nothing of how long a load lasts.
+    const auto has = versions.find(l->second.model);
+    if (has != versions.end() && has->second >= l->second.version) {
+        load_time_.took(clock_.now() - l->second.since);
+    }
+    loads_.erase(l);
+}
+
+void weight_rollout::not_needed(const sampler_id& id) {
     loads_.erase(id);
 }
 
--- a/packages/samplers/test/placement_test.cpp
+++ b/packages/samplers/test/placement_test.cpp
@@ -103,10 +103,13 @@
     r.slots = 8;
     r.versions = {{"m", 1}, {"other", 1}};
     table_.put(sampler_id("a"), r);
-    table_.loading(sampler_id("a"), "other");
+    table_.loading(sampler_id("a"), "other", 1000);
     EXPECT_EQ(place(), "a");
-    table_.loading(sampler_id("a"), "m");
+    table_.loading(sampler_id("a"), "m", 1000);
     EXPECT_EQ(place(), "");
+    time_->advance(1000);
+    EXPECT_EQ(place(), "a");
+    table_.loading(sampler_id("a"), "m", 1000);
     table_.loaded(sampler_id("a"));
     EXPECT_EQ(place(), "a");
 }
--- a/packages/samplers/test/weight_rollout_test.cpp
+++ b/packages/samplers/test/weight_rollout_test.cpp
@@ -41,7 +41,7 @@
             for (const auto& o : rollout_.due(table_)) {
                 rollout_.accepted(o);
                 ++out[o.model];
-                rollout_.done(o.sampler);
+                rollout_.done(o.sampler, {{o.model, o.version}});
                 table_.saw_version(o.sampler, o.model, o.version);
             }
         }
@@ -58,7 +58,7 @@
     }
 
     void done(const std::string& id, std::int64_t version) {
-        rollout_.done(sampler_id(id));
+        rollout_.done(sampler_id(id), {{"m", version}});
         table_.saw_version(sampler_id(id), "m", version);
     }
 
