batch: how many tokens an event has is observed

Cause: 64 tokens an event was a figure of the first deployments; the further customer's events have 57 and 75. It says what a run holds in memory and how long a text that outlasted its step is. The estimate goes to the median of guess by event of the texts that ended. Kept since nothing may depend on a deployment's figure.

--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hibiscus/batch/ledger.hpp"
+#include "hibiscus/batch/text_size.hpp"
 #include "hibiscus/samplers/placement.hpp"
 
 #include <cstdint>
@@ -264,6 +265,7 @@
     std::map<run_number, run_row> runs_;
     std::map<item_id, old_text> old_texts_;
     std::map<std::string, weight_version> newest_;
+    text_size size_;
     run_number last_run_ = 0;
     work_counts counts_;
 };
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -273,7 +273,7 @@
 samplers::run_needs work::needs_of(const job_state& job,
                                    const item_row& row) const {
     const auto written = std::max<std::int64_t>(
-        row.content.expected_tokens, row.got.events * tokens_an_event);
+        row.content.expected_tokens, size_.tokens_of(row.got.events));
     return {job.terms.service, job.header.model, job.header.least_version,
             row.content.prompt_tokens + written};
 }
@@ -384,6 +384,9 @@
     auto& row = job.items[static_cast<std::size_t>(number)];
     if (row.life.text_complete < 0) {
         row.life.text_complete = clock_.now() - job.seen_at;
+        if (!row.carried) {
+            size_.text_ended(row.content.expected_tokens, row.got.events);
+        }
     }
     if (row.content.reward) {
         row.at = state::judged;
--- a/packages/batch/src/work_texts.cpp
+++ b/packages/batch/src/work_texts.cpp
@@ -34,7 +34,7 @@
     // caller's guess.
     row.content.expected_tokens =
         std::max<std::int64_t>(row.content.expected_tokens,
-                               2 * old->second.got.events * tokens_an_event);
+                               2 * size_.tokens_of(old->second.got.events));
     row.carried = true;
     if (!fits || versions.empty()) {
         counts_.void_events +=
@@ -114,7 +114,7 @@
         item_row r;
         r.content = row.content;
         r.content.reward.reset();
-        r.content.expected_tokens = 2 * row.got.events * tokens_an_event;
+        r.content.expected_tokens = 2 * size_.tokens_of(row.got.events);
         ahead.items.push_back(std::move(r));
         ++counts_.ahead;
     }
