batch: a silence is measured by the pauses seen

Cause: 400 ms without an event was seven times the pause of the first deployments' servers. Where an event holds more tokens it is one or two pauses, and on a server that has become slow as well: each longer step of it sent its runs away. Now twenty times the pause seen there lately, 300 ms at least; the test failed before.

--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -239,6 +239,7 @@
     item_row* row_of(const run_row& run);
     void place(effects& out);
     void move(effects& out);
+    bool is_silent(const run_row& run) const;
     void move_silent(effects& out);
     void move_slow(effects& out);
     void move_long(effects& out);
--- a/packages/batch/src/work_moves.cpp
+++ b/packages/batch/src/work_moves.cpp
@@ -13,10 +13,13 @@
 /// wait for a place that others had taken.
 constexpr base::millis first_event_ms = 900;
 
-/// A run whose events stop for so long, in ms: seven times the pace of a
-/// sound server, and more than the pause of a step that reads in a long
-/// prompt.
-constexpr base::millis next_event_ms = 400;
+/// A run whose events stop for so many times the usual pause at its server has
+/// met one that does not work: more than the pause of a step that reads in a
+/// long prompt, and more than twice that of a server which has just become
+/// four times slower. Never sooner than the shortest bound, in ms: a process
+/// that was held up for a moment would take all servers for silent.
+constexpr double silent_pauses = 20;
+constexpr base::millis least_silence_ms = 300;
 
 /// The share of runs that may move at one tick: all at once would meet the
 /// same few free places.
@@ -52,12 +55,21 @@
     }
 }
 
-void work::move_silent(effects& out) {
+bool work::is_silent(const run_row& run) const {
     const auto now = clock_.now();
+    const auto silence = now - run.heard_at;
+    if (run.events == 0) {
+        return silence > first_event_ms;
+    }
+    return silence > least_silence_ms &&
+           static_cast<double>(silence) >
+               silent_pauses * samplers::event_pace(table_, run.sampler, now);
+}
+
+void work::move_silent(effects& out) {
     std::vector<run_number> silent;
     for (const auto& [run, row] : runs_) {
-        const auto bound = row.events == 0 ? first_event_ms : next_event_ms;
-        if (now - row.heard_at > bound) {
+        if (is_silent(row)) {
             silent.push_back(run);
         }
     }
--- a/packages/batch/test/work_test.cpp
+++ b/packages/batch/test/work_test.cpp
@@ -150,6 +150,23 @@
     EXPECT_EQ(ready[0].result.versions, (std::vector<weight_version>{1, 2}));
 }
 
+TEST_F(work_test, a_silence_is_told_from_the_pauses_of_a_slow_model) {
+    // One event holds many tokens, so that 300 ms lie between two. By a bound
+    // that fits a faster model each longer step of the server would send its
+    // runs away, and their texts would wander from server to server.
+    adopt(1);
+    const auto start = only<start_run>(work_.tick(true)).front();
+    work_.head(start.run, 1);
+    for (int n = 1; n <= 20; ++n) {
+        time_->advance(300);
+        work_.event(start.run, std::to_string(n), "e", {});
+    }
+    time_->advance(900);
+    EXPECT_TRUE(only<stop_run>(work_.tick(true)).empty());
+    time_->advance(5200);
+    EXPECT_EQ(only<stop_run>(work_.tick(true)).size(), 1U);
+}
+
 TEST_F(work_test, a_run_under_weights_that_are_too_old_leaves_no_text) {
     // The table believed a server to have newer weights than it has. A trainer
     // would learn from a sample that is older than it allows.
--- a/packages/samplers/include/hibiscus/samplers/placement.hpp
+++ b/packages/samplers/include/hibiscus/samplers/placement.hpp
@@ -35,6 +35,11 @@
                                        const sampler_id& from,
                                        base::millis now);
 
+/// Returns the mean time between two events of a run at a server, in ms, as it
+/// was seen there lately, or else at the usual server of its service.
+double event_pace(const sampler_table& table, const sampler_id& id,
+                  base::millis now);
+
 /// Returns the server for a plain request: the one with the least work of
 /// this process for its places, nearest first. Those in `tried` come last.
 std::optional<sampler_id> place_plain(const sampler_table& table,
--- a/packages/samplers/src/placement.cpp
+++ b/packages/samplers/src/placement.cpp
@@ -105,6 +105,16 @@
 
 } // namespace
 
+double event_pace(const sampler_table& table, const sampler_id& id,
+                  base::millis now) {
+    const auto row = table.rows().find(id);
+    if (row == table.rows().end()) {
+        return first_pace_ms;
+    }
+    const auto usual = usual_pace(table, row->second.registered.service);
+    return pace_of(row->second, usual, now);
+}
+
 std::optional<sampler_id> place_run(const sampler_table& table,
                                     const run_needs& needs, base::millis now) {
     std::optional<sampler_id> best;
