net, tests: a test's server thread owns what it uses

Cause: in http_client_test.a_cancelled_request_ends_at_once the server's thread asked a promise on the test's stack for its future after the test had already fulfilled it and returned. The promise and the future now belong to the thread; what is checked is the same.

--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <future>
+#include <memory>
 #include <thread>
 
 namespace hibiscus::net {
@@ -187,18 +188,20 @@
 // A caller gives a request up. It must hear so at once, not after the
 // request's whole time.
 TEST_F(http_client_test, a_cancelled_request_ends_at_once) {
-    std::promise<void> arrived;
+    // The server's thread may go on when the test is over: what it uses is its
+    // own.
+    const auto arrived = std::make_shared<std::promise<void>>();
     std::promise<void> over;
-    serve({[&](tcp::socket socket) {
+    serve({[arrived, ended = over.get_future().share()](tcp::socket socket) {
         read_request(socket);
-        arrived.set_value();
-        over.get_future().wait();
+        arrived->set_value();
+        ended.wait();
     }});
     std::promise<http_result> promise;
     const auto cancel =
         client_.send(address_, {}, 600000, reuse::never,
                      [&](http_result r) { promise.set_value(std::move(r)); });
-    arrived.get_future().wait();
+    arrived->get_future().wait();
     cancel();
     EXPECT_TRUE(
         std::holds_alternative<http_failure>(promise.get_future().get()));
