--- a/packages/batch/test/step_play.hpp
+++ b/packages/batch/test/step_play.hpp
@@ -4,7 +4,6 @@
 #include "hibiscus/samplers/weight_rollout.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <memory>
 #include <random>
