net: a cancelled request ends whatever step it is at

Cause: cancel() cancelled the connection's pending operation. A step that had ended, with its handler still queued behind the cancel, had none: the next step (the read of the answer) began and waited for the request's whole time. Seen as a hang of 300 s of a_cancelled_request_ends_at_once beside busy processes. Ruled out: a request that never reaches the server (the new test cancels after each handler in turn and hangs only after the third, the one that sends). Change: a cancel closes the connection, so that the next step fails; a closed connection is not kept for the next request.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -165,7 +165,10 @@
             }
         }
         if (stream_ && done_) {
-            stream_->cancel();
+            // A step that has ended, but whose handler has not run yet, can't
+            // be cancelled: it would begin the next one, which waits for the
+            // request's whole time. On a closed connection that one fails.
+            stream_->close();
         }
     }
 
@@ -270,7 +273,7 @@
         response.status = static_cast<int>(message.result_int());
         response.content_type = std::string(message[http::field::content_type]);
         response.body = std::move(message.body());
-        if (message.keep_alive()) {
+        if (message.keep_alive() && !cancelled_) {
             stream_->expires_never();
             pool_->put(target_, std::move(stream_));
         }
--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -8,10 +8,12 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <chrono>
 #include <functional>
 #include <future>
 #include <memory>
 #include <thread>
+#include <vector>
 
 namespace hibiscus::net {
 namespace {
@@ -208,5 +210,39 @@
     over.set_value();
 }
 
+// A caller gives a request up while a step of it has ended and its handler
+// waits for the thread, as on a busy machine. The next step must not begin: the
+// caller would wait for the request's whole time.
+TEST_F(http_client_test, a_request_is_cancelled_between_any_two_of_its_steps) {
+    constexpr int most_steps = 100;
+    constexpr auto patience = std::chrono::seconds(10);
+    asio::io_context io;
+    http_client client(io, 1000);
+    int steps = 0;
+    for (bool waiting = false; !waiting && steps < most_steps; ++steps) {
+        bool ended = false;
+        const auto cancel =
+            client.send(address_, {}, 600000, reuse::never,
+                        [&](const http_result&) { ended = true; });
+        io.restart();
+        int run = 0;
+        while (run < steps && io.poll_one() > 0) {
+            ++run;
+        }
+        // The connection opens by itself, and nobody answers: once no handler
+        // is left, the request waits for its answer.
+        waiting = run < steps;
+        cancel();
+        io.restart();
+        const auto until = std::chrono::steady_clock::now() + patience;
+        while (!ended && std::chrono::steady_clock::now() < until) {
+            io.run_one_until(until);
+        }
+        EXPECT_TRUE(ended) << "cancelled after " << run << " steps";
+    }
+    EXPECT_GT(steps, 3);
+    EXPECT_LT(steps, most_steps);
+}
+
 } // namespace
 } // namespace hibiscus::net
