--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -150,6 +150,7 @@
     }
 
     void on_end(transport::call_end end) {
+        opened_ += call_ && call_->opened() ? 1 : 0;
         call_.reset();
         state_.samplers.ended(server_);
         if (ended_) {
@@ -286,6 +287,7 @@
                                  {"service", request_.service},
                                  {"server", server_},
                                  {"sent", sent_},
+                                 {"connections", opened_},
                                  {"status", head_.status},
                                  {"ms", state_.clock.now() - started_},
                                  {"left_ms", request_.due - state_.clock.now()},
@@ -305,6 +307,8 @@
     base::millis started_;
     base::millis sent_at_ = 0;
     int sent_ = 0;
+    /// How many of the sends opened a connection.
+    int opened_ = 0;
     int failures_ = 0;
     bool may_have_run_ = false;
     /// The answer of the present server is handed on as it comes.
--- a/packages/entry/src/owner_runs.cpp
+++ b/packages/entry/src/owner_runs.cpp
@@ -40,6 +40,7 @@
                          {"events", live->second.events},
                          {"status", live->second.status},
                          {"ms", state_.clock.now() - live->second.started_at},
+                         {"connections", live->second.call->opened() ? 1 : 0},
                          {"reason", s.reason}});
                     live->second.call->cancel();
                     runs_.erase(live);
@@ -144,6 +145,7 @@
                                    {"events", live.events},
                                    {"status", live.status},
                                    {"ms", state_.clock.now() - live.started_at},
+                                   {"connections", live.call->opened() ? 1 : 0},
                                    {"how", base::name_of(end)},
                                    {"outcome", base::name_of(what)}});
     state_.counters.observe("run", state_.clock.now() - live.started_at);
--- a/packages/transport/include/hibiscus/transport/upstream.hpp
+++ b/packages/transport/include/hibiscus/transport/upstream.hpp
@@ -67,6 +67,9 @@
 
     /// Closes the connection of the call, which tells the server to stop.
     virtual void cancel() = 0;
+
+    /// Returns true if the call has opened a connection of its own.
+    virtual bool opened() const = 0;
 };
 
 /// Counts of what a client did.
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -106,6 +106,8 @@
         }
     }
 
+    bool opened() const override { return opened_; }
+
     bool done() const { return done_; }
 
     void abandon(const base::endpoint& target, base::millis before) {
@@ -177,6 +179,7 @@
         }
         socket_ = std::make_shared<tcp::socket>(io_);
         ++state_->counts.connections;
+        opened_ = true;
         socket_->async_connect(
             tcp::endpoint(ip, target_.port),
             [self = shared_from_this()](beast::error_code e) {
@@ -386,6 +389,7 @@
     base::millis heard_;
     base::millis keep_for_ = keep_ms;
     bool head_only_;
+    bool opened_ = false;
     bool connected_ = false;
     bool written_ = false;
     bool head_told_ = false;
