store: an owner that is cut off goes on through others before they claim

Ruled out: a store that turned others away (renewals of the old owner reached it and were refused for the offset, not for the node). Change: when the store falls silent, what it was asked itself is given up; and what counts as silent is observed (eight times the longest answer lately, 100 to 800 ms, 400 before the first) in place of 400 ms. Refusals change nothing.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -12,6 +12,7 @@
 #include "registry.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -54,9 +55,12 @@
 /// yet, in ms.
 constexpr base::millis start_retry_ms = 300;
 
-/// How often the link to the store is looked at, and tried while it is away,
-/// in ms. A try does not wait for the one before: a silent store leaves each
-/// of them hanging for a second.
+/// How often the link to the store is looked at, in ms: that a call is overdue
+/// shows no sooner.
+constexpr base::millis watch_ms = 50;
+
+/// How often the store is tried while it is away, in ms. A try does not wait
+/// for the one before: a silent store leaves each of them hanging for a second.
 constexpr base::millis probe_ms = 200;
 
 /// How often the settings file is looked at, in ms: a kilobyte, which is read
@@ -71,8 +75,10 @@
 public:
     entry_node(const node_settings& settings, std::string path)
         : state_(settings), path_(std::move(path)), signals_(io_), client_(io_),
-          link_(state_.clock, settings.store,
-                [this] { return directory_.nodes().peers(); }),
+          link_(
+              state_.clock, settings.store,
+              [this] { return directory_.nodes().peers(); },
+              [this] { give_up_direct_calls(); }),
           store_(adapter::make_log_store(client_, link_)),
           after_([this](base::millis ms, std::function<void()> f) {
               after(ms, std::move(f));
@@ -349,10 +355,11 @@
             away_ = away;
             state_.log.write("store_link", {{"direct", !away}});
         }
-        if (away) {
+        if (away && state_.clock.now() - last_probe_ >= probe_ms) {
+            last_probe_ = state_.clock.now();
             probe_link();
         }
-        after(probe_ms, [this] { watch_link(); });
+        after(watch_ms, [this] { watch_link(); });
     }
 
     /// Tries the store itself. Once it serves, all that was asked before and
@@ -366,11 +373,20 @@
                                  if (!served || !link_.away()) {
                                      return;
                                  }
-                                 link_.back();
+                                 link_.back(state_.clock.now() - began);
                                  client_.abandon(state_.config.store, began);
                              });
     }
 
+    /// An owner that is cut off from the store for a moment keeps the jobs if
+    /// its reads and appends go through another node before the others claim.
+    /// Those that hang would hold it up for a second.
+    void give_up_direct_calls() {
+        asio::post(io_, [this] {
+            client_.abandon(state_.config.store, state_.clock.now());
+        });
+    }
+
     void on_metrics(transport::exchange& answer) {
         const auto c = client_.counts();
         state_.counters.set("connections_opened",
@@ -509,6 +525,7 @@
     base::millis stop_at_ = 0;
     bool handed_over_ = false;
     bool away_ = false;
+    base::millis last_probe_ = 0;
 };
 
 } // namespace
--- /dev/null
+++ b/packages/store/include/hibiscus/store/answer_time.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "hibiscus/base/clock.hpp"
+
+namespace hibiscus::store {
+
+/// How long the store takes to answer, besides what a call asks it to wait, by
+/// the calls that it served lately.
+class answer_time {
+public:
+    /// Returns after how long without an answer a call is a sign that the
+    /// store is out of reach, in ms.
+    base::millis overdue_ms() const;
+
+    /// A call was served `ms` after it was due at the earliest.
+    void took(base::millis ms);
+
+private:
+    /// The longest of the newest answers, in ms; below 0 before the first.
+    double peak_ms_ = -1;
+};
+
+} // namespace hibiscus::store
--- a/packages/store/include/hibiscus/store/store_link.hpp
+++ b/packages/store/include/hibiscus/store/store_link.hpp
@@ -2,6 +2,7 @@
 
 #include "hibiscus/base/clock.hpp"
 #include "hibiscus/base/endpoint.hpp"
+#include "hibiscus/store/answer_time.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -22,10 +23,6 @@
 
 /// Times of a link, in ms.
 struct link_times {
-    /// A call that takes so much longer than it asked for is a sign that the
-    /// store is out of reach: it answers in 10 ms, and in 300 when it is
-    /// sixty times slower.
-    base::millis overdue = 400;
     /// How long a node that could not pass a call on is not asked again.
     base::millis peer_pause = 1000;
     /// How long it counts that a peer said so, that the store is away from it
@@ -48,9 +45,14 @@
 class store_link {
 public:
     using peers_function = std::function<std::vector<base::endpoint>()>;
+    using lost_function = std::function<void()>;
 
+    /// `lost` is called, perhaps within another call of the link, when the
+    /// store has fallen silent. What was asked of the store itself should then
+    /// be given up: it would hang until its time is over, and whoever waits
+    /// for it would not go through another node before.
     store_link(base::clock clock, base::endpoint address, peers_function peers,
-               link_times times = {});
+               lost_function lost = {}, link_times times = {});
 
     /// Begins a call that is to last `wait` ms and returns where it goes.
     call_route begin(base::millis wait);
@@ -71,8 +73,8 @@
     /// tried now and then.
     bool away();
 
-    /// The store was tried and served.
-    void back();
+    /// The store was tried and served within `ms`.
+    void back(base::millis ms);
 
     /// The store has moved to another address.
     void move_to(const base::endpoint& address);
@@ -80,17 +82,23 @@
 private:
     struct pending {
         bool relayed = false;
+        /// When it should be answered if the store took no time.
+        base::millis earliest = 0;
+        /// When it is overdue.
         base::millis due = 0;
     };
 
     void check();
+    void forget_pending();
     bool paused(const base::endpoint& peer) const;
     std::optional<base::endpoint> next_peer(std::uint64_t turn) const;
 
     base::clock clock_;
     base::endpoint address_;
     peers_function peers_;
+    lost_function lost_;
     link_times times_;
+    answer_time answers_;
     std::map<std::uint64_t, pending> pending_;
     std::map<base::endpoint, base::millis> paused_;
     /// Peers that passed a call on since this node was turned away. They are
--- a/packages/store/src/store_link.cpp
+++ b/packages/store/src/store_link.cpp
@@ -1,13 +1,15 @@
 #include "hibiscus/store/store_link.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace hibiscus::store {
 
 store_link::store_link(base::clock clock, base::endpoint address,
-                       peers_function peers, link_times times)
+                       peers_function peers, lost_function lost,
+                       link_times times)
     : clock_(std::move(clock)), address_(std::move(address)),
-      peers_(std::move(peers)), times_(times) {}
+      peers_(std::move(peers)), lost_(std::move(lost)), times_(times) {}
 
 bool store_link::paused(const base::endpoint& peer) const {
     const auto row = paused_.find(peer);
@@ -42,8 +44,9 @@
             route.relayed = true;
         }
     }
-    pending_[route.number] = {route.relayed,
-                              clock_.now() + wait + times_.overdue};
+    const auto earliest = clock_.now() + wait;
+    pending_[route.number] = {route.relayed, earliest,
+                              earliest + answers_.overdue_ms()};
     return route;
 }
 
@@ -58,7 +61,16 @@
 }
 
 void store_link::ended(const call_route& route, bool served, bool reached) {
-    pending_.erase(route.number);
+    const auto known = pending_.find(route.number);
+    if (known != pending_.end()) {
+        // A read that brings a record before its wait is over says nothing of
+        // how long the store takes.
+        const auto ms = clock_.now() - known->second.earliest;
+        if (served && !known->second.relayed && ms >= 0) {
+            answers_.took(ms);
+        }
+        pending_.erase(known);
+    }
     if (served) {
         if (route.relayed) {
             refused_by_peer_at_ = 0;
@@ -81,16 +93,19 @@
 
 void store_link::check() {
     const auto now = clock_.now();
-    for (auto& [number, p] : pending_) {
-        if (!p.relayed && now > p.due) {
-            away_ = true;
-        }
+    const bool late =
+        std::any_of(pending_.begin(), pending_.end(), [now](const auto& row) {
+            return !row.second.relayed && now > row.second.due;
+        });
+    if (late && !std::exchange(away_, true) && lost_) {
+        lost_();
     }
 }
 
 void store_link::move_to(const base::endpoint& address) {
     address_ = address;
-    back();
+    answers_ = {};
+    forget_pending();
 }
 
 bool store_link::away() {
@@ -98,7 +113,12 @@
     return away_;
 }
 
-void store_link::back() {
+void store_link::back(base::millis ms) {
+    answers_.took(ms);
+    forget_pending();
+}
+
+void store_link::forget_pending() {
     away_ = false;
     failures_in_row_ = 0;
     good_.clear();
--- a/packages/store/test/store_link_test.cpp
+++ b/packages/store/test/store_link_test.cpp
@@ -109,7 +109,7 @@
     link_.begin(0);
     time_->advance(1000);
     EXPECT_TRUE(link_.away());
-    link_.back();
+    link_.back(8);
     EXPECT_FALSE(link_.begin(0).relayed);
 }
 
