--- a/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
+++ b/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
@@ -27,7 +27,7 @@
     void name_version(const std::string& model, std::int64_t version);
 
     /// Returns the orders to send now. Loads slow each other down when many
-    /// run at once, so a sixth of the servers load at a time. A step admits the
+    /// run at once, so a fifth of the servers load at a time. A step admits the
     /// weights of the step before as well: a server with the newest version
     /// serves the step that is under way and the next one, a server with the
     /// version before it only the first of the two. The model that has the
--- a/packages/samplers/src/weight_rollout.cpp
+++ b/packages/samplers/src/weight_rollout.cpp
@@ -9,11 +9,17 @@
 
 namespace {
 
-/// One in so many servers may load at a time, and at least two. Loads of two
-/// out of nine took 1.15 s each, of four at once 2.1 s.
-constexpr std::size_t loading_share = 6;
+/// One in so many servers may load at a time, rounded, and at least two: as
+/// many as the way to the weights takes at full speed. Fewer leave a step with
+/// too few servers that have its weights.
+constexpr std::size_t loading_share = 5;
 constexpr std::size_t least_loading = 2;
 
+/// The share of these by which loads that are past their time may be exceeded.
+/// They are known to have ended only once their servers report it, a quarter of
+/// a load later, and nothing would be loaded meanwhile.
+constexpr std::size_t overdue_share = 3;
+
 /// How often a server whose load should have ended is asked, in ms.
 constexpr base::millis check_ms = 200;
 
@@ -41,15 +47,17 @@
 }
 
 bool weight_rollout::has_room(std::size_t servers) const {
-    const auto most = std::max(least_loading, servers / loading_share);
+    const auto most =
+        std::max(least_loading, (servers + loading_share / 2) / loading_share);
+    const auto overdue = std::max<std::size_t>(1, most / overdue_share);
     const auto now = clock_.now();
     std::size_t fresh = 0;
     for (const auto& [id, l] : loads_) {
         fresh += now - l.since < first_check_ms() ? 1 : 0;
     }
-    // Those that are past their time are about to be reported as done, but
-    // for one that is not, no more than another may begin.
-    return fresh < most && loads_.size() <= most;
+    // Those that are past their time are about to be reported as done; should
+    // they not be, only a few more may begin.
+    return fresh < most && loads_.size() < most + overdue;
 }
 
 void weight_rollout::forget_old(const sampler_table& table) {
