settings, policy: each decision can be switched off in the settings

Change: `base::mechanism`, an enumeration with a table of names, and a checked section `policy` of the settings, all on unless switched off. Decisions ask the set that their constructor got. An unknown key of any section is now answered with the keys that exist. Result: settings_test (a misspelt name gives file, line, key and all names); with all on, the tests of entry, batch, samplers and store pass as before.

--- /dev/null
+++ b/packages/base/include/hibiscus/base/mechanisms.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "hibiscus/base/enum_names.hpp"
+
+#include <array>
+#include <bitset>
+#include <cstddef>
+
+/// The decisions that operators may switch off one by one.
+namespace hibiscus::base {
+
+/// A decision that is meant to serve callers better. Each can be switched off
+/// in the settings, so that what it is worth can be measured on a deployment.
+enum class mechanism {
+    move_silent_runs,     ///< Runs leave servers that have fallen silent.
+    move_slow_runs,       ///< Runs leave servers that have become slow.
+    move_to_faster,       ///< Long runs go on at a faster server.
+    remember_paces,       ///< Paces seen some seconds ago still count.
+    spread_runs,          ///< A fuller server counts as slower.
+    memory_cost,          ///< A server that lacks memory counts as slower.
+    spare_newer_weights,  ///< Weights newer than needed count as dearer.
+    load_one_model,       ///< A load keeps only its own model's runs away.
+    load_by_need,         ///< Loads go to the model supplied worst.
+    longest_first,        ///< Of waiting items the longest start first.
+    priorities,           ///< Servers are told which runs are urgent.
+    run_ahead,            ///< Items run before the job that carries them.
+    reuse_texts,          ///< Texts of an earlier job are gone on with.
+    save_progress,        ///< Texts under way are stored for the next owner.
+    owner_by_size,        ///< Small nodes leave the jobs to larger ones.
+    call_through_nodes,   ///< Other nodes pass calls to the store on.
+    give_up_silent_store, ///< Calls to a store that fell silent are ended.
+    known_servers_first,  ///< Requests go to servers with open connections.
+    roomy_nodes_first,    ///< Callers are sent to the larger nodes.
+};
+
+template <>
+struct enum_names<mechanism> {
+    static constexpr std::array<enum_name<mechanism>, 19> table{{
+        {mechanism::move_silent_runs, "move_silent_runs"},
+        {mechanism::move_slow_runs, "move_slow_runs"},
+        {mechanism::move_to_faster, "move_to_faster"},
+        {mechanism::remember_paces, "remember_paces"},
+        {mechanism::spread_runs, "spread_runs"},
+        {mechanism::memory_cost, "memory_cost"},
+        {mechanism::spare_newer_weights, "spare_newer_weights"},
+        {mechanism::load_one_model, "load_one_model"},
+        {mechanism::load_by_need, "load_by_need"},
+        {mechanism::longest_first, "longest_first"},
+        {mechanism::priorities, "priorities"},
+        {mechanism::run_ahead, "run_ahead"},
+        {mechanism::reuse_texts, "reuse_texts"},
+        {mechanism::save_progress, "save_progress"},
+        {mechanism::owner_by_size, "owner_by_size"},
+        {mechanism::call_through_nodes, "call_through_nodes"},
+        {mechanism::give_up_silent_store, "give_up_silent_store"},
+        {mechanism::known_servers_first, "known_servers_first"},
+        {mechanism::roomy_nodes_first, "roomy_nodes_first"},
+    }};
+};
+
+/// Which mechanisms are on; all of them unless switched off.
+class mechanism_set {
+public:
+    bool has(mechanism m) const { return !off_.test(index(m)); }
+
+    void set(mechanism m, bool on) { off_.set(index(m), !on); }
+
+private:
+    static std::size_t index(mechanism m) {
+        return static_cast<std::size_t>(m);
+    }
+
+    std::bitset<enum_names<mechanism>::table.size()> off_;
+};
+
+} // namespace hibiscus::base
--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -244,7 +244,7 @@
     void move_slow(effects& out);
     void move_long(effects& out);
     bool is_worth_moving(const run_row& run);
-    static int priority_of(const item_row& row);
+    int priority_of(const item_row& row) const;
     void move_one(run_number run, const char* reason, effects& out);
     samplers::run_needs needs_of(const job_state& job,
                                  const item_row& row) const;
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -114,7 +114,9 @@
     keep_texts(job->second);
     const auto ended = std::move(job->second);
     jobs_.erase(job);
-    begin_ahead(ended);
+    if (table_.uses(base::mechanism::run_ahead)) {
+        begin_ahead(ended);
+    }
     return out;
 }
 
@@ -219,6 +221,7 @@
         int number;
     };
     const auto now = clock_.now();
+    const bool longest_first = table_.uses(base::mechanism::longest_first);
     std::vector<candidate> queue;
     for (auto& [id, job] : jobs_) {
         for (std::size_t n = 0; n < job.items.size(); ++n) {
@@ -226,9 +229,10 @@
             if (row.at == state::waiting && now >= row.not_before) {
                 const auto due = job.seen_at + job.terms.due_ms +
                                  (job.ahead_until ? after_all_jobs_ms : 0);
-                queue.push_back({due, !row.carried,
-                                 -row.content.expected_tokens, &id,
-                                 static_cast<int>(n)});
+                const auto left =
+                    longest_first ? -row.content.expected_tokens : 0;
+                queue.push_back(
+                    {due, !row.carried, left, &id, static_cast<int>(n)});
             }
         }
     }
@@ -262,7 +266,10 @@
     }
 }
 
-int work::priority_of(const item_row& row) {
+int work::priority_of(const item_row& row) const {
+    if (!table_.uses(base::mechanism::priorities)) {
+        return usual_priority;
+    }
     if (row.carried) {
         return carried_priority;
     }
--- a/packages/batch/src/work_moves.cpp
+++ b/packages/batch/src/work_moves.cpp
@@ -41,9 +41,15 @@
 } // namespace
 
 void work::move(effects& out) {
-    move_silent(out);
-    move_slow(out);
-    move_long(out);
+    if (table_.uses(base::mechanism::move_silent_runs)) {
+        move_silent(out);
+    }
+    if (table_.uses(base::mechanism::move_slow_runs)) {
+        move_slow(out);
+    }
+    if (table_.uses(base::mechanism::move_to_faster)) {
+        move_long(out);
+    }
 }
 
 /// Stops a run so that its item goes on elsewhere.
--- a/packages/batch/src/work_texts.cpp
+++ b/packages/batch/src/work_texts.cpp
@@ -36,7 +36,8 @@
         std::max<std::int64_t>(row.content.expected_tokens,
                                2 * size_.tokens_of(old->second.got.events));
     row.carried = true;
-    if (!fits || versions.empty()) {
+    const bool usable = fits && table_.uses(base::mechanism::reuse_texts);
+    if (!usable || versions.empty()) {
         counts_.void_events +=
             static_cast<std::uint64_t>(old->second.got.events);
         return;
--- a/packages/entry/include/hibiscus/entry/settings.hpp
+++ b/packages/entry/include/hibiscus/entry/settings.hpp
@@ -3,6 +3,7 @@
 #include "hibiscus/base/clock.hpp"
 #include "hibiscus/base/endpoint.hpp"
 #include "hibiscus/base/ids.hpp"
+#include "hibiscus/base/mechanisms.hpp"
 #include "hibiscus/base/result.hpp"
 #include "hibiscus/settings/errors.hpp"
 
@@ -41,6 +42,8 @@
     base::millis grace_ms = 8000;
     /// Within this time of its end, no item of a job may start, in ms.
     base::millis cancel_ms = 3000;
+    /// What is switched off takes effect at the start of the process.
+    base::mechanism_set mechanisms;
 };
 
 /// Returns the settings in the YAML file `path`, or all of its errors.
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -76,8 +76,7 @@
     entry_node(const node_settings& settings, std::string path)
         : state_(settings), path_(std::move(path)), signals_(io_), client_(io_),
           link_(
-              state_.clock, settings.store,
-              [this] { return directory_.nodes().peers(); },
+              state_.clock, settings.store, [this] { return helping_nodes(); },
               [this] { give_up_direct_calls(); }),
           store_(adapter::make_log_store(client_, link_)),
           after_([this](base::millis ms, std::function<void()> f) {
@@ -378,10 +377,24 @@
                              });
     }
 
+    bool uses(base::mechanism m) const {
+        return state_.config.mechanisms.has(m);
+    }
+
+    /// Returns the nodes that may pass calls to the store on.
+    std::vector<base::endpoint> helping_nodes() const {
+        return uses(base::mechanism::call_through_nodes)
+                   ? directory_.nodes().peers()
+                   : std::vector<base::endpoint>();
+    }
+
     /// An owner that is cut off from the store for a moment keeps the jobs if
     /// its reads and appends go through another node before the others claim.
     /// Those that hang would hold it up for a second.
     void give_up_direct_calls() {
+        if (!uses(base::mechanism::give_up_silent_store)) {
+            return;
+        }
         asio::post(io_, [this] {
             client_.abandon(state_.config.store, state_.clock.now());
         });
--- a/packages/entry/src/directory.cpp
+++ b/packages/entry/src/directory.cpp
@@ -21,7 +21,7 @@
 directory::directory(node_state& state, const store::log_store& store,
                      store::delay_function after)
     : state_(state), store_(store), after_(after),
-      nodes_(state.clock, state.config.node.str()),
+      nodes_(state.clock, state.config.node.str(), state.config.mechanisms),
       follower_(store, {adapter::nodes_topic, 0}, state.clock, after,
                 {store::follower_times().wait, store::follower_times().retry,
                  [] { return read_pace_ms; }},
--- a/packages/entry/src/node_state.hpp
+++ b/packages/entry/src/node_state.hpp
@@ -19,7 +19,7 @@
 struct node_state {
     explicit node_state(node_settings s)
         : config(std::move(s)), log(config.node, 1, {}, clock), jobs(clock),
-          samplers(clock, std::random_device{}()),
+          samplers(clock, std::random_device{}(), config.mechanisms),
           random(std::random_device{}()) {}
 
     base::clock clock;
--- a/packages/entry/src/node_table.cpp
+++ b/packages/entry/src/node_table.cpp
@@ -93,7 +93,10 @@
             near.push_back(&r.entry);
         }
     }
-    const auto chosen = roomy(near.size() >= least_in_zone ? near : all);
+    auto chosen = near.size() >= least_in_zone ? near : all;
+    if (mechanisms_.has(base::mechanism::roomy_nodes_first)) {
+        chosen = roomy(chosen);
+    }
     std::vector<base::endpoint> out;
     const auto most = std::min(chosen.size(), most_addresses);
     std::transform(
--- a/packages/entry/src/node_table.hpp
+++ b/packages/entry/src/node_table.hpp
@@ -3,6 +3,7 @@
 #include "hibiscus/base/clock.hpp"
 #include "hibiscus/base/endpoint.hpp"
 #include "hibiscus/base/ids.hpp"
+#include "hibiscus/base/mechanisms.hpp"
 
 #include <map>
 #include <string>
@@ -24,8 +25,10 @@
 /// The nodes, as far as they have renewed their entries lately.
 class node_table {
 public:
-    node_table(base::clock clock, std::string self)
-        : clock_(std::move(clock)), self_(std::move(self)) {}
+    node_table(base::clock clock, std::string self,
+               base::mechanism_set mechanisms = {})
+        : clock_(std::move(clock)), self_(std::move(self)),
+          mechanisms_(mechanisms) {}
 
     void put(const std::string& name, node_entry entry);
     void remove(const std::string& name);
@@ -59,6 +62,7 @@
 
     base::clock clock_;
     std::string self_;
+    base::mechanism_set mechanisms_;
     std::map<std::string, row> rows_;
     bool up_ = false;
     base::millis up_at_ = 0;
--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -46,7 +46,9 @@
       rollout_(state.clock), incarnation_(std::to_string(state.random()) + "-" +
                                           std::to_string(state.random())),
       ownership_(state.clock, state.config.node, incarnation_, {}, state.draw(),
-                 state.config.cpu_share) {}
+                 state.config.mechanisms.has(base::mechanism::owner_by_size)
+                     ? state.config.cpu_share
+                     : 1) {}
 
 void owner::start() {
     tick();
--- a/packages/entry/src/owner_writes.cpp
+++ b/packages/entry/src/owner_writes.cpp
@@ -183,7 +183,9 @@
 /// Saves what has come of texts under way.
 void owner::save() {
     const auto now = state_.clock.now();
-    if (saving_ > 0 || now - last_progress_ < progress_ms) {
+    const bool saves =
+        state_.config.mechanisms.has(base::mechanism::save_progress);
+    if (!saves || saving_ > 0 || now - last_progress_ < progress_ms) {
         return;
     }
     last_progress_ = now;
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -34,9 +34,7 @@
         m.integer("lease_ms", s.lease_ms, 0, longest_ms);
         m.integer("drain_ms", s.drain_ms, 0, longest_ms);
         m.integer("cancel_ms", s.cancel_ms, 100, longest_ms);
-        std::string checked = s.fences_checked ? "true" : "false";
-        m.word("fences_checked", checked, {"true", "false"});
-        s.fences_checked = checked == "true";
+        m.flag("fences_checked", s.fences_checked);
         base::millis status_s = s.status_ms / 1000;
         base::millis grace_s = s.grace_ms / 1000;
         base::millis margin_s = s.margin_ms / 1000;
@@ -47,6 +45,13 @@
         s.status_ms = status_s * 1000;
         s.grace_ms = grace_s * 1000;
     });
+    in.mapping("policy", false, [&](mapping_reader& m) {
+        for (const auto& row : base::enum_names<base::mechanism>::table) {
+            bool on = true;
+            m.flag(std::string(row.name).c_str(), on);
+            s.mechanisms.set(row.value, on);
+        }
+    });
     in.finish();
     return s;
 }
--- /dev/null
+++ b/packages/entry/test/settings_test.cpp
@@ -0,0 +1,66 @@
+#include "hibiscus/entry/settings.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <string>
+
+namespace hibiscus::entry {
+
+namespace {
+
+/// Settings with only what must be there, and `more` behind it.
+class settings_test : public testing::Test {
+protected:
+    base::result<node_settings, settings::setting_errors>
+    load(const std::string& more) {
+        std::ofstream(path_) << "node: n1\n"
+                                "zone: z\n"
+                                "listen:\n"
+                                "  callers: 127.0.0.1:1\n"
+                                "  readiness: 127.0.0.1:2\n"
+                                "  directory: 127.0.0.1:3\n"
+                                "  metrics: 127.0.0.1:4\n"
+                                "store:\n"
+                                "  address: 127.0.0.1:5\n"
+                             << more;
+        return load_node_settings(path_);
+    }
+
+    const std::string path_ = testing::TempDir() + "entry_settings_test.yaml";
+};
+
+TEST_F(settings_test, all_mechanisms_are_on_unless_switched_off) {
+    const auto loaded = load("policy:\n  run_ahead: false\n");
+    const auto* s = base::value_if(loaded);
+    ASSERT_NE(s, nullptr);
+    EXPECT_FALSE(s->mechanisms.has(base::mechanism::run_ahead));
+    EXPECT_TRUE(s->mechanisms.has(base::mechanism::longest_first));
+}
+
+// A name is misspelt. An operator who believes to have switched a mechanism off
+// would measure nothing.
+TEST_F(settings_test, a_misspelt_mechanism_is_an_error_that_names_all) {
+    const auto loaded = load("policy:\n  run_ahaed: false\n");
+    const auto* errors = std::get_if<settings::setting_errors>(&loaded);
+    ASSERT_NE(errors, nullptr);
+    ASSERT_EQ(errors->size(), 1U);
+    const auto text = settings::to_string(errors->front());
+    EXPECT_NE(text.find(path_ + ":11: policy.run_ahaed: unknown_key"),
+              std::string::npos)
+        << text;
+    for (const auto& row : base::enum_names<base::mechanism>::table) {
+        EXPECT_NE(text.find(row.name), std::string::npos) << row.name;
+    }
+}
+
+TEST_F(settings_test, a_mechanism_is_on_or_off) {
+    const auto loaded = load("policy:\n  run_ahead: sometimes\n");
+    const auto* errors = std::get_if<settings::setting_errors>(&loaded);
+    ASSERT_NE(errors, nullptr);
+    EXPECT_EQ(errors->front().what, settings::setting_fault::wrong_type);
+}
+
+} // namespace
+
+} // namespace hibiscus::entry
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -3,6 +3,7 @@
 #include "hibiscus/base/clock.hpp"
 #include "hibiscus/base/endpoint.hpp"
 #include "hibiscus/base/ids.hpp"
+#include "hibiscus/base/mechanisms.hpp"
 
 #include <cstdint>
 #include <map>
@@ -69,8 +70,12 @@
 public:
     /// `salt` differs between processes, so that they choose differently
     /// among servers that are alike.
-    explicit sampler_table(base::clock clock, std::uint64_t salt = 0)
-        : clock_(std::move(clock)), salt_(salt) {}
+    explicit sampler_table(base::clock clock, std::uint64_t salt = 0,
+                           base::mechanism_set mechanisms = {})
+        : clock_(std::move(clock)), salt_(salt), mechanisms_(mechanisms) {}
+
+    /// Returns true if decisions over the table may use `m`.
+    bool uses(base::mechanism m) const { return mechanisms_.has(m); }
 
     /// Takes in an entry. A server that started anew under its id is a new
     /// one: what was seen of it before no longer holds.
@@ -129,6 +134,7 @@
 private:
     base::clock clock_;
     std::uint64_t salt_;
+    base::mechanism_set mechanisms_;
     std::map<sampler_id, sampler_row> rows_;
     std::map<service_name, std::int64_t> memory_;
 };
--- a/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
+++ b/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
@@ -106,7 +106,7 @@
     void add_server(std::map<std::string, supply>& to, const sampler_id& id,
                     const sampler_row& row, bool sound) const;
     bool may_order(const sampler_id& id, const sampler_row& row) const;
-    load_order take_next(std::map<std::string, supply>& from);
+    load_order take_next(std::map<std::string, supply>& from, bool by_need);
     void begin(const load_order& order);
     base::millis first_check_ms() const;
     bool has_room(std::size_t servers) const;
--- a/packages/samplers/src/placement.cpp
+++ b/packages/samplers/src/placement.cpp
@@ -48,7 +48,12 @@
 /// A load concerns the runs of its model only. Counted as away for the runs of
 /// all models, two of eleven servers that serve three models were missing at
 /// any time; thirty plays with faults gave a mean of 0.801 in place of 0.775.
-bool loads(const sampler_row& row, const std::string& model, base::millis now) {
+bool loads(const sampler_table& table, const sampler_row& row,
+           const std::string& model, base::millis now) {
+    if (!table.uses(base::mechanism::load_one_model)) {
+        return std::any_of(row.loading.begin(), row.loading.end(),
+                           [now](const auto& l) { return now < l.second; });
+    }
     const auto load = row.loading.find(model);
     return load != row.loading.end() && now < load->second;
 }
@@ -78,29 +83,40 @@
 /// Servers differ for good, by a third. One that had been idle for some
 /// seconds was taken for the fastest of all, and the longest runs, which are
 /// placed first, went to the slower ones just then.
-double pace_of(const sampler_row& row, double usual, base::millis now) {
-    if (row.event_ms <= 0) {
+double pace_of(const sampler_table& table, const sampler_row& row, double usual,
+               base::millis now) {
+    const bool fresh = now - row.event_seen < pace_age_ms;
+    const bool known = fresh || table.uses(base::mechanism::remember_paces);
+    if (row.event_ms <= 0 || !known) {
         return usual;
     }
-    const bool fresh = now - row.event_seen < pace_age_ms;
     return fresh ? row.event_ms : std::min(row.event_ms, sound_spread * usual);
 }
 
-bool takes(const sampler_row& row, const run_needs& needs, base::millis now) {
-    return usable(row, needs.service, now) && !loads(row, needs.model, now) &&
+bool takes(const sampler_table& table, const sampler_row& row,
+           const run_needs& needs, base::millis now) {
+    return usable(row, needs.service, now) &&
+           !loads(table, row, needs.model, now) &&
            row.running < row.registered.slots &&
            row.version_of(needs.model) >= needs.least;
 }
 
 double cost_of(const sampler_table& table, const sampler_row& row,
                const run_needs& needs, double usual, base::millis now) {
-    const double fill = static_cast<double>(row.running) / row.registered.slots;
-    const auto ahead =
-        static_cast<double>(row.version_of(needs.model) - needs.least);
-    const double over =
-        std::max(0.0, table.memory_share(row, needs.tokens) - full_memory);
-    return pace_of(row, usual, now) *
-           (1 + full_cost * fill + newer_cost * ahead + memory_cost * over);
+    double factor = 1;
+    if (table.uses(base::mechanism::spread_runs)) {
+        factor += full_cost * row.running / row.registered.slots;
+    }
+    if (table.uses(base::mechanism::spare_newer_weights)) {
+        factor += newer_cost * static_cast<double>(row.version_of(needs.model) -
+                                                   needs.least);
+    }
+    if (table.uses(base::mechanism::memory_cost)) {
+        factor +=
+            memory_cost *
+            std::max(0.0, table.memory_share(row, needs.tokens) - full_memory);
+    }
+    return pace_of(table, row, usual, now) * factor;
 }
 
 } // namespace
@@ -112,7 +128,7 @@
         return first_pace_ms;
     }
     const auto usual = usual_pace(table, row->second.registered.service);
-    return pace_of(row->second, usual, now);
+    return pace_of(table, row->second, usual, now);
 }
 
 std::optional<sampler_id> place_run(const sampler_table& table,
@@ -121,7 +137,7 @@
     double best_cost = 0;
     const double usual = usual_pace(table, needs.service);
     for (const auto& [id, row] : table.rows()) {
-        if (!takes(row, needs, now)) {
+        if (!takes(table, row, needs, now)) {
             continue;
         }
         const double cost = cost_of(table, row, needs, usual, now);
@@ -148,8 +164,8 @@
     const auto& there = table.rows().at(*to);
     const bool room = table.memory_share(there, needs.tokens) < full_memory;
     const double usual = usual_pace(table, needs.service);
-    const bool faster = pace_of(there, usual, now) * worthwhile_gain <
-                        pace_of(here->second, usual, now);
+    const bool faster = pace_of(table, there, usual, now) * worthwhile_gain <
+                        pace_of(table, here->second, usual, now);
     return room && faster ? to : std::nullopt;
 }
 
@@ -205,8 +221,9 @@
             row.unlisted) {
             continue;
         }
-        const bool warm = row.answered_at > 0 && row.running == 0 &&
-                          now - row.answered_at < warm_ms;
+        const bool warm = !table.uses(base::mechanism::known_servers_first) ||
+                          (row.answered_at > 0 && row.running == 0 &&
+                           now - row.answered_at < warm_ms);
         double cost = static_cast<double>(row.running) /
                       std::max(1, row.registered.slots);
         cost += row.registered.zone == near ? 0 : far_cost;
@@ -233,7 +250,7 @@
     const double usual = usual_pace(table, service);
     for (const auto& [id, row] : table.rows()) {
         if (usable(row, service, now)) {
-            paces.push_back(pace_of(row, usual, now));
+            paces.push_back(pace_of(table, row, usual, now));
         }
     }
     std::set<sampler_id> out;
@@ -244,7 +261,7 @@
     std::nth_element(paces.begin(), middle, paces.end());
     for (const auto& [id, row] : table.rows()) {
         if (row.registered.service == service &&
-            pace_of(row, usual, now) > slow_factor * *middle) {
+            pace_of(table, row, usual, now) > slow_factor * *middle) {
             out.insert(id);
         }
     }
@@ -255,7 +272,7 @@
                 const std::set<sampler_id>& except, base::millis now) {
     int free = 0;
     for (const auto& [id, row] : table.rows()) {
-        if (takes(row, needs, now) && except.count(id) == 0) {
+        if (takes(table, row, needs, now) && except.count(id) == 0) {
             free += row.registered.slots - row.running;
         }
     }
--- a/packages/samplers/src/weight_rollout.cpp
+++ b/packages/samplers/src/weight_rollout.cpp
@@ -134,14 +134,15 @@
 /// behind took all loads while the others' steps waited for weights. Thirty
 /// plays with faults gave a mean of 0.836 in place of 0.801, ten whose loads
 /// take 2.5 s gave 0.541 in place of 0.475.
-load_order weight_rollout::take_next(std::map<std::string, supply>& from) {
+load_order weight_rollout::take_next(std::map<std::string, supply>& from,
+                                     bool by_need) {
+    const auto rank = [by_need](const supply& s) {
+        return std::make_pair(by_need ? s.steps_served() : 0, s.last_order);
+    };
     auto worst = from.end();
     for (auto s = from.begin(); s != from.end(); ++s) {
         if (!s->second.candidates.empty() &&
-            (worst == from.end() ||
-             std::make_pair(s->second.steps_served(), s->second.last_order) <
-                 std::make_pair(worst->second.steps_served(),
-                                worst->second.last_order))) {
+            (worst == from.end() || rank(s->second) < rank(worst->second))) {
             worst = s;
         }
     }
@@ -169,8 +170,9 @@
         return out;
     }
     auto behind = supplies(table);
+    const bool by_need = table.uses(base::mechanism::load_by_need);
     while (has_room(with_models)) {
-        const auto order = take_next(behind);
+        const auto order = take_next(behind, by_need);
         if (order.model.empty()) {
             break;
         }
--- a/packages/settings/include/hibiscus/settings/mapping_reader.hpp
+++ b/packages/settings/include/hibiscus/settings/mapping_reader.hpp
@@ -86,6 +86,13 @@
         }
     }
 
+    /// Reads true or false, if it is there.
+    void flag(const char* key, bool& target) {
+        std::string text = target ? "true" : "false";
+        word(key, text, {"true", "false"});
+        target = text == "true";
+    }
+
     /// Reads one of some words, if it is there.
     void word(const char* key, std::string& target,
               const std::set<std::string>& words) {
@@ -94,11 +101,7 @@
             return;
         }
         if (!value.IsScalar() || words.count(value.Scalar()) == 0) {
-            std::string expected = "one of";
-            for (const auto& w : words) {
-                expected += " " + w;
-            }
-            note(setting_fault::wrong_type, value, key, expected);
+            note(setting_fault::wrong_type, value, key, one_of(words));
             return;
         }
         target = value.Scalar();
@@ -125,7 +128,7 @@
             const auto key = row.first.as<std::string>("");
             if (asked_.count(key) == 0) {
                 note(setting_fault::unknown_key, row.first, key,
-                     "a key of the settings");
+                     one_of(asked_));
             }
         }
     }
@@ -145,6 +148,14 @@
         return value;
     }
 
+    static std::string one_of(const std::set<std::string>& words) {
+        std::string out = "one of";
+        for (const auto& w : words) {
+            out += " " + w;
+        }
+        return out;
+    }
+
     std::string join(const std::string& key) const {
         if (path_.empty() || key.empty()) {
             return path_ + key;
