owner: a partition that is away holds up only its own jobs

One job whose partition is away held up all trainers, and its results, which come first in each try, kept those of others out of the bound on bytes.

--- a/packages/batch/include/hibiscus/batch/listing_plan.hpp
+++ b/packages/batch/include/hibiscus/batch/listing_plan.hpp
@@ -4,6 +4,7 @@
 #include "hibiscus/batch/work.hpp"
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,12 @@
               std::size_t record_bytes,
               const std::function<std::string()>& name);
 
+/// Returns the plan without the jobs whose texts could not all be stored. The
+/// store may refuse single partitions; left together, one job whose partition
+/// is away would hold up the results of all trainers.
+std::vector<planned_listing> without_jobs(std::vector<planned_listing> plan,
+                                          const std::set<job_id>& unstored);
+
 /// Returns true if the plan still follows on what the ledger has. Between
 /// planning and listing the texts are stored, and meanwhile an earlier append
 /// whose answer was lost may turn out to have listed the same items: a second
--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -163,8 +164,10 @@
     effects reward_ended(const job_id& id, int number,
                          const reward_outcome& outcome);
 
-    /// Returns the results that are ready, at most `bytes` of text.
-    std::vector<ready_result> ready(std::size_t bytes) const;
+    /// Returns the results that are ready, at most `bytes` of text, but those
+    /// of the jobs in `except`.
+    std::vector<ready_result> ready(std::size_t bytes,
+                                    const std::set<job_id>& except = {}) const;
 
     /// Returns what has come since the last save, for runs with at least
     /// `least` new events.
--- a/packages/batch/src/listing_plan.cpp
+++ b/packages/batch/src/listing_plan.cpp
@@ -44,6 +44,16 @@
     return out;
 }
 
+std::vector<planned_listing> without_jobs(std::vector<planned_listing> plan,
+                                          const std::set<job_id>& unstored) {
+    const auto is_unstored = [&unstored](const planned_listing& p) {
+        return unstored.count(p.job) != 0;
+    };
+    plan.erase(std::remove_if(plan.begin(), plan.end(), is_unstored),
+               plan.end());
+    return plan;
+}
+
 bool still_fits(const ledger& l, const std::vector<planned_listing>& plan) {
     std::map<job_id, int> next;
     return std::all_of(plan.begin(), plan.end(), [&](const auto& p) {
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -437,11 +437,15 @@
     return {};
 }
 
-std::vector<ready_result> work::ready(std::size_t bytes) const {
+std::vector<ready_result> work::ready(std::size_t bytes,
+                                      const std::set<job_id>& except) const {
     std::vector<ready_result> out;
     std::size_t total = 0;
     for (const auto& [id, job] : jobs_) {
-        for (std::size_t n = 0; !job.ahead_until && n < job.items.size(); ++n) {
+        if (job.ahead_until || except.count(id) != 0) {
+            continue;
+        }
+        for (std::size_t n = 0; n < job.items.size(); ++n) {
             const auto& row = job.items[n];
             if (row.at != state::ready || total > bytes) {
                 continue;
--- a/packages/batch/test/listing_plan_test.cpp
+++ b/packages/batch/test/listing_plan_test.cpp
@@ -60,6 +60,25 @@
     EXPECT_TRUE(still_fits(ledger_, plans));
 }
 
+// The store refuses the partition with the texts of one job for some seconds
+// and serves all others. The results of the other trainers must not wait.
+TEST_F(listing_plan_test, a_job_whose_texts_are_not_stored_holds_up_no_other) {
+    const job_id other("k");
+    job_header h;
+    h.id = other;
+    h.items = 10;
+    put(header_key{other}, encode(h));
+    auto plans = plan({0, 1, 2}, 5);
+    const auto first = plans.size();
+    plans.push_back(plans.front());
+    plans.back().job = other;
+    const auto left = without_jobs(plans, {job_});
+    EXPECT_EQ(first, 2U);
+    ASSERT_EQ(left.size(), 1U);
+    EXPECT_EQ(left[0].job, other);
+    EXPECT_TRUE(still_fits(ledger_, left));
+}
+
 TEST_F(listing_plan_test, does_not_list_again_what_a_lost_answer_had_listed) {
     // The answer to an append is lost, so the owner plans the same items
     // again; then it reads that the append was carried out after all. Listed
--- a/packages/entry/src/owner.hpp
+++ b/packages/entry/src/owner.hpp
@@ -100,7 +100,9 @@
     void renew_overdue();
     void commit();
     std::vector<batch::planned_listing> collect();
-    void list(const std::vector<batch::planned_listing>& lists, bool stored);
+    void texts_stored(std::vector<batch::planned_listing> lists,
+                      const std::set<batch::job_id>& unstored);
+    void list(const std::vector<batch::planned_listing>& lists);
     void save();
     void save_now(int least, std::function<void()> done);
     void leave();
@@ -151,6 +153,9 @@
     int saving_ = 0;
     bool appending_ = false;
     bool committing_ = false;
+    /// Jobs whose texts the store did not take, and until when they are left
+    /// out.
+    std::map<batch::job_id, base::millis> unstored_until_;
     bool renew_due_ = false;
     base::millis last_overdue_ = 0;
     bool owned_before_ = false;
--- a/packages/entry/src/owner_writes.cpp
+++ b/packages/entry/src/owner_writes.cpp
@@ -116,41 +116,62 @@
     }
     committing_ = true;
     last_commit_ = now;
-    auto waiting = std::make_shared<int>(static_cast<int>(lists.size()));
-    auto whole = std::make_shared<bool>(true);
-    auto all =
-        std::make_shared<std::vector<batch::planned_listing>>(std::move(lists));
-    for (const auto& l : *all) {
+    struct storing {
+        std::vector<batch::planned_listing> lists;
+        std::set<batch::job_id> unstored;
+        std::size_t waiting = 0;
+    };
+    auto all = std::make_shared<storing>();
+    all->lists = std::move(lists);
+    all->waiting = all->lists.size();
+    for (const auto& l : all->lists) {
         files_.append_texts(
             l.job, {l.texts},
-            [this, waiting, whole, all](const store::append_result& r) {
-                *whole = *whole && base::value_if(r) != nullptr;
-                if (--*waiting == 0) {
-                    list(*all, *whole);
+            [this, all, job = l.job](const store::append_result& r) {
+                if (base::value_if(r) == nullptr) {
+                    all->unstored.insert(job);
+                }
+                if (--all->waiting == 0) {
+                    texts_stored(std::move(all->lists), all->unstored);
                 }
             });
     }
 }
 
 std::vector<batch::planned_listing> owner::collect() {
+    const auto now = state_.clock.now();
+    std::set<batch::job_id> except;
+    for (auto row = unstored_until_.begin(); row != unstored_until_.end();) {
+        if (now >= row->second) {
+            row = unstored_until_.erase(row);
+        } else {
+            except.insert((row++)->first);
+        }
+    }
     return batch::plan_listings(
-        state_.jobs, work_.ready(commit_bytes),
+        state_.jobs, work_.ready(commit_bytes, except),
         state_.config.record_bytes / record_share, [this] {
             return incarnation_ + "-" + std::to_string(++texts_written_);
         });
 }
 
-void owner::list(const std::vector<batch::planned_listing>& lists,
-                 bool stored) {
+/// Jobs whose texts were not stored are left out for a while: each try would
+/// encode and send all that has become ready once more.
+void owner::texts_stored(std::vector<batch::planned_listing> lists,
+                         const std::set<batch::job_id>& unstored) {
+    for (const auto& id : unstored) {
+        unstored_until_[id] = state_.clock.now() + commit_retry_ms;
+        state_.log.write("append_refused", {{"reason", "texts"}, {"job", id}});
+    }
+    list(batch::without_jobs(std::move(lists), unstored));
+}
+
+void owner::list(const std::vector<batch::planned_listing>& lists) {
     const bool fits = batch::still_fits(state_.jobs, lists);
-    if (!stored || !fits || !owns() || appending_) {
+    if (lists.empty() || !fits || !owns() || appending_) {
         committing_ = false;
-        if (!stored || !fits) {
-            state_.log.write("append_refused",
-                             {{"reason", stored ? "listed_before" : "texts"}});
-            // While the store is away, each try would encode and send all
-            // that has become ready once more.
-            last_commit_ = state_.clock.now() + (stored ? 0 : commit_retry_ms);
+        if (!fits) {
+            state_.log.write("append_refused", {{"reason", "listed_before"}});
         }
         return;
     }
--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -1,5 +1,7 @@
 #include "entry/entry_world.hpp"
 
+#include "hibiscus/base/hash.hpp"
+
 #include <gtest/gtest.h>
 
 #include <csignal>
@@ -180,6 +182,35 @@
     EXPECT_TRUE(read_all("n1"));
 }
 
+TEST_F(entry_path_test, a_partition_that_is_away_holds_up_only_its_own_jobs) {
+    // The store refuses some of its partitions. Results of a job whose texts
+    // lie in one of these can't be listed; the trainers of all other jobs must
+    // not wait for them.
+    constexpr std::uint64_t partitions = 24;
+    const auto part_of = [](const std::string& job) {
+        return static_cast<int>(base::stable_hash(job) % partitions);
+    };
+    // Sorted before the other job, as its results then come first.
+    std::string blocked = "a";
+    while (part_of(blocked) == part_of("job1")) {
+        blocked += "a";
+    }
+    configure();
+    start_node("n1");
+    ASSERT_TRUE(wait_ready("n1"));
+    ASSERT_TRUE(run_until([&] { return !owner().empty(); }));
+    store_.refuse_appends("keyed.texts", part_of(blocked));
+    ASSERT_EQ(call("n1", "POST", "/batch/1", {{"Request-Id", blocked}},
+                   job_body("b", 1))
+                  .status,
+              202);
+    ASSERT_EQ(submit("n1").status, 202);
+    EXPECT_TRUE(read_all("n1"));
+    const auto none =
+        json::parse(call("n1", "GET", "/lots/" + blocked + "?after=0").body);
+    EXPECT_TRUE(none.at("results").empty());
+}
+
 TEST_F(entry_path_test, servers_are_moved_to_a_version_that_is_named) {
     configure();
     start_node("n1");
--- a/testing/entry/keyed_store.cpp
+++ b/testing/entry/keyed_store.cpp
@@ -143,8 +143,13 @@
 void keyed_store::append(const transport::inbound_request& request,
                          const answer& to) {
     const auto& target = request.target;
-    auto& log = logs_[{parameter(target, "topic"),
-                       std::atoi(parameter(target, "part").c_str())}];
+    const partition to_part{parameter(target, "topic"),
+                            std::atoi(parameter(target, "part").c_str())};
+    if (refused_.count(to_part) != 0) {
+        respond(to, 503, json::object());
+        return;
+    }
+    auto& log = logs_[to_part];
     const auto at = parameter(target, "at");
     if (!at.empty() && std::strtoull(at.c_str(), nullptr, 10) != log.size()) {
         respond(to, 412, {{"end", log.size()}});
--- a/testing/entry/keyed_store.hpp
+++ b/testing/entry/keyed_store.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,6 +30,11 @@
     /// Sets which calls are refused with 503; none if empty.
     void set_refusing(bool refusing) { refusing_ = refusing; }
 
+    /// Refuses appends to one partition of a topic from now on.
+    void refuse_appends(const std::string& topic, int number) {
+        refused_.insert({topic, number});
+    }
+
     /// Sets how many of a hundred appends are carried out without an answer.
     void set_losing(int percent) { losing_ = percent; }
 
@@ -58,6 +64,7 @@
     boost::asio::io_context& io_;
     std::map<partition, std::vector<record>> logs_;
     bool refusing_ = false;
+    std::set<partition> refused_;
     int losing_ = 0;
     int appends_ = 0;
     std::vector<answer> unanswered_;
