entry: the way to the store is watched by a class of its own

Change: moved to store_watch, unchanged but for a call that is put off by the node's timer in place of the loop's queue.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -10,9 +10,9 @@
 #include "platform/front.hpp"
 #include "platform/store_client.hpp"
 #include "registry.hpp"
+#include "store_watch.hpp"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -55,14 +55,6 @@
 /// yet, in ms.
 constexpr base::millis start_retry_ms = 300;
 
-/// How often the link to the store is looked at, in ms: that a call is overdue
-/// shows no sooner.
-constexpr base::millis watch_ms = 50;
-
-/// How often the store is tried while it is away, in ms. A try does not wait
-/// for the one before: a silent store leaves each of them hanging for a second.
-constexpr base::millis probe_ms = 200;
-
 /// How often the settings file is looked at, in ms: a kilobyte, which is read
 /// far sooner than operators need a change in force.
 constexpr base::millis settings_check_ms = 2000;
@@ -75,13 +67,12 @@
 public:
     entry_node(const node_settings& settings, std::string path)
         : state_(settings), path_(std::move(path)), signals_(io_), client_(io_),
-          link_(
-              state_.clock, settings.store, [this] { return helping_nodes(); },
-              [this] { give_up_direct_calls(); }),
-          store_(adapter::make_log_store(client_, link_)),
           after_([this](base::millis ms, std::function<void()> f) {
               after(ms, std::move(f));
           }),
+          watch_(state_, client_, after_,
+                 [this] { return directory_.nodes().peers(); }),
+          store_(adapter::make_log_store(client_, watch_.link())),
           config_(store_, {adapter::operator_topic, 0}, state_.clock, after_,
                   {}, {[this](const auto& c) { operator_changed(c); }, {}}),
           registry_(state_, store_, after_),
@@ -93,8 +84,8 @@
           files_(store_, settings.partitions,
                  {settings.record_bytes, settings.append_bytes}),
           directory_(state_, store_, after_), requests_(state_, client_),
-          owner_(state_, store_, link_, journal_, files_, client_, requests_,
-                 after_),
+          owner_(state_, store_, watch_.link(), journal_, files_, client_,
+                 requests_, after_),
           batch_(state_, store_, journal_, files_, after_),
           callers_(io_, {},
                    [this](auto r, auto e) {
@@ -123,7 +114,7 @@
         owner_.start();
         batch_.start();
         flush();
-        watch_link();
+        watch_.start();
         settings_text_ = settings_text();
         watch_settings();
         io_.run();
@@ -200,7 +191,7 @@
         now.fences_checked = fresh->fences_checked;
         now.store = fresh->store;
         if (store_moved) {
-            link_.move_to(now.store);
+            watch_.link().move_to(now.store);
         }
         state_.log.write("reload",
                          {{"cause", cause},
@@ -347,60 +338,6 @@
         }
     }
 
-    /// While calls go through other nodes, tries the store itself.
-    void watch_link() {
-        const bool away = link_.away();
-        if (away != away_) {
-            away_ = away;
-            state_.log.write("store_link", {{"direct", !away}});
-        }
-        if (away && state_.clock.now() - last_probe_ >= probe_ms) {
-            last_probe_ = state_.clock.now();
-            probe_link();
-        }
-        after(watch_ms, [this] { watch_link(); });
-    }
-
-    /// Tries the store itself. Once it serves, all that was asked before and
-    /// has no answer is given up: a store that was silent does not answer it
-    /// any more, and reads and appends would wait for up to another second
-    /// while every trainer stands still.
-    void probe_link() {
-        const auto began = state_.clock.now();
-        adapter::probe_store(client_, state_.config.store,
-                             link_.lost_partition(),
-                             [this, began](bool served) {
-                                 if (!served || !link_.away()) {
-                                     return;
-                                 }
-                                 link_.back(state_.clock.now() - began);
-                                 client_.abandon(state_.config.store, began);
-                             });
-    }
-
-    bool uses(base::mechanism m) const {
-        return state_.config.mechanisms.has(m);
-    }
-
-    /// Returns the nodes that may pass calls to the store on.
-    std::vector<base::endpoint> helping_nodes() const {
-        return uses(base::mechanism::call_through_nodes)
-                   ? directory_.nodes().peers()
-                   : std::vector<base::endpoint>();
-    }
-
-    /// An owner that is cut off from the store for a moment keeps the jobs if
-    /// its reads and appends go through another node before the others claim.
-    /// Those that hang would hold it up for a second.
-    void give_up_direct_calls() {
-        if (!uses(base::mechanism::give_up_silent_store)) {
-            return;
-        }
-        asio::post(io_, [this] {
-            client_.abandon(state_.config.store, state_.clock.now());
-        });
-    }
-
     void on_metrics(transport::exchange& answer) {
         const auto c = client_.counts();
         state_.counters.set("connections_opened",
@@ -521,9 +458,9 @@
     std::string settings_text_;
     asio::signal_set signals_;
     transport::upstream_client client_;
-    store::store_link link_;
-    store::log_store store_;
     store::delay_function after_;
+    store_watch watch_;
+    store::log_store store_;
     store::follower config_;
     registry registry_;
     store::follower journal_;
@@ -538,8 +475,6 @@
     transport::event_server metrics_;
     base::millis stop_at_ = 0;
     bool handed_over_ = false;
-    bool away_ = false;
-    base::millis last_probe_ = 0;
 };
 
 } // namespace
