samplers: how long a load lasts is seen again after an outage

Loads that ended during the outage, when no server is asked, counted as loads of 6 s; the next were asked for only when they were due by that, after 4.8 s, so that none could ever seem shorter. Ruled out: loads that were slow (the servers had the weights); places (none of the servers with the weights of the step was full). Change: a load is asked for from half of its usual time on, and one that nobody could ask for says nothing of how long loads last. Result: two tests of weight_rollout_test fail without it (16 loads in 10 s where 80 are possible) and pass.

--- a/packages/batch/test/step_play.hpp
+++ b/packages/batch/test/step_play.hpp
@@ -26,7 +26,7 @@
     /// So many loads don't slow each other down.
     int loads_at_once = 2;
     /// How long a server's report lags behind the end of a load.
-    double report_lag_ms = 0;
+    base::millis report_lag_ms = 0;
 };
 
 /// What a trainer asks for. Times in ms.
@@ -222,7 +222,7 @@
         for (const auto& id : rollout_.checks()) {
             const auto& s = servers_.at(id);
             const bool reported =
-                clock_.now() - s.loaded_at >= shape_.report_lag_ms;
+                clock_.now() >= s.loaded_at + shape_.report_lag_ms;
             if (s.loading.empty() && reported) {
                 rollout_.done(id, s.versions);
                 table_.loaded(id);
--- a/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
+++ b/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
@@ -72,6 +72,10 @@
     struct load {
         base::millis since = 0;
         base::millis check_at = 0;
+        /// When it was asked for last.
+        base::millis asked_at = 0;
+        /// When it was asked for before that, and had not ended.
+        base::millis loading_at = 0;
         /// What is loaded; empty if another process ordered it.
         std::string model;
         std::int64_t version = 0;
@@ -109,6 +113,7 @@
     load_order take_next(std::map<std::string, supply>& from, bool by_need);
     void begin(const load_order& order);
     base::millis first_check_ms() const;
+    base::millis nearly_due_ms() const;
     bool has_room(std::size_t servers) const;
     void forget_old(const sampler_table& table);
 
--- a/packages/samplers/src/weight_rollout.cpp
+++ b/packages/samplers/src/weight_rollout.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace hibiscus::samplers {
 
@@ -40,9 +41,16 @@
     return row == newest_.end() ? 0 : row->second;
 }
 
-/// A load is asked for its end a little before it is due: asked later than it
-/// ends, all would seem to last longer than they do.
+/// A load is asked for its end from half of its usual time on. Asked only when
+/// it is due, a load could never seem to be shorter than those before: once
+/// some had taken long, each was found at its end seconds late, and steps went
+/// without weights meanwhile.
 base::millis weight_rollout::first_check_ms() const {
+    return std::max(check_ms, load_time_.expected_ms() / 2);
+}
+
+/// Returns from what time on a load is about to end, in ms.
+base::millis weight_rollout::nearly_due_ms() const {
     return std::max(check_ms, load_time_.expected_ms() - check_ms);
 }
 
@@ -53,7 +61,7 @@
     const auto now = clock_.now();
     std::size_t fresh = 0;
     for (const auto& [id, l] : loads_) {
-        fresh += now - l.since < first_check_ms() ? 1 : 0;
+        fresh += now - l.since < nearly_due_ms() ? 1 : 0;
     }
     // Those that are past their time are about to be reported as done; should
     // they not be, only a few more may begin.
@@ -190,6 +198,7 @@
     for (auto& [id, l] : loads_) {
         if (now >= l.check_at) {
             l.check_at = now + check_ms;
+            l.loading_at = std::exchange(l.asked_at, now);
             out.push_back(id);
         }
     }
@@ -201,6 +210,8 @@
     auto& l = loads_[order.sampler];
     l.since = now;
     l.check_at = now + first_check_ms();
+    l.asked_at = now;
+    l.loading_at = now;
     l.model = order.model;
     l.version = order.version;
 }
@@ -213,7 +224,7 @@
     const auto now = clock_.now();
     const auto l = loads_.find(id);
     if (l == loads_.end()) {
-        loads_[id] = {now, now + check_ms, {}, 0};
+        loads_[id] = {now, now + check_ms, now, now, {}, 0};
     } else {
         l->second.check_at = now + check_ms;
     }
@@ -231,10 +242,14 @@
         return;
     }
     // A server that started anew meanwhile has not loaded anything, and says
-    // nothing of how long a load lasts.
+    // nothing of how long a load lasts. Nor does one that nobody could ask for
+    // long, as while the store is away: the load may have ended at any time.
+    const auto now = clock_.now();
     const auto has = versions.find(l->second.model);
-    if (has != versions.end() && has->second >= l->second.version) {
-        load_time_.took(clock_.now() - l->second.since);
+    const bool loaded =
+        has != versions.end() && has->second >= l->second.version;
+    if (loaded && now - l->second.loading_at <= load_time_.expected_ms()) {
+        load_time_.took(now - l->second.since);
     }
     loads_.erase(l);
 }
--- a/packages/samplers/test/weight_rollout_test.cpp
+++ b/packages/samplers/test/weight_rollout_test.cpp
@@ -184,6 +184,59 @@
     EXPECT_EQ(rollout_.checks().size(), 2U);
 }
 
+// The store is away for six seconds, and no server is asked for its load
+// meanwhile. Taken for loads of six seconds, these made the next ones be asked
+// for only after five: for half a minute each step waited for weights that had
+// long been there.
+TEST_F(weight_rollout_test, loads_that_nobody_could_ask_for_do_not_seem_long) {
+    add(40);
+    rollout_.name_version("m", 2);
+    const auto before = accept_due();
+    time_->advance(700);
+    rollout_.checks();
+    time_->advance(6000);
+    rollout_.checks();
+    for (const auto& id : before) {
+        done(id, 2);
+    }
+    ASSERT_FALSE(accept_due().empty());
+    time_->advance(1200);
+    EXPECT_FALSE(rollout_.checks().empty());
+}
+
+// Loads were slow for a while and are fast again. Each is found at its end soon
+// enough for that to show.
+TEST_F(weight_rollout_test, loads_that_are_fast_again_are_seen_to_be) {
+    constexpr base::millis load_ms = 900;
+    constexpr base::millis slow_ms = 5000;
+    add(40);
+    std::int64_t version = 1;
+    const auto play = [&](base::millis lasts, base::millis length) {
+        std::map<std::string, base::millis> loads;
+        int ended = 0;
+        for (base::millis at = 0; at < length; at += 50) {
+            if (at % 4000 == 0) {
+                rollout_.name_version("m", ++version);
+            }
+            for (const auto& id : accept_due()) {
+                loads[id] = clock_.now() + lasts;
+            }
+            for (const auto& id : rollout_.checks()) {
+                if (clock_.now() >= loads[id.str()]) {
+                    done(id.str(), version);
+                    ++ended;
+                }
+            }
+            time_->advance(50);
+        }
+        return ended;
+    };
+    play(slow_ms, 40000);
+    play(load_ms, 12000);
+    // Eight at a time, of which each takes a second, for ten seconds.
+    EXPECT_GE(play(load_ms, 10000), 80);
+}
+
 TEST_F(weight_rollout_test, an_order_that_was_not_taken_is_sent_again_later) {
     add(1);
     rollout_.name_version("m", 2);
