tests: what the users of the large deployment saw can't happen here

Change: three tests with real processes, for each the load that brings it about: a server whose entry lapses in the middle of a step, reward calls whose answers are lost, a server that works and never answers. The stand-in of servers can fall mute.

--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -211,6 +211,49 @@
     EXPECT_TRUE(none.at("results").empty());
 }
 
+TEST_F(entry_path_test, a_step_ends_whole_while_a_server_lacks_the_store) {
+    // A server loses the store while requests still reach it, so that its entry
+    // lapses in the middle of a step. A trainer whose items it has must not
+    // wait for them for hours, nor get one of them twice.
+    configure();
+    start_node("n1");
+    ASSERT_TRUE(wait_ready("n1"));
+    ASSERT_TRUE(run_until([&] { return !owner().empty(); }));
+    ASSERT_EQ(submit("n1").status, 202);
+    ASSERT_TRUE(run_until([&] { return engines_[0]->runs() > 0; }));
+    store_.put("keyed.servers", "llm-0", "");
+    EXPECT_TRUE(read_all("n1"));
+}
+
+TEST_F(entry_path_test, an_item_counts_once_whatever_its_reward_calls) {
+    // Servers work on reward calls and their answers are lost, so that each is
+    // made again. A ledger that takes the item with each call would charge for
+    // it twice; the trainer must read it once, with one score.
+    configure();
+    start_node("n1");
+    ASSERT_TRUE(wait_ready("n1"));
+    app_.set_losing_answers(true);
+    ASSERT_EQ(submit("n1").status, 202);
+    ASSERT_TRUE(run_until([&] { return app_.runs() > 3; }));
+    app_.set_losing_answers(false);
+    EXPECT_TRUE(read_all("n1"));
+}
+
+TEST_F(entry_path_test, a_lookup_ends_at_its_deadline_with_an_answer) {
+    // The only server works on a lookup and its answer never comes, as on a
+    // link that loses packets. The caller must not hang: it gets an answer that
+    // promises nothing once its time is over.
+    constexpr int gateway_timeout = 504;
+    configure();
+    start_node("n1");
+    ASSERT_TRUE(wait_ready("n1"));
+    app_.fall_mute();
+    EXPECT_EQ(call("n1", "POST", "/look/1",
+                   {{"Request-Id", "r1"}, {"Deadline-Ms", "600"}})
+                  .status,
+              gateway_timeout);
+}
+
 TEST_F(entry_path_test, servers_are_moved_to_a_version_that_is_named) {
     configure();
     start_node("n1");
--- a/testing/entry/token_server.cpp
+++ b/testing/entry/token_server.cpp
@@ -75,6 +75,9 @@
             version_ = order.at("version").get<std::int64_t>();
         }
         to->respond({next ? 202 : 409, {}, ""});
+    } else if (field(request, "Model").empty() && mute_) {
+        ++runs_;
+        unanswered_.push_back(to);
     } else if (field(request, "Model").empty() && losing_answers_) {
         ++runs_;
         to->abort();
--- a/testing/entry/token_server.hpp
+++ b/testing/entry/token_server.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace hibiscus::testing {
 
@@ -35,6 +36,10 @@
     /// server has worked on them.
     void set_losing_answers(bool losing) { losing_answers_ = losing; }
 
+    /// From now on requests without a model are worked on and never answered,
+    /// while their connections stay open.
+    void fall_mute() { mute_ = true; }
+
     /// Returns the whole text of a request.
     static std::string text_of(const std::string& id, int events);
 
@@ -56,6 +61,8 @@
     int runs_ = 0;
     int breaks_ = 0;
     bool losing_answers_ = false;
+    bool mute_ = false;
+    std::vector<answer> unanswered_;
     std::set<std::string> worked_on_;
     transport::event_server server_;
     base::endpoint address_;
