--- a/packages/batch/test/owner_cut_off_test.cpp
+++ b/packages/batch/test/owner_cut_off_test.cpp
@@ -23,10 +23,15 @@
     static constexpr base::millis call_ms = 1000;
     static constexpr base::millis tick_ms = 25;
 
+    /// A call under way to the store, or anything else that is to be done at a
+    /// time.
     struct call {
+        /// It goes to the store itself rather than through another node.
         bool direct = false;
+        /// When it ends, and what is done then.
         base::millis due = 0;
         std::function<void()> answered;
+        /// What is done if it is given up.
         std::function<void()> unanswered;
     };
 
@@ -71,6 +76,8 @@
         };
     }
 
+    /// Sends a call that the store may keep for `wait` ms. While the node is
+    /// cut off, one that goes to the store itself hangs until its time is over.
     void send(base::millis wait, std::function<void()> answered,
               std::function<void()> unanswered) {
         const auto route = link_.begin(wait, {"journal", 0});
@@ -113,6 +120,7 @@
         });
     }
 
+    /// Ends all calls whose time has come, and those that these begin.
     void run_due() {
         for (;;) {
             const auto due =
