tests: each test of the settings has a file of its own

Shown by a run: two of them together fail in 58 of 300 runs. Change: the file's name has the test's name. What is checked is the same.

--- a/packages/entry/test/settings_test.cpp
+++ b/packages/entry/test/settings_test.cpp
@@ -27,7 +27,10 @@
         return load_node_settings(path_);
     }
 
-    const std::string path_ = testing::TempDir() + "entry_settings_test.yaml";
+    /// Tests run side by side, so that each has a file of its own.
+    const std::string path_ =
+        testing::TempDir() + "entry_settings_" +
+        testing::UnitTest::GetInstance()->current_test_info()->name() + ".yaml";
 };
 
 TEST_F(settings_test, all_mechanisms_are_on_unless_switched_off) {
