--- a/packages/base/include/hibiscus/base/mechanisms.hpp
+++ b/packages/base/include/hibiscus/base/mechanisms.hpp
@@ -10,7 +10,7 @@
 namespace hibiscus::base {
 
 /// A decision that is meant to serve callers better. Each can be switched off
-/// in the settings, so that what it is worth can be measured on a deployment.
+/// in the settings, so that operators see what it is worth on a deployment.
 enum class mechanism {
     move_silent_runs,     ///< Runs leave servers that have fallen silent.
     move_slow_runs,       ///< Runs leave servers that have become slow.
