tests: ports stay with the test that draws them

Cause: a test drew a port for a node, let it go and started the node; the kernel gave the port to another program in between, the node ended with "cannot listen on", and the test waited 30 s and said only that the node did not become ready.

Change: ports stay bound, without listening, until the test ends; nodes and proxies set SO_REUSEADDR and can listen on them, also again after a restart. wait_ready() gives up on a node that has ended, and a test that fails prints the last lines of all logs.

Ruled out: a slow start.

--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -369,7 +369,7 @@
     // settings file, with or without a signal. A node that went by the old one
     // would be out of touch until somebody restarts it.
     configure();
-    start_node("n1", base::endpoint{"127.0.0.1", free_port("127.0.0.1")});
+    start_node("n1", base::endpoint{"127.0.0.1", reserved_.take("127.0.0.1")});
     ASSERT_TRUE(run_until(
         [&] { return call("n1", "GET", "/readyz", {}, "", 1).status == 503; }));
     write_settings("n1");
--- a/testing/entry/entry_world.hpp
+++ b/testing/entry/entry_world.hpp
@@ -8,9 +8,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include <gtest/gtest.h>
+
 #include <cstdlib>
+#include <deque>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <map>
 #include <memory>
 #include <optional>
@@ -66,6 +70,9 @@
 
     ~entry_world() {
         nodes_.clear();
+        if (::testing::Test::HasFailure()) {
+            print_ends_of_logs();
+        }
         // HIBISCUS_KEEP keeps what the nodes wrote.
         if (std::getenv("HIBISCUS_KEEP") == nullptr) { // NOLINT
             std::filesystem::remove_all(folder_);
@@ -85,7 +92,7 @@
         auto& ports = ports_[name];
         if (ports.empty()) {
             for (int n = 0; n < 4; ++n) {
-                ports.push_back(free_port("127.0.0.1"));
+                ports.push_back(reserved_.take("127.0.0.1"));
             }
         }
         auto file = folder_ + "/" + name + ".yaml";
@@ -152,10 +159,15 @@
         return holds();
     }
 
+    /// Returns true once a node is ready, and false if it has ended or is not
+    /// ready in time.
     bool wait_ready(const std::string& name) {
-        return run_until([&] {
-            return call(name, "GET", "/readyz", {}, "", 1).status == 200;
+        bool ready = false;
+        run_until([&] {
+            ready = call(name, "GET", "/readyz", {}, "", 1).status == 200;
+            return ready || !nodes_.at(name)->running();
         });
+        return ready;
     }
 
     /// Returns the body of a job whose items' ids begin with `prefix` and
@@ -192,6 +204,30 @@
         return in.is_object() ? in.at("node").get<std::string>() : "";
     }
 
+    /// Prints the last lines of each program's log: the folder is gone with the
+    /// object, and a failure that comes once is not understood without them.
+    void print_ends_of_logs() const {
+        constexpr std::size_t lines = 20;
+        for (const auto& file : std::filesystem::directory_iterator(folder_)) {
+            if (file.path().extension() != ".log") {
+                continue;
+            }
+            std::deque<std::string> last;
+            std::ifstream in(file.path());
+            for (std::string line; std::getline(in, line);) {
+                last.push_back(std::move(line));
+                if (last.size() > lines) {
+                    last.pop_front();
+                }
+            }
+            std::cout << "last lines of " << file.path().filename() << ":\n";
+            for (const auto& line : last) {
+                std::cout << "  " << line << "\n";
+            }
+        }
+        std::cout << std::flush;
+    }
+
     boost::asio::io_context io_{1};
     transport::upstream_client client_{io_};
     keyed_store store_{io_};
@@ -200,6 +236,7 @@
     std::string folder_;
     /// Lines behind the settings of the nodes that are started.
     std::string more_settings_;
+    port_reservations reserved_;
     std::map<std::string, std::vector<std::uint16_t>> ports_;
     std::map<std::string, std::unique_ptr<process>> nodes_;
 };
--- a/testing/integration/caller_test.cpp
+++ b/testing/integration/caller_test.cpp
@@ -65,7 +65,8 @@
 // that it learnt of does not answer, it must ask the others: a trainer that
 // goes back to its first addresses stands still for ever.
 TEST(caller_test, goes_on_when_its_first_addresses_are_gone) {
-    const base::endpoint gone{"127.0.0.1", free_port("127.0.0.1")};
+    port_reservations reserved;
+    const base::endpoint gone{"127.0.0.1", reserved.take("127.0.0.1")};
     std::vector<base::endpoint> named{gone};
     const auto names = [&named] { return named; };
     fixed_entry second(names);
--- a/testing/soak/soak_test.cpp
+++ b/testing/soak/soak_test.cpp
@@ -72,8 +72,8 @@
 
     void add_proxy(const std::string& name) {
         auto& p = proxies_[name];
-        p.orders = {"127.0.0.1", free_port("127.0.0.1")};
-        p.listen = {"127.0.0.1", free_port("127.0.0.1")};
+        p.orders = {"127.0.0.1", reserved_.take("127.0.0.1")};
+        p.listen = {"127.0.0.1", reserved_.take("127.0.0.1")};
         p.program = std::make_unique<process>(
             std::vector<std::string>{HIBISCUS_FAULT_PROXY,
                                      "--address=" + to_string(p.orders),
--- a/testing/support/process.cpp
+++ b/testing/support/process.cpp
@@ -94,12 +94,33 @@
     return found;
 }
 
-std::uint16_t free_port(const std::string& ip) {
-    using tcp = boost::asio::ip::tcp;
-    boost::asio::io_context io;
-    tcp::acceptor acceptor(io,
-                           tcp::endpoint(boost::asio::ip::make_address(ip), 0));
-    return acceptor.local_endpoint().port();
+class port_reservations::sockets {
+public:
+    std::uint16_t take(const std::string& ip) {
+        using tcp = boost::asio::ip::tcp;
+        tcp::acceptor bound(io_, tcp::v4());
+        // The bound socket must allow what the program's socket asks for.
+        bound.set_option(boost::asio::socket_base::reuse_address(true));
+        // A program that inherits the port would keep it from the next one.
+        ::fcntl(bound.native_handle(), F_SETFD, FD_CLOEXEC);
+        bound.bind({boost::asio::ip::make_address(ip), 0});
+        const auto port = bound.local_endpoint().port();
+        bound_.push_back(std::move(bound));
+        return port;
+    }
+
+private:
+    boost::asio::io_context io_;
+    std::vector<boost::asio::ip::tcp::acceptor> bound_;
+};
+
+port_reservations::port_reservations()
+    : sockets_(std::make_unique<sockets>()) {}
+
+port_reservations::~port_reservations() = default;
+
+std::uint16_t port_reservations::take(const std::string& ip) {
+    return sockets_->take(ip);
 }
 
 void pause_for(base::millis ms) {
--- a/testing/support/process.hpp
+++ b/testing/support/process.hpp
@@ -5,6 +5,8 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -50,8 +52,24 @@
     std::optional<int> exit_;
 };
 
-/// Returns a port that the kernel has just found free on `ip`.
-std::uint16_t free_port(const std::string& ip);
+/// Ports for programs that a test starts. A port that was found free and let go
+/// may be given to somebody else, as a listener's or as the near end of a
+/// connection, before the program listens on it; the program then ends at its
+/// start. A port of this kind stays bound, so that only who names it gets it,
+/// and a program that was restarted gets it again.
+class port_reservations {
+public:
+    port_reservations();
+    ~port_reservations();
+
+    /// Returns a free port on `ip` and keeps it for the life of this object.
+    /// Programs that set SO_REUSEADDR can listen on it, one at a time.
+    std::uint16_t take(const std::string& ip);
+
+private:
+    class sockets;
+    std::unique_ptr<sockets> sockets_;
+};
 
 /// Calls `condition` until it returns true or `limit` ms have passed; returns
 /// what it returned last.
--- a/testing/support/system.cpp
+++ b/testing/support/system.cpp
@@ -110,8 +110,8 @@
     node_process node;
     node.name = "n" + std::to_string(nodes_.size() + 1);
     node.zone = zone;
-    node.callers = {ip, free_port(ip)};
-    node.peers = {ip, free_port(ip)};
+    node.callers = {ip, reserved_.take(ip)};
+    node.peers = {ip, reserved_.take(ip)};
     std::ofstream(path(node.name + ".yaml"))
         << "node: " << node.name << "\nzone: " << zone
         << "\nlisten:\n  callers: " << base::to_string(node.callers)
--- a/testing/support/system.hpp
+++ b/testing/support/system.hpp
@@ -129,6 +129,7 @@
     void launch(node_process& node);
     const base::endpoint& platform_address(const std::string& name) const;
 
+    port_reservations reserved_;
     std::string programs_;
     std::string folder_;
     bool keep_ = false;
