weights: loads that become long are seen to be, also after very short ones

Cause: a load's time counted only if the gap between two questions was no longer than a load is expected to take. Questions come each 0.2 s at most; once loads took less than that, by what servers reported of themselves, no longer one counted any more.

Change: a gap of three questions counts as well.

Ruled out: asking more often, which costs messages on each load.

Before: the new test asks for the first time after 0.2 s though loads take a second; after: beyond 0.4 s.

--- a/packages/samplers/src/weight_rollout.cpp
+++ b/packages/samplers/src/weight_rollout.cpp
@@ -24,6 +24,11 @@
 /// How often a server whose load should have ended is asked, in ms.
 constexpr base::millis check_ms = 200;
 
+/// How long a server may go unasked, in ms, so that the end of its load is
+/// known well enough whatever a load lasts: with the answers' way, and a
+/// question that was lost.
+constexpr base::millis most_gap_ms = 3 * check_ms;
+
 /// The pause before a server that did not take an order is asked again, in
 /// ms: what it reports of itself is some 200 ms old.
 constexpr base::millis retry_ms = 400;
@@ -247,7 +252,8 @@
     const auto has = versions.find(l->second.model);
     const bool loaded =
         has != versions.end() && has->second >= l->second.version;
-    if (loaded && now - l->second.loading_at <= load_time_.expected_ms()) {
+    const auto most_gap = std::max(most_gap_ms, load_time_.expected_ms());
+    if (loaded && now - l->second.loading_at <= most_gap) {
         load_time_.took(now - l->second.since);
     }
     loads_.erase(l);
--- a/packages/samplers/test/weight_rollout_test.cpp
+++ b/packages/samplers/test/weight_rollout_test.cpp
@@ -237,6 +237,42 @@
     EXPECT_GE(play(load_ms, 10000), 80);
 }
 
+// Loads took less time than passes between two questions, as servers said by
+// themselves, and now take longer. Were that not seen, all servers of a share
+// would be asked over and over, and a load that has failed be given up late.
+TEST_F(weight_rollout_test, loads_that_become_long_are_seen_to_be) {
+    constexpr base::millis short_ms = 50;
+    constexpr base::millis long_ms = 1000;
+    add(40);
+    std::int64_t version = 1;
+    for (int n = 0; n < 30; ++n) {
+        rollout_.name_version("m", ++version);
+        const auto ids = accept_due();
+        time_->advance(short_ms);
+        for (const auto& id : ids) {
+            done(id, version);
+        }
+    }
+    base::millis first_question = 0;
+    for (int n = 0; n < 8; ++n) {
+        rollout_.name_version("m", ++version);
+        const auto ids = accept_due();
+        first_question = 0;
+        for (base::millis at = 0; at < long_ms; at += 50) {
+            time_->advance(50);
+            if (!rollout_.checks().empty() && first_question == 0) {
+                first_question = at + 50;
+            }
+        }
+        time_->advance(10);
+        for (const auto& id : ids) {
+            done(id, version);
+        }
+    }
+    // Half of what a load is expected to take.
+    EXPECT_GT(first_question, 400);
+}
+
 TEST_F(weight_rollout_test, an_order_that_was_not_taken_is_sent_again_later) {
     add(1);
     rollout_.name_version("m", 2);
