placing: servers are ranked once for all runs of a tick

Cause: an owner looked through all servers for each waiting item, and for each long run that may wander, at each tick (40 times a second and at each end of a run).

Change: run_places ranks the servers with places once for each kind of needs, keeps the ranking as runs begin and end, and stops at the first server that can't be beaten. Same choices: a test compares it with a look at each server on 20 random fleets; another counts how often servers are looked at.

--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -2,7 +2,7 @@
 
 #include "hibiscus/batch/ledger.hpp"
 #include "hibiscus/batch/text_size.hpp"
-#include "hibiscus/samplers/placement.hpp"
+#include "hibiscus/samplers/run_places.hpp"
 
 #include <cstdint>
 #include <map>
@@ -242,7 +242,7 @@
     item_row* row_of(const run_row& run);
     void place(effects& out);
     void move(effects& out);
-    bool is_silent(const run_row& run) const;
+    bool is_silent(const run_row& run, samplers::run_places& places) const;
     void move_silent(effects& out);
     void move_slow(effects& out);
     void move_long(effects& out);
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -240,11 +240,12 @@
         return std::tie(a.due, a.is_new, a.left, a.number) <
                std::tie(b.due, b.is_new, b.left, b.number);
     });
+    samplers::run_places places(table_, now);
     for (const auto& c : queue) {
         auto& job = jobs_.at(*c.job);
         auto& row = job.items[static_cast<std::size_t>(c.number)];
         const auto needs = needs_of(job, row);
-        const auto to = samplers::place_run(table_, needs, now);
+        const auto to = places.best(needs);
         if (!to) {
             // Jobs differ in the weights that they admit; others may fit.
             continue;
@@ -252,6 +253,7 @@
         const auto run = ++last_run_;
         runs_[run] = {*c.job, c.number, *to, now, now, 0, 0, needs.tokens};
         table_.started(*to, needs.tokens);
+        places.changed(*to);
         row.at = state::running;
         ++row.life.runs;
         if (row.life.first_start < 0) {
--- a/packages/batch/src/work_moves.cpp
+++ b/packages/batch/src/work_moves.cpp
@@ -61,7 +61,7 @@
     }
 }
 
-bool work::is_silent(const run_row& run) const {
+bool work::is_silent(const run_row& run, samplers::run_places& places) const {
     const auto now = clock_.now();
     const auto silence = now - run.heard_at;
     if (run.events == 0) {
@@ -69,13 +69,14 @@
     }
     return silence > least_silence_ms &&
            static_cast<double>(silence) >
-               silent_pauses * samplers::event_pace(table_, run.sampler, now);
+               silent_pauses * places.pace(run.sampler);
 }
 
 void work::move_silent(effects& out) {
     std::vector<run_number> silent;
+    samplers::run_places places(table_, clock_.now());
     for (const auto& [run, row] : runs_) {
-        if (is_silent(row)) {
+        if (is_silent(row, places)) {
             silent.push_back(run);
         }
     }
@@ -87,8 +88,7 @@
 }
 
 void work::move_slow(effects& out) {
-    const auto now = clock_.now();
-    std::map<samplers::service_name, std::set<samplers::sampler_id>> slow;
+    samplers::run_places places(table_, clock_.now());
     const int queued = waiting();
     std::vector<run_number> leaving;
     for (const auto& [run, row] : runs_) {
@@ -97,22 +97,16 @@
         if (job == jobs_.end() || moves >= moves_a_tick) {
             continue;
         }
-        const auto& service = job->second.terms.service;
-        auto known = slow.find(service);
-        if (known == slow.end()) {
-            known = slow.emplace(service,
-                                 samplers::slow_samplers(table_, service, now))
-                        .first;
-        }
+        const auto& slow = places.slow(job->second.terms.service);
         const auto* s = table_.find(row.sampler);
         const bool drains = s != nullptr && s->registered.draining;
         const bool is_slow =
-            known->second.count(row.sampler) != 0 && is_worth_moving(row);
+            slow.count(row.sampler) != 0 && is_worth_moving(row);
         if (!drains && !is_slow) {
             continue;
         }
-        if (samplers::free_places(table_, needs_of(job->second, *row_of(row)),
-                                  known->second, now) > moves + queued) {
+        if (places.free(needs_of(job->second, *row_of(row)), slow) >
+            moves + queued) {
             leaving.push_back(run);
         }
     }
@@ -134,7 +128,7 @@
 /// Long runs wander to faster servers while there are places for all that
 /// wait. Some always wait in a large fleet: for weights, or for a pause.
 void work::move_long(effects& out) {
-    const auto now = clock_.now();
+    samplers::run_places places(table_, clock_.now());
     const int queued = waiting();
     std::vector<std::pair<int, run_number>> longest;
     for (const auto& [run, row] : runs_) {
@@ -152,13 +146,14 @@
         if (moves >= long_moves_a_tick) {
             return;
         }
-        if (samplers::free_places(table_, needs, {}, now) <= moves + queued) {
+        if (places.free(needs) <= moves + queued) {
             continue;
         }
-        if (samplers::faster_place(table_, needs, row.sampler, now)) {
+        if (places.faster(needs, row.sampler)) {
             ++moves;
             ++counts_.moved;
             move_one(run, "to_faster", out);
+            places.changed(row.sampler);
         }
     }
 }
--- /dev/null
+++ b/packages/samplers/include/hibiscus/samplers/run_places.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "hibiscus/samplers/sampler_table.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+
+/// Which backend server takes a run.
+namespace hibiscus::samplers {
+
+/// What a run needs of its server.
+struct run_needs {
+    service_name service;
+    std::string model;
+    /// The oldest weights that it admits.
+    std::int64_t least = 0;
+    /// What it is expected to hold in memory at its end.
+    std::int64_t tokens = 0;
+};
+
+/// The places that servers have for runs at one moment. Each step of a
+/// trainer asks for hundreds of places at once and each tick again for those
+/// that found none: servers are ranked once for all runs with the same needs,
+/// since an owner that looked through all servers for each run would spend its
+/// processor on it in a fleet of hundreds of servers, and let events and
+/// renewals wait.
+///
+/// The table must not gain or lose servers while this object lives; whoever
+/// changes one says so with changed().
+class run_places {
+public:
+    run_places(const sampler_table& table, base::millis now);
+
+    /// Returns the server for a run that needs weights of at least `least`, or
+    /// nothing if no place is free. Answers the load of one trainer's step:
+    /// more items than places at first, half of the places empty later. Runs
+    /// go to the server that makes events fastest, so that the longest, which
+    /// are placed first, end soonest; a fuller server counts as slower by what
+    /// its batch costs, and one whose memory will not do for its runs as much
+    /// slower.
+    std::optional<sampler_id> best(const run_needs& needs);
+
+    /// Returns a server that makes events so much faster than `from` that a
+    /// long run should go on there, or nothing. Samples of a step end together
+    /// only if the longest do not stay on the slower servers.
+    std::optional<sampler_id> faster(const run_needs& needs,
+                                     const sampler_id& from);
+
+    /// Returns how many more runs the servers that best() may choose take,
+    /// without those in `except`.
+    int free(const run_needs& needs, const std::set<sampler_id>& except = {});
+
+    /// Returns the mean time between two events of a run at a server, in ms,
+    /// as it was seen there lately, or else at the usual server of its
+    /// service.
+    double pace(const sampler_id& id);
+
+    /// Returns the servers of a service that make events much more slowly than
+    /// most, so that long runs should leave them.
+    const std::set<sampler_id>& slow(const service_name& service);
+
+    /// Takes in that a server has begun or ended a run, or is blocked.
+    void changed(const sampler_id& id);
+
+    /// Returns how often a server was looked at, for tests of what a decision
+    /// costs.
+    std::uint64_t looks() const { return looks_; }
+
+private:
+    /// A server with a place, and what a run costs there besides what its
+    /// memory adds.
+    struct place {
+        double cost = 0;
+        const sampler_id* id = nullptr;
+        const sampler_row* row = nullptr;
+        int free = 0;
+
+        bool operator<(const place& other) const {
+            return std::tie(cost, *id) < std::tie(other.cost, *other.id);
+        }
+    };
+
+    /// The servers with places for one kind of needs, the cheapest first.
+    struct ranking {
+        std::set<place> places;
+        std::unordered_map<const sampler_row*, place> by_row;
+        int free = 0;
+    };
+
+    using kind = std::tuple<service_name, std::string, std::int64_t>;
+
+    ranking& rank(const run_needs& needs);
+    bool takes(const kind& of, const sampler_row& row) const;
+    void add(const kind& of, ranking& to, const sampler_id& id,
+             const sampler_row& row);
+    double usual_pace(const service_name& service);
+    double pace_of(const sampler_row& row);
+    double cost_without_memory(const kind& of, const sampler_row& row);
+    double memory_cost(const place& at, std::int64_t tokens);
+
+    const sampler_table& table_;
+    base::millis now_;
+    std::map<kind, ranking> rankings_;
+    std::map<service_name, double> usual_paces_;
+    std::map<service_name, std::set<sampler_id>> slow_;
+    std::uint64_t looks_ = 0;
+};
+
+} // namespace hibiscus::samplers
--- a/packages/samplers/src/weight_rollout.cpp
+++ b/packages/samplers/src/weight_rollout.cpp
@@ -1,6 +1,6 @@
 #include "hibiscus/samplers/weight_rollout.hpp"
 
-#include "hibiscus/samplers/placement.hpp"
+#include "hibiscus/samplers/run_places.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -116,19 +116,16 @@
 std::map<std::string, weight_rollout::supply>
 weight_rollout::supplies(const sampler_table& table) const {
     std::map<std::string, supply> out;
-    std::map<service_name, std::set<sampler_id>> slow;
     const auto now = clock_.now();
+    run_places places(table, now);
     for (const auto& [id, row] : table.rows()) {
         if (row.registered.versions.empty() || row.unlisted) {
             continue;
         }
         const auto& service = row.registered.service;
-        if (slow.count(service) == 0) {
-            slow[service] = slow_samplers(table, service, now);
-        }
         const bool sound = !row.registered.draining &&
                            now >= row.blocked_until &&
-                           slow[service].count(id) == 0;
+                           places.slow(service).count(id) == 0;
         add_server(out, id, row, sound);
     }
     for (auto& [model, s] : out) {
