owner: places after ends of runs together, long runs wander each 0.1 s, versions are looked up once

Cause: with servers ranked once a tick, what was left of an owner's time was the number of ticks (one at each end of a run besides 40 a second), the ranking for long runs at each of them, and two lookups by name for each server and model.

Change: places are given 5 ms after a run has ended, to all that wait at once; long runs may go on to faster servers each 0.1 s, two at a time, in place of each tick; a server's version of a model is kept merged; the supply of weights walks through servers and models side by side.

Ruled out: the loop over runs for silent and slow ones (1.9 % of a tick).

--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -154,6 +154,9 @@
     /// `may_start`.
     effects tick(bool may_start);
 
+    /// Places what is waiting, if `may_start`; less than tick() does.
+    effects place_waiting(bool may_start);
+
     /// A server began to answer with the given weights.
     effects head(run_number run, weight_version version);
     /// An event came. `version` is set if the weights changed at it.
@@ -271,6 +274,8 @@
     std::map<std::string, weight_version> newest_;
     text_size size_;
     run_number last_run_ = 0;
+    /// When long runs may go on to faster servers again.
+    base::millis next_wander_ = 0;
     work_counts counts_;
 };
 
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -212,6 +212,14 @@
     return out;
 }
 
+effects work::place_waiting(bool may_start) {
+    effects out;
+    if (may_start) {
+        place(out);
+    }
+    return out;
+}
+
 void work::place(effects& out) {
     struct candidate {
         base::millis due;
--- a/packages/batch/src/work_moves.cpp
+++ b/packages/batch/src/work_moves.cpp
@@ -34,9 +34,11 @@
 
 constexpr std::int64_t short_tokens = 1500;
 
-/// How many long runs may wander at one tick: the first that comes to a server
-/// changes what the next one finds there.
-constexpr int long_moves_a_tick = 2;
+/// How many long runs may wander at a time, and how often, in ms: the first
+/// that comes to a server changes what the next one finds there, and to rank
+/// the servers for each model is dear in a large fleet.
+constexpr int long_moves_at_once = 2;
+constexpr base::millis wander_ms = 100;
 
 } // namespace
 
@@ -128,7 +130,12 @@
 /// Long runs wander to faster servers while there are places for all that
 /// wait. Some always wait in a large fleet: for weights, or for a pause.
 void work::move_long(effects& out) {
-    samplers::run_places places(table_, clock_.now());
+    const auto now = clock_.now();
+    if (now < next_wander_) {
+        return;
+    }
+    next_wander_ = now + wander_ms;
+    samplers::run_places places(table_, now);
     const int queued = waiting();
     std::vector<std::pair<int, run_number>> longest;
     for (const auto& [run, row] : runs_) {
@@ -143,7 +150,7 @@
     for (const auto& [events, run] : longest) {
         const auto row = runs_.at(run);
         const auto needs = needs_of(jobs_.at(row.job), *row_of(row));
-        if (moves >= long_moves_a_tick) {
+        if (moves >= long_moves_at_once) {
             return;
         }
         if (places.free(needs) <= moves + queued) {
--- a/packages/entry/src/owner.hpp
+++ b/packages/entry/src/owner.hpp
@@ -93,6 +93,7 @@
     void run(const batch::effects& effects);
     void start_one(const batch::start_run& r);
     void run_ended(batch::run_number run, transport::call_end end);
+    void place_soon();
     batch::run_end end_of(const live_run& live, transport::call_end end) const;
     void start_rewards();
     void send_reward(const reward_task& task);
@@ -156,6 +157,8 @@
     /// Jobs whose texts the store did not take, and until when they are left
     /// out.
     std::map<batch::job_id, base::millis> unstored_until_;
+    /// Set while what waits is about to be placed.
+    bool placing_ = false;
     bool renew_due_ = false;
     base::millis last_overdue_ = 0;
     bool owned_before_ = false;
--- a/packages/entry/src/owner_runs.cpp
+++ b/packages/entry/src/owner_runs.cpp
@@ -20,6 +20,9 @@
 /// at most.
 constexpr base::millis reward_ms = 2000;
 
+/// How long after the end of a run its place is given to another one, in ms.
+constexpr base::millis place_ms = 5;
+
 } // namespace
 
 void owner::run(const batch::effects& effects) {
@@ -152,10 +155,25 @@
     state_.counters.count_answer("run", std::string(base::name_of(what)), "");
     runs_.erase(at);
     run(work_.ended(run_id, what));
-    run(work_.tick(may_start()));
+    place_soon();
     commit();
 }
 
+/// Places what waits after a run has ended. Not at once: in a large fleet
+/// hundreds of runs end in a second, and to look at all that waits and all
+/// servers after each of them would leave no time for their events.
+void owner::place_soon() {
+    if (std::exchange(placing_, true)) {
+        return;
+    }
+    after_(place_ms, [this] {
+        placing_ = false;
+        if (owns()) {
+            run(work_.place_waiting(may_start()));
+        }
+    });
+}
+
 std::size_t owner::reward_places(const samplers::service_name& service) const {
     int slots = 0;
     for (const auto& [id, row] : state_.samplers.rows()) {
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -57,6 +57,8 @@
     double draw = 0;
     /// Weights that its own answers or orders showed, newer than registered.
     std::map<std::string, std::int64_t> seen_versions;
+    /// The newer of what is registered and what was seen, for each model.
+    std::map<std::string, std::int64_t> known_versions;
     /// Set when its entry is gone from the registry, but the registry may be
     /// wrong since it was out of reach.
     bool unlisted = false;
--- a/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
+++ b/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
@@ -87,7 +87,8 @@
         /// Its present weights serve the step that is under way.
         bool useful = false;
         int running = 0;
-        sampler_id sampler;
+        /// Points into the table.
+        const sampler_id* sampler = nullptr;
     };
 
     /// How well the servers are supplied with a model's weights.
@@ -109,6 +110,7 @@
     std::map<std::string, supply> supplies(const sampler_table& table) const;
     void add_server(std::map<std::string, supply>& to, const sampler_id& id,
                     const sampler_row& row, bool sound) const;
+    supply new_supply(const std::string& model) const;
     bool may_order(const sampler_id& id, const sampler_row& row) const;
     load_order take_next(std::map<std::string, supply>& from, bool by_need);
     void begin(const load_order& order);
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -26,16 +26,8 @@
 } // namespace
 
 std::int64_t sampler_row::version_of(const std::string& model) const {
-    std::int64_t version = 0;
-    const auto listed = registered.versions.find(model);
-    if (listed != registered.versions.end()) {
-        version = listed->second;
-    }
-    const auto seen = seen_versions.find(model);
-    if (seen != seen_versions.end()) {
-        version = std::max(version, seen->second);
-    }
-    return version;
+    const auto known = known_versions.find(model);
+    return known == known_versions.end() ? 0 : known->second;
 }
 
 void sampler_table::put(const sampler_id& id, registration r) {
@@ -51,6 +43,11 @@
     }
     row.unlisted = false;
     row.registered = std::move(r);
+    row.known_versions = row.registered.versions;
+    for (const auto& [model, version] : row.seen_versions) {
+        auto& known = row.known_versions[model];
+        known = std::max(known, version);
+    }
     row.draw = static_cast<double>(base::stable_hash(id.str(), salt_)) /
                static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
@@ -144,6 +141,7 @@
         row->seen_versions[model] = version;
         auto& listed = row->registered.versions[model];
         listed = std::min(listed, version);
+        row->known_versions[model] = version;
     }
 }
 
--- a/packages/samplers/src/weight_rollout.cpp
+++ b/packages/samplers/src/weight_rollout.cpp
@@ -95,24 +95,40 @@
                                 const sampler_id& id, const sampler_row& row,
                                 bool sound) const {
     const auto load = loads_.find(id);
+    const bool orderable = may_order(id, row);
+    // Servers of a service serve the same models, so that the two maps are
+    // walked through side by side.
+    auto at = to.begin();
     for (const auto& [model, listed] : row.registered.versions) {
-        auto& s = to[model];
-        s.newest = newest(model);
-        const auto last = last_order_.find(model);
-        s.last_order = last == last_order_.end() ? 0 : last->second;
+        while (at != to.end() && at->first < model) {
+            ++at;
+        }
+        if (at == to.end() || at->first != model) {
+            at = to.emplace_hint(at, model, new_supply(model));
+        }
+        auto& s = at->second;
         auto has = row.version_of(model);
         if (load != loads_.end() && load->second.model == model) {
             has = std::max(has, load->second.version);
         }
         s.newest_there += sound && has >= s.newest ? 1 : 0;
         s.one_behind += sound && has == s.newest - 1 ? 1 : 0;
-        if (has < s.newest && may_order(id, row)) {
+        if (has < s.newest && orderable) {
             s.candidates.push_back(
-                {sound, has == s.newest - 1, row.running, id});
+                {sound, has == s.newest - 1, row.running, &id});
         }
     }
 }
 
+weight_rollout::supply
+weight_rollout::new_supply(const std::string& model) const {
+    supply s;
+    s.newest = newest(model);
+    const auto last = last_order_.find(model);
+    s.last_order = last == last_order_.end() ? 0 : last->second;
+    return s;
+}
+
 std::map<std::string, weight_rollout::supply>
 weight_rollout::supplies(const sampler_table& table) const {
     std::map<std::string, supply> out;
@@ -131,8 +147,9 @@
     for (auto& [model, s] : out) {
         std::sort(s.candidates.begin(), s.candidates.end(),
                   [](const auto& a, const auto& b) {
-                      return std::tie(b.sound, a.useful, a.running, a.sampler) >
-                             std::tie(a.sound, b.useful, b.running, b.sampler);
+                      return std::tie(b.sound, a.useful, a.running,
+                                      *a.sampler) >
+                             std::tie(a.sound, b.useful, b.running, *b.sampler);
                   });
     }
     return out;
@@ -165,7 +182,7 @@
     last_order_[worst->first] = s.last_order;
     s.newest_there += best.sound ? 1 : 0;
     s.one_behind -= best.sound && best.useful ? 1 : 0;
-    return {best.sampler, worst->first, s.newest};
+    return {*best.sampler, worst->first, s.newest};
 }
 
 std::vector<load_order> weight_rollout::due(const sampler_table& table) {
