weights: no more servers load a version than steps need, unless it stands

Cause: every server loaded every version as fast as the way to the weights allows.

Change: the owner says how many free places a model's steps need (one and a half times the items that were open at once within the last minute, less those running); servers beyond that load only versions that have been the newest for 10 s, and have them within 22 s. Switch: load_where_needed.

Ruled out: a pace that reaches all servers in 22 s whatever the version's age: 87 loads a second for 1,924 servers, no fewer than before (worked out).

--- a/packages/base/include/hibiscus/base/mechanisms.hpp
+++ b/packages/base/include/hibiscus/base/mechanisms.hpp
@@ -21,6 +21,7 @@
     spare_newer_weights,  ///< Weights newer than needed count as dearer.
     load_one_model,       ///< A load keeps only its own model's runs away.
     load_by_need,         ///< Loads go to the model supplied worst.
+    load_where_needed,    ///< Only so many servers load as steps need.
     longest_first,        ///< Of waiting items the longest start first.
     priorities,           ///< Servers are told which runs are urgent.
     run_ahead,            ///< Items run before the job that carries them.
@@ -35,7 +36,7 @@
 
 template <>
 struct enum_names<mechanism> {
-    static constexpr std::array<enum_name<mechanism>, 19> table{{
+    static constexpr std::array<enum_name<mechanism>, 20> table{{
         {mechanism::move_silent_runs, "move_silent_runs"},
         {mechanism::move_slow_runs, "move_slow_runs"},
         {mechanism::move_to_faster, "move_to_faster"},
@@ -45,6 +46,7 @@
         {mechanism::spare_newer_weights, "spare_newer_weights"},
         {mechanism::load_one_model, "load_one_model"},
         {mechanism::load_by_need, "load_by_need"},
+        {mechanism::load_where_needed, "load_where_needed"},
         {mechanism::longest_first, "longest_first"},
         {mechanism::priorities, "priorities"},
         {mechanism::run_ahead, "run_ahead"},
--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -182,6 +182,10 @@
     /// Returns the lives of a job's items, the one that took longest first.
     std::vector<item_life> lives(const job_id& id) const;
 
+    /// Returns how many free places the steps of each model need, so that the
+    /// next ones find a place for each item at once.
+    std::map<std::string, int> places_wanted();
+
     int waiting() const;
     int running() const { return static_cast<int>(runs_.size()); }
     const work_counts& counts() const { return counts_; }
@@ -272,6 +276,12 @@
     std::map<run_number, run_row> runs_;
     std::map<item_id, old_text> old_texts_;
     std::map<std::string, weight_version> newest_;
+    /// The most items that were open at a time, lately, by model.
+    struct open_peak {
+        int items = 0;
+        base::millis seen_at = 0;
+    };
+    std::map<std::string, open_peak> open_peaks_;
     text_size size_;
     run_number last_run_ = 0;
     /// When long runs may go on to faster servers again.
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -36,6 +36,14 @@
 
 constexpr int usual_priority = 5;
 
+/// For how many times the items that were open at once there should be places:
+/// the models of other trainers take some of those that are free now.
+constexpr double spare_places = 1.5;
+
+/// How long the most items that were open at once are remembered, in ms: some
+/// steps.
+constexpr base::millis peak_age_ms = 60000;
+
 /// Puts what runs ahead behind all jobs, in ms: more than any job lasts.
 constexpr base::millis after_all_jobs_ms = 3600000;
 
@@ -535,6 +543,31 @@
     return out;
 }
 
+std::map<std::string, int> work::places_wanted() {
+    struct count {
+        int open = 0;
+        int running = 0;
+    };
+    std::map<std::string, count> now_open;
+    for (const auto& [id, job] : jobs_) {
+        auto& c = now_open[job.header.model];
+        for (const auto& row : job.items) {
+            c.running += row.at == state::running ? 1 : 0;
+            c.open += row.at == state::running || row.at == state::waiting;
+        }
+    }
+    const auto now = clock_.now();
+    std::map<std::string, int> out;
+    for (const auto& [model, c] : now_open) {
+        auto& peak = open_peaks_[model];
+        if (c.open >= peak.items || now - peak.seen_at > peak_age_ms) {
+            peak = {c.open, now};
+        }
+        out[model] = static_cast<int>(spare_places * peak.items) - c.running;
+    }
+    return out;
+}
+
 int work::waiting() const {
     int n = 0;
     for (const auto& [id, job] : jobs_) {
--- a/packages/batch/test/step_play.hpp
+++ b/packages/batch/test/step_play.hpp
@@ -99,6 +99,9 @@
         return out;
     }
 
+    /// Returns how many loads were ordered.
+    int loads() const { return loads_; }
+
 private:
     struct server {
         std::map<std::string, std::int64_t> versions;
@@ -231,7 +234,11 @@
                 }
             }
         }
+        for (const auto& [model, places] : work_.places_wanted()) {
+            rollout_.want(model, places);
+        }
         for (const auto& order : rollout_.due(table_)) {
+            ++loads_;
             auto& s = servers_.at(order.sampler);
             s.loading = order.model;
             s.to_version = order.version;
@@ -376,6 +383,7 @@
     samplers::weight_rollout rollout_{clock_};
     work work_{clock_, table_};
     const samplers::service_name service_{"engines"};
+    int loads_ = 0;
     std::map<samplers::sampler_id, server> servers_;
     std::map<run_number, run_state> runs_;
     std::map<item_id, int> length_;
--- a/packages/batch/test/step_play_test.cpp
+++ b/packages/batch/test/step_play_test.cpp
@@ -105,6 +105,33 @@
     }
 }
 
+TEST(step_play_test, a_fleet_larger_than_steps_need_loads_only_what_they_need) {
+    // Three trainers with 160 items a step, and four hundred servers with six
+    // places each. All servers loaded each version as fast as they could, most
+    // of them to be ordered the next one before any run came to them; the
+    // owner asked each of them for its end. Two steps overlap, and half as many
+    // places more are to be free.
+    server_shape servers;
+    servers.count = 400;
+    servers.slots = 6;
+    servers.event_ms = 37.6;
+    servers.loads_at_once = 80;
+    servers.report_lag_ms = 200;
+    trainer_shape trainer;
+    trainer.groups = 20;
+    trainer.wanted_groups = 18;
+    trainer.most_events = 170;
+    trainer.train_ms = 1000;
+    world w(servers, {trainer, trainer, trainer}, 1);
+    int versions = 0;
+    for (const auto& r : w.play(minute_ms)) {
+        EXPECT_GE(in_time(r), 0.95);
+        versions += r.ended;
+    }
+    const int items = trainer.groups * trainer.group_size;
+    EXPECT_LE(w.loads(), versions * 3 * items / servers.slots);
+}
+
 TEST(step_play_test, one_trainer_alone_gets_its_steps_in_time) {
     const trainer_shape usual;
     for (const auto& r : play_minutes({}, {usual})) {
--- a/packages/entry/src/owner_orders.cpp
+++ b/packages/entry/src/owner_orders.cpp
@@ -23,6 +23,9 @@
             }
         });
     }
+    for (const auto& [model, places] : work_.places_wanted()) {
+        rollout_.want(model, places);
+    }
     for (const auto& order : rollout_.due(state_.samplers)) {
         ask_report(order.sampler, [this, order](const auto& report) {
             on_report(order, report);
--- a/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
+++ b/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
@@ -4,6 +4,7 @@
 #include "hibiscus/samplers/sampler_table.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,6 +27,13 @@
     /// The newest version that a trainer has named.
     void name_version(const std::string& model, std::int64_t version);
 
+    /// Says how many free places the items of a model's steps need. Servers
+    /// beyond those are loaded only with weights that stand for some time:
+    /// where a version is replaced within seconds, what they load would be of
+    /// use to nobody, and they would be closed to the model's runs meanwhile.
+    /// Until this was said of a model, all servers are loaded.
+    void want(const std::string& model, int free_places);
+
     /// Returns the orders to send now. Loads slow each other down when many
     /// run at once, so a fifth of the servers load at a time. A step admits the
     /// weights of the step before as well: a server with the newest version
@@ -87,6 +95,7 @@
         /// Its present weights serve the step that is under way.
         bool useful = false;
         int running = 0;
+        int free_places = 0;
         /// Points into the table.
         const sampler_id* sampler = nullptr;
     };
@@ -101,10 +110,15 @@
         /// that have the version before.
         int newest_there = 0;
         int one_behind = 0;
+        /// The free places of the former.
+        int free_places = 0;
+        /// How many there should be; nothing if all servers are to load.
+        std::optional<int> wanted;
         /// Worst first, so that the next one is at the end.
         std::vector<candidate> candidates;
 
         int steps_served() const { return 2 * newest_there + one_behind; }
+        bool enough() const { return wanted && free_places >= *wanted; }
     };
 
     std::map<std::string, supply> supplies(const sampler_table& table) const;
@@ -112,7 +126,8 @@
                     const sampler_row& row, bool sound) const;
     supply new_supply(const std::string& model) const;
     bool may_order(const sampler_id& id, const sampler_row& row) const;
-    load_order take_next(std::map<std::string, supply>& from, bool by_need);
+    load_order take_next(std::map<std::string, supply>& from, bool by_need,
+                         bool where_needed);
     void begin(const load_order& order);
     base::millis first_check_ms() const;
     base::millis nearly_due_ms() const;
@@ -121,7 +136,14 @@
 
     base::clock clock_;
     load_time load_time_;
-    std::map<std::string, std::int64_t> newest_;
+    /// The weights of a model and what its steps need.
+    struct model_state {
+        std::int64_t newest = 0;
+        base::millis named_at = 0;
+        std::optional<int> wanted;
+    };
+
+    std::map<std::string, model_state> models_;
     std::map<sampler_id, load> loads_;
     std::map<sampler_id, base::millis> ask_again_;
     std::map<std::string, std::uint64_t> last_order_;
--- a/packages/samplers/src/weight_rollout.cpp
+++ b/packages/samplers/src/weight_rollout.cpp
@@ -33,17 +33,28 @@
 /// ms: what it reports of itself is some 200 ms old.
 constexpr base::millis retry_ms = 400;
 
+/// A version that has been the newest for so long, in ms, stands: all servers
+/// load it, and have it within 22 s of its naming.
+constexpr base::millis standing_ms = 10000;
+
 } // namespace
 
 void weight_rollout::name_version(const std::string& model,
                                   std::int64_t version) {
-    auto& newest = newest_[model];
-    newest = std::max(newest, version);
+    auto& m = models_[model];
+    if (version > m.newest) {
+        m.newest = version;
+        m.named_at = clock_.now();
+    }
+}
+
+void weight_rollout::want(const std::string& model, int free_places) {
+    models_[model].wanted = free_places;
 }
 
 std::int64_t weight_rollout::newest(const std::string& model) const {
-    const auto row = newest_.find(model);
-    return row == newest_.end() ? 0 : row->second;
+    const auto row = models_.find(model);
+    return row == models_.end() ? 0 : row->second.newest;
 }
 
 /// A load is asked for its end from half of its usual time on. Asked only when
@@ -96,6 +107,7 @@
                                 bool sound) const {
     const auto load = loads_.find(id);
     const bool orderable = may_order(id, row);
+    const int free = std::max(0, row.registered.slots - row.running);
     // Servers of a service serve the same models, so that the two maps are
     // walked through side by side.
     auto at = to.begin();
@@ -111,11 +123,13 @@
         if (load != loads_.end() && load->second.model == model) {
             has = std::max(has, load->second.version);
         }
-        s.newest_there += sound && has >= s.newest ? 1 : 0;
+        const bool newest_here = sound && has >= s.newest;
+        s.newest_there += newest_here ? 1 : 0;
+        s.free_places += newest_here ? free : 0;
         s.one_behind += sound && has == s.newest - 1 ? 1 : 0;
         if (has < s.newest && orderable) {
             s.candidates.push_back(
-                {sound, has == s.newest - 1, row.running, &id});
+                {sound, has == s.newest - 1, row.running, free, &id});
         }
     }
 }
@@ -123,7 +137,13 @@
 weight_rollout::supply
 weight_rollout::new_supply(const std::string& model) const {
     supply s;
-    s.newest = newest(model);
+    const auto known = models_.find(model);
+    if (known != models_.end()) {
+        s.newest = known->second.newest;
+        if (clock_.now() - known->second.named_at < standing_ms) {
+            s.wanted = known->second.wanted;
+        }
+    }
     const auto last = last_order_.find(model);
     s.last_order = last == last_order_.end() ? 0 : last->second;
     return s;
@@ -161,13 +181,16 @@
 /// furthest behind would take all loads while the others' steps wait for
 /// weights.
 load_order weight_rollout::take_next(std::map<std::string, supply>& from,
-                                     bool by_need) {
+                                     bool by_need, bool where_needed) {
+    const auto may_take = [where_needed](const supply& s) {
+        return !s.candidates.empty() && !(where_needed && s.enough());
+    };
     const auto rank = [by_need](const supply& s) {
         return std::make_pair(by_need ? s.steps_served() : 0, s.last_order);
     };
     auto worst = from.end();
     for (auto s = from.begin(); s != from.end(); ++s) {
-        if (!s->second.candidates.empty() &&
+        if (may_take(s->second) &&
             (worst == from.end() || rank(s->second) < rank(worst->second))) {
             worst = s;
         }
@@ -181,6 +204,7 @@
     s.last_order = ++orders_;
     last_order_[worst->first] = s.last_order;
     s.newest_there += best.sound ? 1 : 0;
+    s.free_places += best.sound ? best.free_places : 0;
     s.one_behind -= best.sound && best.useful ? 1 : 0;
     return {*best.sampler, worst->first, s.newest};
 }
@@ -197,8 +221,9 @@
     }
     auto behind = supplies(table);
     const bool by_need = table.uses(base::mechanism::load_by_need);
+    const bool where_needed = table.uses(base::mechanism::load_where_needed);
     while (has_room(with_models)) {
-        const auto order = take_next(behind, by_need);
+        const auto order = take_next(behind, by_need, where_needed);
         if (order.model.empty()) {
             break;
         }
--- a/packages/samplers/test/weight_rollout_test.cpp
+++ b/packages/samplers/test/weight_rollout_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -273,6 +274,56 @@
     EXPECT_GT(first_question, 400);
 }
 
+// Two hundred servers, and steps that fill twenty of them. Were all loaded,
+// nine of ten loads would be replaced before anybody used them, and the owner
+// would spend its time on asking for their ends.
+TEST_F(weight_rollout_test, only_so_many_servers_load_as_steps_need) {
+    constexpr int servers = 200;
+    constexpr int needed = 20;
+    constexpr int slots = 12;
+    constexpr base::millis load_ms = 900;
+    add(servers);
+    rollout_.name_version("m", 2);
+    rollout_.want("m", needed * slots);
+    const auto load_for = [&](base::millis length) {
+        for (base::millis at = 0; at < length; at += load_ms) {
+            const auto ids = accept_due();
+            time_->advance(load_ms);
+            for (const auto& id : ids) {
+                done(id, 2);
+            }
+        }
+    };
+    const auto loaded = [&] {
+        return std::count_if(
+            table_.rows().begin(), table_.rows().end(),
+            [](const auto& row) { return row.second.version_of("m") == 2; });
+    };
+    load_for(9000);
+    EXPECT_EQ(loaded(), needed);
+    // Weights that stand reach all servers within 22 s.
+    load_for(13000);
+    EXPECT_EQ(loaded(), servers);
+}
+
+// The servers that have a model's weights are full with the runs of others.
+TEST_F(weight_rollout_test, places_that_others_have_taken_do_not_count) {
+    constexpr int slots = 12;
+    add(40);
+    rollout_.name_version("m", 2);
+    rollout_.want("m", 2 * slots);
+    const auto first = accept_due();
+    EXPECT_EQ(first.size(), 2U);
+    time_->advance(900);
+    for (const auto& id : first) {
+        done(id, 2);
+        for (int n = 0; n < slots; ++n) {
+            table_.started(sampler_id(id));
+        }
+    }
+    EXPECT_EQ(accept_due().size(), 2U);
+}
+
 TEST_F(weight_rollout_test, an_order_that_was_not_taken_is_sent_again_later) {
     add(1);
     rollout_.name_version("m", 2);
