net: a server that stops to listen serves what the kernel has connected already

Cause: the listener was closed with connections in its queue, and one whose handler waited to be run was thrown away. Their callers had sent their requests and did not know whether these were carried out.

Change: what waits is accepted before the listener is closed.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -316,6 +316,7 @@
 
     void stop() {
         asio::dispatch(acceptor_.get_executor(), [self = shared_from_this()] {
+            self->accept_waiting();
             beast::error_code ignored;
             self->acceptor_.close(ignored);
         });
@@ -341,16 +342,36 @@
             });
     }
 
+    /// Takes what the kernel has connected already. Its callers have sent their
+    /// requests perhaps; were it closed with the listener, they would not know
+    /// whether these were carried out.
+    void accept_waiting() {
+        beast::error_code error;
+        acceptor_.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(asio::make_strand(io_));
+            acceptor_.accept(socket, error);
+            if (!error) {
+                serve(std::move(socket));
+            }
+        }
+    }
+
     void on_accept(beast::error_code error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
-            return;
+        if (!error) {
+            serve(std::move(socket));
+        }
+        if (error != asio::error::operation_aborted && acceptor_.is_open()) {
+            accept();
         }
-        // A stranger who opens connections without end would use up the
-        // process's descriptors; what is over the limit is closed at once.
-        if (!error && state_->connections < state_->limits.connections) {
+    }
+
+    /// A stranger who opens connections without end would use up the process's
+    /// descriptors; what is over the limit is closed at once.
+    void serve(tcp::socket socket) {
+        if (state_->connections < state_->limits.connections) {
             std::make_shared<detail::session>(std::move(socket), state_)->run();
         }
-        accept();
     }
 
     asio::io_context& io_;
--- a/packages/net/test/http_test.cpp
+++ b/packages/net/test/http_test.cpp
@@ -1,10 +1,15 @@
 #include "hibiscus/net/http_client.hpp"
 #include "hibiscus/net/http_server.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <future>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace hibiscus::net {
 namespace {
@@ -64,6 +69,40 @@
     }
 }
 
+// A node that is replaced stops to listen while callers connect to it. Those
+// that the kernel has connected have sent their requests; thrown away with the
+// listener they would not know whether these were carried out.
+TEST(http_stop_test, connections_that_wait_to_be_accepted_are_served) {
+    namespace asio = boost::asio;
+    using tcp = asio::ip::tcp;
+    asio::io_context io;
+    http_server server(io, {}, [](http_request, const http_responder& respond) {
+        respond({200, "served", "text/plain"});
+    });
+    const auto at = *server.listen({"127.0.0.1", 0});
+    asio::io_context callers;
+    std::vector<tcp::socket> sockets;
+    for (int n = 0; n < 3; ++n) {
+        sockets.emplace_back(callers);
+        sockets.back().connect({asio::ip::make_address(at.ip), at.port});
+        asio::write(sockets.back(),
+                    asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n"
+                                             "Connection: close\r\n\r\n")));
+    }
+    server.stop_accepting();
+    std::thread serving([&io] { io.run(); });
+    for (auto& s : sockets) {
+        std::string answer;
+        boost::system::error_code error;
+        asio::read(s, asio::dynamic_buffer(answer), error);
+        EXPECT_EQ(error, asio::error::eof);
+        EXPECT_NE(answer.find("served"), std::string::npos);
+    }
+    // The server ends its side of a connection once its caller has.
+    sockets.clear();
+    serving.join();
+}
+
 TEST_F(http_test, refuses_a_body_over_the_limit) {
     const auto result = post(address_, std::string(2000, 'x'));
     const auto* response = std::get_if<http_response>(&result);
