--- a/packages/batch/test/step_play_test.cpp
+++ b/packages/batch/test/step_play_test.cpp
@@ -12,6 +12,27 @@
 
 constexpr base::millis minute_ms = 60000;
 
+/// Returns servers with few places, of which so many load at full speed.
+server_shape small_servers(int count, int loads_at_once) {
+    server_shape servers;
+    servers.count = count;
+    servers.slots = 6;
+    servers.event_ms = 37.6;
+    servers.loads_at_once = loads_at_once;
+    servers.report_lag_ms = 200;
+    return servers;
+}
+
+/// Returns a trainer whose steps have 160 items.
+trainer_shape large_steps() {
+    trainer_shape trainer;
+    trainer.groups = 20;
+    trainer.wanted_groups = 18;
+    trainer.most_events = 170;
+    trainer.train_ms = 1000;
+    return trainer;
+}
+
 /// Plays a minute with each of some seeds and adds up what each trainer got.
 std::vector<trainer_result>
 play_minutes(const server_shape& servers,
@@ -87,17 +108,8 @@
     // seconds late. Three quarters of the items are to find a place at once.
     // With loads on a sixth of the servers, and one at most before the end of
     // another was reported, a step found 19.1 servers; now it finds 22.1.
-    server_shape servers;
-    servers.count = 50;
-    servers.slots = 6;
-    servers.event_ms = 37.6;
-    servers.loads_at_once = 10;
-    servers.report_lag_ms = 200;
-    trainer_shape trainer;
-    trainer.groups = 20;
-    trainer.wanted_groups = 18;
-    trainer.most_events = 170;
-    trainer.train_ms = 1000;
+    const auto servers = small_servers(50, 10);
+    const auto trainer = large_steps();
     for (const auto& r :
          play_minutes(servers, {trainer, trainer, trainer}, 1)) {
         EXPECT_GE(in_time(r), 0.95);
@@ -111,17 +123,8 @@
     // of them to be ordered the next one before any run came to them; the
     // owner asked each of them for its end. Two steps overlap, and half as many
     // places more are to be free.
-    server_shape servers;
-    servers.count = 400;
-    servers.slots = 6;
-    servers.event_ms = 37.6;
-    servers.loads_at_once = 80;
-    servers.report_lag_ms = 200;
-    trainer_shape trainer;
-    trainer.groups = 20;
-    trainer.wanted_groups = 18;
-    trainer.most_events = 170;
-    trainer.train_ms = 1000;
+    const auto servers = small_servers(400, 80);
+    const auto trainer = large_steps();
     world w(servers, {trainer, trainer, trainer}, 1);
     int versions = 0;
     for (const auto& r : w.play(minute_ms)) {
