telemetry: a request that ends without an answer is told with its cause

A caller whose connection closed without an answer left no line: neither that it happened nor whether the caller, the handler or the end of the process was the reason, so that the hypotheses of the incident could not be told apart.

The server reports each such request with its id, target, age, cause and whether some of the answer was sent; the node writes request_cut and counts it. The stop line says how long the stop took and whether the jobs were handed over, and comes before the requests that it cuts. No decision changes: what is cut at the end was cut before by the end of the process.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -8,6 +8,7 @@
 #include "owner.hpp"
 #include "platform/documents.hpp"
 #include "platform/front.hpp"
+#include "platform/sampler_calls.hpp"
 #include "platform/store_client.hpp"
 #include "registry.hpp"
 #include "store_watch.hpp"
@@ -87,10 +88,11 @@
           owner_(state_, store_, watch_.link(), journal_, files_, client_,
                  requests_, after_),
           batch_(state_, store_, journal_, files_, after_),
-          callers_(io_, {},
-                   [this](auto r, auto e) {
-                       on_caller(std::move(r), std::move(e));
-                   }),
+          callers_(
+              io_, {},
+              [this](auto r, auto e) { on_caller(std::move(r), std::move(e)); },
+              {adapter::request_id_field,
+               [this](const auto& cut) { on_cut(cut); }}),
           readiness_(io_, {},
                      [this](const auto& r, auto e) { on_readiness(r, *e); }),
           lookup_(io_, {},
@@ -118,8 +120,6 @@
         settings_text_ = settings_text();
         watch_settings();
         io_.run();
-        state_.log.write(
-            "stop", {{"in_flight", static_cast<int>(callers_.in_flight())}});
         state_.log.flush();
         return std::nullopt;
     }
@@ -243,6 +243,11 @@
         const bool idle =
             callers_.in_flight() == 0 && handed_over_ && since >= least_stop_ms;
         if (idle || since >= state_.config.grace_ms - exit_margin_ms) {
+            state_.log.write(
+                "stop", {{"in_flight", static_cast<int>(callers_.in_flight())},
+                         {"handed_over", handed_over_},
+                         {"ms", since}});
+            callers_.cut_open();
             io_.stop();
             return;
         }
@@ -375,6 +380,18 @@
                    adapter::parse_front(request));
     }
 
+    /// Tells of a request that has ended without a complete answer.
+    void on_cut(const transport::cut_request& cut) {
+        const std::string cause(base::name_of(cut.cause));
+        state_.counters.count_answer("caller", "cut", cause);
+        state_.log.write("request_cut", {{"id", cut.id},
+                                         {"target", cut.target},
+                                         {"cause", cause},
+                                         {"age_ms", cut.age_ms},
+                                         {"answer_began", cut.answer_began},
+                                         {"stopping", state_.stopping}});
+    }
+
     void on_routed(const adapter::routed_call& call,
                    transport::inbound_request request,
                    std::shared_ptr<transport::exchange> answer) {
--- a/packages/transport/include/hibiscus/transport/event_server.hpp
+++ b/packages/transport/include/hibiscus/transport/event_server.hpp
@@ -2,6 +2,7 @@
 
 #include "hibiscus/base/clock.hpp"
 #include "hibiscus/base/endpoint.hpp"
+#include "hibiscus/base/enum_names.hpp"
 #include "hibiscus/transport/headers.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -62,13 +63,44 @@
 using exchange_handler =
     std::function<void(inbound_request, std::shared_ptr<exchange>)>;
 
+/// Why a request has ended without a complete answer.
+enum class cut_cause {
+    /// The caller closed or reset its connection.
+    caller_left,
+    /// The caller did not take the answer in time.
+    write_overdue,
+    /// The handler broke the answer off, or dropped the request.
+    abandoned,
+    /// The server ended before the answer was complete.
+    server_ended,
+};
+
+/// A request, read whole, that has ended without a complete answer.
+struct cut_request {
+    /// The value of the field that names requests, or "".
+    std::string id;
+    std::string target;
+    cut_cause cause = cut_cause::caller_left;
+    /// How long ago it was read whole, in ms.
+    base::millis age_ms = 0;
+    /// Whether some of the answer was sent.
+    bool answer_began = false;
+};
+
+/// What a server tells of requests that it could not answer.
+struct event_server_report {
+    /// The name of the field that names requests.
+    std::string id_field;
+    std::function<void(const cut_request&)> cut;
+};
+
 /// Answers HTTP/1.1 on one address, with all work on the one thread of its
 /// context. It tells when a caller leaves, and can answer in pieces.
 class event_server {
 public:
     /// Constructs a server that is not listening yet.
     event_server(boost::asio::io_context& io, event_server_limits limits,
-                 exchange_handler handler);
+                 exchange_handler handler, event_server_report report = {});
     ~event_server();
 
     event_server(const event_server&) = delete;
@@ -83,6 +115,9 @@
     /// Ends each connection after its next answer, and idle ones now.
     void drain();
 
+    /// Closes the connections of all requests without a complete answer.
+    void cut_open();
+
     /// Returns the number of requests without a complete answer.
     std::size_t in_flight() const;
 
@@ -92,3 +127,17 @@
 };
 
 } // namespace hibiscus::transport
+
+namespace hibiscus::base {
+
+template <>
+struct enum_names<transport::cut_cause> {
+    static constexpr enum_name<transport::cut_cause> table[] = {
+        {transport::cut_cause::caller_left, "caller_left"},
+        {transport::cut_cause::write_overdue, "write_overdue"},
+        {transport::cut_cause::abandoned, "abandoned"},
+        {transport::cut_cause::server_ended, "server_ended"},
+    };
+};
+
+} // namespace hibiscus::base
--- a/packages/transport/src/event_server.cpp
+++ b/packages/transport/src/event_server.cpp
@@ -53,6 +53,7 @@
 struct server_state {
     event_server_limits limits;
     exchange_handler handler;
+    event_server_report report;
     base::clock clock;
     std::set<session*> sessions;
     std::size_t in_flight = 0;
@@ -79,7 +80,7 @@
             close();
         }
         if (write_due_ != 0 && now > write_due_) {
-            close();
+            close(cut_cause::write_overdue);
         }
         if (state_->draining && !current_ && idle_) {
             close();
@@ -101,6 +102,7 @@
             return;
         }
         last_ = last;
+        began_ = true;
         out_.push_back(std::move(bytes));
         if (out_.size() == 1) {
             write_next();
@@ -113,7 +115,13 @@
 
     void abort(std::uint64_t number) {
         if (current_ == number) {
-            close();
+            close(cut_cause::abandoned);
+        }
+    }
+
+    void cut_open() {
+        if (current_) {
+            close(cut_cause::server_ended);
         }
     }
 
@@ -184,6 +192,14 @@
 
     void handle();
 
+    void note_request(const inbound_request& request) {
+        const auto* id = find_header(request.fields, state_->report.id_field);
+        request_id_ = id == nullptr ? "" : *id;
+        target_ = request.target;
+        read_at_ = state_->clock.now();
+        began_ = false;
+    }
+
     void write_next() {
         write_due_ = state_->clock.now() + write_ms;
         asio::async_write(
@@ -258,13 +274,14 @@
             });
     }
 
-    void close() {
+    void close(cut_cause cause = cut_cause::caller_left) {
         if (!std::exchange(open_, false)) {
             return;
         }
         beast::error_code ignored;
         socket_.close(ignored);
         if (current_) {
+            report_cut(cause);
             current_ = 0;
             --state_->in_flight;
         }
@@ -273,6 +290,13 @@
         }
     }
 
+    void report_cut(cut_cause cause) const {
+        if (state_->report.cut) {
+            state_->report.cut({request_id_, target_, cause,
+                                state_->clock.now() - read_at_, began_});
+        }
+    }
+
     tcp::socket socket_;
     std::shared_ptr<server_state> state_;
     beast::flat_buffer buffer_;
@@ -283,6 +307,12 @@
     std::uint64_t numbers_ = 0;
     /// The number of the request that is being answered, or 0.
     std::uint64_t current_ = 0;
+    /// Of the present request: its name, its target and when it was read whole.
+    std::string request_id_;
+    std::string target_;
+    base::millis read_at_ = 0;
+    /// Whether some of the present answer was handed on to be sent.
+    bool began_ = false;
     base::millis read_due_ = 0;
     base::millis write_due_ = 0;
     bool open_ = true;
@@ -382,6 +412,7 @@
     request.body = std::move(message.body());
     current_ = ++numbers_;
     ++state_->in_flight;
+    note_request(request);
     auto way = std::make_shared<answer>(shared_from_this(), current_);
     read();
     state_->handler(std::move(request), std::move(way));
@@ -393,10 +424,11 @@
 class event_server::impl : public std::enable_shared_from_this<impl> {
 public:
     impl(asio::io_context& io, event_server_limits limits,
-         exchange_handler handler)
+         exchange_handler handler, event_server_report report)
         : acceptor_(io), timer_(io), state_(std::make_shared<server_state>()) {
         state_->limits = limits;
         state_->handler = std::move(handler);
+        state_->report = std::move(report);
     }
 
     std::optional<base::endpoint> listen(const base::endpoint& address) {
@@ -432,6 +464,18 @@
 
     server_state& state() { return *state_; }
 
+    /// Calls `f` with each session that is still there when its turn comes:
+    /// one that closes may take others along.
+    template <class F>
+    void for_each_session(F f) {
+        const auto copy = state_->sessions;
+        for (auto* s : copy) {
+            if (state_->sessions.count(s) != 0) {
+                f(*s);
+            }
+        }
+    }
+
 private:
     void accept() {
         acceptor_.async_accept(
@@ -457,12 +501,7 @@
                 return;
             }
             const auto now = self->state_->clock.now();
-            const auto copy = self->state_->sessions;
-            for (auto* s : copy) {
-                if (self->state_->sessions.count(s) != 0) {
-                    s->sweep(now);
-                }
-            }
+            self->for_each_session([now](session& s) { s.sweep(now); });
             self->sweep();
         });
     }
@@ -473,8 +512,9 @@
 };
 
 event_server::event_server(asio::io_context& io, event_server_limits limits,
-                           exchange_handler handler)
-    : impl_(std::make_shared<impl>(io, limits, std::move(handler))) {}
+                           exchange_handler handler, event_server_report report)
+    : impl_(std::make_shared<impl>(io, limits, std::move(handler),
+                                   std::move(report))) {}
 
 event_server::~event_server() {
     impl_->stop();
@@ -493,6 +533,10 @@
     impl_->state().draining = true;
 }
 
+void event_server::cut_open() {
+    impl_->for_each_session([](session& s) { s.cut_open(); });
+}
+
 std::size_t event_server::in_flight() const {
     return impl_->state().in_flight;
 }
