transport: a connection is idle only if its pending read says so

What callers saw: a node that was told to stop closed connections on which it had read a whole request, without an answer.

So requests were dropped on connections that had just been accepted, and on kept ones if the request takes two reads. The same happened to a request that came as the idle time ended.

Before: what_arrives_on_a_kept_connection_is_answered, what_arrives_on_a_new_connection_is_answered and a_request_that_meets_the_idle_timeout_is_answered failed, each with a clean end of the connection: all bytes had been read. After: they pass.

--- a/packages/transport/src/event_server.cpp
+++ b/packages/transport/src/event_server.cpp
@@ -76,14 +76,19 @@
     void run() { read(); }
 
     void sweep(base::millis now) {
-        if (read_due_ != 0 && now > read_due_ && !current_) {
-            close();
-        }
         if (write_due_ != 0 && now > write_due_) {
             close(cut_cause::write_overdue);
         }
-        if (state_->draining && !current_ && idle_) {
-            close();
+        if (current_) {
+            return;
+        }
+        const bool overdue = read_due_ != 0 && now > read_due_;
+        if (shut_ || extended_) {
+            if (overdue) {
+                close();
+            }
+        } else if (overdue || state_->draining) {
+            retire();
         }
     }
 
@@ -133,7 +138,11 @@
         parser_->header_limit(
             static_cast<std::uint32_t>(state_->limits.header_bytes));
         parser_->body_limit(state_->limits.body_bytes);
-        idle_ = buffer_.size() == 0;
+        extended_ = false;
+        read_on();
+    }
+
+    void read_on() {
         read_due_ = state_->clock.now() + state_->limits.idle_ms;
         http::async_read(
             socket_, buffer_, *parser_,
@@ -142,12 +151,37 @@
             });
     }
 
+    /// Ends the connection unless a request has begun to come. Bytes of one may
+    /// have been read without their handler having run, which only the end of
+    /// the pending read shows.
+    void retire() {
+        retiring_ = true;
+        beast::error_code ignored;
+        socket_.cancel(ignored);
+    }
+
+    void on_retired() {
+        beast::error_code ignored;
+        const bool request_began = parser_->got_some() || buffer_.size() > 0 ||
+                                   socket_.available(ignored) > 0;
+        if (!request_began) {
+            close();
+            return;
+        }
+        extended_ = true;
+        read_on();
+    }
+
     void on_read(beast::error_code error) {
-        idle_ = false;
+        const bool retired = std::exchange(retiring_, false);
         read_due_ = 0;
         if (!open_) {
             return;
         }
+        if (retired && error == asio::error::operation_aborted) {
+            on_retired();
+            return;
+        }
         if (error) {
             on_read_error(error);
             return;
@@ -316,10 +350,13 @@
     base::millis read_due_ = 0;
     base::millis write_due_ = 0;
     bool open_ = true;
-    bool idle_ = true;
     bool waiting_ = false;
     bool last_ = false;
     bool keep_alive_ = true;
+    /// The pending read was cancelled to see whether a request has begun.
+    bool retiring_ = false;
+    /// A request had begun when its connection would have been closed.
+    bool extended_ = false;
     bool linger_ = false;
     bool shut_ = false;
 };
--- a/packages/transport/test/event_server_test.cpp
+++ b/packages/transport/test/event_server_test.cpp
@@ -7,8 +7,10 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace hibiscus::transport {
@@ -21,13 +23,15 @@
 class event_server_test : public testing::Test {
 protected:
     event_server_test()
-        : server_(io_, {}, [this](auto request, auto answer) {
-              requests_.push_back(std::move(request));
-              answers_.push_back(std::move(answer));
-              if (handler_) {
-                  handler_();
-              }
-          }) {
+        : server_(io_, {},
+                  [this](auto request, auto answer) {
+                      requests_.push_back(std::move(request));
+                      answers_.push_back(std::move(answer));
+                      if (handler_) {
+                          handler_();
+                      }
+                  },
+                  {"Id", [this](const auto& cut) { cuts_.push_back(cut); }}) {
         const auto at = server_.listen({"127.0.0.1", 0});
         socket_.connect(
             tcp::endpoint(asio::ip::address_v4::loopback(), at->port));
@@ -47,6 +51,21 @@
         EXPECT_TRUE(holds());
     }
 
+    /// Lets the time of a sweep, and some more, pass while the thread does
+    /// something else.
+    static void pass_a_sweep(base::millis more = 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(600 + more));
+    }
+
+    /// Returns whether the server has closed the connection, and why it seems
+    /// closed in `close_error_`. There must be nothing to read.
+    bool is_closed() {
+        char byte = 0;
+        socket_.non_blocking(true);
+        socket_.read_some(asio::buffer(&byte, 1), close_error_);
+        return close_error_ && close_error_ != asio::error::would_block;
+    }
+
     /// Reads what has come until `text` is in it.
     void expect(const std::string& text) {
         run_until([&] {
@@ -62,15 +81,22 @@
     asio::io_context io_{1};
     std::vector<inbound_request> requests_;
     std::vector<std::shared_ptr<exchange>> answers_;
+    std::vector<cut_request> cuts_;
     std::function<void()> handler_;
     event_server server_;
     tcp::socket socket_{io_};
     std::string got_;
+    boost::system::error_code close_error_;
 };
 
-const std::string request = "POST /a HTTP/1.1\r\nHost: h\r\n"
+const std::string request = "POST /a HTTP/1.1\r\nHost: h\r\nId: r1\r\n"
                             "Content-Length: 2\r\n\r\nhi";
 
+/// A request that is read in several pieces.
+const std::string long_request = "POST /b HTTP/1.1\r\nHost: h\r\n"
+                                 "Content-Length: 4000\r\n\r\n" +
+                                 std::string(4000, 'x');
+
 TEST_F(event_server_test, reads_a_request_whole_and_answers) {
     send(request);
     run_until([&] { return !answers_.empty(); });
@@ -114,6 +140,71 @@
     expect("ok");
 }
 
+// A request that came while the thread was busy is not taken for idleness.
+TEST_F(event_server_test, what_arrives_on_a_kept_connection_is_answered) {
+    send(request);
+    run_until([&] { return !answers_.empty(); });
+    answers_[0]->respond({200, {}, "first"});
+    expect("first");
+    run_until([&] { return server_.in_flight() == 0; });
+    server_.drain();
+    send(long_request);
+    pass_a_sweep();
+    run_until([&] { return answers_.size() == 2 || is_closed(); });
+    ASSERT_EQ(answers_.size(), 2U) << close_error_.message();
+    answers_[1]->respond({200, {}, "second"});
+    expect("second");
+}
+
+// A connection that is accepted late has its request in the kernel already.
+TEST_F(event_server_test, what_arrives_on_a_new_connection_is_answered) {
+    server_.drain();
+    send(request);
+    pass_a_sweep();
+    run_until([&] { return !answers_.empty() || is_closed(); });
+    ASSERT_FALSE(answers_.empty()) << close_error_.message();
+    answers_[0]->respond({200, {}, "ok"});
+    expect("ok");
+}
+
+// A request that comes just before its connection's time is over is read.
+TEST_F(event_server_test, a_request_that_meets_the_idle_timeout_is_answered) {
+    constexpr base::millis idle_ms = 1000;
+    server_.set_limits({16 * 1024, 1024 * 1024, 3000, idle_ms});
+    send(request);
+    run_until([&] { return !answers_.empty(); });
+    answers_[0]->respond({200, {}, "first"});
+    expect("first");
+    run_until([&] { return server_.in_flight() == 0; });
+    send(long_request);
+    pass_a_sweep(idle_ms);
+    run_until([&] { return answers_.size() == 2 || is_closed(); });
+    ASSERT_EQ(answers_.size(), 2U) << close_error_.message();
+    answers_[1]->respond({200, {}, "second"});
+    expect("second");
+}
+
+// A caller that stops in the middle of a request does not hold a connection.
+TEST_F(event_server_test, half_a_request_ends_with_its_connection) {
+    server_.set_limits({16 * 1024, 1024 * 1024, 3000, 100});
+    send(long_request.substr(0, 1000));
+    run_until([&] { return is_closed(); });
+    EXPECT_TRUE(requests_.empty());
+}
+
+TEST_F(event_server_test, what_ends_without_an_answer_is_told_with_its_cause) {
+    send(request);
+    run_until([&] { return !answers_.empty(); });
+    answers_[0]->begin(200, {});
+    answers_[0]->write("half");
+    answers_[0]->abort();
+    ASSERT_EQ(cuts_.size(), 1U);
+    EXPECT_EQ(cuts_[0].id, "r1");
+    EXPECT_EQ(cuts_[0].target, "/a");
+    EXPECT_EQ(cuts_[0].cause, cut_cause::abandoned);
+    EXPECT_TRUE(cuts_[0].answer_began);
+}
+
 TEST_F(event_server_test, refuses_a_body_over_the_limit) {
     server_.set_limits({1024, 10, 3000, 15000});
     send(request);
@@ -131,13 +222,7 @@
     send(request);
     run_until([&] { return !answers_.empty(); });
     answers_.clear();
-    run_until([&] {
-        boost::system::error_code error;
-        char byte = 0;
-        socket_.non_blocking(true);
-        socket_.read_some(asio::buffer(&byte, 1), error);
-        return error && error != asio::error::would_block;
-    });
+    run_until([&] { return is_closed(); });
 }
 
 } // namespace
