transport: a request behind an answer that promised more is served

Cause: after an answer whose head was sent before the node was told to stop, and so promised that the connection stays open, the connection was shut, and a request of its caller that had been read whole by then was thrown away.

Fix: a connection is shut after an answer only if its caller was told so. The rest of what a caller sends on a connection that was shut is read for no longer than before, also if it is a whole request.

Before: a_request_behind_an_answer_is_served_while_draining failed with a clean end of the connection. After: it passes.

--- a/packages/transport/src/event_server.cpp
+++ b/packages/transport/src/event_server.cpp
@@ -187,6 +187,7 @@
             return;
         }
         if (shut_) {
+            read_due_ = state_->clock.now() + linger_ms;
             discard();
             return;
         }
@@ -268,7 +269,7 @@
         current_ = 0;
         --state_->in_flight;
         closed_ = nullptr;
-        if (linger_ || !keep_alive()) {
+        if (linger_ || !keep_alive_) {
             shut();
             return;
         }
@@ -352,6 +353,8 @@
     bool open_ = true;
     bool waiting_ = false;
     bool last_ = false;
+    /// False once the caller was told, or has said, that this answer is the
+    /// connection's last.
     bool keep_alive_ = true;
     /// The pending read was cancelled to see whether a request has begun.
     bool retiring_ = false;
--- a/packages/transport/test/event_server_test.cpp
+++ b/packages/transport/test/event_server_test.cpp
@@ -167,6 +167,22 @@
     expect("ok");
 }
 
+// A caller was not told that the answer before was its connection's last.
+TEST_F(event_server_test, a_request_behind_an_answer_is_served_while_draining) {
+    send(request + request);
+    run_until([&] { return !answers_.empty(); });
+    answers_[0]->begin(200, {});
+    answers_[0]->write("first");
+    expect("first");
+    server_.drain();
+    answers_[0]->end();
+    run_until([&] { return answers_.size() == 2 || is_closed(); });
+    ASSERT_EQ(answers_.size(), 2U) << close_error_.message();
+    answers_[1]->respond({200, {}, "second"});
+    expect("second");
+    expect("Connection: close");
+}
+
 // A request that comes just before its connection's time is over is read.
 TEST_F(event_server_test, a_request_that_meets_the_idle_timeout_is_answered) {
     constexpr base::millis idle_ms = 1000;
