entry: a stopping node closes its connections before it exits

What callers saw: a node that was told to stop ended its event loop at the first of its looks, 50 ms apart, that found no request in work, or at the end of the grace period whatever was in work. Both cut off what had been read but not handled, what waited to be accepted, and at the end of the grace period also what a server was working on.

Cause: nothing between serving and the exit stopped to take on requests, so there was no moment at which the node could know that it held none.

Fix: a stop has two steps. While it drains, all four servers go on and say in each answer that it is the connection's last; connections without a request stay open, since their callers may be about to use them. Once the jobs are handed over and the directory's answers are old, or two seconds before the node must exit, the servers accept what the kernel has connected, stop to listen and end each connection when no request is being read or answered on it. The node exits when all are closed. What is open when time is up gets 504: a server may have run it.

Tests: the steps of the server, one test each; a connection that was accepted but not handed on when the listener closed was dropped before, and is served.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -17,6 +17,8 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -48,6 +50,13 @@
 /// The part of the grace period that is left for the exit itself, in ms.
 constexpr base::millis exit_margin_ms = 1200;
 
+/// How long before the end of a stop connections are closed at the latest, in
+/// ms: longer than most requests take.
+constexpr base::millis closing_ms = 2000;
+
+/// How often a stopping node looks whether it may exit, in ms.
+constexpr base::millis stop_check_ms = 50;
+
 /// How long callers keep an answer of the directory, in seconds. Longer ones
 /// would send callers to nodes that are gone.
 constexpr int directory_ttl_s = 2;
@@ -234,24 +243,50 @@
                           {"owns", owner_.owns()}});
         directory_.leave();
         owner_.hand_over([this] { handed_over_ = true; });
-        callers_.drain();
+        for (auto* s : servers()) {
+            s->drain();
+        }
         check_stop();
     }
 
     void check_stop() {
         const auto since = state_.clock.now() - stop_at_;
-        const bool idle =
-            callers_.in_flight() == 0 && handed_over_ && since >= least_stop_ms;
-        if (idle || since >= state_.config.grace_ms - exit_margin_ms) {
-            state_.log.write(
-                "stop", {{"in_flight", static_cast<int>(callers_.in_flight())},
-                         {"handed_over", handed_over_},
-                         {"ms", since}});
-            callers_.cut_open();
-            io_.stop();
+        const auto latest = state_.config.grace_ms - exit_margin_ms;
+        const bool may_close = handed_over_ || since >= latest - closing_ms;
+        if (!closing_ && since >= least_stop_ms && may_close) {
+            closing_ = true;
+            for (auto* s : servers()) {
+                s->close();
+            }
+        }
+        if ((handed_over_ && all_closed()) || since >= latest) {
+            end_stop(since);
             return;
         }
-        after(50, [this] { check_stop(); });
+        after(stop_check_ms, [this] { check_stop(); });
+    }
+
+    bool all_closed() {
+        const auto all = servers();
+        return std::all_of(all.begin(), all.end(),
+                           [](const auto* s) { return s->closed(); });
+    }
+
+    void end_stop(base::millis took) {
+        state_.log.write("stop",
+                         {{"in_flight", static_cast<int>(callers_.in_flight())},
+                          {"handed_over", handed_over_},
+                          {"ms", took}});
+        // A server may have run what is still open.
+        constexpr int gateway_timeout = 504;
+        for (auto* s : servers()) {
+            s->give_up(gateway_timeout);
+        }
+        io_.stop();
+    }
+
+    std::array<transport::event_server*, 4> servers() {
+        return {&callers_, &readiness_, &lookup_, &metrics_};
     }
 
     void flush() {
@@ -492,6 +527,7 @@
     transport::event_server metrics_;
     base::millis stop_at_ = 0;
     bool handed_over_ = false;
+    bool closing_ = false;
 };
 
 } // namespace
--- a/packages/transport/include/hibiscus/transport/event_server.hpp
+++ b/packages/transport/include/hibiscus/transport/event_server.hpp
@@ -63,7 +63,7 @@
 using exchange_handler =
     std::function<void(inbound_request, std::shared_ptr<exchange>)>;
 
-/// Why a request has ended without a complete answer.
+/// Why a request has ended without a complete answer of its handler.
 enum class cut_cause {
     /// The caller closed or reset its connection.
     caller_left,
@@ -71,11 +71,11 @@
     write_overdue,
     /// The handler broke the answer off, or dropped the request.
     abandoned,
-    /// The server ended before the answer was complete.
+    /// The server ended first; it answered itself if nothing had been sent.
     server_ended,
 };
 
-/// A request, read whole, that has ended without a complete answer.
+/// A request, read whole, that its handler did not answer completely.
 struct cut_request {
     /// The value of the field that names requests, or "".
     std::string id;
@@ -112,11 +112,21 @@
     /// Changes the bounds, for requests that begin from now on.
     void set_limits(event_server_limits limits);
 
-    /// Ends each connection after its next answer, and idle ones now.
+    /// Says from now on in each answer that it is the connection's last.
+    /// Connections stay open until then: a caller that has one may be about to
+    /// use it.
     void drain();
 
-    /// Closes the connections of all requests without a complete answer.
-    void cut_open();
+    /// Stops to listen and ends each connection as soon as no request is being
+    /// read or answered on it. What has arrived by then is still served.
+    void close();
+
+    /// Returns true once close() was called and all connections have ended.
+    bool closed() const;
+
+    /// Answers all open requests with `status` in their handlers' place; those
+    /// of which some of an answer was sent are cut off.
+    void give_up(int status);
 
     /// Returns the number of requests without a complete answer.
     std::size_t in_flight() const;
--- a/packages/transport/src/event_server.cpp
+++ b/packages/transport/src/event_server.cpp
@@ -20,10 +20,17 @@
 
 namespace {
 
-/// How often connections are looked through for overdue reads. A caller's
-/// time-outs are seconds, so a delay of half a second does not matter.
+/// How often connections are looked through for overdue reads, in ms. A
+/// caller's time-outs are seconds, so a delay of half a second does not matter.
 constexpr base::millis sweep_ms = 500;
 
+/// The same while the server closes, in ms.
+constexpr base::millis closing_sweep_ms = 20;
+
+/// A caller sends its request as soon as its connection is open. A closing
+/// server waits for it so long, in ms.
+constexpr base::millis first_request_ms = 250;
+
 /// An answer that a caller does not take for so long is given up; it bounds
 /// the memory that callers who stopped reading hold.
 constexpr base::millis write_ms = 15000;
@@ -50,6 +57,8 @@
 
 class session;
 
+enum class server_phase { serving, draining, closing };
+
 struct server_state {
     event_server_limits limits;
     exchange_handler handler;
@@ -57,7 +66,8 @@
     base::clock clock;
     std::set<session*> sessions;
     std::size_t in_flight = 0;
-    bool draining = false;
+    std::size_t connections = 0;
+    server_phase phase = server_phase::serving;
 };
 
 /// Serves one connection: reads ahead by one request, so that the end of the
@@ -65,10 +75,15 @@
 class session : public std::enable_shared_from_this<session> {
 public:
     session(tcp::socket socket, std::shared_ptr<server_state> state)
-        : socket_(std::move(socket)), state_(std::move(state)) {
+        : socket_(std::move(socket)), state_(std::move(state)),
+          opened_at_(state_->clock.now()) {
         state_->sessions.insert(this);
+        ++state_->connections;
+    }
+    ~session() {
+        state_->sessions.erase(this);
+        state_->connections -= open_ ? 1 : 0;
     }
-    ~session() { state_->sessions.erase(this); }
 
     session(const session&) = delete;
     session& operator=(const session&) = delete;
@@ -87,7 +102,7 @@
             if (overdue) {
                 close();
             }
-        } else if (overdue || state_->draining) {
+        } else if (overdue || may_close(now)) {
             retire();
         }
     }
@@ -114,7 +129,9 @@
         }
     }
 
-    bool keep_alive() const { return keep_alive_ && !state_->draining; }
+    bool keep_alive() const {
+        return keep_alive_ && state_->phase == server_phase::serving;
+    }
 
     void drop_keep_alive() { keep_alive_ = false; }
 
@@ -124,15 +141,34 @@
         }
     }
 
-    void cut_open() {
-        if (current_) {
+    /// Answers the present request in its handler's place, or closes the
+    /// connection if some of an answer was sent.
+    void give_up(int status) {
+        if (!current_) {
+            return;
+        }
+        if (began_) {
             close(cut_cause::server_ended);
+            return;
+        }
+        report_cut(cut_cause::server_ended);
+        current_ = ++numbers_;
+        keep_alive_ = false;
+        send(current_, empty_answer(status), true);
+        if (auto closed = std::exchange(closed_, nullptr)) {
+            closed();
         }
     }
 
 private:
     class answer;
 
+    static std::string empty_answer(int status) {
+        return head_of(status,
+                       {{"Connection", "close"}, {"Content-Length", "0"}}) +
+               "\r\n";
+    }
+
     void read() {
         parser_.emplace();
         parser_->header_limit(
@@ -151,6 +187,12 @@
             });
     }
 
+    /// Whether a closing server need not wait for a request any longer.
+    bool may_close(base::millis now) const {
+        return state_->phase == server_phase::closing &&
+               (numbers_ > 0 || now - opened_at_ > first_request_ms);
+    }
+
     /// Ends the connection unless a request has begun to come. Bytes of one may
     /// have been read without their handler having run, which only the end of
     /// the pending read shows.
@@ -218,11 +260,7 @@
         ++state_->in_flight;
         keep_alive_ = false;
         linger_ = true;
-        send(current_,
-             head_of(status,
-                     {{"Connection", "close"}, {"Content-Length", "0"}}) +
-                 "\r\n",
-             true);
+        send(current_, empty_answer(status), true);
     }
 
     void handle();
@@ -313,6 +351,7 @@
         if (!std::exchange(open_, false)) {
             return;
         }
+        --state_->connections;
         beast::error_code ignored;
         socket_.close(ignored);
         if (current_) {
@@ -350,6 +389,7 @@
     bool began_ = false;
     base::millis read_due_ = 0;
     base::millis write_due_ = 0;
+    base::millis opened_at_;
     bool open_ = true;
     bool waiting_ = false;
     bool last_ = false;
@@ -502,6 +542,19 @@
         timer_.cancel();
     }
 
+    void close() {
+        state_->phase = server_phase::closing;
+        accept_waiting();
+        beast::error_code ignored;
+        acceptor_.close(ignored);
+        sweep();
+    }
+
+    bool closed() const {
+        return state_->phase == server_phase::closing && !accepting_ &&
+               state_->connections == 0;
+    }
+
     server_state& state() { return *state_; }
 
     /// Calls `f` with each session that is still there when its turn comes:
@@ -518,24 +571,44 @@
 
 private:
     void accept() {
+        accepting_ = true;
         acceptor_.async_accept(
             [self = shared_from_this()](beast::error_code error,
                                         tcp::socket socket) {
-                if (!self->acceptor_.is_open()) {
-                    return;
-                }
+                self->accepting_ = false;
                 if (!error) {
-                    beast::error_code ignored;
-                    socket.set_option(tcp::no_delay(true), ignored);
-                    std::make_shared<session>(std::move(socket), self->state_)
-                        ->run();
+                    self->serve(std::move(socket));
+                }
+                if (self->acceptor_.is_open()) {
+                    self->accept();
                 }
-                self->accept();
             });
     }
 
+    void serve(tcp::socket socket) {
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        std::make_shared<session>(std::move(socket), state_)->run();
+    }
+
+    /// Accepts what the kernel has connected already: to close the listener
+    /// would reset it, and its callers may have sent their requests.
+    void accept_waiting() {
+        beast::error_code error;
+        acceptor_.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(acceptor_.get_executor());
+            acceptor_.accept(socket, error);
+            if (!error) {
+                serve(std::move(socket));
+            }
+        }
+    }
+
     void sweep() {
-        timer_.expires_after(std::chrono::milliseconds(sweep_ms));
+        const bool closing = state_->phase == server_phase::closing;
+        timer_.expires_after(
+            std::chrono::milliseconds(closing ? closing_sweep_ms : sweep_ms));
         timer_.async_wait([self = shared_from_this()](beast::error_code error) {
             if (error) {
                 return;
@@ -549,6 +622,7 @@
     tcp::acceptor acceptor_;
     asio::steady_timer timer_;
     std::shared_ptr<server_state> state_;
+    bool accepting_ = false;
 };
 
 event_server::event_server(asio::io_context& io, event_server_limits limits,
@@ -570,11 +644,19 @@
 }
 
 void event_server::drain() {
-    impl_->state().draining = true;
+    impl_->state().phase = server_phase::draining;
+}
+
+void event_server::close() {
+    impl_->close();
+}
+
+bool event_server::closed() const {
+    return impl_->closed();
 }
 
-void event_server::cut_open() {
-    impl_->for_each_session([](session& s) { s.cut_open(); });
+void event_server::give_up(int status) {
+    impl_->for_each_session([status](session& s) { s.give_up(status); });
 }
 
 std::size_t event_server::in_flight() const {
--- a/packages/transport/test/event_server_test.cpp
+++ b/packages/transport/test/event_server_test.cpp
@@ -208,6 +208,56 @@
     EXPECT_TRUE(requests_.empty());
 }
 
+TEST_F(event_server_test, a_closing_server_ends_idle_connections) {
+    send(request);
+    run_until([&] { return !answers_.empty(); });
+    answers_[0]->respond({200, {}, "ok"});
+    expect("ok");
+    server_.drain();
+    server_.close();
+    EXPECT_FALSE(server_.closed());
+    run_until([&] { return is_closed() && server_.closed(); });
+}
+
+// To close the listener resets connections that wait to be accepted.
+TEST_F(event_server_test, a_closing_server_serves_what_waits_to_be_accepted) {
+    send(request);
+    server_.drain();
+    server_.close();
+    run_until([&] { return !answers_.empty() || is_closed(); });
+    ASSERT_FALSE(answers_.empty()) << close_error_.message();
+    EXPECT_FALSE(server_.closed());
+    answers_[0]->respond({200, {}, "ok"});
+    expect("ok");
+    socket_.close();
+    run_until([&] { return server_.closed(); });
+}
+
+TEST_F(event_server_test, a_new_connection_may_still_send_its_request) {
+    server_.close();
+    io_.restart();
+    io_.poll();
+    send(request);
+    run_until([&] { return !answers_.empty() || is_closed(); });
+    ASSERT_FALSE(answers_.empty()) << close_error_.message();
+    answers_[0]->respond({200, {}, "ok"});
+    expect("ok");
+}
+
+// A stop that has run out of time closes no connection without an answer.
+TEST_F(event_server_test, what_is_open_at_the_end_is_answered) {
+    bool told = false;
+    handler_ = [&] { answers_.back()->on_closed([&] { told = true; }); };
+    send(request);
+    run_until([&] { return !answers_.empty(); });
+    server_.give_up(504);
+    EXPECT_TRUE(told);
+    EXPECT_EQ(cuts_.size(), 1U);
+    answers_[0]->respond({200, {}, "late"});
+    expect("504 Gateway Timeout\r\nConnection: close");
+    EXPECT_EQ(got_.find("late"), std::string::npos);
+}
+
 TEST_F(event_server_test, what_ends_without_an_answer_is_told_with_its_cause) {
     send(request);
     run_until([&] { return !answers_.empty(); });
