--- /dev/null
+++ b/packages/transport/src/server_session.hpp
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "hibiscus/transport/event_server.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace hibiscus::transport {
+
+class session;
+
+/// How far a server has come on its way to its end.
+enum class server_phase { serving, draining, closing };
+
+/// What a server and its sessions share.
+struct server_state {
+    event_server_limits limits;
+    exchange_handler handler;
+    event_server_report report;
+    base::clock clock;
+    std::set<session*> sessions;
+    /// Requests without a complete answer.
+    std::size_t in_flight = 0;
+    /// Connections that are open.
+    std::size_t connections = 0;
+    server_phase phase = server_phase::serving;
+};
+
+/// Serves one connection: reads ahead by one request, so that the end of the
+/// connection is seen while an answer is being made.
+class session : public std::enable_shared_from_this<session> {
+public:
+    session(boost::asio::ip::tcp::socket socket,
+            std::shared_ptr<server_state> state);
+    ~session();
+
+    session(const session&) = delete;
+    session& operator=(const session&) = delete;
+
+    /// Begins to read.
+    void run() { read(); }
+
+    /// Ends what is overdue and, once the server closes, what is idle.
+    void sweep(base::millis now);
+
+    /// Sets what is called if the caller of request `number` leaves.
+    void set_closed(std::uint64_t number, std::function<void()> closed);
+
+    /// Sends a part of the answer to request `number`, or the last one.
+    void send(std::uint64_t number, std::string bytes, bool last);
+
+    /// Returns whether another request may follow the present answer.
+    bool keep_alive() const;
+
+    /// Notes that the caller is told of the connection's end.
+    void drop_keep_alive() { keep_alive_ = false; }
+
+    /// Closes the connection if request `number` is not answered yet.
+    void abort(std::uint64_t number);
+
+    /// Answers the present request in its handler's place, or closes the
+    /// connection if some of an answer was sent.
+    void give_up(int status);
+
+private:
+    class answer;
+
+    void read();
+
+    void read_on();
+
+    /// Whether a closing server need not wait for a request any longer.
+    bool may_close(base::millis now) const;
+
+    /// Ends the connection unless a request has begun to come. Bytes of one may
+    /// have been read without their handler having run, which only the end of
+    /// the pending read shows.
+    void retire();
+
+    void on_retired();
+
+    void on_read(boost::beast::error_code error);
+
+    void on_read_error(boost::beast::error_code error);
+
+    void handle();
+
+    void note_request(const inbound_request& request);
+
+    void write_next();
+
+    void on_write(boost::beast::error_code error);
+
+    /// The answer has been sent whole.
+    void finish();
+
+    /// Ends the connection after the last answer; what the caller still sends
+    /// is dropped for a while by the pending read and the sweep.
+    void shut();
+
+    void discard();
+
+    void close(cut_cause cause = cut_cause::caller_left);
+
+    void report_cut(cut_cause cause) const;
+
+    boost::asio::ip::tcp::socket socket_;
+    std::shared_ptr<server_state> state_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<
+        boost::beast::http::request_parser<boost::beast::http::string_body>>
+        parser_;
+    std::deque<std::string> out_;
+    std::string dropped_;
+    std::function<void()> closed_;
+    std::uint64_t numbers_ = 0;
+    /// The number of the request that is being answered, or 0.
+    std::uint64_t current_ = 0;
+    /// Of the present request: its name, its target and when it was read whole.
+    std::string request_id_;
+    std::string target_;
+    base::millis read_at_ = 0;
+    /// Whether some of the present answer was handed on to be sent.
+    bool began_ = false;
+    base::millis read_due_ = 0;
+    base::millis write_due_ = 0;
+    base::millis opened_at_;
+    bool open_ = true;
+    bool waiting_ = false;
+    bool last_ = false;
+    /// False once the caller was told, or has said, that this answer is the
+    /// connection's last.
+    bool keep_alive_ = true;
+    /// The pending read was cancelled to see whether a request has begun.
+    bool retiring_ = false;
+    /// A request had begun when its connection would have been closed.
+    bool extended_ = false;
+    bool linger_ = false;
+    bool shut_ = false;
+};
+
+} // namespace hibiscus::transport
