store: a node's own delay is not taken for the store's

The calls under way were given up, and the next ones went through others for 0.2 s.

Cause: calls were found overdue as soon as the node came back to its loop, before it handled the answers that had arrived meanwhile.

Fix: where a look at the calls comes much later than looks do, the node itself was held up, and that time does not count. A call that hangs is noticed as before, counted from then on.

--- a/packages/store/src/store_link.cpp
+++ b/packages/store/src/store_link.cpp
@@ -93,7 +93,21 @@
     }
 }
 
+/// Answers that came while the node was busy with something else are handled
+/// only after this look: its own delay is not the store's.
+void store_link::leave_out_own_delay() {
+    const auto now = clock_.now();
+    const auto gap = now - std::exchange(looked_at_, now);
+    if (gap <= times_.look) {
+        return;
+    }
+    for (auto& [number, p] : pending_) {
+        p.due += gap;
+    }
+}
+
 void store_link::check() {
+    leave_out_own_delay();
     const auto now = clock_.now();
     const auto late =
         std::find_if(pending_.begin(), pending_.end(), [now](const auto& row) {
