entry: a save without an answer no longer keeps a stopping owner

What callers saw: after SIGTERM to the owner's node no item of any job started until the others had found the owner silent; it kept the jobs for its grace period where a listing renewed them meanwhile.

Cause: the saves of texts under way shared one counter, and only the append that ended last called its own continuation. With a regular save in flight at SIGTERM whose answer came last, or never, the hand-over was not gone on with. Beside that the record that gives the jobs up was tried 20 times, each of which an append under way used up, listings renewed the ownership all the while, and a claim under way at SIGTERM made a stopping node the owner with nobody to give the jobs up again.

Class: a completion that depends on what others do, without a bound of its own.

Evidence: entry_path_test.a_save_without_an_answer_does_not_keep_an_owner holds the answer of a save back and stops the owner.

--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -28,12 +28,6 @@
 /// How many of an ended job's slowest items are logged.
 constexpr std::size_t slowest_told = 12;
 
-/// How often the last append of an owner that stops is tried: more would keep
-/// the next owner waiting, who can do without it.
-constexpr int most_leave_tries = 20;
-
-constexpr base::millis leave_retry_ms = 20;
-
 } // namespace
 
 owner::owner(node_state& state, const store::log_store& store,
@@ -48,14 +42,15 @@
       ownership_(state.clock, state.config.node, incarnation_, {}, state.draw(),
                  state.config.mechanisms.has(base::mechanism::owner_by_size)
                      ? state.config.cpu_share
-                     : 1) {}
+                     : 1),
+      hand_over_(state.clock) {}
 
 void owner::start() {
     tick();
 }
 
 bool owner::owns() const {
-    return ownership_.mine(state_.jobs);
+    return !hand_over_.ended() && ownership_.mine(state_.jobs);
 }
 
 void owner::contact(bool up) {
@@ -69,7 +64,7 @@
 
 /// New items start only while this node would know if their job had ended.
 bool owner::may_start() const {
-    return !leaving_ && (store_heard() || link_.down_for_all());
+    return !hand_over_.begun() && (store_heard() || link_.down_for_all());
 }
 
 void owner::claim() {
@@ -261,7 +256,8 @@
 }
 
 void owner::tick() {
-    if (journal_.loaded() && !leaving_) {
+    step_hand_over();
+    if (journal_.loaded() && !hand_over_.begun()) {
         switch (ownership_.next(state_.jobs, journal_.current_at())) {
         case batch::ownership_step::nothing:
             break;
@@ -289,33 +285,44 @@
 }
 
 void owner::hand_over(std::function<void()> done) {
-    leaving_ = true;
-    if (!owns()) {
-        done();
-        return;
+    hand_over_.begin();
+    handed_over_ = std::move(done);
+    if (owns()) {
+        save_now(1, [this] {
+            hand_over_.saved();
+            step_hand_over();
+        });
     }
-    left_ = std::move(done);
-    save_now(1, [this] { leave(); });
+    step_hand_over();
 }
 
 /// Says in the journal that the ownership is vacant, so that the next owner
 /// need not wait for this one's silence.
-void owner::leave() {
-    if (!left_) {
-        return;
+void owner::step_hand_over() {
+    switch (hand_over_.next(owns(), appending_)) {
+    case batch::hand_over_step::wait:
+        break;
+    case batch::hand_over_step::give_up:
+        append({own_record(state_.jobs.owner()->record.fence, true)},
+               [this](bool done) {
+                   if (!done) {
+                       hand_over_.refused();
+                   }
+                   step_hand_over();
+               });
+        break;
+    case batch::hand_over_step::end:
+        end_hand_over();
+        break;
     }
-    if (!owns() || ++leave_tries_ > most_leave_tries) {
-        run(work_.drop_all());
-        const auto left = std::exchange(left_, nullptr);
-        left();
-        return;
-    }
-    if (appending_) {
-        after_(leave_retry_ms, [this] { leave(); });
-        return;
+}
+
+void owner::end_hand_over() {
+    // Whatever the journal says, this process no longer acts as the owner.
+    if (std::exchange(owned_before_, false)) {
+        owner_changed(false);
     }
-    append({own_record(state_.jobs.owner()->record.fence, true)},
-           [this](bool) { after_(leave_retry_ms, [this] { leave(); }); });
+    std::exchange(handed_over_, nullptr)();
 }
 
 } // namespace hibiscus::entry
--- a/packages/entry/src/owner.hpp
+++ b/packages/entry/src/owner.hpp
@@ -4,6 +4,7 @@
 #include "job_files.hpp"
 #include "node_state.hpp"
 
+#include "hibiscus/batch/hand_over.hpp"
 #include "hibiscus/batch/listing_plan.hpp"
 #include "hibiscus/batch/ownership.hpp"
 #include "hibiscus/batch/work.hpp"
@@ -45,7 +46,7 @@
     void version_named(const std::string& model, std::int64_t version);
 
     /// Saves what is under way, stops it and lets the others take over, then
-    /// calls `done`.
+    /// calls `done`, within a bounded time.
     void hand_over(std::function<void()> done);
 
     bool owns() const;
@@ -106,7 +107,8 @@
     void list(const std::vector<batch::planned_listing>& lists);
     void save();
     void save_now(int least, std::function<void()> done);
-    void leave();
+    void step_hand_over();
+    void end_hand_over();
     void expire();
     void expired(const batch::job_id& id, bool done);
     void erase_progress(const batch::job_id& id);
@@ -151,7 +153,8 @@
     std::map<batch::job_id, std::vector<std::string>> progress_keys_;
     bool expiring_ = false;
     base::millis next_expiry_ = 0;
-    int saving_ = 0;
+    /// Saves of texts under way that the store has not answered.
+    int saves_ = 0;
     bool appending_ = false;
     bool committing_ = false;
     /// Jobs whose texts the store did not take, and until when they are left
@@ -162,9 +165,8 @@
     bool renew_due_ = false;
     base::millis last_overdue_ = 0;
     bool owned_before_ = false;
-    bool leaving_ = false;
-    int leave_tries_ = 0;
-    std::function<void()> left_;
+    batch::hand_over hand_over_;
+    std::function<void()> handed_over_;
     base::millis may_order_at_ = 0;
     base::millis last_commit_ = 0;
     base::millis last_progress_ = 0;
--- a/packages/entry/src/owner_orders.cpp
+++ b/packages/entry/src/owner_orders.cpp
@@ -13,7 +13,8 @@
 } // namespace
 
 void owner::order_loads() {
-    if (!store_heard() || leaving_ || state_.clock.now() < may_order_at_) {
+    if (!store_heard() || hand_over_.begun() ||
+        state_.clock.now() < may_order_at_) {
         return;
     }
     for (const auto& id : rollout_.checks()) {
@@ -56,7 +57,7 @@
 /// reports.
 void owner::on_report(const samplers::load_order& order,
                       const std::optional<adapter::server_report>& report) {
-    if (!report || !owns() || !store_heard() || leaving_) {
+    if (!report || !owns() || !store_heard() || hand_over_.begun()) {
         rollout_.not_taken(order);
         state_.log.write("order_waits",
                          {{"server", order.sampler},
--- a/packages/entry/src/owner_retention.cpp
+++ b/packages/entry/src/owner_retention.cpp
@@ -21,7 +21,7 @@
 /// that this node is still the owner, what the journal has of it.
 void owner::expire() {
     const auto now = state_.clock.now();
-    if (expiring_ || appending_ || leaving_ || now < next_expiry_) {
+    if (expiring_ || appending_ || hand_over_.begun() || now < next_expiry_) {
         return;
     }
     const auto id = batch::expired_job(
--- a/packages/entry/src/owner_writes.cpp
+++ b/packages/entry/src/owner_writes.cpp
@@ -89,7 +89,7 @@
 /// Renews the ownership apart from results, if those do not come through.
 void owner::renew_overdue() {
     const auto now = state_.clock.now();
-    if (appending_ || leaving_ || !ownership_.overdue() ||
+    if (appending_ || hand_over_.begun() || !ownership_.overdue() ||
         now - last_overdue_ < overdue_pause_ms) {
         return;
     }
@@ -103,7 +103,8 @@
 /// then, on the condition that this node is still the owner, where they are.
 void owner::commit() {
     const auto now = state_.clock.now();
-    if (committing_ || !owns() || now - last_commit_ < commit_ms) {
+    if (committing_ || !owns() || hand_over_.is_due() ||
+        now - last_commit_ < commit_ms) {
         return;
     }
     auto lists = collect();
@@ -168,7 +169,8 @@
 
 void owner::list(const std::vector<batch::planned_listing>& lists) {
     const bool fits = batch::still_fits(state_.jobs, lists);
-    if (lists.empty() || !fits || !owns() || appending_) {
+    if (lists.empty() || !fits || !owns() || appending_ ||
+        hand_over_.is_due()) {
         committing_ = false;
         if (!fits) {
             state_.log.write("append_refused", {{"reason", "listed_before"}});
@@ -206,7 +208,8 @@
     const auto now = state_.clock.now();
     const bool saves =
         state_.config.mechanisms.has(base::mechanism::save_progress);
-    if (!saves || saving_ > 0 || now - last_progress_ < progress_ms) {
+    if (!saves || saves_ > 0 || hand_over_.begun() ||
+        now - last_progress_ < progress_ms) {
         return;
     }
     last_progress_ = now;
@@ -222,7 +225,8 @@
         done();
         return;
     }
-    saving_ += static_cast<int>(by_job.size());
+    ++saves_;
+    auto open = std::make_shared<std::size_t>(by_job.size());
     for (auto& [id, parts] : by_job) {
         std::vector<store::record> records;
         for (const auto& p : parts) {
@@ -231,7 +235,7 @@
             progress_keys_[id].push_back(records.back().key);
         }
         files_.append_progress(id, records,
-                               [this, parts = std::move(parts),
+                               [this, parts = std::move(parts), open,
                                 done](const store::append_result& r) {
                                    if (base::value_if(r) != nullptr) {
                                        for (const auto& p : parts) {
@@ -242,7 +246,8 @@
                                            "append_refused",
                                            {{"reason", "progress"}});
                                    }
-                                   if (--saving_ == 0) {
+                                   if (--*open == 0) {
+                                       --saves_;
                                        done();
                                    }
                                });
--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -56,6 +56,15 @@
         return call("n1", "POST", path, {{"Request-Id", id}, {"Model", "m"}});
     }
 
+    /// Returns true if a node has written that it no longer owns the jobs.
+    bool gave_up(const std::string& name) const {
+        const auto records = store_.values("keyed.journal", "!owner");
+        return std::any_of(records.begin(), records.end(), [&](const auto& r) {
+            const auto in = json::from_cbor(r);
+            return in.at("node") == name && in.value("left", false);
+        });
+    }
+
     static std::string whole_stream(const std::string& id) {
         std::string out;
         for (int n = 1; n <= events; ++n) {
@@ -69,6 +78,8 @@
     static constexpr std::chrono::milliseconds break_after{events * event_ms /
                                                            3};
 
+    static constexpr int slow_event_ms = 5 * event_ms;
+
     std::vector<std::string> read_;
     std::set<std::string> ids_;
 };
@@ -164,6 +175,29 @@
     EXPECT_EQ(owner(), other);
 }
 
+TEST_F(entry_path_test, a_save_without_an_answer_does_not_keep_an_owner) {
+    // A stopping owner kept the jobs idle until its grace period was over.
+    configure();
+    start_node("n1");
+    start_node("n2");
+    ASSERT_TRUE(wait_ready("n1"));
+    ASSERT_TRUE(wait_ready("n2"));
+    ASSERT_TRUE(run_until([&] { return !owner().empty(); }));
+    const auto stopped = owner();
+    const std::string other = stopped == "n1" ? "n2" : "n1";
+    for (const auto& e : engines_) {
+        e->set_event_ms(slow_event_ms);
+    }
+    store_.hold_answers("keyed.progress");
+    ASSERT_EQ(submit(other).status, 202);
+    ASSERT_TRUE(run_until([&] { return store_.held_answers() > 0; }));
+    store_.hold_answers("");
+    nodes_.at(stopped)->signal(SIGTERM);
+    EXPECT_TRUE(read_all(other));
+    EXPECT_TRUE(run_until([&] { return !nodes_.at(stopped)->running(); }));
+    EXPECT_TRUE(gave_up(stopped));
+}
+
 TEST_F(entry_path_test, a_job_is_refused_while_the_store_is_away) {
     // The store is down. A job that is accepted would be lost with the node,
     // so it is refused at once; results wait and come when it is back.
--- a/testing/entry/keyed_store.cpp
+++ b/testing/entry/keyed_store.cpp
@@ -95,14 +95,22 @@
 
 std::string keyed_store::newest(const std::string& topic,
                                 const std::string& key) const {
+    const auto all = values(topic, key);
+    return all.empty() ? "" : all.back();
+}
+
+std::vector<std::string> keyed_store::values(const std::string& topic,
+                                             const std::string& key) const {
+    std::vector<std::string> out;
     const auto log = logs_.find({topic, 0});
-    std::string value;
     if (log != logs_.end()) {
         for (const auto& r : log->second) {
-            value = r.key == key ? r.value : value;
+            if (r.key == key) {
+                out.push_back(r.value);
+            }
         }
     }
-    return value;
+    return out;
 }
 
 void keyed_store::handle(const transport::inbound_request& request,
@@ -168,6 +176,11 @@
         log.push_back({bytes.substr(1, key), bytes.substr(1U + key)});
         begin += 4 + length;
     }
+    if (to_part.first == held_topic_) {
+        ++held_answers_;
+        unanswered_.push_back(to);
+        return;
+    }
     // Spread evenly, so that a run repeats.
     constexpr int hundred = 100;
     constexpr int stride = 37;
--- a/testing/entry/keyed_store.hpp
+++ b/testing/entry/keyed_store.hpp
@@ -35,6 +35,13 @@
         refused_.insert({topic, number});
     }
 
+    /// Sets the topic whose appends are carried out without an answer; none if
+    /// empty.
+    void hold_answers(const std::string& topic) { held_topic_ = topic; }
+
+    /// Returns how many answers were held back.
+    int held_answers() const { return held_answers_; }
+
     /// Sets how many of a hundred appends are carried out without an answer.
     void set_losing(int percent) { losing_ = percent; }
 
@@ -44,6 +51,10 @@
     /// Returns the newest value of a key, or "".
     std::string newest(const std::string& topic, const std::string& key) const;
 
+    /// Returns all values that a key has had, the oldest first.
+    std::vector<std::string> values(const std::string& topic,
+                                    const std::string& key) const;
+
 private:
     struct record {
         std::string key;
@@ -65,6 +76,8 @@
     std::map<partition, std::vector<record>> logs_;
     bool refusing_ = false;
     std::set<partition> refused_;
+    std::string held_topic_;
+    int held_answers_ = 0;
     int losing_ = 0;
     int appends_ = 0;
     std::vector<answer> unanswered_;
--- a/testing/entry/token_server.hpp
+++ b/testing/entry/token_server.hpp
@@ -36,6 +36,9 @@
     /// server has worked on them.
     void set_losing_answers(bool losing) { losing_answers_ = losing; }
 
+    /// Sets the time between two events, in ms.
+    void set_event_ms(int ms) { event_ms_ = ms; }
+
     /// From now on requests without a model are worked on and never answered,
     /// while their connections stay open.
     void fall_mute() { mute_ = true; }
