samplers: runs at a server that is listed again still count

What callers saw: a server whose entry lapsed and came back under the same id, as one that had lost the store, got more runs than it has places; it refused them, and was left alone for a quarter of a second each time.

Cause: its row was erased with the count of what went on there, and the ends of those runs were then taken from the count of newer ones.

Fix: the count outlives the row until the last of them has ended.

--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -134,10 +134,22 @@
     void clear_loading();
 
 private:
+    using row_map = std::map<sampler_id, sampler_row>;
+
+    /// What goes on at a server.
+    struct work_there {
+        int running = 0;
+        std::int64_t tokens = 0;
+    };
+
+    row_map::iterator erase(row_map::iterator row);
+
     base::clock clock_;
     std::uint64_t salt_;
     base::mechanism_set mechanisms_;
-    std::map<sampler_id, sampler_row> rows_;
+    row_map rows_;
+    /// The work that goes on at servers whose entries are gone.
+    std::map<sampler_id, work_there> unlisted_work_;
     std::map<service_name, std::int64_t> memory_;
 };
 
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -31,7 +31,16 @@
 }
 
 void sampler_table::put(const sampler_id& id, registration r) {
-    auto& row = rows_[id];
+    const auto [at, listed_anew] = rows_.try_emplace(id);
+    auto& row = at->second;
+    if (listed_anew) {
+        const auto left = unlisted_work_.find(id);
+        if (left != unlisted_work_.end()) {
+            row.running = left->second.running;
+            row.tokens = left->second.tokens;
+            unlisted_work_.erase(left);
+        }
+    }
     const bool anew = row.registered.started != r.started ||
                       !(row.registered.address == r.address);
     if (anew) {
@@ -53,7 +62,20 @@
 }
 
 void sampler_table::remove(const sampler_id& id) {
-    rows_.erase(id);
+    const auto row = rows_.find(id);
+    if (row != rows_.end()) {
+        erase(row);
+    }
+}
+
+/// Requests may go on at a server whose entry is gone, and it may be listed
+/// again before they end.
+sampler_table::row_map::iterator sampler_table::erase(row_map::iterator row) {
+    const auto& r = row->second;
+    if (r.running > 0) {
+        unlisted_work_[row->first] = {r.running, r.tokens};
+    }
+    return rows_.erase(row);
 }
 
 void sampler_table::mark_unlisted(const sampler_id& id) {
@@ -64,7 +86,7 @@
 
 void sampler_table::remove_unlisted() {
     for (auto row = rows_.begin(); row != rows_.end();) {
-        row = row->second.unlisted ? rows_.erase(row) : std::next(row);
+        row = row->second.unlisted ? erase(row) : std::next(row);
     }
 }
 
@@ -84,6 +106,14 @@
     if (auto* row = find(id)) {
         row->running = std::max(0, row->running - 1);
         row->tokens = std::max<std::int64_t>(0, row->tokens - tokens);
+        return;
+    }
+    const auto left = unlisted_work_.find(id);
+    if (left != unlisted_work_.end()) {
+        left->second.tokens -= tokens;
+        if (--left->second.running <= 0) {
+            unlisted_work_.erase(left);
+        }
     }
 }
 
--- /dev/null
+++ b/packages/samplers/test/sampler_table_test.cpp
@@ -0,0 +1,42 @@
+#include "hibiscus/samplers/sampler_table.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+namespace hibiscus::samplers {
+
+namespace {
+
+class sampler_table_test : public testing::Test {
+protected:
+    sampler_table_test() { table_.put(server_, {}); }
+
+    std::shared_ptr<base::manual_time> time_ =
+        std::make_shared<base::manual_time>();
+    sampler_table table_{base::clock(time_)};
+    sampler_id server_{"a"};
+};
+
+TEST_F(sampler_table_test, runs_at_a_server_that_is_listed_again_still_count) {
+    // A server that had lost the store got more runs than it has places.
+    table_.started(server_, 100);
+    table_.started(server_, 200);
+    table_.started(server_, 400);
+    table_.remove(server_);
+    table_.ended(server_, 100);
+    table_.put(server_, {});
+    EXPECT_EQ(table_.find(server_)->running, 2);
+    EXPECT_EQ(table_.find(server_)->tokens, 600);
+    table_.mark_unlisted(server_);
+    table_.remove_unlisted();
+    table_.ended(server_, 200);
+    table_.ended(server_, 400);
+    table_.put(server_, {});
+    EXPECT_EQ(table_.find(server_)->running, 0);
+    EXPECT_EQ(table_.find(server_)->tokens, 0);
+}
+
+} // namespace
+
+} // namespace hibiscus::samplers
