transport: a call that is cancelled by its own handler no longer crashes the node

Seen: on a route with singleVersion, an event that carries a new version of the weights ended the process of the jobs' owner (SIGSEGV). All its callers' connections closed without an answer, those of plain requests too, and the jobs waited for a takeover.

Cause: cancel() emptied the call's handlers while one of them was running. The owner's handler of data stops its run (mixed_versions), which cancels the call, and then reads its captures, which lie in the std::function just emptied. The class: an object destroys the closure that is calling it.

Fix: handlers are released after the one that runs has returned. The stand-in server tells a change of its weights in streams under way, as real ones do.

--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -102,7 +102,7 @@
         if (!done_) {
             done_ = true;
             close();
-            events_ = {};
+            release_events();
         }
     }
 
@@ -313,9 +313,7 @@
             return false;
         }
         note_keep_alive(head.fields);
-        if (events_.head) {
-            events_.head(head);
-        }
+        tell(events_.head, head);
         return !done_;
     }
 
@@ -340,8 +338,26 @@
             return;
         }
         const std::string piece = std::exchange(body, std::string());
-        if (events_.data) {
-            events_.data(piece);
+        tell(events_.data, std::string_view(piece));
+    }
+
+    template <class Handler, class Value>
+    void tell(const Handler& handler, const Value& value) {
+        if (!handler) {
+            return;
+        }
+        telling_ = true;
+        handler(value);
+        telling_ = false;
+        if (done_) {
+            release_events();
+        }
+    }
+
+    /// A handler that cancels its own call still runs; it must outlive that.
+    void release_events() {
+        if (!telling_) {
+            events_ = {};
         }
     }
 
@@ -361,9 +377,10 @@
             return;
         }
         close();
-        const auto events = std::exchange(events_, {});
-        if (events.ended) {
-            events.ended(end);
+        const auto ended = std::exchange(events_.ended, nullptr);
+        release_events();
+        if (ended) {
+            ended(end);
         }
     }
 
@@ -394,6 +411,8 @@
     bool written_ = false;
     bool head_told_ = false;
     bool done_ = false;
+    /// A handler of this call is running.
+    bool telling_ = false;
 };
 
 } // namespace
--- a/packages/transport/test/upstream_test.cpp
+++ b/packages/transport/test/upstream_test.cpp
@@ -236,6 +236,35 @@
     EXPECT_EQ(ends.at("asked"), call_end::timed_out);
 }
 
+// Guards against a crash when an event of a call makes its owner cancel it.
+TEST_F(upstream_test, a_call_is_cancelled_from_its_own_events) {
+    struct owner {
+        std::shared_ptr<upstream_call> call;
+        int cancelled = 0;
+    };
+    const std::string bytes = chunked_head + chunked("abc");
+    scripted_server server(io_, {{bytes}, {bytes}});
+    for (const bool at_head : {true, false}) {
+        owner state;
+        const auto cancel = [at = &state](int number) {
+            at->call->cancel();
+            at->cancelled = number;
+        };
+        upstream_events events;
+        if (at_head) {
+            events.head = [cancel](const auto&) { cancel(1); };
+        } else {
+            events.data = [cancel](std::string_view) { cancel(2); };
+        }
+        state.call = client_.start(server.address(), {}, {}, std::move(events));
+        io_.restart();
+        for (int n = 0; n < 2000 && state.cancelled == 0; ++n) {
+            io_.run_one_for(std::chrono::milliseconds(10));
+        }
+        EXPECT_EQ(state.cancelled, at_head ? 1 : 2);
+    }
+}
+
 TEST(event_stream_parser_test, splits_events_wherever_the_bytes_are_cut) {
     const std::string text = "id: 1\ndata: a\n\nweight-versions: 3\nid: 2\n"
                              "data: b\ndata: c\n\nid: 3\ndata: cut";
--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -128,6 +128,22 @@
     EXPECT_TRUE(last.at("results").empty());
 }
 
+// Guards against an owner that crashes when an event ends its own run.
+TEST_F(entry_path_test, weights_that_change_in_a_run_do_not_stop_the_owner) {
+    auto single = json::parse(configuration);
+    single.at("routes").at(1)["singleVersion"] = true;
+    store_.put("keyed.op", "config", single.dump());
+    start_node("n1");
+    ASSERT_TRUE(wait_ready("n1"));
+    ASSERT_EQ(submit("n1").status, 202);
+    ASSERT_TRUE(run_until(
+        [&] { return engines_[0]->runs() > 0 && engines_[1]->runs() > 0; }));
+    engines_[0]->change_version(2);
+    engines_[1]->change_version(2);
+    EXPECT_TRUE(read_all("n1"));
+    EXPECT_TRUE(nodes_.at("n1")->running());
+}
+
 TEST_F(entry_path_test, a_killed_owner_loses_no_result_and_no_position) {
     // The process that runs the jobs is killed in the middle of a step. The
     // trainer must read every sample once, whole, and what it had read must
--- a/testing/entry/token_server.cpp
+++ b/testing/entry/token_server.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdlib>
+#include <utility>
 
 namespace hibiscus::testing {
 
@@ -92,30 +93,34 @@
         to->begin(200, {{"Request-Id", id},
                         {"Response-Stamp", "of-" + id},
                         {"Weight-Versions", std::to_string(version_)}});
-        run(id, std::atoi(field(request, "Last-Event-Id").c_str()) + 1, breaks_,
-            to);
+        run({id, breaks_, version_, to},
+            std::atoi(field(request, "Last-Event-Id").c_str()) + 1);
     }
 }
 
-void token_server::run(const std::string& id, int next, int breaks,
-                       const answer& to) {
-    if (breaks != breaks_) {
-        to->write("id: " + std::to_string(next) + "\ndata: half of ");
-        to->abort();
+void token_server::run(stream s, int next) {
+    if (s.breaks != breaks_) {
+        s.to->write("id: " + std::to_string(next) + "\ndata: half of ");
+        s.to->abort();
         return;
     }
     if (next > events_) {
-        to->end();
+        s.to->end();
         return;
     }
-    const bool named = id.compare(0, 4, "noid") != 0;
-    to->write((named ? "id: " + std::to_string(next) + "\n" : "") +
-              "data: " + event_of(id, next) + "\n\n");
+    std::string event;
+    if (std::exchange(s.version, version_) != version_) {
+        event = "weight-versions: " + std::to_string(version_) + "\n";
+    }
+    if (s.id.compare(0, 4, "noid") != 0) {
+        event += "id: " + std::to_string(next) + "\n";
+    }
+    s.to->write(event + "data: " + event_of(s.id, next) + "\n\n");
     auto timer = std::make_shared<boost::asio::steady_timer>(
         io_, std::chrono::milliseconds(event_ms_));
-    timer->async_wait([this, timer, id, next, breaks, to](auto error) {
+    timer->async_wait([this, timer, s = std::move(s), next](auto error) {
         if (!error) {
-            run(id, next + 1, breaks, to);
+            run(s, next + 1);
         }
     });
 }
--- a/testing/entry/token_server.hpp
+++ b/testing/entry/token_server.hpp
@@ -32,6 +32,9 @@
     /// Breaks off all streams at their next event, in the middle of it.
     void break_streams() { ++breaks_; }
 
+    /// Changes the weights; streams go on and tell the change.
+    void change_version(std::int64_t version) { version_ = version; }
+
     /// Sets whether answers to requests without a model are lost once the
     /// server has worked on them.
     void set_losing_answers(bool losing) { losing_answers_ = losing; }
@@ -52,8 +55,18 @@
 private:
     using answer = std::shared_ptr<transport::exchange>;
 
+    /// A stream under way.
+    struct stream {
+        std::string id;
+        /// The count of breaks at its start.
+        int breaks = 0;
+        /// The version of the weights that its reader knows of.
+        std::int64_t version = 0;
+        answer to;
+    };
+
     void handle(const transport::inbound_request& request, const answer& to);
-    void run(const std::string& id, int next, int breaks, const answer& to);
+    void run(stream s, int next);
 
     boost::asio::io_context& io_;
     std::string id_;
