entry: a refusal that is not marked as not run is no promise to callers

Seen: a request of a non_idempotent route ran at a server, which answered 503, 429 or 408 without Not-Executed. Its caller got that status and with it the promise that the request has not run and never will.

Cause: answers of servers were handed on whatever their status. Only Not-Executed and 421 say that nothing ran; they never reach a caller.

Fix: where a request may run once only, such an answer becomes 502, which promises nothing. Requests that may run again still get their server's answer.

--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -229,6 +229,14 @@
             return;
         }
         state_.samplers.answered(server_, state_.clock.now() - sent_at_);
+        if (a.means_not_run && !request_.repeatable) {
+            // Without the server's word that it did not run, callers must not
+            // read so in the status.
+            may_have_run_ = true;
+            log("attempt", "unclear");
+            give_up(false);
+            return;
+        }
         if (a.status >= 500) {
             failures_ += a.status == 500 ? 1 : 0;
             may_have_run_ = true;
