entry: a kept connection that ended is no failure of its server

Seen: a lookup went out on a kept connection which its server had dropped without notice, or on which a late second answer to an earlier request stood. On a route with one attempt its caller got 502; on others an attempt was spent, and the sound server was left alone for 150 ms and more.

Cause: the end of a kept connection before an answer, another request's answer on it, and a server that breaks off counted alike (call_end::broken).

Evidence: forwarder_test.a_request_outlives_a_dropped_kept_connection and a_request_outlives_a_late_answer_to_another_one failed before with 502 for 200.

Fix: such a call ends as stale, and the request goes to the same server once more on a new connection, unless that one is gone or leaves. It spends no attempt, as these count servers. Only what may run again is sent on kept connections, so nothing else is sent twice. A connection that the call opened itself ends as broken, as before.

--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -60,7 +60,9 @@
             give_up(false);
             return;
         }
-        send_to(*to, left);
+        tried_.insert(*to);
+        ++sent_;
+        send_to(*to, left, request_.repeatable);
     }
 
     void cancel() override {
@@ -75,10 +77,9 @@
     }
 
 private:
-    void send_to(const samplers::sampler_id& to, base::millis left) {
+    void send_to(const samplers::sampler_id& to, base::millis left,
+                 bool reuse) {
         server_ = to;
-        tried_.insert(to);
-        ++sent_;
         sent_at_ = state_.clock.now();
         head_ = {};
         body_.clear();
@@ -102,7 +103,7 @@
         if (request_.resumable && sent_ < request_.attempts) {
             options.silence_ms = stream_silence_ms;
         }
-        options.reuse = request_.repeatable;
+        options.reuse = reuse;
         transport::upstream_events events;
         events.head = [self = shared_from_this()](const auto& h) {
             self->on_head(h);
@@ -201,7 +202,25 @@
         log("stream", "cut");
     }
 
+    /// Sends to the same server once more, on a new connection: a kept one
+    /// that has ended says nothing about its server.
+    void send_again() {
+        may_have_run_ = true;
+        const auto* row = state_.samplers.find(server_);
+        const auto left = request_.due - state_.clock.now() - margin_ms;
+        if (row == nullptr || row->registered.draining || left <= 0) {
+            next();
+            return;
+        }
+        send_to(samplers::sampler_id(server_), left, false);
+    }
+
     void on_broken(transport::call_end end) {
+        if (end == transport::call_end::stale) {
+            log("attempt", std::string(base::name_of(end)));
+            send_again();
+            return;
+        }
         state_.samplers.failed(server_);
         log("attempt", std::string(base::name_of(end)));
         if (end != transport::call_end::not_sent) {
--- a/packages/entry/test/forwarder_test.cpp
+++ b/packages/entry/test/forwarder_test.cpp
@@ -26,6 +26,18 @@
     EXPECT_EQ(ask(again, {conduct::refuses_after_the_run})->status, 503);
 }
 
+// Guards against a failure of a lookup whose server dropped a kept connection.
+TEST_F(forwarder_test, a_request_outlives_a_dropped_kept_connection) {
+    ask(again_at_one, {conduct::drops_the_idle_connection});
+    EXPECT_EQ(ask(again_at_one, {conduct::answers})->status, 200);
+}
+
+// Guards against a failure of the request behind an answer that came twice.
+TEST_F(forwarder_test, a_request_outlives_a_late_answer_to_another_one) {
+    ask(again_at_one, {conduct::sends_the_last_answer_again});
+    EXPECT_EQ(ask(again_at_one, {conduct::answers})->status, 200);
+}
+
 } // namespace
 
 } // namespace hibiscus::testing
--- a/packages/transport/include/hibiscus/transport/upstream.hpp
+++ b/packages/transport/include/hibiscus/transport/upstream.hpp
@@ -36,6 +36,8 @@
     closed,    ///< An answer without a length ended with its connection.
     not_sent,  ///< No byte of the request can have left.
     broken,    ///< The connection ended or sent bytes that are no answer.
+    stale,     ///< A kept connection ended without an answer, or held another
+               ///< request's; whether the request ran is open.
     silent,    ///< Nothing came for as long as the call allows.
     timed_out, ///< The call's whole time was over.
 };
@@ -121,11 +123,12 @@
 
 template <>
 struct enum_names<transport::call_end> {
-    static constexpr std::array<enum_name<transport::call_end>, 6> table{{
+    static constexpr std::array<enum_name<transport::call_end>, 7> table{{
         {transport::call_end::complete, "complete"},
         {transport::call_end::closed, "closed"},
         {transport::call_end::not_sent, "not_sent"},
         {transport::call_end::broken, "broken"},
+        {transport::call_end::stale, "stale"},
         {transport::call_end::silent, "silent"},
         {transport::call_end::timed_out, "timed_out"},
     }};
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -240,9 +240,10 @@
             return;
         }
         if (error) {
-            finish(call_end::broken);
+            finish(silent_ ? lost() : call_end::broken);
             return;
         }
+        silent_ = false;
         if (!parse() || !take_head()) {
             return;
         }
@@ -287,7 +288,12 @@
             finish(error ? call_end::broken : call_end::closed);
             return;
         }
-        finish(call_end::broken);
+        finish(silent_ ? lost() : call_end::broken);
+    }
+
+    /// How a call ends whose connection brought nothing of its answer.
+    call_end lost() const {
+        return opened_ ? call_end::broken : call_end::stale;
     }
 
     /// Hands the head on, once. Returns false if the call has ended.
@@ -309,7 +315,7 @@
         if (!echo_.empty() &&
             (id != nullptr ? *id != echo_value_ : head.status < 400)) {
             ++state_->counts.stray_bytes;
-            finish(call_end::broken);
+            finish(lost());
             return false;
         }
         note_keep_alive(head.fields);
@@ -409,6 +415,8 @@
     bool opened_ = false;
     bool connected_ = false;
     bool written_ = false;
+    /// Nothing has come on the connection yet.
+    bool silent_ = true;
     bool head_told_ = false;
     bool done_ = false;
     /// A handler of this call is running.
