--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 # How long `make fuzz` explores; SEED=n begins with a seed it printed.
 SECONDS ?= 60
-FUZZERS ?= batch cluster document policy
+FUZZERS ?= batch cluster document entry policy store
 
 all: build
 
