--- a/packages/entry/src/node_state.hpp
+++ b/packages/entry/src/node_state.hpp
@@ -17,9 +17,10 @@
 
 /// What the parts of a node share. All of it belongs to the one thread.
 struct node_state {
-    explicit node_state(node_settings s, int log_descriptor = 1)
-        : config(std::move(s)), log(config.node, log_descriptor, {}, clock),
-          jobs(clock),
+    explicit node_state(node_settings s, base::clock time = {},
+                        int log_descriptor = 1)
+        : clock(std::move(time)), config(std::move(s)),
+          log(config.node, log_descriptor, {}, clock), jobs(clock),
           samplers(clock, std::random_device{}(), config.mechanisms),
           random(std::random_device{}()) {}
 
