entry: an item is denied only if all items of its job were read

Cause: what a read of items brings was taken for the whole job. The owner checks the number of items before it takes a job up, the answer to a caller did not.

Evidence: an_item_is_denied_only_if_all_items_were_read failed before, 404 in place of 503. The header says how many items there are; with fewer the answer is 503 items_missing, and its caller comes again.

--- a/packages/entry/src/batch_api.cpp
+++ b/packages/entry/src/batch_api.cpp
@@ -319,9 +319,17 @@
         const auto found =
             std::find_if(items->begin(), items->end(),
                          [&](const auto& i) { return i.id == w.item; });
-        w.caller->respond(found == items->end()
-                              ? adapter::plain_status(404)
-                              : adapter::item_body(found->body));
+        if (found != items->end()) {
+            w.caller->respond(adapter::item_body(found->body));
+            return;
+        }
+        const auto* row = state_.jobs.find(w.job);
+        const auto count = static_cast<int>(items->size());
+        if (row == nullptr || count < row->header->items) {
+            unreachable(w, "items_missing", count);
+            return;
+        }
+        w.caller->respond(adapter::plain_status(404));
     });
 }
 
--- /dev/null
+++ b/packages/entry/test/batch_api_test.cpp
@@ -0,0 +1,83 @@
+#include "batch_world.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <gtest/gtest.h>
+
+namespace hibiscus::entry {
+
+namespace {
+
+const batch::job_id job("j");
+
+class batch_api_test : public ::testing::Test {
+protected:
+    batch_api_test() { time_.run_for(500); }
+
+    static batch::job submission(int items) {
+        batch::job out;
+        out.header.id = job;
+        for (int n = 0; n < items; ++n) {
+            batch::item i;
+            i.id = batch::item_id("i" + std::to_string(n));
+            i.body = "body " + std::to_string(n);
+            out.items.push_back(std::move(i));
+        }
+        return out;
+    }
+
+    /// Stores a job of which the items `from` on are not there.
+    void store_part(int items, int from) {
+        auto whole = submission(items);
+        auto header = whole.header;
+        whole.items.resize(static_cast<std::size_t>(from));
+        const auto chunks =
+            batch::cut_into_chunks(header, std::move(whole.items), 1024);
+        const job_files files(port_, node_.state().config.partitions, {});
+        files.append_items(job, chunks, [](const auto&) {});
+        header.items = items;
+        store_.append(
+            batch_node::journal(),
+            {{batch::to_text(batch::header_key{job}), batch::encode(header)}});
+        time_.run_for(500);
+    }
+
+    transport::outbound_response body(const std::string& item) {
+        return answer([&](auto caller) {
+            node_.calls().body({job, batch::item_id(item)}, caller);
+        });
+    }
+
+    template <class Call>
+    transport::outbound_response answer(Call call) {
+        transport::outbound_response out{0, {}, ""};
+        call(std::make_shared<test_exchange>([&](const auto& r) { out = r; }));
+        time_.run_for(3000);
+        return out;
+    }
+
+    testing::virtual_time time_;
+    testing::timed_store store_{time_, 1};
+    std::shared_ptr<const bool> alive_ = std::make_shared<bool>(true);
+    store::log_store port_ = store_.port(alive_);
+    batch_node node_{store_, time_, "n", "s"};
+};
+
+TEST_F(batch_api_test, an_item_is_denied_only_if_all_items_were_read) {
+    // An item that could not be read was answered 404 though its job has it.
+    store_part(3, 2);
+    EXPECT_EQ(body("i1").body, "body 1");
+    EXPECT_EQ(body("i2").status, 503);
+}
+
+TEST_F(batch_api_test, an_item_that_a_job_never_had_is_denied) {
+    answer([&](auto caller) {
+        node_.calls().submit(submission(3), 1000, caller);
+    });
+    EXPECT_EQ(body("i2").body, "body 2");
+    EXPECT_EQ(body("i3").status, 404);
+}
+
+} // namespace
+
+} // namespace hibiscus::entry
