entry: a read at a position beyond all int values ends no node

GET /lots/JOB?after= ended the process of the node that was asked, and a caller that came again ended the next one.

Cause: the position was narrowed to int before it was compared with the listed ones, so that it became -1, stood before the end of what is listed, and the listing before the first one was looked up.

Evidence: a_position_that_no_job_has_does_not_end_the_node ended with SIGSEGV before (exit code 139). The comparison is now made in the type of the call; what lies behind the last listed position is answered as any other such position.

--- a/packages/entry/src/batch_api.cpp
+++ b/packages/entry/src/batch_api.cpp
@@ -215,7 +215,7 @@
 }
 
 bool batch_api::settle_read(const waiter& w, const batch::job_row& row) {
-    if (static_cast<int>(w.after) < row.next_position()) {
+    if (w.after < static_cast<std::size_t>(row.next_position())) {
         send_texts(w, row);
         return true;
     }
--- a/packages/entry/test/batch_api_test.cpp
+++ b/packages/entry/test/batch_api_test.cpp
@@ -78,6 +78,20 @@
     EXPECT_EQ(body("i3").status, 404);
 }
 
+TEST_F(batch_api_test, a_position_that_no_job_has_does_not_end_the_node) {
+    // A caller who asked for position 4294967295 ended each node it asked.
+    answer([&](auto caller) {
+        node_.calls().submit(submission(3), 1000, caller);
+    });
+    for (const auto after : {std::size_t{0xffffffff}, ~std::size_t{0}}) {
+        const auto got = answer([&](auto caller) {
+            node_.calls().read({job, after, 0}, caller);
+        });
+        ASSERT_EQ(got.status, 200);
+        EXPECT_TRUE(nlohmann::json::parse(got.body).at("results").empty());
+    }
+}
+
 } // namespace
 
 } // namespace hibiscus::entry
