store: a read without records before the end is not current

A node whose read brought no records but an end behind its view took the view for current and denied what stands there, a job or a position (rule LOST).

Cause: an empty answer after the read's wait counted as proof that nothing came, whatever end it named. Only an end that equals the view's proves that.

Evidence: a_read_without_records_before_the_end_is_not_current failed before: current_at() was 3710, though the record at 0 was never read. Such an answer now leaves current_at() as it is, and the read goes out again after the pause of a refused one, so that the store is not pressed.

--- a/packages/store/src/follower.cpp
+++ b/packages/store/src/follower.cpp
@@ -138,7 +138,11 @@
         if (next_ >= r.end) {
             current_at_ = std::max(current_at_, started);
         }
-        if (r.records.empty() && r.end >= next_) {
+        if (r.records.empty() && r.end > next_) {
+            later([](impl& self) { self.read(); });
+            return;
+        }
+        if (r.records.empty() && r.end == next_) {
             // The store waited before it said that nothing came, and began to
             // wait after the read was sent.
             const bool waited = clock_.now() - started >= times_.wait;
--- a/packages/store/test/follower_test.cpp
+++ b/packages/store/test/follower_test.cpp
@@ -105,6 +105,27 @@
     EXPECT_EQ(view_.at("c"), "3");
 }
 
+TEST_F(follower_test, a_read_without_records_before_the_end_is_not_current) {
+    // A record that stands behind an empty answer was taken for absent.
+    log_store hollow = store_.port();
+    hollow.read = [this](const partition&, log_offset, base::millis wait,
+                         const std::function<void(read_result)>& done) {
+        later_.push_back([this, wait, done] {
+            time_->advance(wait);
+            done(read_records{1, {}});
+        });
+    };
+    follower f(hollow, {"t", 0}, base::clock(time_),
+               [this](base::millis, std::function<void()> g) {
+                   later_.push_back(std::move(g));
+               },
+               {}, {[](const auto&) {}, {}});
+    f.start();
+    run();
+    EXPECT_TRUE(f.loaded());
+    EXPECT_EQ(f.current_at(), 0);
+}
+
 TEST_F(follower_test, tells_the_loss_of_the_store_and_its_return_once) {
     follower_->start();
     run();
