--- a/packages/store/src/follower.cpp
+++ b/packages/store/src/follower.cpp
@@ -40,11 +40,12 @@
     void begin_snapshot() {
         snapshot_.clear();
         snapshot_end_.reset();
-        page("");
+        page();
     }
 
-    void page(const std::string& after) {
-
+    void page() {
+        const auto after =
+            snapshot_.empty() ? std::string() : snapshot_.back().content.key;
         store_.newest(source_, after,
                       [self = shared_from_this()](newest_result r) {
                           self->on_page(std::move(r));
@@ -57,19 +58,20 @@
         }
         auto* p = base::value_if(result);
         if (p == nullptr) {
+            // The pages so far hold on: reading goes on from the first one's
+            // end in any case.
             lost();
-            later([](impl& self) { self.begin_snapshot(); });
+            later([](impl& self) { self.page(); });
             return;
         }
         if (!snapshot_end_) {
             snapshot_end_ = p->end;
         }
-        const std::string last =
-            p->records.empty() ? "" : p->records.back().content.key;
+        const bool more = p->more && !p->records.empty();
         std::move(p->records.begin(), p->records.end(),
                   std::back_inserter(snapshot_));
-        if (p->more && !last.empty()) {
-            page(last);
+        if (more) {
+            page();
             return;
         }
         finish_snapshot();
--- a/packages/store/test/follower_test.cpp
+++ b/packages/store/test/follower_test.cpp
@@ -126,6 +126,32 @@
     EXPECT_EQ(f.current_at(), 0);
 }
 
+TEST_F(follower_test, a_refused_page_does_not_begin_the_snapshot_anew) {
+    // A node that started beside a store in trouble knew no job for long.
+    for (const char* key : {"a", "b", "c", "d", "e", "f", "g"}) {
+        append(key, "1");
+    }
+    log_store flaky = store_.port();
+    int calls = 0;
+    flaky.newest = [this, &calls](const partition& p, const std::string& after,
+                                  std::function<void(newest_result)> done) {
+        if (++calls % 2 == 0) {
+            later_.push_back([done = std::move(done)] { done(refused{503}); });
+        } else {
+            store_.port().newest(p, after, std::move(done));
+        }
+    };
+    follower f(flaky, {"t", 0}, base::clock(time_),
+               [this](base::millis, std::function<void()> g) {
+                   later_.push_back(std::move(g));
+               },
+               {}, {[this](const auto& changes) { apply(changes); }, {}});
+    f.start();
+    run(100);
+    EXPECT_TRUE(f.loaded());
+    EXPECT_EQ(view_.size(), 7U);
+}
+
 TEST_F(follower_test, tells_the_loss_of_the_store_and_its_return_once) {
     follower_->start();
     run();
