batch: an end without a job holds up no erasure

Cause: an append of an end that had no answer may be carried out seconds later, behind the erasure of its job. The row that it leaves counts as an ended job, comes first in each search, and can't be erased, since the owner looks it up among the jobs that have a header.

Evidence: an_end_without_a_job_holds_up_no_other_job failed before: the end's job was named in place of the one that can be erased. Only jobs with a header are named now; an end that stays takes some 20 bytes.

--- a/packages/batch/src/retention.cpp
+++ b/packages/batch/src/retention.cpp
@@ -5,7 +5,7 @@
 std::optional<job_id> expired_job(const ledger& l, base::millis now,
                                   base::millis keep_ms) {
     for (const auto& [id, row] : l.jobs()) {
-        if (row.ended && now - row.seen_at > keep_ms) {
+        if (row.header && row.ended && now - row.seen_at > keep_ms) {
             return id;
         }
     }
--- a/packages/batch/test/retention_test.cpp
+++ b/packages/batch/test/retention_test.cpp
@@ -51,6 +51,16 @@
     EXPECT_FALSE(expired());
 }
 
+TEST_F(retention_test, an_end_without_a_job_holds_up_no_other_job) {
+    // An end stored after its job's erasure stopped all erasures for good.
+    time_->advance(1);
+    put(end_key{job_id("a")}, "1");
+    accept("b");
+    put(end_key{job_id("b")}, "1");
+    time_->advance(keep_ms + 1);
+    EXPECT_EQ(expired(), job_id("b"));
+}
+
 TEST_F(retention_test, nothing_of_an_erased_job_is_left_in_the_journal) {
     accept("a");
     listing l;
