--- a/packages/batch/test/owner_cut_off_test.cpp
+++ b/packages/batch/test/owner_cut_off_test.cpp
@@ -144,15 +144,17 @@
         if (!appending_ && due) {
             appending_ = true;
             const auto at = follower_.next();
+            const auto sent_at = time_->now();
             const std::vector<store::record> records{own_record()};
-            port_.append({"journal", 0}, records, &at,
-                         [this, records](const store::append_result& r) {
-                             appending_ = false;
-                             if (const auto* a = base::value_if(r)) {
-                                 owner_.renewed();
-                                 follower_.appended_here(a->first, records);
-                             }
-                         });
+            port_.append(
+                {"journal", 0}, records, &at,
+                [this, records, sent_at](const store::append_result& r) {
+                    appending_ = false;
+                    if (const auto* a = base::value_if(r)) {
+                        owner_.renewed();
+                        follower_.appended_here(a->first, records, sent_at);
+                    }
+                });
         }
     }
 
--- a/packages/batch/test/owners_fuzz_test.cpp
+++ b/packages/batch/test/owners_fuzz_test.cpp
@@ -131,14 +131,16 @@
     void append(const std::vector<store::record>& records) {
         appending_ = true;
         const auto at = follower_.next();
-        store_.port().append(journal, records, &at,
-                             [this, records](const store::append_result& r) {
-                                 appending_ = false;
-                                 if (const auto* a = base::value_if(r)) {
-                                     ownership_.renewed();
-                                     follower_.appended_here(a->first, records);
-                                 }
-                             });
+        const auto sent_at = clock_.now();
+        store_.port().append(
+            journal, records, &at,
+            [this, records, sent_at](const store::append_result& r) {
+                appending_ = false;
+                if (const auto* a = base::value_if(r)) {
+                    ownership_.renewed();
+                    follower_.appended_here(a->first, records, sent_at);
+                }
+            });
     }
 
     testing::memory_store& store_;
--- a/packages/entry/src/owner_writes.cpp
+++ b/packages/entry/src/owner_writes.cpp
@@ -56,7 +56,7 @@
                       const auto* a = base::value_if(r);
                       if (a != nullptr) {
                           ownership_.renewed();
-                          journal_.appended_here(a->first, records);
+                          journal_.appended_here(a->first, records, sent_at);
                       }
                       done(a != nullptr);
                   });
--- a/packages/store/include/hibiscus/store/follower.hpp
+++ b/packages/store/include/hibiscus/store/follower.hpp
@@ -60,12 +60,14 @@
     log_offset next() const;
 
     /// Returns the time at which the view was last known to be current: the
-    /// start of the newest read that reached the end.
+    /// start of the newest read that reached the end, or of an append there.
     base::millis current_at() const;
 
-    /// Takes in what the owner itself has appended at the end of the view, so
+    /// Takes in what the owner itself has appended on the condition that the
+    /// partition ends where the view does, by a call begun at `sent_at`, so
     /// that it need not wait for the read. Ignored unless it follows on.
-    void appended_here(log_offset first, const std::vector<record>& records);
+    void appended_here(log_offset first, const std::vector<record>& records,
+                       base::millis sent_at);
 
 private:
     class impl;
--- a/packages/store/src/follower.cpp
+++ b/packages/store/src/follower.cpp
@@ -23,10 +23,12 @@
 
     base::millis current_at() const { return current_at_; }
 
-    void appended_here(log_offset first, const std::vector<record>& records) {
+    void appended_here(log_offset first, const std::vector<record>& records,
+                       base::millis sent_at) {
         if (!loaded_ || first != next_) {
             return;
         }
+        current_at_ = std::max(current_at_, sent_at);
         std::vector<stored_record> stored;
         stored.reserve(records.size());
         for (const auto& r : records) {
@@ -254,8 +256,9 @@
 }
 
 void follower::appended_here(log_offset first,
-                             const std::vector<record>& records) {
-    impl_->appended_here(first, records);
+                             const std::vector<record>& records,
+                             base::millis sent_at) {
+    impl_->appended_here(first, records, sent_at);
 }
 
 } // namespace hibiscus::store
--- a/packages/store/test/follower_test.cpp
+++ b/packages/store/test/follower_test.cpp
@@ -166,14 +166,31 @@
     append("a", "1");
     follower_->start();
     run();
-    follower_->appended_here(1, {{"b", "1"}});
+    follower_->appended_here(1, {{"b", "1"}}, 0);
     EXPECT_EQ(view_.at("b"), "1");
     EXPECT_EQ(follower_->next(), 2U);
     // Somebody else's record lies between: what follows must wait for it.
-    follower_->appended_here(3, {{"c", "1"}});
+    follower_->appended_here(3, {{"c", "1"}}, 0);
     EXPECT_EQ(view_.count("c"), 0U);
 }
 
+TEST_F(follower_test, an_append_at_its_end_shows_that_the_view_is_current) {
+    // An owner whose reads hung renewed the ownership and began no item.
+    append("a", "1");
+    follower_->start();
+    run();
+    store_.set_refusing(true);
+    run();
+    time_->advance(5000);
+    const auto sent_at = time_->now();
+    ASSERT_LT(follower_->current_at(), sent_at);
+    time_->advance(10);
+    follower_->appended_here(3, {{"c", "1"}}, sent_at);
+    EXPECT_LT(follower_->current_at(), sent_at);
+    follower_->appended_here(1, {{"b", "1"}}, sent_at);
+    EXPECT_EQ(follower_->current_at(), sent_at);
+}
+
 TEST_F(follower_test, a_prefix_is_read_over_pages_and_no_further) {
     for (const char* key : {"a/1", "b/1", "b/2", "b/3", "b/4", "c/1"}) {
         append(key, "x");
