entry: an owner tells why items wait and how its hand-over ended

Cause: of an item that is at no server for seconds no line said why. Whether no place was free, the servers were blocked, loading or behind, the owner did not hear the store or was leaving, or had not taken the job up, could only be guessed from the lines of other matters.

--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -105,6 +105,16 @@
     std::int64_t expected_tokens = 0;
 };
 
+/// The items that wait for the same places, and what keeps them from these.
+struct waiting_items {
+    std::string model;
+    weight_version least_version = 0;
+    int items = 0;
+    /// How long one of them has waited at most, in ms.
+    base::millis longest_ms = 0;
+    samplers::server_counts servers;
+};
+
 /// Counts for the log and the metrics.
 struct work_counts {
     std::uint64_t runs = 0;
@@ -186,6 +196,9 @@
     /// next ones find a place for each item at once.
     std::map<std::string, int> places_wanted();
 
+    /// Returns what waits for a place, by what it needs.
+    std::vector<waiting_items> waits() const;
+
     int waiting() const;
     int running() const { return static_cast<int>(runs_.size()); }
     const work_counts& counts() const { return counts_; }
@@ -210,6 +223,7 @@
         int failures = 0;
         int reward_failures = 0;
         base::millis not_before = 0;
+        base::millis waiting_since = 0;
         std::string score;
         item_life life;
         /// It was an item of an earlier job, which ended without it; the
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -52,6 +52,7 @@
         item_row r;
         r.content = std::move(i);
         r.epoch = epoch;
+        r.waiting_since = clock_.now();
         if (row.listed.count(number) != 0) {
             r.at = state::done;
         } else {
@@ -162,6 +163,7 @@
 
 void work::requeue(item_row& row, base::millis pause) {
     row.at = state::waiting;
+    row.waiting_since = clock_.now();
     row.not_before = clock_.now() + pause;
 }
 
--- a/packages/batch/src/work_places.cpp
+++ b/packages/batch/src/work_places.cpp
@@ -139,6 +139,36 @@
     return out;
 }
 
+std::vector<waiting_items> work::waits() const {
+    const auto now = clock_.now();
+    const samplers::run_places places(table_, now);
+    std::map<std::tuple<samplers::service_name, std::string, weight_version>,
+             waiting_items>
+        kinds;
+    for (const auto& [id, job] : jobs_) {
+        for (const auto& row : job.items) {
+            if (row.at != state::waiting || job.ahead_until) {
+                continue;
+            }
+            const auto needs = needs_of(job, row);
+            auto& kind = kinds[{needs.service, needs.model, needs.least}];
+            if (kind.items++ == 0) {
+                kind.model = needs.model;
+                kind.least_version = needs.least;
+                kind.servers = places.count(needs);
+            }
+            kind.longest_ms =
+                std::max(kind.longest_ms, now - row.waiting_since);
+        }
+    }
+    std::vector<waiting_items> out;
+    out.reserve(kinds.size());
+    for (auto& kind : kinds) {
+        out.push_back(std::move(kind.second));
+    }
+    return out;
+}
+
 int work::waiting() const {
     int n = 0;
     for (const auto& [id, job] : jobs_) {
--- a/packages/batch/test/work_test.cpp
+++ b/packages/batch/test/work_test.cpp
@@ -321,6 +321,20 @@
     EXPECT_EQ(only<start_run>(effects).size(), 1U);
 }
 
+TEST_F(work_test, tells_how_long_items_wait_and_for_what) {
+    adopt(1);
+    adopt(3, true, 2, "newer");
+    work_.tick(true);
+    time_->advance(700);
+    const auto waits = work_.waits();
+    ASSERT_EQ(waits.size(), 1U);
+    EXPECT_EQ(waits[0].model, "m");
+    EXPECT_EQ(waits[0].least_version, 2);
+    EXPECT_EQ(waits[0].items, 3);
+    EXPECT_EQ(waits[0].longest_ms, 700);
+    EXPECT_EQ(waits[0].servers.old_weights, 2);
+}
+
 TEST_F(work_test, a_run_stays_at_its_server_while_none_may_start) {
     // An owner that stops, or is cut off, ended good runs and began no other.
     adopt(1);
--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -280,6 +280,7 @@
         commit();
         save();
         expire();
+        report_waits();
     }
     after_(tick_ms, [this] { tick(); });
 }
@@ -322,6 +323,7 @@
     if (std::exchange(owned_before_, false)) {
         owner_changed(false);
     }
+    log_hand_over();
     std::exchange(handed_over_, nullptr)();
 }
 
--- a/packages/entry/src/owner.hpp
+++ b/packages/entry/src/owner.hpp
@@ -107,6 +107,10 @@
     void list(const std::vector<batch::planned_listing>& lists);
     void save();
     void save_now(int least, std::function<void()> done);
+    void report_waits();
+    void log_waits(const batch::waiting_items& waits);
+    void log_unread_jobs();
+    void log_hand_over();
     void step_hand_over();
     void end_hand_over();
     void expire();
@@ -170,6 +174,7 @@
     base::millis may_order_at_ = 0;
     base::millis last_commit_ = 0;
     base::millis last_progress_ = 0;
+    base::millis last_report_ = 0;
 };
 
 } // namespace hibiscus::entry
--- a/packages/samplers/include/hibiscus/samplers/run_places.hpp
+++ b/packages/samplers/include/hibiscus/samplers/run_places.hpp
@@ -23,6 +23,23 @@
     std::int64_t tokens = 0;
 };
 
+/// How many servers of a service could take a run, and what keeps the others
+/// from it; each counts once.
+struct server_counts {
+    int open = 0;
+    int full = 0;
+    int draining = 0;
+    /// The entry is gone, and may be back.
+    int unlisted = 0;
+    /// Left alone after failures or a refusal.
+    int blocked = 0;
+    int loading = 0;
+    int old_weights = 0;
+
+    /// Returns how many have a free place, whatever keeps a run from it.
+    int with_places() const { return open + blocked + loading + old_weights; }
+};
+
 /// The places that servers have for runs at one moment. Each step of a
 /// trainer asks for hundreds of places at once and each tick again for those
 /// that found none: servers are ranked once for all runs with the same needs,
@@ -55,6 +72,9 @@
     /// without those in `except`.
     int free(const run_needs& needs, const std::set<sampler_id>& except = {});
 
+    /// Returns what the servers of a service are to a run with these needs.
+    server_counts count(const run_needs& needs) const;
+
     /// Returns the mean time between two events of a run at a server, in ms,
     /// as it was seen there lately, or else at the usual server of its
     /// service.
--- a/packages/samplers/src/run_places.cpp
+++ b/packages/samplers/src/run_places.cpp
@@ -229,6 +229,31 @@
     return free;
 }
 
+server_counts run_places::count(const run_needs& needs) const {
+    server_counts out;
+    for (const auto& [id, row] : table_.rows()) {
+        if (row.registered.service != needs.service) {
+            continue;
+        }
+        if (row.registered.draining) {
+            ++out.draining;
+        } else if (row.unlisted) {
+            ++out.unlisted;
+        } else if (row.running >= row.registered.slots) {
+            ++out.full;
+        } else if (now_ < row.blocked_until) {
+            ++out.blocked;
+        } else if (loads(table_, row, needs.model, now_)) {
+            ++out.loading;
+        } else if (row.version_of(needs.model) < needs.least) {
+            ++out.old_weights;
+        } else {
+            ++out.open;
+        }
+    }
+    return out;
+}
+
 const std::set<sampler_id>& run_places::slow(const service_name& service) {
     const auto [known, added] = slow_.try_emplace(service);
     if (!added) {
--- a/packages/samplers/test/run_places_test.cpp
+++ b/packages/samplers/test/run_places_test.cpp
@@ -93,6 +93,28 @@
     EXPECT_EQ(place(), "new");
 }
 
+TEST_F(run_places_test, tells_what_keeps_a_run_from_each_server) {
+    for (const char* id : {"a", "b", "c", "d", "e", "f", "g"}) {
+        add(id, 1);
+    }
+    table_.started(sampler_id("a"));
+    table_.block(sampler_id("b"), 100);
+    table_.loading(sampler_id("c"), "m", 100);
+    table_.saw_version(sampler_id("d"), "m", 0);
+    table_.mark_unlisted(sampler_id("e"));
+    table_.find(sampler_id("f"))->registered.draining = true;
+    const auto counts =
+        run_places(table_, clock_.now()).count({engines, "m", 1, 1000});
+    EXPECT_EQ(counts.full, 1);
+    EXPECT_EQ(counts.blocked, 1);
+    EXPECT_EQ(counts.loading, 1);
+    EXPECT_EQ(counts.old_weights, 1);
+    EXPECT_EQ(counts.unlisted, 1);
+    EXPECT_EQ(counts.draining, 1);
+    EXPECT_EQ(counts.open, 1);
+    EXPECT_EQ(counts.with_places(), 4);
+}
+
 TEST_F(run_places_test, a_load_keeps_only_the_runs_of_its_own_model_away) {
     // Three trainers share the servers, and some server always loads the
     // weights of one of them. It refuses new runs of that model alone; left
