entry: a fuzz test of the forwarder before faulty servers

Callers on kept connections send requests of five kinds of routes through the forwarder to six stand-in servers over loopback sockets. Each send meets one of 22 conducts: answers of all framings, late, twice or before the body was read; resets before, in and behind an answer; dropped idle connections; silence; refusals. Callers stay or leave, routes change their time, service or go, and servers leave, drain and come back meanwhile.

Checked: each caller that stays gets one complete answer, and a sound one that a server made is handed on; streams break off only behind a server that did; what may not repeat runs once, and is never called not run after it ran; answers belong to their requests; bodies are the same at each send; no more servers than the route allows.

--- a/packages/entry/test/faulty_server.hpp
+++ b/packages/entry/test/faulty_server.hpp
@@ -65,6 +65,7 @@
     std::set<std::string> ran_at;
     std::set<int> failures_signed;
     conduct last = conduct::answers;
+    bool last_lost_with_connection = false;
     std::string wrong;
 };
 
@@ -237,7 +238,8 @@
         s.last = what;
         const bool lost = c->repeat_at_next || what == conduct::resets_unread ||
                           what == conduct::resets_after_the_run;
-        s.sends_lost_with_connection += c->requests > 0 && lost ? 1 : 0;
+        s.last_lost_with_connection = c->requests > 0 && lost;
+        s.sends_lost_with_connection += s.last_lost_with_connection ? 1 : 0;
         ++c->requests;
     }
 
--- a/packages/entry/test/forwarder_world.hpp
+++ b/packages/entry/test/forwarder_world.hpp
@@ -163,6 +163,10 @@
         io_.poll();
     }
 
+    std::string metrics() const { return state_.counters.serialize(); }
+
+    std::size_t requests() const { return asked_.size(); }
+
     /// Runs until all callers are done. Returns what is wrong, or "".
     std::string finish() {
         const base::clock clock;
@@ -229,11 +233,12 @@
     std::string check_all() const {
         for (const auto& [id, s] : seen_) {
             const auto at = asked_.find(id);
-            const auto wrong = at == asked_.end()
-                                   ? std::string("nobody asked for it")
-                                   : check(id, s, at->second);
+            if (at == asked_.end()) {
+                return id + ": nobody asked for it";
+            }
+            auto wrong = check(id, s, at->second);
             if (!wrong.empty()) {
-                return id + ": " + wrong + " (" + describe(s, at->second) + ")";
+                return wrong.append(": ").append(describe(s, at->second));
             }
         }
         return "";
@@ -307,6 +312,10 @@
         if (!r.stamp.empty() && s.failures_signed.count(r.status) == 0) {
             return "no server signed this failure";
         }
+        if (s.sends > 0 && is_sound(s.last) && !s.last_lost_with_connection &&
+            r.status != 504) {
+            return "a sound answer was not handed on";
+        }
         const bool promise = r.status == 503 || r.status == 429 ||
                              r.status == 408 || r.status == 421;
         if (promise && !repeatable && s.runs > 0) {
