--- a/packages/entry/test/batch_world.hpp
+++ b/packages/entry/test/batch_world.hpp
@@ -197,12 +197,13 @@
         appending_ = true;
         const auto at = journal_.next();
         port_.append(journal(), records, &at,
-                     [this, records, done = std::move(done)](const auto& r) {
+                     [this, records, sent_at = state_.clock.now(),
+                      done = std::move(done)](const auto& r) {
                          appending_ = false;
                          const auto* a = base::value_if(r);
                          if (a != nullptr) {
                              ownership_.renewed();
-                             journal_.appended_here(a->first, records);
+                             journal_.appended_here(a->first, records, sent_at);
                          }
                          done(a != nullptr);
                      });
--- a/packages/entry/test/forwarder_world.hpp
+++ b/packages/entry/test/forwarder_world.hpp
@@ -77,7 +77,7 @@
 /// Callers, a front with a forwarder, and faulty servers on one event loop.
 class forwarder_world {
 public:
-    forwarder_world() : state_({}, null_.descriptor()) {
+    forwarder_world() : state_({}, {}, null_.descriptor()) {
         for (int n = 0; n < services * servers_of_a_service; ++n) {
             servers_.push_back(std::make_unique<faulty_server>(
                 io_, "server-" + std::to_string(n), seen_));
--- a/packages/store/test/follower_fuzz_test.cpp
+++ b/packages/store/test/follower_fuzz_test.cpp
@@ -121,7 +121,7 @@
 public:
     fuzz_reader(testing::timed_store& store, testing::virtual_time& time,
                 base::millis pace)
-        : oracle_(store), port_(store.port(alive_)),
+        : clock_(time.clock()), oracle_(store), port_(store.port(alive_)),
           follower_(
               port_, source, time.clock(),
               [&time, alive = alive_](base::millis ms,
@@ -147,12 +147,13 @@
             return;
         }
         const auto at = follower_.next();
-        port_.append(source, records, &at,
-                     [this, records](const append_result& r) {
-                         if (const auto* a = base::value_if(r)) {
-                             follower_.appended_here(a->first, records);
-                         }
-                     });
+        port_.append(
+            source, records, &at,
+            [this, records, sent_at = clock_.now()](const append_result& r) {
+                if (const auto* a = base::value_if(r)) {
+                    follower_.appended_here(a->first, records, sent_at);
+                }
+            });
     }
 
     const std::string& look() {
@@ -173,6 +174,7 @@
 
 private:
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    base::clock clock_;
     view_oracle oracle_;
     log_store port_;
     follower follower_;
