entry: what denies a job, an item or a position is told and counted

job_unknown, item_unknown and position_empty carry what the answer rests on: the place and age of the view against the wait of the call, the jobs and listings there, the items read, the job's end, and whether and up to which position this node has answered for the job itself. Each is a counter too; told_job_unknown and position_empty are faults whenever they count. read_refused names the call and the item, and calls and submissions that are refused are counted by reason.

No behaviour changes. The notes of what was told go with the time for which results are kept.

--- a/packages/entry/src/batch_api.cpp
+++ b/packages/entry/src/batch_api.cpp
@@ -118,6 +118,7 @@
                                 {"outcome", "accepted"},
                                 {"reason", reason}});
     state_.counters.observe("accept", ms);
+    note_told(s.header.id, 0);
     s.caller->respond(adapter::plain_status(202));
 }
 
@@ -127,6 +128,8 @@
                       {"ms", state_.clock.now() - s.started_at},
                       {"outcome", s.may_be_stored ? "unknown" : "refused"},
                       {"reason", reason}});
+    state_.counters.count_answer(
+        "submit", s.may_be_stored ? "unknown" : "refused", reason);
     s.caller->respond(s.may_be_stored ? adapter::plain_status(504)
                                       : adapter::not_run(store_retry_ms));
 }
@@ -202,9 +205,7 @@
         }
     }
     if (current_since(w.came_at)) {
-        state_.log.write("job_unknown",
-                         {{"job", w.job}, {"read_to", journal_.next()}});
-        w.caller->respond(adapter::plain_status(404));
+        deny_job(w);
         return true;
     }
     if (state_.clock.now() - w.came_at > view_ms) {
@@ -222,8 +223,7 @@
     const auto now = state_.clock.now();
     const bool sure = current_since(w.came_at);
     if (sure && (now >= w.wait_until || state_.stopping)) {
-        w.caller->respond(adapter::results(
-            static_cast<std::size_t>(row.header->items), w.after, {}));
+        send_nothing(w, row);
         return true;
     }
     if (!sure &&
@@ -239,13 +239,85 @@
     state_.log.write(
         "read_refused",
         {{"job", w.job},
+         {"call", std::string(base::name_of(w.what))},
          {"after", static_cast<std::int64_t>(w.after)},
+         {"item", w.item},
          {"reason", reason},
          {"records", records},
+         {"waited_ms", state_.clock.now() - w.came_at},
          {"view_age_ms", state_.clock.now() - journal_.current_at()}});
+    state_.counters.count_answer("job", "refused", reason);
     w.caller->respond(adapter::not_run(store_retry_ms));
 }
 
+/// Writes what an answer rests on that takes something for absent.
+void batch_api::tell_missing(const char* event, const waiter& w,
+                             const batch::job_row* row, int items) {
+    const auto now = state_.clock.now();
+    const auto told = told_.find(w.job);
+    const bool is_told = told != told_.end();
+    state_.log.write(
+        event, {{"job", w.job},
+                {"call", std::string(base::name_of(w.what))},
+                {"after", static_cast<std::int64_t>(w.after)},
+                {"item", w.item},
+                {"items", items},
+                {"listed", row == nullptr ? 0 : row->next_position()},
+                {"ended", row != nullptr && row->ended},
+                {"told", is_told},
+                {"told_to",
+                 static_cast<std::int64_t>(is_told ? told->second.next : 0)},
+                {"told_age_ms", is_told ? now - told->second.at : 0},
+                {"jobs", static_cast<std::int64_t>(state_.jobs.jobs().size())},
+                {"read_to", journal_.next()},
+                {"waited_ms", now - w.came_at},
+                {"view_age_ms", now - journal_.current_at()}});
+}
+
+void batch_api::deny_job(const waiter& w) {
+    tell_missing("job_unknown", w, nullptr, 0);
+    state_.counters.count_event("job_unknown");
+    if (told_.count(w.job) != 0) {
+        state_.counters.count_event("told_job_unknown");
+    }
+    w.caller->respond(adapter::plain_status(404));
+}
+
+void batch_api::deny_item(const waiter& w, const batch::job_row& row,
+                          int items) {
+    tell_missing("item_unknown", w, &row, items);
+    state_.counters.count_event("item_unknown");
+    w.caller->respond(adapter::plain_status(404));
+}
+
+/// Answers that nothing stands at the position yet.
+void batch_api::send_nothing(const waiter& w, const batch::job_row& row) {
+    const auto told = told_.find(w.job);
+    if (told != told_.end() && w.after < told->second.next) {
+        tell_missing("position_empty", w, &row, row.header->items);
+        state_.counters.count_event("position_empty");
+    }
+    w.caller->respond(adapter::results(
+        static_cast<std::size_t>(row.header->items), w.after, {}));
+}
+
+/// Notes up to which position results of a job were handed out; notes of jobs
+/// that nobody has asked for in the time that results are kept go.
+void batch_api::note_told(const batch::job_id& job, std::size_t next) {
+    const auto now = state_.clock.now();
+    const auto known = told_.find(job);
+    if (known != told_.end()) {
+        known->second.next = std::max(known->second.next, next);
+        known->second.at = now;
+        return;
+    }
+    const auto keep = state_.config.status_ms + state_.config.margin_ms;
+    for (auto row = told_.begin(); row != told_.end();) {
+        row = now - row->second.at > keep ? told_.erase(row) : std::next(row);
+    }
+    told_[job] = {next, now};
+}
+
 void batch_api::send_texts(const waiter& w, const batch::job_row& row) {
     const auto first =
         std::prev(row.listings.upper_bound(static_cast<int>(w.after)));
@@ -306,6 +378,7 @@
                               {"listed", row->next_position()},
                               {"bytes", static_cast<std::int64_t>(bytes)},
                               {"ms", state_.clock.now() - w.came_at}});
+    note_told(w.job, position);
     w.caller->respond(adapter::results(
         static_cast<std::size_t>(row->header->items), position, out));
 }
@@ -329,7 +402,7 @@
             unreachable(w, "items_missing", count);
             return;
         }
-        w.caller->respond(adapter::plain_status(404));
+        deny_item(w, *row, count);
     });
 }
 
--- a/packages/entry/src/batch_api.hpp
+++ b/packages/entry/src/batch_api.hpp
@@ -3,16 +3,22 @@
 #include "job_files.hpp"
 #include "node_state.hpp"
 
+#include "hibiscus/base/enum_names.hpp"
 #include "hibiscus/store/follower.hpp"
 #include "hibiscus/transport/event_server.hpp"
 #include "platform/front.hpp"
 
+#include <array>
+#include <map>
 #include <memory>
 #include <set>
 #include <vector>
 
 namespace hibiscus::entry {
 
+/// What a call about a job waits for.
+enum class waits_for { results, body, ending };
+
 /// Answers the calls about batch jobs, at any node, from the ledger that it
 /// reads. What it can't be sure of it does not deny: "no such job" and
 /// "nothing yet" need a view that was current after the call came.
@@ -46,7 +52,12 @@
         base::millis due = 0;
         std::shared_ptr<transport::exchange> caller;
     };
-    enum class waits_for { results, body, ending };
+    /// What this node has told callers of a job.
+    struct told_job {
+        /// The position behind the last result.
+        std::size_t next = 0;
+        base::millis at = 0;
+    };
     struct waiter {
         waits_for what = waits_for::results;
         batch::job_id job;
@@ -72,6 +83,12 @@
                       const std::optional<std::vector<store::record>>& texts);
     void send_body(const waiter& w);
     void unreachable(const waiter& w, const char* reason, int records = 0);
+    void deny_job(const waiter& w);
+    void deny_item(const waiter& w, const batch::job_row& row, int items);
+    void send_nothing(const waiter& w, const batch::job_row& row);
+    void tell_missing(const char* event, const waiter& w,
+                      const batch::job_row* row, int items);
+    void note_told(const batch::job_id& job, std::size_t next);
     void store_end(const waiter& w, base::millis due, bool stored_maybe);
     bool current_since(base::millis time) const;
     void sweep();
@@ -83,6 +100,20 @@
     const job_files& files_;
     store::delay_function after_;
     std::vector<waiter> waiting_;
+    std::map<batch::job_id, told_job> told_;
 };
 
 } // namespace hibiscus::entry
+
+namespace hibiscus::base {
+
+template <>
+struct enum_names<entry::waits_for> {
+    static constexpr std::array<enum_name<entry::waits_for>, 3> table{{
+        {entry::waits_for::results, "results"},
+        {entry::waits_for::body, "body"},
+        {entry::waits_for::ending, "end"},
+    }};
+};
+
+} // namespace hibiscus::base
--- a/packages/entry/test/batch_api_test.cpp
+++ b/packages/entry/test/batch_api_test.cpp
@@ -92,6 +92,50 @@
     }
 }
 
+TEST_F(batch_api_test, what_is_denied_is_counted) {
+    const auto counted = [this](const std::string& name) {
+        return node_.state().counters.serialize().find(
+                   "event=\"" + name + "\"") != std::string::npos;
+    };
+    EXPECT_EQ(body("i0").status, 404);
+    EXPECT_TRUE(counted("job_unknown"));
+    EXPECT_FALSE(counted("told_job_unknown"));
+    answer([&](auto caller) {
+        node_.calls().submit(submission(3), 1000, caller);
+    });
+    EXPECT_EQ(body("i3").status, 404);
+    EXPECT_TRUE(counted("item_unknown"));
+    store_.append(batch_node::journal(),
+                  {{batch::to_text(batch::header_key{job}), ""}});
+    time_.run_for(500);
+    EXPECT_EQ(body("i0").status, 404);
+    EXPECT_TRUE(counted("told_job_unknown"));
+    EXPECT_FALSE(counted("position_empty"));
+}
+
+TEST_F(batch_api_test, a_result_that_does_not_come_again_is_counted) {
+    answer([&](auto caller) {
+        node_.calls().submit(submission(3), 1000, caller);
+    });
+    node_.own(true);
+    time_.run_for(500);
+    node_.list({{job, 0, {batch::item_id("i0"), {}, "t", {1}, "s"}}});
+    time_.run_for(500);
+    const auto read = [&] {
+        return answer([&](auto caller) {
+            node_.calls().read({job, 0, 0}, caller);
+        });
+    };
+    EXPECT_NE(read().body.find("i0"), std::string::npos);
+    const auto header = store_.state(batch_node::journal()).at("j/h");
+    store_.append(batch_node::journal(), {{"j/h", ""}, {"j/h", header}});
+    time_.run_for(500);
+    EXPECT_EQ(read().status, 200);
+    EXPECT_NE(
+        node_.state().counters.serialize().find("event=\"position_empty\""),
+        std::string::npos);
+}
+
 } // namespace
 
 } // namespace hibiscus::entry
