entry: attempts are counted by outcome and connection; lines tell more of them

What was missing: which sends went out on a kept connection, whether a request may have run when its caller got a failure, and that a caller's connection ended before its answer, of which there was no line at all.

Lines of the forwarder carry `reused` and `may_have_run`; `forward` has the outcome `cancelled`. hibiscus_answers_total counts attempts by outcome and by `reused` or `opened`, and streams that were cut and requests cancelled beside those answered and given up. forwarder_test.attempts_are_counted_by_outcome_and_ connection checks the counters.

--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -66,7 +66,10 @@
     }
 
     void cancel() override {
-        ended_ = true;
+        if (!std::exchange(ended_, true)) {
+            log("forward", "cancelled");
+            count("cancelled", "");
+        }
         done_ = nullptr;
         sink_.reset();
         if (call_) {
@@ -151,7 +154,8 @@
     }
 
     void on_end(transport::call_end end) {
-        opened_ += call_ && call_->opened() ? 1 : 0;
+        reused_ = call_ && !call_->opened();
+        opened_ += reused_ ? 0 : 1;
         call_.reset();
         state_.samplers.ended(server_);
         if (ended_) {
@@ -179,15 +183,19 @@
         if (whole) {
             ended_ = true;
             sink_->end();
+            may_have_run_ = true;
             log("stream", "whole");
+            count("whole", "");
+            count_attempt("answered");
             return;
         }
         state_.samplers.failed(server_);
+        may_have_run_ = true;
+        count_attempt(std::string(base::name_of(end)));
         // Events without an id can't be named to the next server; it would
         // send them again.
         const bool can_go_on = !wrote_ || !last_event_.empty();
         if (request_.resumable && can_go_on) {
-            may_have_run_ = true;
             log("stream", "moves");
             next();
             return;
@@ -200,12 +208,12 @@
         ended_ = true;
         sink_->abort();
         log("stream", "cut");
+        count("cut", "");
     }
 
     /// Sends to the same server once more, on a new connection: a kept one
     /// that has ended says nothing about its server.
     void send_again() {
-        may_have_run_ = true;
         const auto* row = state_.samplers.find(server_);
         const auto left = request_.due - state_.clock.now() - margin_ms;
         if (row == nullptr || row->registered.draining || left <= 0) {
@@ -216,16 +224,13 @@
     }
 
     void on_broken(transport::call_end end) {
+        may_have_run_ = may_have_run_ || end != transport::call_end::not_sent;
+        log_attempt(std::string(base::name_of(end)));
         if (end == transport::call_end::stale) {
-            log("attempt", std::string(base::name_of(end)));
             send_again();
             return;
         }
         state_.samplers.failed(server_);
-        log("attempt", std::string(base::name_of(end)));
-        if (end != transport::call_end::not_sent) {
-            may_have_run_ = true;
-        }
         if (!may_have_run_ || request_.repeatable) {
             next();
         } else {
@@ -237,7 +242,7 @@
         const auto a = adapter::read_answer(head_);
         if (a.not_run || a.other_server) {
             state_.samplers.block(server_, refusal_ms);
-            log("attempt", "refused");
+            log_attempt("refused");
             next();
             return;
         }
@@ -248,23 +253,24 @@
             return;
         }
         state_.samplers.answered(server_, state_.clock.now() - sent_at_);
+        may_have_run_ = true;
         if (a.means_not_run && !request_.repeatable) {
             // Without the server's word that it did not run, callers must not
             // read so in the status.
-            may_have_run_ = true;
-            log("attempt", "unclear");
+            log_attempt("unclear");
             give_up(false);
             return;
         }
         if (a.status >= 500) {
             failures_ += a.status == 500 ? 1 : 0;
-            may_have_run_ = true;
             if (request_.retry_failures && request_.repeatable &&
                 sent_ < request_.attempts) {
+                log_attempt("failed");
                 next();
                 return;
             }
         }
+        count_attempt("answered");
         finish(forwarded{head_, std::move(body_), a.signature, failures_});
     }
 
@@ -283,9 +289,8 @@
         const bool answered = std::holds_alternative<forwarded>(result);
         log("forward", answered ? "answered" : "given_up");
         state_.counters.observe(request_.kind, state_.clock.now() - started_);
-        state_.counters.count_answer(
-            request_.kind, answered ? "answered" : "given_up",
-            answered ? std::to_string(head_.status) : "");
+        count(answered ? "answered" : "given_up",
+              answered ? std::to_string(head_.status) : "");
         if (sink_) {
             answer_sink(result);
         } else if (done_) {
@@ -308,6 +313,20 @@
         return out;
     }
 
+    void count(const std::string& outcome, const std::string& reason) {
+        state_.counters.count_answer(request_.kind, outcome, reason);
+    }
+
+    void count_attempt(const std::string& outcome) {
+        state_.counters.count_answer("attempt", outcome,
+                                     reused_ ? "reused" : "opened");
+    }
+
+    void log_attempt(const std::string& outcome) {
+        log("attempt", outcome);
+        count_attempt(outcome);
+    }
+
     void log(const char* event, const std::string& outcome) {
         state_.log.write(event, {{"kind", request_.kind},
                                  {"id", request_.id},
@@ -315,6 +334,8 @@
                                  {"server", server_},
                                  {"sent", sent_},
                                  {"connections", opened_},
+                                 {"reused", reused_},
+                                 {"may_have_run", may_have_run_},
                                  {"status", head_.status},
                                  {"ms", state_.clock.now() - started_},
                                  {"left_ms", request_.due - state_.clock.now()},
@@ -336,6 +357,8 @@
     int sent_ = 0;
     /// How many of the sends opened a connection.
     int opened_ = 0;
+    /// Whether the last send went out on a kept connection.
+    bool reused_ = false;
     int failures_ = 0;
     bool may_have_run_ = false;
     /// The answer of the present server is handed on as it comes.
--- a/packages/entry/test/forwarder_test.cpp
+++ b/packages/entry/test/forwarder_test.cpp
@@ -38,6 +38,23 @@
     EXPECT_EQ(ask(again_at_one, {conduct::answers})->status, 200);
 }
 
+// Guards against attempts that can't be told apart in the metrics.
+TEST_F(forwarder_test, attempts_are_counted_by_outcome_and_connection) {
+    ask(again_at_one, {conduct::drops_the_idle_connection});
+    ask(again_at_one, {conduct::answers});
+    ask(again_at_one, {conduct::resets_after_the_run});
+    const auto metrics = world_.metrics();
+    const auto expect = [&](const std::string& outcome,
+                            const std::string& connection) {
+        const auto row = "{kind=\"attempt\",outcome=\"" + outcome +
+                         "\",reason=\"" + connection + "\"}";
+        EXPECT_NE(metrics.find(row), std::string::npos) << row << metrics;
+    };
+    expect("answered", "opened");
+    expect("stale", "reused");
+    expect("broken", "opened");
+}
+
 } // namespace
 
 } // namespace hibiscus::testing
