transport: names of the session, tests that guard the closing server

What a caller that sends on after its last answer may hold up has a test as well.

Names: server_session for what serves a connection; cancel_idle_read, given_more_time_, lingering_, discard_rest_ and answer_open for what had names that hid the decision. No change of what is done.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -280,7 +280,7 @@
         // A server may have run what is still open.
         constexpr int gateway_timeout = 504;
         for (auto* s : servers()) {
-            s->give_up(gateway_timeout);
+            s->answer_open(gateway_timeout);
         }
         io_.stop();
     }
--- a/packages/transport/include/hibiscus/transport/event_server.hpp
+++ b/packages/transport/include/hibiscus/transport/event_server.hpp
@@ -126,7 +126,7 @@
 
     /// Answers all open requests with `status` in their handlers' place; those
     /// of which some of an answer was sent are cut off.
-    void give_up(int status);
+    void answer_open(int status);
 
     /// Returns the number of requests without a complete answer.
     std::size_t in_flight() const;
--- a/packages/transport/src/event_server.cpp
+++ b/packages/transport/src/event_server.cpp
@@ -82,8 +82,8 @@
 
     server_state& state() { return *state_; }
 
-    /// Calls `f` with each session that is still there when its turn comes:
-    /// one that closes may take others along.
+    /// Calls `f` with each session that is still there when its turn
+    /// comes: one that closes may end others.
     template <class F>
     void for_each_session(F f) {
         const auto copy = state_->sessions;
@@ -113,7 +113,7 @@
     void serve(tcp::socket socket) {
         beast::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        std::make_shared<session>(std::move(socket), state_)->run();
+        std::make_shared<server_session>(std::move(socket), state_)->run();
     }
 
     /// Accepts what the kernel has connected already: to close the listener
@@ -139,7 +139,7 @@
                 return;
             }
             const auto now = self->state_->clock.now();
-            self->for_each_session([now](session& s) { s.sweep(now); });
+            self->for_each_session([now](server_session& s) { s.sweep(now); });
             self->sweep();
         });
     }
@@ -180,8 +180,9 @@
     return impl_->closed();
 }
 
-void event_server::give_up(int status) {
-    impl_->for_each_session([status](session& s) { s.give_up(status); });
+void event_server::answer_open(int status) {
+    impl_->for_each_session(
+        [status](server_session& s) { s.answer_open(status); });
 }
 
 std::size_t event_server::in_flight() const {
--- a/packages/transport/src/server_session.cpp
+++ b/packages/transport/src/server_session.cpp
@@ -49,9 +49,9 @@
 } // namespace
 
 /// The way to answer one request of a session.
-class session::answer : public exchange {
+class server_session::answer : public exchange {
 public:
-    answer(std::shared_ptr<session> owner, std::uint64_t number)
+    answer(std::shared_ptr<server_session> owner, std::uint64_t number)
         : session_(std::move(owner)), number_(number) {}
 
     ~answer() override {
@@ -118,24 +118,25 @@
         }
     }
 
-    std::shared_ptr<session> session_;
+    std::shared_ptr<server_session> session_;
     std::uint64_t number_;
     bool ended_ = false;
 };
 
-session::session(tcp::socket socket, std::shared_ptr<server_state> state)
+server_session::server_session(tcp::socket socket,
+                               std::shared_ptr<server_state> state)
     : socket_(std::move(socket)), state_(std::move(state)),
       opened_at_(state_->clock.now()) {
     state_->sessions.insert(this);
     ++state_->connections;
 }
 
-session::~session() {
+server_session::~server_session() {
     state_->sessions.erase(this);
     state_->connections -= open_ ? 1 : 0;
 }
 
-void session::sweep(base::millis now) {
+void server_session::sweep(base::millis now) {
     if (write_due_ != 0 && now > write_due_) {
         close(cut_cause::write_overdue);
     }
@@ -143,24 +144,25 @@
         return;
     }
     const bool overdue = read_due_ != 0 && now > read_due_;
-    if (shut_ || extended_) {
+    if (lingering_ || given_more_time_) {
         if (overdue) {
             close();
         }
     } else if (overdue || may_close(now)) {
-        retire();
+        cancel_idle_read();
     }
 }
 
-void session::set_closed(std::uint64_t number, std::function<void()> closed) {
+void server_session::set_closed(std::uint64_t number,
+                                std::function<void()> closed) {
     if (current_ != number || !open_) {
         closed();
         return;
     }
-    closed_ = std::move(closed);
+    on_caller_closed_ = std::move(closed);
 }
 
-void session::send(std::uint64_t number, std::string bytes, bool last) {
+void server_session::send(std::uint64_t number, std::string bytes, bool last) {
     if (current_ != number || !open_) {
         return;
     }
@@ -172,17 +174,17 @@
     }
 }
 
-bool session::keep_alive() const {
+bool server_session::keep_alive() const {
     return keep_alive_ && state_->phase == server_phase::serving;
 }
 
-void session::abort(std::uint64_t number) {
+void server_session::abort(std::uint64_t number) {
     if (current_ == number) {
         close(cut_cause::abandoned);
     }
 }
 
-void session::give_up(int status) {
+void server_session::answer_open(int status) {
     if (!current_) {
         return;
     }
@@ -194,21 +196,21 @@
     current_ = ++numbers_;
     keep_alive_ = false;
     send(current_, empty_answer(status), true);
-    if (auto closed = std::exchange(closed_, nullptr)) {
+    if (auto closed = std::exchange(on_caller_closed_, nullptr)) {
         closed();
     }
 }
 
-void session::read() {
+void server_session::read() {
     parser_.emplace();
     parser_->header_limit(
         static_cast<std::uint32_t>(state_->limits.header_bytes));
     parser_->body_limit(state_->limits.body_bytes);
-    extended_ = false;
+    given_more_time_ = false;
     read_on();
 }
 
-void session::read_on() {
+void server_session::read_on() {
     read_due_ = state_->clock.now() + state_->limits.idle_ms;
     http::async_read(
         socket_, buffer_, *parser_,
@@ -217,18 +219,18 @@
         });
 }
 
-bool session::may_close(base::millis now) const {
+bool server_session::may_close(base::millis now) const {
     return state_->phase == server_phase::closing &&
            (numbers_ > 0 || now - opened_at_ > first_request_ms);
 }
 
-void session::retire() {
-    retiring_ = true;
+void server_session::cancel_idle_read() {
+    idle_read_cancelled_ = true;
     beast::error_code ignored;
     socket_.cancel(ignored);
 }
 
-void session::on_retired() {
+void server_session::on_idle_read_cancelled() {
     beast::error_code ignored;
     const bool request_began = parser_->got_some() || buffer_.size() > 0 ||
                                socket_.available(ignored) > 0;
@@ -236,25 +238,25 @@
         close();
         return;
     }
-    extended_ = true;
+    given_more_time_ = true;
     read_on();
 }
 
-void session::on_read(beast::error_code error) {
-    const bool retired = std::exchange(retiring_, false);
+void server_session::on_read(beast::error_code error) {
+    const bool cancelled = std::exchange(idle_read_cancelled_, false);
     read_due_ = 0;
     if (!open_) {
         return;
     }
-    if (retired && error == asio::error::operation_aborted) {
-        on_retired();
+    if (cancelled && error == asio::error::operation_aborted) {
+        on_idle_read_cancelled();
         return;
     }
     if (error) {
         on_read_error(error);
         return;
     }
-    if (shut_) {
+    if (lingering_) {
         read_due_ = state_->clock.now() + linger_ms;
         discard();
         return;
@@ -266,7 +268,7 @@
     handle();
 }
 
-void session::on_read_error(beast::error_code error) {
+void server_session::on_read_error(beast::error_code error) {
     const bool protocol =
         error.category() ==
             http::make_error_code(http::error::bad_method).category() &&
@@ -285,11 +287,11 @@
     current_ = ++numbers_;
     ++state_->in_flight;
     keep_alive_ = false;
-    linger_ = true;
+    discard_rest_ = true;
     send(current_, empty_answer(status), true);
 }
 
-void session::note_request(const inbound_request& request) {
+void server_session::note_request(const inbound_request& request) {
     const auto* id = find_header(request.fields, state_->report.id_field);
     request_id_ = id == nullptr ? "" : *id;
     target_ = request.target;
@@ -297,7 +299,7 @@
     began_ = false;
 }
 
-void session::write_next() {
+void server_session::write_next() {
     write_due_ = state_->clock.now() + write_ms;
     asio::async_write(
         socket_, asio::buffer(out_.front()),
@@ -306,7 +308,7 @@
         });
 }
 
-void session::on_write(beast::error_code error) {
+void server_session::on_write(beast::error_code error) {
     write_due_ = 0;
     if (!open_) {
         return;
@@ -325,13 +327,13 @@
     }
 }
 
-void session::finish() {
+void server_session::finish() {
     last_ = false;
     current_ = 0;
     --state_->in_flight;
-    closed_ = nullptr;
-    if (linger_ || !keep_alive_) {
-        shut();
+    on_caller_closed_ = nullptr;
+    if (discard_rest_ || !keep_alive_) {
+        shutdown_send();
         return;
     }
     if (waiting_) {
@@ -342,17 +344,17 @@
     read_due_ = state_->clock.now() + state_->limits.idle_ms;
 }
 
-void session::shut() {
-    shut_ = true;
+void server_session::shutdown_send() {
+    lingering_ = true;
     beast::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     read_due_ = state_->clock.now() + linger_ms;
-    if (linger_ || waiting_) {
+    if (discard_rest_ || waiting_) {
         discard();
     }
 }
 
-void session::discard() {
+void server_session::discard() {
     if (!open_) {
         return;
     }
@@ -368,7 +370,7 @@
         });
 }
 
-void session::close(cut_cause cause) {
+void server_session::close(cut_cause cause) {
     if (!std::exchange(open_, false)) {
         return;
     }
@@ -380,19 +382,19 @@
         current_ = 0;
         --state_->in_flight;
     }
-    if (auto closed = std::exchange(closed_, nullptr)) {
+    if (auto closed = std::exchange(on_caller_closed_, nullptr)) {
         closed();
     }
 }
 
-void session::report_cut(cut_cause cause) const {
+void server_session::report_cut(cut_cause cause) const {
     if (state_->report.cut) {
         state_->report.cut({request_id_, target_, cause,
                             state_->clock.now() - read_at_, began_});
     }
 }
 
-void session::handle() {
+void server_session::handle() {
     auto message = parser_->release();
     keep_alive_ = message.keep_alive();
     inbound_request request;
@@ -406,9 +408,9 @@
     current_ = ++numbers_;
     ++state_->in_flight;
     note_request(request);
-    auto way = std::make_shared<answer>(shared_from_this(), current_);
+    auto responder = std::make_shared<answer>(shared_from_this(), current_);
     read();
-    state_->handler(std::move(request), std::move(way));
+    state_->handler(std::move(request), std::move(responder));
 }
 
 } // namespace hibiscus::transport
--- a/packages/transport/src/server_session.hpp
+++ b/packages/transport/src/server_session.hpp
@@ -15,9 +15,9 @@
 
 namespace hibiscus::transport {
 
-class session;
+class server_session;
 
-/// How far a server has come on its way to its end.
+/// The stage of a server's shutdown.
 enum class server_phase { serving, draining, closing };
 
 /// What a server and its sessions share.
@@ -26,7 +26,7 @@
     exchange_handler handler;
     event_server_report report;
     base::clock clock;
-    std::set<session*> sessions;
+    std::set<server_session*> sessions;
     /// Requests without a complete answer.
     std::size_t in_flight = 0;
     /// Connections that are open.
@@ -36,14 +36,14 @@
 
 /// Serves one connection: reads ahead by one request, so that the end of the
 /// connection is seen while an answer is being made.
-class session : public std::enable_shared_from_this<session> {
+class server_session : public std::enable_shared_from_this<server_session> {
 public:
-    session(boost::asio::ip::tcp::socket socket,
-            std::shared_ptr<server_state> state);
-    ~session();
+    server_session(boost::asio::ip::tcp::socket socket,
+                   std::shared_ptr<server_state> state);
+    ~server_session();
 
-    session(const session&) = delete;
-    session& operator=(const session&) = delete;
+    server_session(const server_session&) = delete;
+    server_session& operator=(const server_session&) = delete;
 
     /// Begins to read.
     void run() { read(); }
@@ -68,7 +68,7 @@
 
     /// Answers the present request in its handler's place, or closes the
     /// connection if some of an answer was sent.
-    void give_up(int status);
+    void answer_open(int status);
 
 private:
     class answer;
@@ -83,9 +83,9 @@
     /// Ends the connection unless a request has begun to come. Bytes of one may
     /// have been read without their handler having run, which only the end of
     /// the pending read shows.
-    void retire();
+    void cancel_idle_read();
 
-    void on_retired();
+    void on_idle_read_cancelled();
 
     void on_read(boost::beast::error_code error);
 
@@ -104,7 +104,7 @@
 
     /// Ends the connection after the last answer; what the caller still sends
     /// is dropped for a while by the pending read and the sweep.
-    void shut();
+    void shutdown_send();
 
     void discard();
 
@@ -120,7 +120,7 @@
         parser_;
     std::deque<std::string> out_;
     std::string dropped_;
-    std::function<void()> closed_;
+    std::function<void()> on_caller_closed_;
     std::uint64_t numbers_ = 0;
     /// The number of the request that is being answered, or 0.
     std::uint64_t current_ = 0;
@@ -140,11 +140,13 @@
     /// connection's last.
     bool keep_alive_ = true;
     /// The pending read was cancelled to see whether a request has begun.
-    bool retiring_ = false;
+    bool idle_read_cancelled_ = false;
     /// A request had begun when its connection would have been closed.
-    bool extended_ = false;
-    bool linger_ = false;
-    bool shut_ = false;
+    bool given_more_time_ = false;
+    /// What the caller still sends is read and dropped behind the answer.
+    bool discard_rest_ = false;
+    /// The connection's last answer was sent.
+    bool lingering_ = false;
 };
 
 } // namespace hibiscus::transport
--- a/packages/transport/test/event_server_test.cpp
+++ b/packages/transport/test/event_server_test.cpp
@@ -20,6 +20,14 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
+const std::string request = "POST /a HTTP/1.1\r\nHost: h\r\nId: r1\r\n"
+                            "Content-Length: 2\r\n\r\nhi";
+
+/// A request that is read in several pieces.
+const std::string long_request = "POST /b HTTP/1.1\r\nHost: h\r\n"
+                                 "Content-Length: 4000\r\n\r\n" +
+                                 std::string(4000, 'x');
+
 class event_server_test : public testing::Test {
 protected:
     event_server_test()
@@ -51,6 +59,27 @@
         EXPECT_TRUE(holds());
     }
 
+    /// Runs for a while.
+    void run_for(base::millis ms) {
+        io_.restart();
+        io_.run_for(std::chrono::milliseconds(ms));
+    }
+
+    /// Runs what is ready.
+    void poll() {
+        io_.restart();
+        io_.poll();
+    }
+
+    /// Has a first request of the connection answered.
+    void answer_first() {
+        send(request);
+        run_until([&] { return !answers_.empty(); });
+        answers_[0]->respond({200, {}, "first"});
+        expect("first");
+        run_until([&] { return server_.in_flight() == 0; });
+    }
+
     /// Lets the time of a sweep, and some more, pass while the thread does
     /// something else.
     static void pass_a_sweep(base::millis more = 0) {
@@ -89,14 +118,6 @@
     boost::system::error_code close_error_;
 };
 
-const std::string request = "POST /a HTTP/1.1\r\nHost: h\r\nId: r1\r\n"
-                            "Content-Length: 2\r\n\r\nhi";
-
-/// A request that is read in several pieces.
-const std::string long_request = "POST /b HTTP/1.1\r\nHost: h\r\n"
-                                 "Content-Length: 4000\r\n\r\n" +
-                                 std::string(4000, 'x');
-
 TEST_F(event_server_test, reads_a_request_whole_and_answers) {
     send(request);
     run_until([&] { return !answers_.empty(); });
@@ -142,13 +163,9 @@
 
 // A request that came while the thread was busy is not taken for idleness.
 TEST_F(event_server_test, what_arrives_on_a_kept_connection_is_answered) {
-    send(request);
-    run_until([&] { return !answers_.empty(); });
-    answers_[0]->respond({200, {}, "first"});
-    expect("first");
-    run_until([&] { return server_.in_flight() == 0; });
-    server_.drain();
+    answer_first();
     send(long_request);
+    server_.close();
     pass_a_sweep();
     run_until([&] { return answers_.size() == 2 || is_closed(); });
     ASSERT_EQ(answers_.size(), 2U) << close_error_.message();
@@ -156,10 +173,11 @@
     expect("second");
 }
 
-// A connection that is accepted late has its request in the kernel already.
+// A read that was carried out at once has its handler behind the sweep.
 TEST_F(event_server_test, what_arrives_on_a_new_connection_is_answered) {
-    server_.drain();
-    send(request);
+    poll();
+    server_.close();
+    send(long_request);
     pass_a_sweep();
     run_until([&] { return !answers_.empty() || is_closed(); });
     ASSERT_FALSE(answers_.empty()) << close_error_.message();
@@ -167,6 +185,26 @@
     expect("ok");
 }
 
+// The part of a request that was read is not lost with the cancelled read.
+TEST_F(event_server_test, a_request_is_read_on_after_a_look_at_its_connection) {
+    const std::string chunked = "POST /c HTTP/1.1\r\nHost: h\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n"
+                                "5\r\nhello\r\n3\r\nabc\r\n0\r\n\r\n";
+    answer_first();
+    for (std::size_t at = 0; at < chunked.size(); ++at) {
+        send(chunked.substr(at, 1));
+        poll();
+        if (at == 0) {
+            server_.close();
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        poll();
+    }
+    run_until([&] { return answers_.size() == 2 || is_closed(); });
+    ASSERT_EQ(answers_.size(), 2U) << close_error_.message();
+    EXPECT_EQ(requests_[1].body, "helloabc");
+}
+
 // A caller was not told that the answer before was its connection's last.
 TEST_F(event_server_test, a_request_behind_an_answer_is_served_while_draining) {
     send(request + request);
@@ -187,11 +225,7 @@
 TEST_F(event_server_test, a_request_that_meets_the_idle_timeout_is_answered) {
     constexpr base::millis idle_ms = 1000;
     server_.set_limits({16 * 1024, 1024 * 1024, 3000, idle_ms});
-    send(request);
-    run_until([&] { return !answers_.empty(); });
-    answers_[0]->respond({200, {}, "first"});
-    expect("first");
-    run_until([&] { return server_.in_flight() == 0; });
+    answer_first();
     send(long_request);
     pass_a_sweep(idle_ms);
     run_until([&] { return answers_.size() == 2 || is_closed(); });
@@ -250,7 +284,7 @@
     handler_ = [&] { answers_.back()->on_closed([&] { told = true; }); };
     send(request);
     run_until([&] { return !answers_.empty(); });
-    server_.give_up(504);
+    server_.answer_open(504);
     EXPECT_TRUE(told);
     EXPECT_EQ(cuts_.size(), 1U);
     answers_[0]->respond({200, {}, "late"});
@@ -258,6 +292,22 @@
     EXPECT_EQ(got_.find("late"), std::string::npos);
 }
 
+// A caller that was told of the end and sends on does not hold up a stop.
+TEST_F(event_server_test, a_closing_server_does_not_wait_for_what_is_dropped) {
+    send(request);
+    run_until([&] { return !answers_.empty(); });
+    server_.drain();
+    server_.close();
+    answers_[0]->respond({200, {}, "ok"});
+    expect("ok");
+    run_until([&] {
+        boost::system::error_code ignored;
+        socket_.non_blocking(true);
+        socket_.write_some(asio::buffer(request), ignored);
+        return server_.closed();
+    });
+}
+
 TEST_F(event_server_test, what_ends_without_an_answer_is_told_with_its_cause) {
     send(request);
     run_until([&] { return !answers_.empty(); });
