transport: a late request has its pending read asked as well

A request that had begun as its connection's time ended, and whose rest came while the thread was busy, was dropped with a clean end of the connection.

Fix: it asks each time; a connection that got more time once is closed then.

Before: a_request_that_comes_late_is_answered failed. After: it passes.

--- a/packages/transport/src/server_session.cpp
+++ b/packages/transport/src/server_session.cpp
@@ -144,11 +144,11 @@
         return;
     }
     const bool overdue = read_due_ != 0 && now > read_due_;
-    if (lingering_ || given_more_time_) {
+    if (lingering_) {
         if (overdue) {
             close();
         }
-    } else if (overdue || may_close(now)) {
+    } else if (overdue || (!given_more_time_ && may_close(now))) {
         cancel_idle_read();
     }
 }
@@ -234,7 +234,7 @@
     beast::error_code ignored;
     const bool request_began = parser_->got_some() || buffer_.size() > 0 ||
                                socket_.available(ignored) > 0;
-    if (!request_began) {
+    if (!request_began || given_more_time_) {
         close();
         return;
     }
--- a/packages/transport/test/event_server_test.cpp
+++ b/packages/transport/test/event_server_test.cpp
@@ -234,6 +234,19 @@
     expect("second");
 }
 
+// More time that runs out while the rest of a request waits to be read.
+TEST_F(event_server_test, a_request_that_comes_late_is_answered) {
+    constexpr base::millis idle_ms = 2000;
+    server_.set_limits({16 * 1024, 1024 * 1024, 3000, idle_ms});
+    send(long_request.substr(0, 100));
+    run_for(idle_ms + 1000);
+    ASSERT_FALSE(is_closed());
+    send(long_request.substr(100));
+    pass_a_sweep(idle_ms);
+    run_until([&] { return !answers_.empty() || is_closed(); });
+    ASSERT_FALSE(answers_.empty()) << close_error_.message();
+}
+
 // A caller that stops in the middle of a request does not hold a connection.
 TEST_F(event_server_test, half_a_request_ends_with_its_connection) {
     server_.set_limits({16 * 1024, 1024 * 1024, 3000, 100});
