transport: what follows a request does not take its answer along

What callers would see: a closed connection in place of an answer, if they end a body with a line break that does not belong to it, or send a second request that is over the limit before the first one is answered.

Cause: an error of the read ahead closed the connection whatever was being answered on it.

Fix: the answer is sent, says that it is the last, and the rest is dropped.

Before: a_request_before_something_else_is_answered failed. After: it passes.

--- a/packages/transport/src/server_session.cpp
+++ b/packages/transport/src/server_session.cpp
@@ -274,10 +274,16 @@
             http::make_error_code(http::error::bad_method).category() &&
         error != http::error::end_of_stream &&
         error != http::error::partial_message;
-    if (!protocol || current_) {
+    if (!protocol) {
         close();
         return;
     }
+    if (current_) {
+        // What follows is no request; the one before is still answered.
+        keep_alive_ = false;
+        discard_rest_ = true;
+        return;
+    }
     int status = 400;
     if (error == http::error::body_limit) {
         status = 413;
--- a/packages/transport/test/event_server_test.cpp
+++ b/packages/transport/test/event_server_test.cpp
@@ -305,6 +305,27 @@
     EXPECT_EQ(got_.find("late"), std::string::npos);
 }
 
+// What follows a request does not take its answer along.
+TEST_F(event_server_test, a_request_before_something_else_is_answered) {
+    for (const auto& behind : {std::string("\r\n"), long_request}) {
+        event_server server(io_, {1024, 10, 3000, 15000},
+                            [this](auto, auto answer) {
+                                answers_.push_back(std::move(answer));
+                            });
+        const auto at = server.listen({"127.0.0.1", 0});
+        socket_.close();
+        socket_.connect(
+            tcp::endpoint(asio::ip::address_v4::loopback(), at->port));
+        send(request + behind);
+        run_until([&] { return !answers_.empty(); });
+        run_for(50);
+        answers_.back()->respond({200, {}, "ok"});
+        expect("ok");
+        answers_.clear();
+        got_.clear();
+    }
+}
+
 // A caller that was told of the end and sends on does not hold up a stop.
 TEST_F(event_server_test, a_closing_server_does_not_wait_for_what_is_dropped) {
     send(request);
