transport: only requests that were not answered are told as cut

Found by the review: request_cut told of bytes that were no request, with no id and the age of the process, and of an answer that was complete when the server ended.

Before: what_is_no_request_is_not_told and a_complete_answer_is_not_answered_again failed. After: they pass.

--- a/packages/transport/src/server_session.cpp
+++ b/packages/transport/src/server_session.cpp
@@ -185,7 +185,7 @@
 }
 
 void server_session::answer_open(int status) {
-    if (!current_) {
+    if (!current_ || last_) {
         return;
     }
     if (began_) {
@@ -274,7 +274,7 @@
             http::make_error_code(http::error::bad_method).category() &&
         error != http::error::end_of_stream &&
         error != http::error::partial_message;
-    if (!protocol) {
+    if (!protocol || lingering_) {
         close();
         return;
     }
@@ -292,6 +292,7 @@
     }
     current_ = ++numbers_;
     ++state_->in_flight;
+    malformed_ = true;
     keep_alive_ = false;
     discard_rest_ = true;
     send(current_, empty_answer(status), true);
@@ -394,7 +395,7 @@
 }
 
 void server_session::report_cut(cut_cause cause) const {
-    if (state_->report.cut) {
+    if (state_->report.cut && !malformed_) {
         state_->report.cut({request_id_, target_, cause,
                             state_->clock.now() - read_at_, began_});
     }
--- a/packages/transport/src/server_session.hpp
+++ b/packages/transport/src/server_session.hpp
@@ -143,6 +143,8 @@
     bool idle_read_cancelled_ = false;
     /// A request had begun when its connection would have been closed.
     bool given_more_time_ = false;
+    /// What was read is no request.
+    bool malformed_ = false;
     /// What the caller still sends is read and dropped behind the answer.
     bool discard_rest_ = false;
     /// The connection's last answer was sent.
--- a/packages/transport/test/event_server_test.cpp
+++ b/packages/transport/test/event_server_test.cpp
@@ -305,6 +305,16 @@
     EXPECT_EQ(got_.find("late"), std::string::npos);
 }
 
+TEST_F(event_server_test, a_complete_answer_is_not_answered_again) {
+    send(request);
+    run_until([&] { return !answers_.empty(); });
+    answers_[0]->respond({200, {}, "complete"});
+    server_.answer_open(504);
+    EXPECT_TRUE(cuts_.empty());
+    expect("complete");
+    EXPECT_EQ(got_.find("504"), std::string::npos);
+}
+
 // What follows a request does not take its answer along.
 TEST_F(event_server_test, a_request_before_something_else_is_answered) {
     for (const auto& behind : {std::string("\r\n"), long_request}) {
@@ -326,6 +336,29 @@
     }
 }
 
+// What was never a request is not told as one that was cut off.
+TEST_F(event_server_test, what_is_no_request_is_not_told) {
+    poll();
+    send("\x01garbage\r\n\r\n" + std::string(4000, 'x'));
+    socket_.set_option(asio::socket_base::linger(true, 0));
+    socket_.close();
+    run_for(50);
+    EXPECT_TRUE(cuts_.empty());
+    EXPECT_EQ(server_.in_flight(), 0U);
+}
+
+TEST_F(event_server_test, garbage_behind_the_last_answer_is_not_answered) {
+    send(request);
+    run_until([&] { return !answers_.empty(); });
+    server_.drain();
+    answers_[0]->respond({200, {}, "ok"});
+    expect("ok");
+    run_until([&] { return server_.in_flight() == 0; });
+    send("\x01garbage\r\n\r\n");
+    run_until([&] { return is_closed(); });
+    EXPECT_TRUE(cuts_.empty());
+}
+
 // A caller that was told of the end and sends on does not hold up a stop.
 TEST_F(event_server_test, a_closing_server_does_not_wait_for_what_is_dropped) {
     send(request);
