entry: a stop ends behind what was read by then

What callers would see: a closed connection for a request that was read as the stop's time ended.

Cause: at the end of a stop the loop was ended with handlers queued. With a grace period of four seconds or less the connections were never closed in order at all, since the time to do so was shorter than the time to serve on.

Fix: connections are closed two seconds before the end at the latest, however short the grace period, and the end waits its turn behind what was read.

The tests of whole nodes pass (entry_path_test); that one of these moments answers a request was not shown by a test: it takes a stall of the thread just then.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -14,6 +14,7 @@
 #include "store_watch.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -24,6 +25,7 @@
 #include <fstream>
 #include <iterator>
 #include <memory>
+#include <utility>
 
 namespace hibiscus::entry {
 
@@ -252,12 +254,9 @@
     void check_stop() {
         const auto since = state_.clock.now() - stop_at_;
         const auto latest = state_.config.grace_ms - exit_margin_ms;
-        const bool may_close = handed_over_ || since >= latest - closing_ms;
-        if (!closing_ && since >= least_stop_ms && may_close) {
-            closing_ = true;
-            for (auto* s : servers()) {
-                s->close();
-            }
+        const auto close_by = latest - closing_ms;
+        if (since >= close_by || (handed_over_ && since >= least_stop_ms)) {
+            close_servers();
         }
         if ((handed_over_ && all_closed()) || since >= latest) {
             end_stop(since);
@@ -266,6 +265,15 @@
         after(stop_check_ms, [this] { check_stop(); });
     }
 
+    void close_servers() {
+        if (std::exchange(closing_, true)) {
+            return;
+        }
+        for (auto* s : servers()) {
+            s->close();
+        }
+    }
+
     bool all_closed() {
         const auto all = servers();
         return std::all_of(all.begin(), all.end(),
@@ -277,12 +285,16 @@
                          {{"in_flight", static_cast<int>(callers_.in_flight())},
                           {"handed_over", handed_over_},
                           {"ms", took}});
-        // A server may have run what is still open.
-        constexpr int gateway_timeout = 504;
-        for (auto* s : servers()) {
-            s->answer_open(gateway_timeout);
-        }
-        io_.stop();
+        close_servers();
+        // Requests that were read may wait for their handlers' turn.
+        asio::post(io_, [this] {
+            // A server may have run what is still open.
+            constexpr int gateway_timeout = 504;
+            for (auto* s : servers()) {
+                s->answer_open(gateway_timeout);
+            }
+            io_.stop();
+        });
     }
 
     std::array<transport::event_server*, 4> servers() {
