--- a/packages/entry/test/forwarder_world.hpp
+++ b/packages/entry/test/forwarder_world.hpp
@@ -246,6 +246,7 @@
 
     static std::string describe(const seen_request& s, const asked_request& a) {
         std::string out = a.shape.prefix;
+        out += " " + a.result->error;
         out += " status " + std::to_string(a.result->status) + ", sends " +
                std::to_string(s.sends) + ", runs " + std::to_string(s.runs) +
                ", plan";
--- a/packages/entry/test/plain_caller.hpp
+++ b/packages/entry/test/plain_caller.hpp
@@ -28,6 +28,8 @@
     std::string id;
     std::string stamp;
     std::string body;
+    /// How the connection ended, if it did before the answer.
+    std::string error;
     std::string wrong;
 };
 
@@ -90,6 +92,7 @@
             tcp::endpoint(boost::asio::ip::make_address(to_.ip), to_.port),
             [this](error_code error) {
                 if (error) {
+                    request_.result->error = "connect: " + error.message();
                     finish(false);
                 } else {
                     send();
@@ -111,8 +114,8 @@
             });
         if (request_.leaves_after) {
             timer_.expires_after(*request_.leaves_after);
-            timer_.async_wait([this](error_code error) {
-                if (!error) {
+            timer_.async_wait([this, p = parser_](error_code error) {
+                if (!error && p == parser_) {
                     request_.result->left = true;
                     finish(false);
                 }
@@ -124,6 +127,7 @@
         auto& r = *request_.result;
         r.head = p.is_header_done();
         r.complete = !error;
+        r.error = error ? error.message() : "";
         if (!r.head) {
             return;
         }
