store: a page that holds nothing though others follow ends no reading

Cause: a page without records was taken for the last one, whatever it said of more. It is the same class as an empty read before the end: an answer that proves nothing counted as proof of absence.

Evidence: a_page_without_records_before_the_last_one_ends_nothing failed before in all three: three of four keys in the view, a prefix read without its end, an erasure that was said to be done. The users' pages don't say that their store answers so. Such a page is now treated as one that was refused.

--- a/packages/store/include/hibiscus/store/log_store.hpp
+++ b/packages/store/include/hibiscus/store/log_store.hpp
@@ -75,6 +75,12 @@
     log_offset end = 0;
 };
 
+/// Returns true if a page holds nothing though others follow: no key says
+/// where to go on, and what stands behind it is not absent.
+inline bool is_hollow(const newest_page& page) {
+    return page.more && page.records.empty();
+}
+
 using newest_result = base::result<newest_page, refused, unanswered>;
 
 /// The calls of the store. Each calls its last argument once, later.
--- a/packages/store/src/follower.cpp
+++ b/packages/store/src/follower.cpp
@@ -59,7 +59,7 @@
             return;
         }
         auto* p = base::value_if(result);
-        if (p == nullptr) {
+        if (p == nullptr || is_hollow(*p)) {
             // The pages so far hold on: reading goes on from the first one's
             // end in any case.
             lost();
@@ -69,7 +69,7 @@
         if (!snapshot_end_) {
             snapshot_end_ = p->end;
         }
-        const bool more = p->more && !p->records.empty();
+        const bool more = p->more;
         std::move(p->records.begin(), p->records.end(),
                   std::back_inserter(snapshot_));
         if (more) {
--- a/packages/store/src/prefix_reader.cpp
+++ b/packages/store/src/prefix_reader.cpp
@@ -32,7 +32,7 @@
 
     void on_page(newest_result result) {
         auto* p = base::value_if(result);
-        if (p == nullptr) {
+        if (p == nullptr || is_hollow(*p)) {
             done(std::nullopt);
             return;
         }
@@ -50,7 +50,7 @@
                 return;
             }
         }
-        if (p->more && !last.empty()) {
+        if (p->more) {
             page(last);
             return;
         }
@@ -82,7 +82,7 @@
 
     void on_page(const newest_result& result) {
         const auto* p = base::value_if(result);
-        if (p == nullptr) {
+        if (p == nullptr || is_hollow(*p)) {
             done(false);
             return;
         }
--- a/packages/store/test/follower_test.cpp
+++ b/packages/store/test/follower_test.cpp
@@ -152,6 +152,44 @@
     EXPECT_EQ(view_.size(), 7U);
 }
 
+TEST_F(follower_test, a_page_without_records_before_the_last_one_ends_nothing) {
+    // Keys behind such a page were taken for gone, and items for absent.
+    for (const char* key : {"b/1", "b/2", "b/3", "b/4"}) {
+        append(key, "1");
+    }
+    log_store hollow = store_.port();
+    int calls = 0;
+    hollow.newest = [this, &calls](const partition& p, const std::string& after,
+                                   std::function<void(newest_result)> done) {
+        if (++calls % 2 == 0) {
+            later_.push_back([done = std::move(done)] {
+                done(newest_page{{}, true, 4});
+            });
+        } else {
+            store_.port().newest(p, after, std::move(done));
+        }
+    };
+    follower f(hollow, {"t", 0}, base::clock(time_),
+               [this](base::millis, std::function<void()> g) {
+                   later_.push_back(std::move(g));
+               },
+               {}, {[this](const auto& changes) { apply(changes); }, {}});
+    f.start();
+    run(40);
+    EXPECT_EQ(view_.size(), 4U);
+    calls = 0;
+    std::optional<std::vector<record>> found{std::vector<record>()};
+    read_prefix(hollow, {"t", 0}, "b/", "b/", 1000,
+                [&](auto records) { found = std::move(records); });
+    run(40);
+    EXPECT_FALSE(found);
+    calls = 1;
+    std::optional<bool> gone;
+    erase_prefix(hollow, {"t", 0}, "b/", [&](bool all) { gone = all; });
+    run(40);
+    EXPECT_EQ(gone, false);
+}
+
 TEST_F(follower_test, tells_the_loss_of_the_store_and_its_return_once) {
     follower_->start();
     run();
