entry: the fuzz of callers lists more, and owners contend

Nodes that own the jobs list, owners are replaced while they list, and jobs are kept for 8 s in place of 20.

--- a/packages/entry/test/batch_api_fuzz_test.cpp
+++ b/packages/entry/test/batch_api_fuzz_test.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t nodes = 3;
 
 /// Results stay readable for so long, in ms, as small_settings() says.
-constexpr base::millis kept_ms = 20000;
+constexpr base::millis kept_ms = 8000;
 
 batch::item_id item_name(int job, int number) {
     return batch::item_id("i" + std::to_string(job) + "-" +
@@ -111,8 +111,10 @@
                 submit((n + 1) % nodes, job);
             }
         } else if (c.kind < 61) {
-            nodes_[n]->own(c.c < 300);
-            list(n, job, c.c);
+            const auto lister = c.c % 5 == 0 ? n : owner_or(n);
+            nodes_[lister]->own(c.c < 100);
+            time_.run_for(c.c % 30);
+            list(lister, job, c.c);
         } else if (c.kind < 66) {
             read(n, job, static_cast<std::size_t>(c.c) % (job.read.size() + 1),
                  c.c % 2 == 0 ? wait_ms : 0);
@@ -120,12 +122,14 @@
             read_at_two(n, job);
         } else if (c.kind < 78) {
             body(n, job, c.c % job.items);
+        } else if (c.kind < 81) {
+            nodes_[n]->own(c.c < 200);
         } else if (c.kind < 84) {
-            nodes_[n]->own(c.b < 200);
+            contend(n, job, c.c);
         } else if (c.kind < 86) {
             end(n, job);
         } else if (c.kind < 88) {
-            nodes_[n]->expire();
+            nodes_[owner_or(n)]->expire();
         } else if (c.kind < 91) {
             trim(c.b);
         } else if (c.kind < 97) {
@@ -135,6 +139,29 @@
         }
     }
 
+    /// Returns a node that takes itself for the owner, or `n`.
+    std::size_t owner_or(std::size_t n) const {
+        const auto found =
+            std::find_if(nodes_.begin(), nodes_.end(),
+                         [](const auto& node) { return node->owns(); });
+        return found == nodes_.end()
+                   ? n
+                   : static_cast<std::size_t>(found - nodes_.begin());
+    }
+
+    /// Lets a node take the ownership over while the owner lists.
+    void contend(std::size_t n, called_job& j, int from) {
+        const auto owner = owner_or(n);
+        const auto other = (owner + 1) % nodes;
+        nodes_[other]->own(true);
+        time_.run_for(from % 20);
+        list(owner, j, from);
+        list(other, j, from + 1);
+        time_.run_for(from % 50);
+        read(owner, j, j.read.size(), wait_ms);
+        read(other, j, j.read.size(), wait_ms);
+    }
+
     static testing::store_weather weather(int n) {
         switch (n % 8) {
         case 0:
--- a/packages/entry/test/batch_world.hpp
+++ b/packages/entry/test/batch_world.hpp
@@ -53,7 +53,7 @@
         s.partitions = 2;
         s.record_bytes = 1024;
         s.append_bytes = 4096;
-        s.status_ms = 20000;
+        s.status_ms = 8000;
         s.margin_ms = 0;
         return s;
     }
@@ -94,13 +94,15 @@
     batch_api& calls() { return batch_; }
     node_state& state() { return state_; }
 
+    bool owns() const { return ownership_.mine(state_.jobs); }
+
     /// Claims or renews the ownership; `hasty` claims without cause.
     void own(bool hasty) {
         if (appending_ || !journal_.loaded()) {
             return;
         }
         const auto step = ownership_.next(state_.jobs, journal_.current_at());
-        const bool mine = ownership_.mine(state_.jobs);
+        const bool mine = owns();
         if (step == batch::ownership_step::nothing && (mine || !hasty)) {
             return;
         }
@@ -111,7 +113,7 @@
 
     /// Stores and lists results, as far as this node owns the jobs.
     void list(std::vector<batch::ready_result> results) {
-        if (committing_ || !ownership_.mine(state_.jobs)) {
+        if (committing_ || !owns()) {
             return;
         }
         auto plan =
@@ -143,13 +145,12 @@
         const auto id = batch::expired_job(state_.jobs, state_.clock.now(),
                                            state_.config.status_ms +
                                                state_.config.margin_ms);
-        if (!id || appending_ || !ownership_.mine(state_.jobs)) {
+        if (!id || appending_ || !owns()) {
             return;
         }
         files_.erase(*id, [this, id = *id](bool gone) {
             const auto* row = state_.jobs.find(id);
-            if (gone && row != nullptr && !appending_ &&
-                ownership_.mine(state_.jobs)) {
+            if (gone && row != nullptr && !appending_ && owns()) {
                 append(batch::journal_erasures(id, *row), [](bool) {});
             }
         });
@@ -176,7 +177,7 @@
 
     void stored(const std::vector<batch::planned_listing>& plan) {
         committing_ = false;
-        if (plan.empty() || appending_ || !ownership_.mine(state_.jobs) ||
+        if (plan.empty() || appending_ || !owns() ||
             !batch::still_fits(state_.jobs, plan)) {
             return;
         }
