entry: an open job follows its route to another service

What callers saw: a job kept the service that was chosen when it was taken up. Once the route had moved and the servers of the old service had left, its items waited until its end, while the servers of the new one stood idle. A job whose drawn service of a split route had no server with its model waited as well.

Cause: the terms of a job were read once, at its take-up.

Fix: an open job is compared with its route four times a second. It moves if its service is no target any more, or has no server with the model, and the service that the route names has one. What runs stays where it is.

--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -149,6 +149,16 @@
     /// Returns true if the job has been taken up.
     bool has(const job_id& id) const { return jobs_.count(id) != 0; }
 
+    /// Returns the service that runs a job, which must have been taken up.
+    const samplers::service_name& service_of(const job_id& id) const {
+        return jobs_.at(id).terms.service;
+    }
+
+    /// Runs of a job that begin from now on go to another service.
+    void move_to(const job_id& id, const samplers::service_name& service) {
+        jobs_.at(id).terms.service = service;
+    }
+
     /// Stops all of a job, which has ended. Texts are kept for a later job
     /// that carries the same items; those of its unfinished items that will
     /// be too old for it are begun anew under the newest weights.
--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -14,6 +14,9 @@
 /// fall free are filled at once by the run's end itself.
 constexpr base::millis tick_ms = 25;
 
+/// How often open jobs are compared with their routes, in ms.
+constexpr base::millis follow_ms = 250;
+
 /// The pause before a job's items are read again, in ms.
 constexpr base::millis load_retry_ms = 100;
 
@@ -187,6 +190,40 @@
     }
 }
 
+/// Open jobs go where their routes go now: the service that was chosen when
+/// they were taken up may lose its servers.
+void owner::follow_routes() {
+    const auto now = state_.clock.now();
+    if (!state_.routes || now - last_follow_ < follow_ms) {
+        return;
+    }
+    last_follow_ = now;
+    for (const auto& [id, row] : state_.jobs.jobs()) {
+        if (!row.ended && row.header && work_.has(id)) {
+            follow_route(id, *row.header);
+        }
+    }
+}
+
+void owner::follow_route(const batch::job_id& id,
+                         const batch::job_header& header) {
+    const auto* r = gateway::match(*state_.routes, header.host, header.path);
+    const auto before = work_.service_of(id);
+    const bool stays =
+        r == nullptr || (gateway::has_target(*r, before.str()) &&
+                         state_.samplers.serves(before, header.model));
+    if (stays) {
+        return;
+    }
+    const samplers::service_name to(choose_target(*r, state_.draw()));
+    if (to == before || !state_.samplers.serves(to, header.model)) {
+        return;
+    }
+    work_.move_to(id, to);
+    state_.log.write("job_moved",
+                     {{"job", id}, {"before", before}, {"service", to}});
+}
+
 /// Reads a job's items and what was saved of them.
 void owner::load(const batch::job_id& id) {
     struct parts {
@@ -274,6 +311,7 @@
     }
     if (owns()) {
         sync();
+        follow_routes();
         run(work_.tick(may_start()));
         order_loads();
         renew_overdue();
--- a/packages/entry/src/owner.hpp
+++ b/packages/entry/src/owner.hpp
@@ -91,6 +91,8 @@
                  const job_files::progress_map& progress);
     void tick();
     void sync();
+    void follow_routes();
+    void follow_route(const batch::job_id& id, const batch::job_header& header);
     void run(const batch::effects& effects);
     void start_one(const batch::start_run& r);
     void run_ended(batch::run_number run, transport::call_end end);
@@ -175,6 +177,7 @@
     base::millis last_commit_ = 0;
     base::millis last_progress_ = 0;
     base::millis last_report_ = 0;
+    base::millis last_follow_ = 0;
 };
 
 } // namespace hibiscus::entry
--- a/packages/gateway/include/hibiscus/gateway/configuration.hpp
+++ b/packages/gateway/include/hibiscus/gateway/configuration.hpp
@@ -84,6 +84,9 @@
 /// drawn by the caller, from 0 to 1.
 const std::string& choose_target(const route& r, double point);
 
+/// Returns true if requests of a route may go to a service.
+bool has_target(const route& r, std::string_view service);
+
 } // namespace hibiscus::gateway
 
 namespace hibiscus::base {
--- a/packages/gateway/src/configuration.cpp
+++ b/packages/gateway/src/configuration.cpp
@@ -36,4 +36,10 @@
     return r.targets.back().service;
 }
 
+bool has_target(const route& r, std::string_view service) {
+    return std::any_of(
+        r.targets.begin(), r.targets.end(),
+        [service](const auto& t) { return t.service == service; });
+}
+
 } // namespace hibiscus::gateway
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -92,6 +92,10 @@
     /// Removes all that are still marked.
     void remove_unlisted();
 
+    /// Returns true if a server of the service that stays has weights of a
+    /// model.
+    bool serves(const service_name& service, const std::string& model) const;
+
     sampler_row* find(const sampler_id& id);
     const std::map<sampler_id, sampler_row>& rows() const { return rows_; }
 
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -90,6 +90,15 @@
     }
 }
 
+bool sampler_table::serves(const service_name& service,
+                           const std::string& model) const {
+    return std::any_of(rows_.begin(), rows_.end(), [&](const auto& row) {
+        const auto& r = row.second.registered;
+        return r.service == service && !r.draining && !row.second.unlisted &&
+               r.versions.count(model) != 0;
+    });
+}
+
 sampler_row* sampler_table::find(const sampler_id& id) {
     const auto row = rows_.find(id);
     return row == rows_.end() ? nullptr : &row->second;
--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -65,6 +65,19 @@
         });
     }
 
+    /// Returns a later configuration in which "new" has taken the place of
+    /// the service "llm".
+    static std::string moved_configuration() {
+        auto c = json::parse(configuration);
+        c["version"] = 2;
+        for (auto& r : c["routes"]) {
+            if (r["service"] == "llm") {
+                r["service"] = "new";
+            }
+        }
+        return c.dump();
+    }
+
     static std::string whole_stream(const std::string& id) {
         std::string out;
         for (int n = 1; n <= events; ++n) {
@@ -275,6 +288,23 @@
     EXPECT_TRUE(read_all("n1"));
 }
 
+TEST_F(entry_path_test, an_open_job_follows_its_route_to_another_service) {
+    // The job kept the service of its take-up, which had no server any more.
+    token_server moved{io_, "new-0", events, event_ms};
+    configure();
+    start_node("n1");
+    ASSERT_TRUE(wait_ready("n1"));
+    ASSERT_TRUE(run_until([&] { return !owner().empty(); }));
+    ASSERT_EQ(submit("n1").status, 202);
+    ASSERT_TRUE(run_until([&] { return engines_[0]->runs() > 0; }));
+    store_.put("keyed.servers", "new-0", moved.entry("new", true));
+    store_.put("keyed.servers", "llm-0", "");
+    store_.put("keyed.servers", "llm-1", "");
+    store_.put("keyed.op", "config", moved_configuration());
+    EXPECT_TRUE(read_all("n1"));
+    EXPECT_GT(moved.runs(), 0);
+}
+
 TEST_F(entry_path_test, an_item_counts_once_whatever_its_reward_calls) {
     // Servers work on reward calls and their answers are lost, so that each is
     // made again. A ledger that takes the item with each call would charge for
