batch: refusals do not keep an item from a server that failed it

The 500 ms for which an item avoids the server that failed it counted from when it began to wait, and each refusal by another server began them anew. With two servers that refuse each quarter of a second, items went between these and never back to the one that was sound again.

Fix: the time counts from the failure.

--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -21,6 +21,10 @@
 /// entry is renewed each 1.2 s.
 constexpr base::millis other_server_ms = 600;
 
+/// How long an item goes only to other servers than the one at which its run
+/// failed, in ms.
+constexpr base::millis elsewhere_ms = 500;
+
 /// The pause before a reward call is made again, in ms.
 constexpr base::millis reward_retry_ms = 100;
 
@@ -286,6 +290,7 @@
     case run_end::failed:
         ++row.failures;
         row.failed_at = r.sampler;
+        row.elsewhere_until = clock_.now() + elsewhere_ms;
         if (row.failures >= terms.attempts) {
             row.outcome = item_outcome::errored;
             row.at = state::ready;
--- a/packages/batch/src/work_places.cpp
+++ b/packages/batch/src/work_places.cpp
@@ -18,10 +18,6 @@
 
 constexpr int usual_priority = 5;
 
-/// How long an item waits for a place at another server than the one at which
-/// its run failed, in ms.
-constexpr base::millis other_place_ms = 500;
-
 /// Puts what runs ahead behind all jobs, in ms: more than any job lasts.
 constexpr base::millis after_all_jobs_ms = 3600000;
 
@@ -105,7 +101,7 @@
 work::place_for(samplers::run_places& places, const samplers::run_needs& needs,
                 const item_row& row) const {
     const auto other = places.best(needs, row.failed_at);
-    const bool waits = clock_.now() - row.waiting_since < other_place_ms;
+    const bool waits = clock_.now() < row.elsewhere_until;
     return other || !row.failed_at || waits ? other : places.best(needs);
 }
 
--- a/packages/batch/test/waiting_fuzz_test.cpp
+++ b/packages/batch/test/waiting_fuzz_test.cpp
@@ -130,12 +130,29 @@
     });
 }
 
+std::string
+play_server_trouble(const std::vector<testing::fuzz_command>& commands) {
+    waiting_world w(servers);
+    auto wrong = play_all(w, commands, server_commands);
+    return wrong.empty() ? check_wait(w, trouble_wait_ms) : wrong;
+}
+
 TEST(waiting_fuzz_test, no_item_waits_long_whatever_servers_do) {
-    testing::fuzz("servers", plays, [](const auto& commands) {
-        waiting_world w(servers);
-        auto wrong = play_all(w, commands, server_commands);
-        return wrong.empty() ? check_wait(w, trouble_wait_ms) : wrong;
-    });
+    testing::fuzz("servers", plays, play_server_trouble);
+}
+
+TEST(waiting_fuzz_test, refusals_do_not_keep_items_from_a_server_that_failed) {
+    // Each refusal elsewhere began anew the time for which it was avoided.
+    EXPECT_EQ(play_server_trouble({{45, 77, 137, 0},
+                                   {45, 478, 103, 0},
+                                   {85, 0, 60, 0},
+                                   {45, 6, 237, 0},
+                                   {45, 0, 345, 0},
+                                   {45, 614, 0, 0},
+                                   {0, 0, 197, 0},
+                                   {45, 137, 544, 0},
+                                   {0, 0, 629, 0}}),
+              "");
 }
 
 } // namespace
