batch: refusals do not hide how long items wait

Cause: items_wait counted from an item's last return to the queue. An item that went from one refusing server to the next seemed to wait for a quarter of a second at most, and no line came.

Fix: its time counts from when a server last worked on it.

Evidence: work_test.refusals_do_not_hide_how_long_an_item_waits failed before (300 for 1200) and passes.

--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -110,7 +110,7 @@
     std::string model;
     weight_version least_version = 0;
     int items = 0;
-    /// How long one of them has waited at most, in ms.
+    /// How long no server has worked on one of them at most, in ms.
     base::millis longest_ms = 0;
     samplers::server_counts servers;
 };
@@ -236,7 +236,8 @@
         base::millis elsewhere_until = 0;
         int reward_failures = 0;
         base::millis not_before = 0;
-        base::millis waiting_since = 0;
+        /// When a server last worked on it, or it was taken up.
+        base::millis served_at = 0;
         std::string score;
         item_life life;
         /// It was an item of an earlier job, which ended without it; the
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -56,7 +56,7 @@
         item_row r;
         r.content = std::move(i);
         r.epoch = epoch;
-        r.waiting_since = clock_.now();
+        r.served_at = clock_.now();
         if (row.listed.count(number) != 0) {
             r.at = state::done;
         } else {
@@ -167,7 +167,6 @@
 
 void work::requeue(item_row& row, base::millis pause) {
     row.at = state::waiting;
-    row.waiting_since = clock_.now();
     row.not_before = clock_.now() + pause;
 }
 
@@ -211,11 +210,12 @@
     }
     at->second.version = version;
     at->second.heard_at = clock_.now();
+    auto* item = row_of(at->second);
+    item->served_at = clock_.now();
     const auto& job = jobs_.at(at->second.job);
     table_.saw_version(at->second.sampler, job.header.model, version);
     if (version < job.header.least_version) {
         // The table was wrong about the server; the text would be too old.
-        auto* item = row_of(at->second);
         stop(run, "old_weights", out);
         requeue(*item, retry_ms);
     }
@@ -238,6 +238,7 @@
         table_.event(r.sampler, now - r.heard_at);
     }
     r.heard_at = now;
+    row.served_at = now;
     ++r.events;
     if (version) {
         r.version = *version;
--- a/packages/batch/src/work_places.cpp
+++ b/packages/batch/src/work_places.cpp
@@ -167,8 +167,7 @@
                 kind.least_version = needs.least;
                 kind.servers = places.count(needs);
             }
-            kind.longest_ms =
-                std::max(kind.longest_ms, now - row.waiting_since);
+            kind.longest_ms = std::max(kind.longest_ms, now - row.served_at);
         }
     }
     std::vector<waiting_items> out;
--- a/packages/batch/test/work_test.cpp
+++ b/packages/batch/test/work_test.cpp
@@ -335,6 +335,18 @@
     EXPECT_EQ(waits[0].servers.old_weights, 2);
 }
 
+TEST_F(work_test, refusals_do_not_hide_how_long_an_item_waits) {
+    adopt(1);
+    for (int n = 0; n < 4; ++n) {
+        const auto starts = only<start_run>(work_.tick(true));
+        ASSERT_EQ(starts.size(), 1U);
+        work_.ended(starts[0].run, run_end::not_run);
+        time_->advance(300);
+    }
+    ASSERT_EQ(work_.waits().size(), 1U);
+    EXPECT_EQ(work_.waits()[0].longest_ms, 1200);
+}
+
 TEST_F(work_test, a_run_stays_at_its_server_while_none_may_start) {
     // An owner that stops, or is cut off, ended good runs and began no other.
     adopt(1);
