batch: an item does not go to and fro between servers that fail it

Only the server that failed an item last was avoided; two such servers sent it back and forth, since the cheapest place was at one of them while sound ones stood idle.

Fix: all servers that failed the item are avoided, as long as another one has the weights.

Its shrunk list stays as an_item_does_not_go_to_and_fro_between_failing_servers, which failed before (5025 ms) and passes.

--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -231,8 +231,8 @@
         int saved_events = 0;
         std::size_t saved_bytes = 0;
         int failures = 0;
-        /// Where its run failed last, and until when it goes elsewhere.
-        std::optional<samplers::sampler_id> failed_at;
+        /// Where its runs failed, and until when it goes elsewhere.
+        std::set<samplers::sampler_id> failed_at;
         base::millis elsewhere_until = 0;
         int reward_failures = 0;
         base::millis not_before = 0;
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -21,8 +21,8 @@
 /// entry is renewed each 1.2 s.
 constexpr base::millis other_server_ms = 600;
 
-/// How long an item goes only to other servers than the one at which its run
-/// failed, in ms.
+/// How long an item goes only to other servers than those at which its runs
+/// failed, in ms, if there are any.
 constexpr base::millis elsewhere_ms = 500;
 
 /// The pause before a reward call is made again, in ms.
@@ -290,7 +290,7 @@
         break;
     case run_end::failed:
         ++row.failures;
-        row.failed_at = r.sampler;
+        row.failed_at.insert(r.sampler);
         row.elsewhere_until = clock_.now() + elsewhere_ms;
         if (row.failures >= terms.attempts) {
             row.outcome = item_outcome::errored;
--- a/packages/batch/src/work_places.cpp
+++ b/packages/batch/src/work_places.cpp
@@ -100,9 +100,13 @@
 std::optional<samplers::sampler_id>
 work::place_for(samplers::run_places& places, const samplers::run_needs& needs,
                 const item_row& row) const {
-    const auto other = places.best(needs, row.failed_at);
-    const bool waits = clock_.now() < row.elsewhere_until;
-    return other || !row.failed_at || waits ? other : places.best(needs);
+    if (row.failed_at.empty()) {
+        return places.best(needs);
+    }
+    auto other = places.best(needs, row.failed_at);
+    const bool waits = clock_.now() < row.elsewhere_until &&
+                       places.exists(needs, row.failed_at);
+    return other || waits ? other : places.best(needs);
 }
 
 int work::priority_of(const item_row& row) const {
--- a/packages/batch/test/waiting_fuzz_test.cpp
+++ b/packages/batch/test/waiting_fuzz_test.cpp
@@ -155,6 +155,19 @@
               "");
 }
 
+TEST(waiting_fuzz_test,
+     an_item_does_not_go_to_and_fro_between_failing_servers) {
+    // The sound server was as cheap as theirs and came behind them.
+    EXPECT_EQ(play_server_trouble({{45, 0, 0, 0},
+                                   {45, 6, 0, 0},
+                                   {45, 2, 115, 0},
+                                   {45, 13, 115, 0},
+                                   {85, 0, 0, 0},
+                                   {0, 0, 194, 0},
+                                   {0, 0, 432, 0}}),
+              "");
+}
+
 } // namespace
 
 } // namespace hibiscus::batch::play
--- a/packages/samplers/include/hibiscus/samplers/run_places.hpp
+++ b/packages/samplers/include/hibiscus/samplers/run_places.hpp
@@ -59,10 +59,14 @@
     /// go to the server that makes events fastest, so that the longest, which
     /// are placed first, end soonest; a fuller server counts as slower by what
     /// its batch costs, and one whose memory will not do for its runs as much
-    /// slower. Leaves out `except` if it is set.
-    std::optional<sampler_id>
-    best(const run_needs& needs,
-         const std::optional<sampler_id>& except = std::nullopt);
+    /// slower. Leaves out those in `except`.
+    std::optional<sampler_id> best(const run_needs& needs,
+                                   const std::set<sampler_id>& except = {});
+
+    /// Returns true if a server without those in `except` stays and has the
+    /// weights, whether it has a place now or not.
+    bool exists(const run_needs& needs,
+                const std::set<sampler_id>& except) const;
 
     /// Returns a server that makes events so much faster than `from` that a
     /// long run should go on there, or nothing. Samples of a step end together
--- a/packages/samplers/src/run_places.cpp
+++ b/packages/samplers/src/run_places.cpp
@@ -180,9 +180,8 @@
     }
 }
 
-std::optional<sampler_id>
-run_places::best(const run_needs& needs,
-                 const std::optional<sampler_id>& except) {
+std::optional<sampler_id> run_places::best(const run_needs& needs,
+                                           const std::set<sampler_id>& except) {
     const place* found = nullptr;
     double least_cost = 0;
     for (const auto& p : rank(needs).places) {
@@ -191,7 +190,7 @@
             break;
         }
         ++looks_;
-        if (except && *except == *p.id) {
+        if (except.count(*p.id) != 0) {
             continue;
         }
         const double cost = p.cost + memory_cost(p, needs.tokens);
@@ -204,6 +203,18 @@
                             : std::optional<sampler_id>(*found->id);
 }
 
+bool run_places::exists(const run_needs& needs,
+                        const std::set<sampler_id>& except) const {
+    return std::any_of(table_.rows().begin(), table_.rows().end(),
+                       [&](const auto& row) {
+                           const auto& [id, s] = row;
+                           return s.registered.service == needs.service &&
+                                  !s.registered.draining && !s.unlisted &&
+                                  s.version_of(needs.model) >= needs.least &&
+                                  except.count(id) == 0;
+                       });
+}
+
 std::optional<sampler_id> run_places::faster(const run_needs& needs,
                                              const sampler_id& from) {
     const auto here = table_.rows().find(from);
