tests: requests under way outlive changes of configuration and limits

forwarder_test.a_request_under_way_outlives_its_route_and_entry: the route gets another service and a shorter time, then goes, and all servers leave the table, while two requests are at their servers; both callers get their answers. event_server_test.limits_that_fall_spare_a_request_half_read: the bounds fall below a request that has been read in part; it is served. Both pass on the code before; no fault was found here.

--- a/packages/entry/test/forwarder_test.cpp
+++ b/packages/entry/test/forwarder_test.cpp
@@ -55,6 +55,21 @@
     expect("broken", "opened");
 }
 
+// Guards against a request that is lost with its route or its server's entry.
+TEST_F(forwarder_test, a_request_under_way_outlives_its_route_and_entry) {
+    const auto asked = world_.ask(again, 0, {conduct::answers_slowly}, 20);
+    const auto once_asked = world_.ask(once, 1, {conduct::answers_slowly}, 20);
+    EXPECT_TRUE(world_.run_until_sent(2));
+    world_.configure(1, 1);
+    world_.configure(3, 1);
+    for (int n = 0; n < services * servers_of_a_service; ++n) {
+        world_.remove_server(n);
+    }
+    EXPECT_EQ(world_.finish(), "");
+    EXPECT_EQ(asked->status, 200);
+    EXPECT_EQ(once_asked->status, 200);
+}
+
 } // namespace
 
 } // namespace hibiscus::testing
--- a/packages/entry/test/forwarder_world.hpp
+++ b/packages/entry/test/forwarder_world.hpp
@@ -163,6 +163,16 @@
         io_.poll();
     }
 
+    /// Runs until servers have got so many sends; false if that never happens.
+    bool run_until_sent(int sends) {
+        const base::clock clock;
+        const auto until = clock.now() + longest_wait_ms;
+        while (sends_seen() < sends && clock.now() < until) {
+            run_for(std::chrono::milliseconds(1));
+        }
+        return sends_seen() >= sends;
+    }
+
     std::string metrics() const { return state_.counters.serialize(); }
 
     std::size_t requests() const { return asked_.size(); }
@@ -221,6 +231,14 @@
         forwarder_.answer(std::move(f), std::move(answer));
     }
 
+    int sends_seen() const {
+        int out = 0;
+        for (const auto& [id, s] : seen_) {
+            out += s.sends;
+        }
+        return out;
+    }
+
     bool callers_are_busy() const {
         for (const auto& c : callers_) {
             if (c->busy()) {
--- a/packages/transport/test/event_server_test.cpp
+++ b/packages/transport/test/event_server_test.cpp
@@ -408,6 +408,17 @@
     run_until([&] { return is_closed(); });
 }
 
+// Guards against a refusal of a request that began under larger limits.
+TEST_F(event_server_test, limits_that_fall_spare_a_request_half_read) {
+    send(request.substr(0, request.size() - 1));
+    run_until([&] { return socket_.available() == 0; });
+    io_.restart();
+    io_.run_for(std::chrono::milliseconds(20));
+    server_.set_limits({8, 1, 100, 100});
+    send(request.substr(request.size() - 1));
+    run_until([&] { return answers_.size() == 1; });
+}
+
 } // namespace
 
 } // namespace hibiscus::transport
