entry: a reload signal during the start no longer ends the node

Seen: a node that got SIGHUP before it listened for signals was ended by it. A machine whose settings change while it starts anew was gone until somebody started it again.

Cause: the signal has its usual action until the event loop takes it over, which is after the settings were read and the four addresses were opened.

Evidence: entry_path_test.a_reload_signal_during_the_start_does_not_end_a_node holds the start at its settings file and sends the signal; the node was gone before, and becomes ready now.

Fix: the signal is ignored from the first line of main on; the file is read after that. What remains are the milliseconds before main, and a change of the file between the two readings of it at the start, which only the next change brings into force.

--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -4,6 +4,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <csignal>
 #include <iostream>
 
 ABSL_FLAG(std::string, settings, "", "path of the YAML settings file");
@@ -20,6 +21,8 @@
 /// Runs one entry node. Exits with 0 after a graceful shutdown, 1 if an
 /// address can't be had, 2 if a setting is wrong.
 int main(int argc, char** argv) {
+    // Until the node listens for it, the signal would end the process.
+    std::signal(SIGHUP, SIG_IGN);
     absl::SetProgramUsageMessage(
         "runs one entry node: hibiscus_entryd --settings=FILE");
     absl::ParseCommandLine(argc, argv);
--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -4,8 +4,14 @@
 
 #include <gtest/gtest.h>
 
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 #include <csignal>
+#include <fstream>
 #include <set>
+#include <sstream>
 
 namespace hibiscus::testing {
 
@@ -456,6 +462,34 @@
     EXPECT_TRUE(wait_ready("n1"));
 }
 
+// Guards against a node that is ended by a change of its settings at its start.
+TEST_F(entry_path_test, a_reload_signal_during_the_start_does_not_end_a_node) {
+    configure();
+    const auto file = write_settings("n1");
+    const auto aside = file + ".aside";
+    std::stringstream text;
+    text << std::ifstream(file).rdbuf();
+    std::filesystem::rename(file, aside);
+    ASSERT_EQ(::mkfifo(file.c_str(), 0600), 0);
+    nodes_["n1"] = std::make_unique<process>(
+        std::vector<std::string>{HIBISCUS_ENTRYD, "--settings=" + file},
+        folder_ + "/n1.log");
+    int pipe = -1;
+    ASSERT_TRUE(run_until([&] {
+        if (pipe < 0) {
+            pipe = ::open(file.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        }
+        return pipe >= 0;
+    }));
+    nodes_.at("n1")->signal(SIGHUP);
+    std::filesystem::rename(aside, file);
+    const auto bytes = text.str();
+    EXPECT_EQ(::write(pipe, bytes.data(), bytes.size()),
+              static_cast<ssize_t>(bytes.size()));
+    ::close(pipe);
+    EXPECT_TRUE(wait_ready("n1"));
+}
+
 TEST_F(entry_path_test, a_wrong_setting_ends_the_start) {
     const auto file = folder_ + "/wrong.yaml";
     std::ofstream(file) << "node: n\nzone: z\nlisten:\n  callers: nowhere\n";
