transport: a client that was held up judges nothing before it has looked

What callers saw: after a node had been busy for some tenths of a second, calls that were in good order ended: a server whose connection had opened counted as unreachable, a stream was cut as silent although its bytes had come, and a call was timed out although its answer stood on the connection.

The class: a timer's verdict on something that has already come.

Evidence: failed before, with a thread held up for 1.3 s and bounds of 1 s: held_up_test.a_connection_that_has_opened_is_used (not_sent for complete), a_stream_that_moves_is_not_silent (ended; its server's next write met a reset), an_answer_that_has_come_counts_behind_the_deadline (timed_out for complete). All pass now, ten times in a row. bounds_hold_in_a_thread_that_is_always_late passed before and must go on to pass.

Fix: base::own_delay tells from the distance of two looks how long the thread was held up. A delay of less than 100 ms is not seen.

--- a/packages/transport/include/hibiscus/transport/upstream.hpp
+++ b/packages/transport/include/hibiscus/transport/upstream.hpp
@@ -50,7 +50,9 @@
     std::function<void(call_end)> ended;
 };
 
-/// The bounds of one call, in ms; 0 stands for no bound.
+/// The bounds of one call, in ms; 0 stands for no bound. Time in which the
+/// thread was held up counts only for the whole time, and an answer that has
+/// come by then is taken.
 struct call_options {
     base::millis connect_ms = 1000;
     /// The longest time without a byte.
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -1,5 +1,7 @@
 #include "hibiscus/transport/upstream.hpp"
 
+#include "hibiscus/base/own_delay.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,6 +12,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <chrono>
 #include <deque>
 #include <map>
@@ -31,6 +34,10 @@
 /// How often the bounds of calls are looked at.
 constexpr base::millis sweep_ms = 50;
 
+/// A sweep that comes so long after the one before shows that the thread was
+/// busy with something else, in ms.
+constexpr base::millis late_sweep_ms = 100;
+
 /// A kept connection is not used again after so long without a request if its
 /// server does not say how long it keeps it, and never after the longer time:
 /// something on the way may have lost track of it.
@@ -116,11 +123,16 @@
         }
     }
 
+    /// Leaves time out of the wait for the connection or the next byte.
+    void leave_out(base::millis held_up, base::millis now) {
+        heard_ = std::min(now, heard_ + held_up);
+    }
+
     void check(base::millis now) {
         if (done_) {
             return;
         }
-        if (!connected_ && now - started_ > options_.connect_ms) {
+        if (!connected_ && now - heard_ > options_.connect_ms) {
             finish(call_end::not_sent);
         } else if (options_.total_ms > 0 &&
                    now - started_ > options_.total_ms) {
@@ -409,6 +421,8 @@
     beast::flat_buffer buffer_;
     std::optional<http::response_parser<http::string_body>> parser_;
     base::millis started_;
+    /// Since when it waits for its connection or the next byte, without the
+    /// time in which the thread was held up.
     base::millis heard_;
     base::millis keep_for_ = keep_ms;
     bool head_only_;
@@ -442,6 +456,7 @@
         c->begin();
         if (!sweeping_) {
             sweeping_ = true;
+            delay_.begin(state_->clock.now());
             sweep();
         }
         return c;
@@ -471,9 +486,15 @@
 
     void check() {
         const auto now = state_->clock.now();
+        const auto held_up = delay_.look(now);
         const auto calls = std::exchange(calls_, {});
         for (const auto& c : calls) {
-            c->check(now);
+            c->leave_out(held_up, now);
+            // What came while the thread was held up is handled first; it may
+            // be the answer of a call whose time is over.
+            if (!delay_.held_up()) {
+                c->check(now);
+            }
         }
         for (const auto& c : calls) {
             if (!c->done()) {
@@ -502,6 +523,7 @@
     asio::steady_timer timer_;
     std::shared_ptr<client_state> state_;
     std::vector<std::shared_ptr<call>> calls_;
+    base::own_delay delay_{sweep_ms, late_sweep_ms};
     bool sweeping_ = false;
 };
 
--- a/packages/transport/test/upstream_test.cpp
+++ b/packages/transport/test/upstream_test.cpp
@@ -2,6 +2,7 @@
 #include "hibiscus/transport/upstream.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
@@ -10,9 +11,11 @@
 
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <thread>
 
 namespace hibiscus::transport {
 
@@ -265,6 +268,134 @@
     }
 }
 
+/// A client whose thread is held up for longer than the bounds of its call,
+/// with a sweep due as soon as the thread goes on.
+class held_up_test : public upstream_test {
+protected:
+    held_up_test() {
+        // Keeps the client sweeping.
+        open_ = client_.start(address_of(unanswered_), {}, {}, {});
+        run_until([] { return false; }, 4);
+    }
+
+    static base::endpoint address_of(const tcp::acceptor& at) {
+        return {"127.0.0.1", at.local_endpoint().port()};
+    }
+
+    void start(call_options options) {
+        upstream_events events;
+        events.data = [this](std::string_view piece) {
+            bytes_ += piece.size();
+        };
+        events.ended = [this](call_end end) { end_ = end; };
+        call_ = client_.start(address_of(acceptor_), {}, options, events);
+    }
+
+    /// Starts a call and runs until its server has the request.
+    void start_and_send(call_options options) {
+        start(options);
+        server_.emplace(acceptor_.accept());
+        run_until([this] { return server_->available() > 0; });
+    }
+
+    void write(const std::string& bytes) {
+        asio::write(*server_, asio::buffer(bytes));
+    }
+
+    template <class Condition>
+    void run_until(Condition done, int most = 2000) {
+        for (int n = 0; n < most && !done(); ++n) {
+            io_.restart();
+            io_.run_for(std::chrono::milliseconds(10));
+        }
+    }
+
+    /// Runs `before` on the client's thread and holds the thread up then.
+    void hold_up(const std::function<void()>& before) {
+        std::this_thread::sleep_for(sweep);
+        bool over = false;
+        asio::post(io_, [&] {
+            before();
+            std::this_thread::sleep_for(std::chrono::milliseconds(bound + 300));
+            over = true;
+        });
+        run_until([&] { return over; });
+    }
+
+    void run_to_end() {
+        run_until([this] { return end_.has_value(); });
+    }
+
+    static constexpr base::millis bound = 1000;
+    static constexpr std::chrono::milliseconds sweep{60};
+    tcp::acceptor acceptor_{io_,
+                            tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+    tcp::acceptor unanswered_{
+        io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+    std::shared_ptr<upstream_call> open_;
+    std::shared_ptr<upstream_call> call_;
+    std::optional<tcp::socket> server_;
+    std::optional<call_end> end_;
+    std::size_t bytes_ = 0;
+};
+
+// Guards against a sound server that counts as unreachable.
+TEST_F(held_up_test, a_connection_that_has_opened_is_used) {
+    call_options options;
+    options.connect_ms = bound;
+    hold_up([&] { start(options); });
+    server_.emplace(acceptor_.accept());
+    write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+    run_to_end();
+    ASSERT_TRUE(end_);
+    EXPECT_EQ(*end_, call_end::complete);
+}
+
+// Guards against a stream that is cut although its bytes have come.
+TEST_F(held_up_test, a_stream_that_moves_is_not_silent) {
+    call_options options;
+    options.silence_ms = bound;
+    start_and_send(options);
+    hold_up([&] { write(chunked_head + chunked("abc")); });
+    run_until([this] { return end_ || bytes_ > 0; });
+    EXPECT_FALSE(end_);
+    write("0\r\n\r\n");
+    run_to_end();
+    ASSERT_TRUE(end_);
+    EXPECT_EQ(*end_, call_end::complete);
+}
+
+// Guards against a time-out of a call whose answer is there.
+TEST_F(held_up_test, an_answer_that_has_come_counts_behind_the_deadline) {
+    call_options options;
+    options.total_ms = bound;
+    start_and_send(options);
+    hold_up([&] {
+        write("HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" +
+              std::string(40000, 'x'));
+    });
+    run_to_end();
+    ASSERT_TRUE(end_);
+    EXPECT_EQ(*end_, call_end::complete);
+}
+
+// Guards against a call without an end in a thread that is always late.
+TEST_F(held_up_test, bounds_hold_in_a_thread_that_is_always_late) {
+    for (const auto end : {call_end::silent, call_end::timed_out}) {
+        call_options options;
+        (end == call_end::silent ? options.silence_ms : options.total_ms) = 100;
+        end_.reset();
+        start_and_send(options);
+        for (int n = 0; n < 100 && !end_; ++n) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(150));
+            io_.restart();
+            io_.poll();
+        }
+        ASSERT_TRUE(end_);
+        EXPECT_EQ(*end_, end);
+    }
+}
+
 TEST(event_stream_parser_test, splits_events_wherever_the_bytes_are_cut) {
     const std::string text = "id: 1\ndata: a\n\nweight-versions: 3\nid: 2\n"
                              "data: b\ndata: c\n\nid: 3\ndata: cut";
