batch: an owner that was held up takes no run for silent

What callers saw: after the thread of a jobs' owner had been busy for 0.3 s, all runs with events were stopped and their servers left alone as failed, 0.9 s for runs without an event. The items lost their places and went on elsewhere, or waited since no server was left.

Cause: a tick counted the time in which the owner itself had looked at nothing as the servers' silence. The class: a timer's verdict on something that has already come.

Fix: a tick that comes more than 100 ms after the one before leaves the time between out of each run's silence, as base::own_delay tells it. Each second of late ticks in a row counts as a usual one, so that silent servers are left by an owner that is always late too.

--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hibiscus/base/own_delay.hpp"
 #include "hibiscus/batch/ledger.hpp"
 #include "hibiscus/batch/text_size.hpp"
 #include "hibiscus/samplers/run_places.hpp"
@@ -134,6 +135,9 @@
 /// comes out as effects.
 class work {
 public:
+    /// How often tick() is to be called, in ms.
+    static constexpr base::millis tick_ms = 25;
+
     work(base::clock clock, samplers::sampler_table& table);
 
     /// Takes up a job, or what is left of it. `progress` holds the saved
@@ -260,6 +264,8 @@
         int number = 0;
         samplers::sampler_id sampler;
         base::millis started_at = 0;
+        /// When its server was last heard, later by the time in which the
+        /// owner's thread was held up since.
         base::millis heard_at = 0;
         weight_version version = 0;
         int events = 0;
@@ -275,6 +281,7 @@
 
     void list_one(const job_id& id, job_state& job, int number, effects& out);
     item_row* row_of(const run_row& run);
+    void leave_out_own_delay();
     void place(effects& out);
     void move(effects& out);
     bool is_silent(const run_row& run, samplers::run_places& places) const;
@@ -317,6 +324,7 @@
     run_number last_run_ = 0;
     /// When long runs may go on to faster servers again.
     base::millis next_wander_ = 0;
+    base::own_delay delay_;
     work_counts counts_;
 };
 
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -28,6 +28,10 @@
 /// The pause before a reward call is made again, in ms.
 constexpr base::millis reward_retry_ms = 100;
 
+/// A tick that comes so long after the one before shows that the owner's
+/// thread was held up, in ms.
+constexpr base::millis late_tick_ms = 100;
+
 void add_version(std::vector<weight_version>& versions, weight_version v) {
     if (std::find(versions.begin(), versions.end(), v) == versions.end()) {
         versions.push_back(v);
@@ -37,7 +41,9 @@
 } // namespace
 
 work::work(base::clock clock, samplers::sampler_table& table)
-    : clock_(std::move(clock)), table_(table) {}
+    : clock_(std::move(clock)), table_(table), delay_(tick_ms, late_tick_ms) {
+    delay_.begin(clock_.now());
+}
 
 effects work::adopt(const job_row& row, std::vector<item> items,
                     const std::map<int, std::vector<progress_part>>& progress,
@@ -177,7 +183,16 @@
     ++row.epoch;
 }
 
+void work::leave_out_own_delay() {
+    const auto now = clock_.now();
+    const auto held_up = delay_.look(now);
+    for (auto& [number, run] : runs_) {
+        run.heard_at = std::min(now, run.heard_at + held_up);
+    }
+}
+
 effects work::tick(bool may_start) {
+    leave_out_own_delay();
     // First of all what must not go on: a process that stood still would
     // otherwise begin items of a job that ended long ago.
     auto out = drop_overdue();
--- a/packages/batch/src/work_moves.cpp
+++ b/packages/batch/src/work_moves.cpp
@@ -16,8 +16,8 @@
 /// A run whose events stop for so many times the usual pause at its server has
 /// met one that does not work: more than the pause of a step that reads in a
 /// long prompt, and more than twice that of a server which has just become
-/// four times slower. Never sooner than the shortest bound, in ms: a process
-/// that was held up for a moment would take all servers for silent.
+/// four times slower. Never sooner than the shortest bound, in ms: a delay of
+/// the process that its ticks do not show would make all servers silent.
 constexpr double silent_pauses = 20;
 constexpr base::millis least_silence_ms = 300;
 
--- a/packages/entry/src/owner.cpp
+++ b/packages/entry/src/owner.cpp
@@ -12,7 +12,7 @@
 
 /// How often waiting items and silent runs are looked at, in ms. Places that
 /// fall free are filled at once by the run's end itself.
-constexpr base::millis tick_ms = 25;
+constexpr base::millis tick_ms = batch::work::tick_ms;
 
 /// How often open jobs are compared with their routes, in ms.
 constexpr base::millis follow_ms = 250;
