batch: an item that all servers failed goes to each of them again

Once each server had failed an item, it went back to the cheapest of them at every try, while another one of them was sound again.

Fix: with the first return the servers that failed it are forgotten, so that each has its turn.

Evidence: waiting_fuzz_test.no_item_waits_long_whatever_servers_do of a run by hand: 'an item waited 5025 ms while a place was free'. Its shrunk list stays as an_item_that_all_servers_failed_goes_to_each_again, which failed before (5025 ms) and passes. Tried and taken back: a server that failed counts as dearer for 4 s; the list failed as before.

--- a/packages/batch/src/work_places.cpp
+++ b/packages/batch/src/work_places.cpp
@@ -82,6 +82,10 @@
         table_.started(*to, needs.tokens);
         places.changed(*to);
         row.at = state::running;
+        if (row.failed_at.count(*to) != 0) {
+            // All that are left have failed it: each has its turn again.
+            row.failed_at.clear();
+        }
         ++row.life.runs;
         if (row.life.first_start < 0) {
             row.life.first_start = now - job.seen_at;
--- a/packages/batch/test/waiting_fuzz_test.cpp
+++ b/packages/batch/test/waiting_fuzz_test.cpp
@@ -168,6 +168,22 @@
               "");
 }
 
+TEST(waiting_fuzz_test, an_item_that_all_servers_failed_goes_to_each_again) {
+    // It went back to the first of them at each try.
+    EXPECT_EQ(play_server_trouble({{45, 834, 829, 0},
+                                   {45, 48, 0, 0},
+                                   {45, 0, 0, 0},
+                                   {45, 237, 0, 0},
+                                   {45, 39, 500, 0},
+                                   {45, 214, 488, 0},
+                                   {45, 896, 170, 0},
+                                   {85, 0, 0, 0},
+                                   {0, 0, 32, 0},
+                                   {45, 534, 335, 0},
+                                   {0, 0, 629, 0}}),
+              "");
+}
+
 } // namespace
 
 } // namespace hibiscus::batch::play
