--- a/packages/entry/test/faulty_server.hpp
+++ b/packages/entry/test/faulty_server.hpp
@@ -192,6 +192,9 @@
                 return true;
             }
             const auto h = parse(c->in, end);
+            if (seen_.count(h.id) == 0) {
+                seen_[h.id].wrong = c->in.substr(0, end);
+            }
             auto& s = seen_[h.id];
             const bool whole = c->in.size() >= h.bytes + h.body_bytes;
             const auto what = conduct_of(s);
--- a/packages/entry/test/forwarder_world.hpp
+++ b/packages/entry/test/forwarder_world.hpp
@@ -252,7 +252,7 @@
         for (const auto& [id, s] : seen_) {
             const auto at = asked_.find(id);
             if (at == asked_.end()) {
-                return id + ": nobody asked for it";
+                return "nobody asked for it: " + s.wrong;
             }
             auto wrong = check(id, s, at->second);
             if (!wrong.empty()) {
