entry: SIGHUP ends no node at its start or at its end

What operators saw: a node that was asked to read its settings again while it started, or in the last moment of a stop, ended by the signal.

Cause: the handlers were installed after the node listened, and the signal set takes them away with the node's parts, before the process exits. In between the signal's default action ends the process.

SIGHUP is blocked from the first line of main until the handler is there, which is now before the node listens, and again from the end of the loop. A signal that came meanwhile is delivered once it is unblocked, so that a change of the file that it announces is not missed; one that was ignored would be.

Between exec and main, while libraries are loaded, the signal still ends the process: nothing of the program runs then.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -11,6 +11,7 @@
 #include "platform/sampler_calls.hpp"
 #include "platform/store_client.hpp"
 #include "registry.hpp"
+#include "reload_signal.hpp"
 #include "store_watch.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -112,6 +113,8 @@
                    [this](const auto& r, auto e) { on_internal(r, e); }) {}
 
     std::optional<listen_failed> run() {
+        wait_for_signal();
+        block_reloads(false);
         if (auto failed = listen()) {
             return failed;
         }
@@ -119,7 +122,6 @@
                          {{"zone", state_.config.zone},
                           {"callers", to_string(state_.config.listen_callers)},
                           {"store", to_string(state_.config.store)}});
-        wait_for_signal();
         config_.start();
         registry_.start();
         journal_.start();
@@ -131,6 +133,7 @@
         settings_text_ = settings_text();
         watch_settings();
         io_.run();
+        block_reloads(true);
         state_.log.flush();
         return std::nullopt;
     }
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -1,10 +1,11 @@
 #include "hibiscus/entry/daemon.hpp"
 
+#include "reload_signal.hpp"
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
-#include <csignal>
 #include <iostream>
 
 ABSL_FLAG(std::string, settings, "", "path of the YAML settings file");
@@ -21,8 +22,7 @@
 /// Runs one entry node. Exits with 0 after a graceful shutdown, 1 if an
 /// address can't be had, 2 if a setting is wrong.
 int main(int argc, char** argv) {
-    // Until the node listens for it, the signal would end the process.
-    std::signal(SIGHUP, SIG_IGN);
+    hibiscus::entry::block_reloads(true);
     absl::SetProgramUsageMessage(
         "runs one entry node: hibiscus_entryd --settings=FILE");
     absl::ParseCommandLine(argc, argv);
--- /dev/null
+++ b/testing/entry/entry_reload_test.cpp
@@ -0,0 +1,120 @@
+#include "entry/entry_world.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace hibiscus::testing {
+
+namespace {
+
+class entry_reload_test : public ::testing::Test, protected entry_world {
+protected:
+    /// Writes to a pipe that a program reads as its settings file, and leaves a
+    /// plain file of the same content in its place.
+    static void give_settings(int pipe, const std::string& path,
+                              const std::string& text) {
+        std::ofstream(path + ".next") << text;
+        std::filesystem::rename(path + ".next", path);
+        ASSERT_EQ(::write(pipe, text.data(), text.size()),
+                  static_cast<ssize_t>(text.size()));
+        ::close(pipe);
+    }
+
+    /// Returns true if a process has a handler for SIGHUP.
+    static bool handles_reloads(pid_t id) {
+        const std::string name = "SigCgt:";
+        std::ifstream in("/proc/" + std::to_string(id) + "/status");
+        for (std::string line; std::getline(in, line);) {
+            if (line.compare(0, name.size(), name) == 0) {
+                const auto caught =
+                    std::stoull(line.substr(name.size()), nullptr, 16);
+                return (caught >> (SIGHUP - 1) & 1U) != 0;
+            }
+        }
+        return false;
+    }
+
+    /// Sends SIGHUP to each node that has no handler for it any more, at most
+    /// half a minute, until all have ended.
+    bool signal_until_all_end() {
+        const base::clock clock;
+        const auto until = clock.now() + 30000;
+        bool ended = false;
+        while (!ended && clock.now() < until) {
+            ended = true;
+            for (const auto& [name, node] : nodes_) {
+                ended = !node->running() && ended;
+                if (!handles_reloads(node->id())) {
+                    node->signal(SIGHUP);
+                }
+            }
+            io_.restart();
+            io_.poll();
+        }
+        return ended;
+    }
+
+    /// Returns the end of a pipe to write to once a program reads from it.
+    int opened(const std::string& path) {
+        int pipe = -1;
+        run_until([&] {
+            if (pipe < 0) {
+                pipe = ::open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+            }
+            return pipe >= 0;
+        });
+        return pipe;
+    }
+};
+
+TEST_F(entry_reload_test, a_reload_asked_for_during_the_start_ends_no_node) {
+    configure();
+    const auto path = write_settings("n1");
+    std::stringstream text;
+    text << std::ifstream(path).rdbuf();
+    std::filesystem::remove(path);
+    ASSERT_EQ(::mkfifo(path.c_str(), S_IRUSR | S_IWUSR), 0);
+    nodes_["n1"] = std::make_unique<process>(
+        std::vector<std::string>{HIBISCUS_ENTRYD, "--settings=" + path},
+        folder_ + "/n1.log");
+    const int pipe = opened(path);
+    ASSERT_GE(pipe, 0);
+    nodes_.at("n1")->signal(SIGHUP);
+    give_settings(pipe, path, text.str());
+    while (nodes_.at("n1")->running() && nodes_.at("n1")->output().empty()) {
+        nodes_.at("n1")->signal(SIGHUP);
+        pause_for(1);
+    }
+    ASSERT_TRUE(wait_ready("n1"));
+    EXPECT_TRUE(run_until([&] {
+        return nodes_.at("n1")->output().find("\"cause\":\"signal\"") !=
+               std::string::npos;
+    }));
+}
+
+TEST_F(entry_reload_test, reloads_until_the_end_of_a_stop_leave_its_exit_code) {
+    configure();
+    for (const char* name : {"n1", "n2", "n3"}) {
+        start_node(name);
+        ASSERT_TRUE(wait_ready(name));
+    }
+    for (const char* name : {"n1", "n2", "n3"}) {
+        nodes_.at(name)->signal(SIGTERM);
+    }
+    EXPECT_TRUE(signal_until_all_end());
+    for (const auto& [name, node] : nodes_) {
+        EXPECT_EQ(node->wait(0), 0) << name;
+    }
+}
+
+} // namespace
+
+} // namespace hibiscus::testing
