testing: programs that a test starts hold none of its sockets

A program that was started while a test had connections open inherited them. A connection that the test or one of its stand-ins closed then stayed open for its other side, until that program ended too.

--- /dev/null
+++ b/testing/integration/process_test.cpp
@@ -0,0 +1,26 @@
+#include "support/process.hpp"
+
+#include <gtest/gtest.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace hibiscus::testing {
+namespace {
+
+TEST(process_test, a_program_holds_no_socket_of_the_test_open) {
+    const int held = ::socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_GE(held, 0);
+    char name[] = "/tmp/hibiscus-process-XXXXXX";
+    const int file = ::mkstemp(name);
+    process list({"/bin/ls", "-l", "/proc/self/fd"}, name);
+    EXPECT_EQ(list.wait(30000), 0);
+    EXPECT_EQ(list.output().find("socket:"), std::string::npos)
+        << list.output();
+    ::close(held);
+    ::close(file);
+    ::unlink(name);
+}
+
+} // namespace
+} // namespace hibiscus::testing
--- a/testing/support/process.cpp
+++ b/testing/support/process.cpp
@@ -31,6 +31,9 @@
     posix_spawn_file_actions_addopen(&actions, 1, output_.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    // A socket of the test that the program holds too would stay open after the
+    // test has closed it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, 3);
     const int error =
         posix_spawn(&id_, argv[0], &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
