--- a/testing/entry/entry_world.hpp
+++ b/testing/entry/entry_world.hpp
@@ -82,7 +82,18 @@
     entry_world(const entry_world&) = delete;
     entry_world& operator=(const entry_world&) = delete;
 
-    void configure() { store_.put("keyed.op", "config", configuration); }
+    /// Writes the configuration as the operator, under a version, with the
+    /// routes' bounds as they are if `timeout_ms` is 0.
+    void configure(int version = 1, int timeout_ms = 0) {
+        auto next = json::parse(configuration);
+        next["version"] = version;
+        for (auto& route : next["routes"]) {
+            if (timeout_ms > 0 && route.contains("timeoutMs")) {
+                route["timeoutMs"] = timeout_ms;
+            }
+        }
+        store_.put("keyed.op", "config", next.dump());
+    }
 
     /// Writes the settings of a node; its calls to the store go to `store` if
     /// that is given. Returns the file's path.
--- a/testing/entry/token_server.cpp
+++ b/testing/entry/token_server.cpp
@@ -76,17 +76,10 @@
             version_ = order.at("version").get<std::int64_t>();
         }
         to->respond({next ? 202 : 409, {}, ""});
-    } else if (field(request, "Model").empty() && mute_) {
-        ++runs_;
-        unanswered_.push_back(to);
-    } else if (field(request, "Model").empty() && losing_answers_) {
-        ++runs_;
-        to->abort();
     } else if (field(request, "Model").empty()) {
         ++runs_;
-        to->respond({200,
-                     {{"Request-Id", id}, {"Response-Stamp", "of-" + id}},
-                     "answer to " + id});
+        worked_on_.insert(id);
+        work_on(id, to);
     } else {
         ++runs_;
         worked_on_.insert(id);
@@ -98,6 +91,33 @@
     }
 }
 
+void token_server::work_on(const std::string& id, const answer& to) {
+    if (mute_) {
+        unanswered_.push_back(to);
+        return;
+    }
+    if (losing_answers_) {
+        to->abort();
+        return;
+    }
+    const auto respond = [id, to] {
+        to->respond({200,
+                     {{"Request-Id", id}, {"Response-Stamp", "of-" + id}},
+                     "answer to " + id});
+    };
+    if (work_ms_ == 0) {
+        respond();
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        io_, std::chrono::milliseconds(work_ms_));
+    timer->async_wait([timer, respond](auto error) {
+        if (!error) {
+            respond();
+        }
+    });
+}
+
 void token_server::run(stream s, int next) {
     if (s.breaks != breaks_) {
         s.to->write("id: " + std::to_string(next) + "\ndata: half of ");
--- a/testing/entry/token_server.hpp
+++ b/testing/entry/token_server.hpp
@@ -42,6 +42,9 @@
     /// Sets the time between two events, in ms.
     void set_event_ms(int ms) { event_ms_ = ms; }
 
+    /// Sets how long the server works on requests without a model, in ms.
+    void set_work_ms(int ms) { work_ms_ = ms; }
+
     /// From now on requests without a model are worked on and never answered,
     /// while their connections stay open.
     void fall_mute() { mute_ = true; }
@@ -66,12 +69,14 @@
     };
 
     void handle(const transport::inbound_request& request, const answer& to);
+    void work_on(const std::string& id, const answer& to);
     void run(stream s, int next);
 
     boost::asio::io_context& io_;
     std::string id_;
     int events_;
     int event_ms_;
+    int work_ms_ = 0;
     std::int64_t version_ = 1;
     std::int64_t orders_ = 0;
     int runs_ = 0;
