--- a/packages/store/include/hibiscus/store/store_link.hpp
+++ b/packages/store/include/hibiscus/store/store_link.hpp
@@ -2,6 +2,7 @@
 
 #include "hibiscus/base/clock.hpp"
 #include "hibiscus/base/endpoint.hpp"
+#include "hibiscus/base/own_delay.hpp"
 #include "hibiscus/store/answer_time.hpp"
 #include "hibiscus/store/log_store.hpp"
 
@@ -37,9 +38,10 @@
     /// for all, and calls are not sent again: a third of the nodes fails so
     /// often by chance once in 6,000 rows.
     int failures = 8;
-    /// How far apart two looks at the calls are at most unless the node itself
-    /// was held up. What came meanwhile was not handled.
-    base::millis look = 150;
+    /// How often the calls are looked at, and from which distance of two looks
+    /// on the node itself was held up.
+    base::millis look = 50;
+    base::millis late_look = 150;
 };
 
 /// Decides whether calls go to the store itself or through another node. The
@@ -75,7 +77,7 @@
     bool down_for_all() const;
 
     /// Returns true while calls go through others; the store should then be
-    /// tried now and then. To be called more often than `look` says.
+    /// tried now and then. To be called as often as `look` says.
     bool away();
 
     /// Returns the partition whose call showed that the store is away. It is
@@ -100,7 +102,6 @@
     };
 
     void check();
-    void leave_out_own_delay();
     void forget_pending();
     bool paused(const base::endpoint& peer) const;
     std::optional<base::endpoint> next_peer(std::uint64_t turn) const;
@@ -119,8 +120,7 @@
     std::set<base::endpoint> good_;
     int failures_in_row_ = 0;
     std::uint64_t last_ = 0;
-    /// When the calls were last looked at.
-    base::millis looked_at_ = 0;
+    base::own_delay delay_;
     bool away_ = false;
     partition lost_partition_;
     /// When a peer last said that it could not pass a call on; 0 for never.
--- a/packages/store/src/store_link.cpp
+++ b/packages/store/src/store_link.cpp
@@ -9,7 +9,8 @@
                        peers_function peers, lost_function lost,
                        link_times times)
     : clock_(std::move(clock)), address_(std::move(address)),
-      peers_(std::move(peers)), lost_(std::move(lost)), times_(times) {}
+      peers_(std::move(peers)), lost_(std::move(lost)), times_(times),
+      delay_(times.look, times.late_look) {}
 
 bool store_link::paused(const base::endpoint& peer) const {
     const auto row = paused_.find(peer);
@@ -93,22 +94,12 @@
     }
 }
 
-/// Answers that came while the node was busy with something else are handled
-/// only after this look: its own delay is not the store's.
-void store_link::leave_out_own_delay() {
+void store_link::check() {
     const auto now = clock_.now();
-    const auto gap = now - std::exchange(looked_at_, now);
-    if (gap <= times_.look) {
-        return;
-    }
+    const auto held_up = delay_.look(now);
     for (auto& [number, p] : pending_) {
-        p.due += gap;
+        p.due += held_up;
     }
-}
-
-void store_link::check() {
-    leave_out_own_delay();
-    const auto now = clock_.now();
     const auto late =
         std::find_if(pending_.begin(), pending_.end(), [now](const auto& row) {
             return !row.second.relayed && now > row.second.due;
