entry: nothing is sent for a caller whose connection has ended

Seen by a test only: a request whose connection ends before the forwarder has asked to be told is sent to a server all the same, and nobody cancels it.

Cause: on_closed() calls at once in that case, and the first send did not look whether the request had been given up. Today's event_server hands requests over before their connection can end.

Evidence: forwarder_test.nothing_is_sent_for_a_caller_that_has_left failed before: a server got the request "gone".

--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -45,6 +45,9 @@
           started_(state.clock.now()) {}
 
     void next() {
+        if (ended_) {
+            return;
+        }
         const auto now = state_.clock.now();
         const auto left = request_.due - now - margin_ms;
         if (left <= 0) {
--- a/packages/entry/test/forwarder_test.cpp
+++ b/packages/entry/test/forwarder_test.cpp
@@ -70,6 +70,12 @@
     EXPECT_EQ(once_asked->status, 200);
 }
 
+// Guards against work of servers for a caller that has left.
+TEST_F(forwarder_test, nothing_is_sent_for_a_caller_that_has_left) {
+    world_.forward_for_nobody();
+    EXPECT_EQ(world_.finish(), "");
+}
+
 } // namespace
 
 } // namespace hibiscus::testing
--- a/packages/entry/test/forwarder_world.hpp
+++ b/packages/entry/test/forwarder_world.hpp
@@ -15,9 +15,11 @@
 #include <array>
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -74,6 +76,17 @@
     std::shared_ptr<caller_result> result;
 };
 
+/// The way to a caller whose connection has ended.
+class ended_exchange : public transport::exchange {
+public:
+    void respond(transport::outbound_response) override {}
+    void begin(int, const transport::headers&) override {}
+    void write(std::string_view) override {}
+    void end() override {}
+    void abort() override {}
+    void on_closed(std::function<void()> closed) override { closed(); }
+};
+
 /// Callers, a front with a forwarder, and faulty servers on one event loop.
 class forwarder_world {
 public:
@@ -141,6 +154,16 @@
         return result;
     }
 
+    /// Forwards a request whose caller has left.
+    void forward_for_nobody() {
+        entry::forward_request f;
+        f.content.fields = {{"Host", "h"}, {"Request-Id", "gone"}};
+        f.service = samplers::service_name(service_at(0));
+        f.repeatable = true;
+        f.due = state_.clock.now() + plain_deadline_ms;
+        forwarder_.answer(std::move(f), std::make_shared<ended_exchange>());
+    }
+
     void remove_server(int n) { state_.samplers.remove(id_of(n)); }
 
     void put_server(int n, bool draining) {
