soak: callers keep their connections; stops, reloads and configurations overlap

Nine callers send lookups on connections that they keep until the node closes them or is gone. SIGTERM comes with a series of SIGHUP, and SIGHUP and configurations come in series of five, beside the faults that were there. A lookup that a server worked on must end with an answer, unless its node was killed or stood still since its start. SIGHUP goes to nodes that have answered since their start.

The faults are drawn from twelve, not nine, so that a number plays another series than before. No check is changed.

--- a/testing/soak/soak_test.cpp
+++ b/testing/soak/soak_test.cpp
@@ -1,7 +1,9 @@
 #include "entry/entry_world.hpp"
+#include "entry/kept_client.hpp"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -42,6 +44,7 @@
             if (!wait_ready(name)) {
                 return std::string(name) + " does not become ready";
             }
+            add_callers(name);
         }
         for (int step = 0; step < steps && wrong_.empty(); ++step) {
             fault();
@@ -50,6 +53,7 @@
         }
         undo(true);
         finish();
+        end_callers();
         return wrong_;
     }
 
@@ -108,7 +112,88 @@
 
     void restart(const std::string& name) {
         if (!nodes_.at(name)->running()) {
+            up_.erase(name);
+            harmed_.erase(name);
+            stopping_.erase(name);
             start_node(name, proxies_.at(name).listen);
+        } else if (stopping_.count(name) != 0) {
+            later(look_again_ms, [this, name] { restart(name); });
+        }
+    }
+
+    void stop(const std::string& name) {
+        stopping_.insert(name);
+        nodes_.at(name)->signal(SIGTERM);
+    }
+
+    /// Starts callers that send one lookup after the other on connections that
+    /// they keep until the node closes them or is gone.
+    void add_callers(const std::string& name) {
+        constexpr int callers = 3;
+        for (int n = 0; n < callers; ++n) {
+            callers_.push_back(std::make_unique<kept_client>(
+                io_, base::endpoint{"127.0.0.1", ports_.at(name).front()},
+                [this] { return lookup(); },
+                [this, name](const auto& q, const auto& r) {
+                    looked_up(name, q, r);
+                }));
+        }
+    }
+
+    kept_request lookup() {
+        constexpr int longest_pause_ms = 40;
+        constexpr int longest_body = 100000;
+        kept_request q;
+        q.id = "k" + std::to_string(++lookups_);
+        q.target = "/look/x";
+        q.fields = {{"Host", "h"}, {"Deadline-Ms", "1500"}};
+        q.body.assign(static_cast<std::size_t>(draw(longest_body)), 'x');
+        q.pause_ms = draw(longest_pause_ms);
+        return q;
+    }
+
+    void looked_up(const std::string& name, const kept_request& q,
+                   const kept_reply& r) {
+        if (r.status == 0) {
+            if (harmed_.count(name) == 0) {
+                unanswered_.push_back(q.id);
+            }
+            return;
+        }
+        up_.insert(name);
+        check_lookup(q.id, r.status, r.body);
+    }
+
+    void check_lookup(const std::string& id, int status,
+                      const std::string& body) {
+        if (status == 200 && body != "answer to " + id) {
+            wrong_ = id + " got " + body;
+        }
+        if (status == 404) {
+            wrong_ = id + " was denied";
+        }
+    }
+
+    /// A request that a node passed on ends with an answer, unless the node was
+    /// killed or stood still.
+    void end_callers() {
+        for (const auto& c : callers_) {
+            c->stop();
+        }
+        run_until([&] {
+            return std::all_of(callers_.begin(), callers_.end(),
+                               [](const auto& c) { return c->stopped(); });
+        });
+        for (const auto& id : unanswered_) {
+            if (app_.worked_on().count(id) != 0) {
+                wrong_ = id + " was passed on and got no answer";
+            }
+        }
+    }
+
+    void reload(const std::string& name) {
+        if (up_.count(name) != 0) {
+            nodes_.at(name)->signal(SIGHUP);
         }
     }
 
@@ -116,16 +201,18 @@
     void fault() {
         const auto name = node();
         const int ms = 200 + draw(2000);
-        switch (draw(9)) {
+        switch (draw(12)) {
         case 0:
+            harmed_.insert(name);
             nodes_.at(name)->signal(SIGKILL);
             later(ms, [this, name] { restart(name); });
             break;
         case 1:
-            nodes_.at(name)->signal(SIGTERM);
+            stop(name);
             later(4000 + ms, [this, name] { restart(name); });
             break;
         case 2:
+            harmed_.insert(name);
             nodes_.at(name)->signal(SIGSTOP);
             later(ms, [this, name] { nodes_.at(name)->signal(SIGCONT); });
             break;
@@ -147,6 +234,23 @@
             store_.set_losing(20);
             later(ms, [this] { store_.set_losing(0); });
             break;
+        case 8:
+            for (int n = 0; n < series; ++n) {
+                later(draw(ms), [this] { configure(++version_); });
+            }
+            break;
+        case 9:
+            for (int n = 0; n < series; ++n) {
+                later(draw(ms), [this, node = node()] { reload(node); });
+            }
+            break;
+        case 10:
+            stop(name);
+            for (int n = 0; n < series; ++n) {
+                later(draw(2 * ms), [this, name] { reload(name); });
+            }
+            later(4000 + ms, [this, name] { restart(name); });
+            break;
         default:
             engines_[static_cast<std::size_t>(draw(2))]->break_streams();
             break;
@@ -222,12 +326,7 @@
         const auto id = "q" + std::to_string(++lookups_);
         const auto got = call(node(), "POST", "/look/x",
                               {{"Request-Id", id}, {"Deadline-Ms", "1500"}});
-        if (got.status == 200 && got.body != "answer to " + id) {
-            wrong_ = id + " got " + got.body;
-        }
-        if (got.status == 404) {
-            wrong_ = id + " was denied";
-        }
+        check_lookup(id, got.status, got.body);
     }
 
     /// With all faults over, everything that was accepted must be there.
@@ -235,7 +334,7 @@
         for (const char* name : {"n1", "n2", "n3"}) {
             run_until([&] {
                 restart(name);
-                return nodes_.at(name)->running();
+                return stopping_.count(name) == 0 && nodes_.at(name)->running();
             });
         }
         for (auto& j : jobs_) {
@@ -267,10 +366,22 @@
 
     static constexpr std::size_t most_jobs = 8;
     static constexpr int most_attempts = 6;
+    /// How many configurations or reloads come in a series.
+    static constexpr int series = 5;
+    static constexpr base::millis look_again_ms = 100;
 
     std::mt19937 random_;
     base::clock clock_;
     std::map<std::string, proxy> proxies_;
+    std::vector<std::unique_ptr<kept_client>> callers_;
+    /// Lookups whose connections ended without an answer, at nodes that were
+    /// neither killed nor stood still since their start.
+    std::vector<std::string> unanswered_;
+    std::set<std::string> harmed_;
+    std::set<std::string> stopping_;
+    /// Nodes that have answered since their start.
+    std::set<std::string> up_;
+    int version_ = 1;
     std::vector<soak_job> jobs_;
     std::vector<undoing> undo_;
     std::string wrong_;
