transport: limits in force count on idle connections

What callers would see: 413 for what the configuration in force allows, which is never asked again, and closed connections that may still be idle, on those that had become idle before the limits rose.

Cause: the limits were fixed when a connection began to wait for its next request.

Fix: a connection on which no request has begun takes the new limits, and may stay idle for the longer of the time that was in force then and the present one.

Before: limits_that_rise_count_on_an_idle_connection and an_idle_time_that_rises_counts_on_idle_connections failed.

--- a/packages/transport/include/hibiscus/transport/event_server.hpp
+++ b/packages/transport/include/hibiscus/transport/event_server.hpp
@@ -109,7 +109,8 @@
     /// Listens on `address`. Returns the address in use, or nothing.
     std::optional<base::endpoint> listen(const base::endpoint& address);
 
-    /// Changes the bounds, for requests that begin from now on.
+    /// Changes the bounds, for requests that begin from now on. A connection
+    /// that is idle already may stay so for the longer of the two times.
     void set_limits(event_server_limits limits);
 
     /// Says from now on in each answer that it is the connection's last.
--- a/packages/transport/src/event_server.cpp
+++ b/packages/transport/src/event_server.cpp
@@ -166,6 +166,7 @@
 
 void event_server::set_limits(event_server_limits limits) {
     impl_->state().limits = limits;
+    impl_->for_each_session([](server_session& s) { s.take_limits(); });
 }
 
 void event_server::drain() {
--- a/packages/transport/src/server_session.cpp
+++ b/packages/transport/src/server_session.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace hibiscus::transport {
@@ -143,7 +144,7 @@
     if (current_) {
         return;
     }
-    const bool overdue = read_due_ != 0 && now > read_due_;
+    const bool overdue = is_overdue(now);
     if (lingering_) {
         if (overdue) {
             close();
@@ -203,15 +204,34 @@
 
 void server_session::read() {
     parser_.emplace();
+    take_limits();
+    given_more_time_ = false;
+    read_on();
+}
+
+void server_session::take_limits() {
+    if (!parser_ || parser_->got_some()) {
+        return;
+    }
     parser_->header_limit(
         static_cast<std::uint32_t>(state_->limits.header_bytes));
     parser_->body_limit(state_->limits.body_bytes);
-    given_more_time_ = false;
-    read_on();
+}
+
+void server_session::wait_for_caller() {
+    waits_since_ = state_->clock.now();
+    idle_ms_ = state_->limits.idle_ms;
+}
+
+/// A caller may go by the limit that it knew or by the one in force.
+bool server_session::is_overdue(base::millis now) const {
+    const auto idle_ms = std::max(idle_ms_, state_->limits.idle_ms);
+    return waits_since_ &&
+           now - *waits_since_ > (lingering_ ? linger_ms : idle_ms);
 }
 
 void server_session::read_on() {
-    read_due_ = state_->clock.now() + state_->limits.idle_ms;
+    wait_for_caller();
     http::async_read(
         socket_, buffer_, *parser_,
         [self = shared_from_this()](beast::error_code error, std::size_t) {
@@ -244,7 +264,7 @@
 
 void server_session::on_read(beast::error_code error) {
     const bool cancelled = std::exchange(idle_read_cancelled_, false);
-    read_due_ = 0;
+    waits_since_.reset();
     if (!open_) {
         return;
     }
@@ -257,7 +277,7 @@
         return;
     }
     if (lingering_) {
-        read_due_ = state_->clock.now() + linger_ms;
+        wait_for_caller();
         discard();
         return;
     }
@@ -348,14 +368,14 @@
         handle();
         return;
     }
-    read_due_ = state_->clock.now() + state_->limits.idle_ms;
+    wait_for_caller();
 }
 
 void server_session::shutdown_send() {
     lingering_ = true;
     beast::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    read_due_ = state_->clock.now() + linger_ms;
+    wait_for_caller();
     if (discard_rest_ || waiting_) {
         discard();
     }
--- a/packages/transport/src/server_session.hpp
+++ b/packages/transport/src/server_session.hpp
@@ -51,6 +51,9 @@
     /// Ends what is overdue and, once the server closes, what is idle.
     void sweep(base::millis now);
 
+    /// Takes the limits in force, unless a request has begun to come.
+    void take_limits();
+
     /// Sets what is called if the caller of request `number` leaves.
     void set_closed(std::uint64_t number, std::function<void()> closed);
 
@@ -77,6 +80,10 @@
 
     void read_on();
 
+    void wait_for_caller();
+
+    bool is_overdue(base::millis now) const;
+
     /// Whether a closing server need not wait for a request any longer.
     bool may_close(base::millis now) const;
 
@@ -130,7 +137,10 @@
     base::millis read_at_ = 0;
     /// Whether some of the present answer was handed on to be sent.
     bool began_ = false;
-    base::millis read_due_ = 0;
+    /// Since when bytes of the caller are waited for, and how long it was then
+    /// allowed to be idle.
+    std::optional<base::millis> waits_since_;
+    base::millis idle_ms_ = 0;
     base::millis write_due_ = 0;
     base::millis opened_at_;
     bool open_ = true;
--- a/packages/transport/test/event_server_test.cpp
+++ b/packages/transport/test/event_server_test.cpp
@@ -399,6 +399,27 @@
     EXPECT_EQ(requests_.size(), 1U);
 }
 
+// A 413 for what the limits in force allow is never asked again.
+TEST_F(event_server_test, limits_that_rise_count_on_an_idle_connection) {
+    server_.set_limits({1024, 10, 3000, 15000});
+    answer_first();
+    server_.set_limits({1024, 4000, 3000, 15000});
+    send(long_request);
+    run_until([&] { return answers_.size() == 2 || is_closed(); });
+    ASSERT_EQ(answers_.size(), 2U) << close_error_.message();
+}
+
+// Callers go by the newest idle time and would meet a closed connection.
+TEST_F(event_server_test, an_idle_time_that_rises_counts_on_idle_connections) {
+    server_.set_limits({1024, 10, 3000, 300});
+    answer_first();
+    server_.set_limits({1024, 10, 3000, 15000});
+    run_for(1500);
+    send(request);
+    run_until([&] { return answers_.size() == 2 || is_closed(); });
+    ASSERT_EQ(answers_.size(), 2U) << close_error_.message();
+}
+
 TEST_F(event_server_test, an_answer_that_is_forgotten_ends_the_connection) {
     // A handler drops its request without an answer. The caller must not wait
     // until its own time is over.
