names, tests, docs: what a reading of the whole change stumbled on

Names that were metaphors or said too little (lacks_cursor, avoid_failed_until, unlisted_load, log_missing); one-line comments of tests say what they guard against rather than what once happened. work_test.a_silence_is_told_from_the_ pauses_of_a_slow_model checks the runs in each of the pauses as well, not only behind them. No behaviour changes.

--- a/packages/batch/include/hibiscus/batch/work.hpp
+++ b/packages/batch/include/hibiscus/batch/work.hpp
@@ -237,7 +237,7 @@
         int failures = 0;
         /// Where its runs failed, and until when it goes elsewhere.
         std::set<samplers::sampler_id> failed_at;
-        base::millis elsewhere_until = 0;
+        base::millis avoid_failed_until = 0;
         int reward_failures = 0;
         base::millis not_before = 0;
         /// When a server last worked on it, or it was taken up.
--- a/packages/batch/src/work.cpp
+++ b/packages/batch/src/work.cpp
@@ -23,7 +23,7 @@
 
 /// How long an item goes only to other servers than those at which its runs
 /// failed, in ms, if there are any.
-constexpr base::millis elsewhere_ms = 500;
+constexpr base::millis avoid_failed_ms = 500;
 
 /// The pause before a reward call is made again, in ms.
 constexpr base::millis reward_retry_ms = 100;
@@ -306,7 +306,7 @@
     case run_end::failed:
         ++row.failures;
         row.failed_at.insert(r.sampler);
-        row.elsewhere_until = clock_.now() + elsewhere_ms;
+        row.avoid_failed_until = clock_.now() + avoid_failed_ms;
         if (row.failures >= terms.attempts) {
             row.outcome = item_outcome::errored;
             row.at = state::ready;
--- a/packages/batch/src/work_places.cpp
+++ b/packages/batch/src/work_places.cpp
@@ -108,7 +108,7 @@
         return places.best(needs);
     }
     auto other = places.best(needs, row.failed_at);
-    const bool waits = clock_.now() < row.elsewhere_until &&
+    const bool waits = clock_.now() < row.avoid_failed_until &&
                        places.exists(needs, row.failed_at);
     return other || waits ? other : places.best(needs);
 }
--- a/packages/batch/test/hand_over_test.cpp
+++ b/packages/batch/test/hand_over_test.cpp
@@ -67,7 +67,7 @@
 }
 
 TEST_F(hand_over_test, a_claim_under_way_is_waited_for) {
-    // The claim came through after SIGTERM and the jobs were not given up.
+    // Guards against jobs that stay with a stopped node whose claim came late.
     plan_.begin();
     plan_.saved();
     EXPECT_EQ(plan_.next(false, true), hand_over_step::wait);
--- a/packages/batch/test/retention_test.cpp
+++ b/packages/batch/test/retention_test.cpp
@@ -52,7 +52,7 @@
 }
 
 TEST_F(retention_test, an_end_without_a_job_holds_up_no_other_job) {
-    // An end stored after its job's erasure stopped all erasures for good.
+    // Guards against a store that fills up behind an end without its job.
     time_->advance(1);
     put(end_key{job_id("a")}, "1");
     accept("b");
--- a/packages/batch/test/waiting_fuzz_test.cpp
+++ b/packages/batch/test/waiting_fuzz_test.cpp
@@ -142,7 +142,7 @@
 }
 
 TEST(waiting_fuzz_test, refusals_do_not_keep_items_from_a_server_that_failed) {
-    // Each refusal elsewhere began anew the time for which it was avoided.
+    // Guards against items that wait while the server that failed is sound.
     EXPECT_EQ(play_server_trouble({{45, 77, 137, 0},
                                    {45, 478, 103, 0},
                                    {85, 0, 60, 0},
@@ -157,7 +157,7 @@
 
 TEST(waiting_fuzz_test,
      an_item_does_not_go_to_and_fro_between_failing_servers) {
-    // The sound server was as cheap as theirs and came behind them.
+    // Guards against items that go between failing servers past a sound one.
     EXPECT_EQ(play_server_trouble({{45, 0, 0, 0},
                                    {45, 6, 0, 0},
                                    {45, 2, 115, 0},
@@ -169,7 +169,7 @@
 }
 
 TEST(waiting_fuzz_test, an_item_that_all_servers_failed_goes_to_each_again) {
-    // It went back to the first of them at each try.
+    // Guards against items that all go back to the one server that still fails.
     EXPECT_EQ(play_server_trouble({{45, 834, 829, 0},
                                    {45, 48, 0, 0},
                                    {45, 0, 0, 0},
--- a/packages/batch/test/work_test.cpp
+++ b/packages/batch/test/work_test.cpp
@@ -227,7 +227,7 @@
     const auto start = only<start_run>(work_.tick(true)).front();
     work_.head(start.run, 1);
     for (int n = 1; n <= 20; ++n) {
-        tick_for(300);
+        EXPECT_TRUE(only<stop_run>(tick_for(300)).empty());
         work_.event(start.run, std::to_string(n), "e", {});
     }
     EXPECT_TRUE(only<stop_run>(tick_for(900)).empty());
@@ -415,7 +415,7 @@
 }
 
 TEST_F(work_test, a_run_stays_at_its_server_while_none_may_start) {
-    // An owner that stops, or is cut off, ended good runs and began no other.
+    // Guards against good runs that end while none may begin.
     adopt(1);
     const auto start = only<start_run>(work_.tick(true)).front();
     ASSERT_EQ(start.sampler.str(), "a");
@@ -439,7 +439,7 @@
 }
 
 TEST_F(work_test, an_item_that_failed_at_a_server_goes_to_another) {
-    // All attempts of an item went to the one server that failed them.
+    // Guards against an item that uses up its attempts at one failing server.
     adopt(1);
     auto start = only<start_run>(work_.tick(true)).front();
     const auto first = start.sampler;
--- a/packages/entry/src/batch_api.cpp
+++ b/packages/entry/src/batch_api.cpp
@@ -118,7 +118,7 @@
                                 {"outcome", "accepted"},
                                 {"reason", reason}});
     state_.counters.observe("accept", ms);
-    note_told(s.header.id, 0);
+    note_reported(s.header.id, 0);
     s.caller->respond(adapter::plain_status(202));
 }
 
@@ -251,8 +251,8 @@
 }
 
 /// Writes what an answer rests on that takes something for absent.
-void batch_api::tell_missing(const char* event, const waiter& w,
-                             const batch::job_row* row, int items) {
+void batch_api::log_missing(const char* event, const waiter& w,
+                            const batch::job_row* row, int items) {
     const auto now = state_.clock.now();
     const auto told = told_.find(w.job);
     const bool is_told = told != told_.end();
@@ -275,7 +275,7 @@
 }
 
 void batch_api::deny_job(const waiter& w) {
-    tell_missing("job_unknown", w, nullptr, 0);
+    log_missing("job_unknown", w, nullptr, 0);
     state_.counters.count_event("job_unknown");
     if (told_.count(w.job) != 0) {
         state_.counters.count_event("told_job_unknown");
@@ -285,7 +285,7 @@
 
 void batch_api::deny_item(const waiter& w, const batch::job_row& row,
                           int items) {
-    tell_missing("item_unknown", w, &row, items);
+    log_missing("item_unknown", w, &row, items);
     state_.counters.count_event("item_unknown");
     w.caller->respond(adapter::plain_status(404));
 }
@@ -294,7 +294,7 @@
 void batch_api::send_nothing(const waiter& w, const batch::job_row& row) {
     const auto told = told_.find(w.job);
     if (told != told_.end() && w.after < told->second.next) {
-        tell_missing("position_empty", w, &row, row.header->items);
+        log_missing("position_empty", w, &row, row.header->items);
         state_.counters.count_event("position_empty");
     }
     w.caller->respond(adapter::results(
@@ -303,7 +303,7 @@
 
 /// Notes up to which position results of a job were handed out; notes of jobs
 /// that nobody has asked for in the time that results are kept go.
-void batch_api::note_told(const batch::job_id& job, std::size_t next) {
+void batch_api::note_reported(const batch::job_id& job, std::size_t next) {
     const auto now = state_.clock.now();
     const auto known = told_.find(job);
     if (known != told_.end()) {
@@ -378,7 +378,7 @@
                               {"listed", row->next_position()},
                               {"bytes", static_cast<std::int64_t>(bytes)},
                               {"ms", state_.clock.now() - w.came_at}});
-    note_told(w.job, position);
+    note_reported(w.job, position);
     w.caller->respond(adapter::results(
         static_cast<std::size_t>(row->header->items), position, out));
 }
--- a/packages/entry/src/batch_api.hpp
+++ b/packages/entry/src/batch_api.hpp
@@ -86,9 +86,9 @@
     void deny_job(const waiter& w);
     void deny_item(const waiter& w, const batch::job_row& row, int items);
     void send_nothing(const waiter& w, const batch::job_row& row);
-    void tell_missing(const char* event, const waiter& w,
-                      const batch::job_row* row, int items);
-    void note_told(const batch::job_id& job, std::size_t next);
+    void log_missing(const char* event, const waiter& w,
+                     const batch::job_row* row, int items);
+    void note_reported(const batch::job_id& job, std::size_t next);
     void store_end(const waiter& w, base::millis due, bool stored_maybe);
     bool current_since(base::millis time) const;
     void sweep();
--- a/packages/entry/test/batch_api_test.cpp
+++ b/packages/entry/test/batch_api_test.cpp
@@ -64,7 +64,7 @@
 };
 
 TEST_F(batch_api_test, an_item_is_denied_only_if_all_items_were_read) {
-    // An item that could not be read was answered 404 though its job has it.
+    // Guards against a 404 for an item that could not be read.
     store_part(3, 2);
     EXPECT_EQ(body("i1").body, "body 1");
     EXPECT_EQ(body("i2").status, 503);
@@ -79,7 +79,7 @@
 }
 
 TEST_F(batch_api_test, a_position_that_no_job_has_does_not_end_the_node) {
-    // A caller who asked for position 4294967295 ended each node it asked.
+    // Guards against nodes that end at a position that no job has.
     answer([&](auto caller) {
         node_.calls().submit(submission(3), 1000, caller);
     });
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -141,7 +141,7 @@
     using row_map = std::map<sampler_id, sampler_row>;
 
     /// What goes on at a server.
-    struct work_there {
+    struct unlisted_load {
         int running = 0;
         std::int64_t tokens = 0;
     };
@@ -153,7 +153,7 @@
     base::mechanism_set mechanisms_;
     row_map rows_;
     /// The work that goes on at servers whose entries are gone.
-    std::map<sampler_id, work_there> unlisted_work_;
+    std::map<sampler_id, unlisted_load> unlisted_loads_;
     std::map<service_name, std::int64_t> memory_;
 };
 
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -34,11 +34,11 @@
     const auto [at, listed_anew] = rows_.try_emplace(id);
     auto& row = at->second;
     if (listed_anew) {
-        const auto left = unlisted_work_.find(id);
-        if (left != unlisted_work_.end()) {
+        const auto left = unlisted_loads_.find(id);
+        if (left != unlisted_loads_.end()) {
             row.running = left->second.running;
             row.tokens = left->second.tokens;
-            unlisted_work_.erase(left);
+            unlisted_loads_.erase(left);
         }
     }
     const bool anew = row.registered.started != r.started ||
@@ -73,7 +73,7 @@
 sampler_table::row_map::iterator sampler_table::erase(row_map::iterator row) {
     const auto& r = row->second;
     if (r.running > 0) {
-        unlisted_work_[row->first] = {r.running, r.tokens};
+        unlisted_loads_[row->first] = {r.running, r.tokens};
     }
     return rows_.erase(row);
 }
@@ -117,11 +117,11 @@
         row->tokens = std::max<std::int64_t>(0, row->tokens - tokens);
         return;
     }
-    const auto left = unlisted_work_.find(id);
-    if (left != unlisted_work_.end()) {
+    const auto left = unlisted_loads_.find(id);
+    if (left != unlisted_loads_.end()) {
         left->second.tokens -= tokens;
         if (--left->second.running <= 0) {
-            unlisted_work_.erase(left);
+            unlisted_loads_.erase(left);
         }
     }
 }
--- a/packages/samplers/test/sampler_table_test.cpp
+++ b/packages/samplers/test/sampler_table_test.cpp
@@ -19,7 +19,7 @@
 };
 
 TEST_F(sampler_table_test, runs_at_a_server_that_is_listed_again_still_count) {
-    // A server that had lost the store got more runs than it has places.
+    // Guards against more runs than places at a server that is listed again.
     table_.started(server_, 100);
     table_.started(server_, 200);
     table_.started(server_, 400);
--- a/packages/store/include/hibiscus/store/log_store.hpp
+++ b/packages/store/include/hibiscus/store/log_store.hpp
@@ -77,7 +77,7 @@
 
 /// Returns true if a page holds nothing though others follow: no key says
 /// where to go on, and what stands behind it is not absent.
-inline bool is_hollow(const newest_page& page) {
+inline bool lacks_cursor(const newest_page& page) {
     return page.more && page.records.empty();
 }
 
--- a/packages/store/src/follower.cpp
+++ b/packages/store/src/follower.cpp
@@ -59,7 +59,7 @@
             return;
         }
         auto* p = base::value_if(result);
-        if (p == nullptr || is_hollow(*p)) {
+        if (p == nullptr || lacks_cursor(*p)) {
             // The pages so far hold on: reading goes on from the first one's
             // end in any case.
             lost();
--- a/packages/store/src/prefix_reader.cpp
+++ b/packages/store/src/prefix_reader.cpp
@@ -32,7 +32,7 @@
 
     void on_page(newest_result result) {
         auto* p = base::value_if(result);
-        if (p == nullptr || is_hollow(*p)) {
+        if (p == nullptr || lacks_cursor(*p)) {
             done(std::nullopt);
             return;
         }
@@ -82,7 +82,7 @@
 
     void on_page(const newest_result& result) {
         const auto* p = base::value_if(result);
-        if (p == nullptr || is_hollow(*p)) {
+        if (p == nullptr || lacks_cursor(*p)) {
             done(false);
             return;
         }
--- a/packages/store/test/follower_test.cpp
+++ b/packages/store/test/follower_test.cpp
@@ -106,7 +106,7 @@
 }
 
 TEST_F(follower_test, a_read_without_records_before_the_end_is_not_current) {
-    // A record that stands behind an empty answer was taken for absent.
+    // Guards against a 404 for a record that stands behind an empty answer.
     log_store hollow = store_.port();
     hollow.read = [this](const partition&, log_offset, base::millis wait,
                          const std::function<void(read_result)>& done) {
@@ -127,7 +127,7 @@
 }
 
 TEST_F(follower_test, a_refused_page_does_not_begin_the_snapshot_anew) {
-    // A node that started beside a store in trouble knew no job for long.
+    // Guards against a node that starts beside a store in trouble without end.
     for (const char* key : {"a", "b", "c", "d", "e", "f", "g"}) {
         append(key, "1");
     }
@@ -153,7 +153,7 @@
 }
 
 TEST_F(follower_test, a_page_without_records_before_the_last_one_ends_nothing) {
-    // Keys behind such a page were taken for gone, and items for absent.
+    // Guards against a 404 for what stands behind an empty page.
     for (const char* key : {"b/1", "b/2", "b/3", "b/4"}) {
         append(key, "1");
     }
@@ -213,7 +213,8 @@
 }
 
 TEST_F(follower_test, an_append_at_its_end_shows_that_the_view_is_current) {
-    // An owner whose reads hung renewed the ownership and began no item.
+    // Guards against an owner that renews while its reads hang and begins no
+    // item.
     append("a", "1");
     follower_->start();
     run();
--- a/packages/transport/test/event_server_test.cpp
+++ b/packages/transport/test/event_server_test.cpp
@@ -205,7 +205,7 @@
     EXPECT_EQ(requests_[1].body, "helloabc");
 }
 
-// A caller was not told that the answer before was its connection's last.
+// Guards against a lost request of a caller that was told of no end.
 TEST_F(event_server_test, a_request_behind_an_answer_is_served_while_draining) {
     send(request + request);
     run_until([&] { return !answers_.empty(); });
--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -211,7 +211,7 @@
 }
 
 TEST_F(entry_path_test, a_save_without_an_answer_does_not_keep_an_owner) {
-    // A stopping owner kept the jobs idle until its grace period was over.
+    // Guards against jobs that stand still until a stopping owner has ended.
     configure();
     start_node("n1");
     start_node("n2");
@@ -295,7 +295,7 @@
 }
 
 TEST_F(entry_path_test, an_open_job_follows_its_route_to_another_service) {
-    // The job kept the service of its take-up, which had no server any more.
+    // Guards against a job whose service has lost all its servers.
     token_server moved{io_, "new-0", events, event_ms};
     configure();
     start_node("n1");
