--- a/packages/net/test/http_test.cpp
+++ b/packages/net/test/http_test.cpp
@@ -69,9 +69,7 @@
     }
 }
 
-// A node that is replaced stops to listen while callers connect to it. Those
-// that the kernel has connected have sent their requests; thrown away with the
-// listener they would not know whether these were carried out.
+// Guards against lost requests of callers that wait to be accepted at a stop.
 TEST(http_stop_test, connections_that_wait_to_be_accepted_are_served) {
     namespace asio = boost::asio;
     using tcp = asio::ip::tcp;
--- a/packages/samplers/test/weight_rollout_test.cpp
+++ b/packages/samplers/test/weight_rollout_test.cpp
@@ -238,9 +238,7 @@
     EXPECT_GE(play(load_ms, 10000), 80);
 }
 
-// Loads took less time than passes between two questions, as servers said by
-// themselves, and now take longer. Were that not seen, all servers of a share
-// would be asked over and over, and a load that has failed be given up late.
+// Guards against loads that are given up early once they take longer.
 TEST_F(weight_rollout_test, loads_that_become_long_are_seen_to_be) {
     constexpr base::millis short_ms = 50;
     constexpr base::millis long_ms = 1000;
@@ -274,9 +272,7 @@
     EXPECT_GT(first_question, 400);
 }
 
-// Two hundred servers, and steps that fill twenty of them. Were all loaded,
-// nine of ten loads would be replaced before anybody used them, and the owner
-// would spend its time on asking for their ends.
+// Guards against loads that are replaced before anybody uses them.
 TEST_F(weight_rollout_test, only_so_many_servers_load_as_steps_need) {
     constexpr int servers = 200;
     constexpr int needed = 20;
--- a/testing/integration/port_reservations_test.cpp
+++ b/testing/integration/port_reservations_test.cpp
@@ -33,9 +33,7 @@
                       reserved_.take("127.0.0.1")};
 };
 
-// A test drew a port for a node and let it go. Before the node listened, the
-// kernel gave the port to another program; the node ended at its start, and
-// the test said only that it did not become ready.
+// Guards against nodes that find their port taken by another program.
 TEST_F(port_reservations_test, nobody_else_is_given_the_port) {
     EXPECT_EQ(bind(false), asio::error::address_in_use);
 }
