gateway, entry: workspaces and API keys

Cause: the configuration's workspaces were not read at all.

Now a request on a route that is not public needs exactly one key that the configuration in force names, else 401 with WWW-Authenticate. Keys end in request_router: backend servers get the workspace's name instead, whatever the caller sent. A view of the configuration that is older than config_ms denies neither keys nor routes (503): they may have been added since; with strict_revocation a view older than revoke_ms accepts no key. Jobs store the workspace that submitted them; other workspaces get the same 404 as for an unknown job, and texts of ended jobs are not shared between workspaces. Headers without a workspace (earlier builds) stay readable, and are written as before. A workspace's priority replaces its route's, towards servers and, as a bounded delay of 250 ms a level, in the order of items.

No usage is reported yet.

--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -26,6 +27,8 @@
     bool single_version = false;
     base::millis target_ms = 0;
     base::millis item_expiry_ms = 0;
+    /// Priority of the workspace or the route; 0 is the most urgent.
+    int priority = 0;
 };
 
 /// Effect: send an item to a server.
@@ -35,6 +38,8 @@
     job_id job;
     int item_index = 0;
     std::string host;
+    /// The workspace of the job; may be empty.
+    std::string workspace;
     std::string model;
     const item* content = nullptr;
     /// Id of the event after which the server resumes the text; empty to start
@@ -322,7 +327,7 @@
     void move_slow_runs(effects& out);
     void move_long_runs(effects& out);
     bool is_worth_moving(const run_row& run);
-    int priority_of(const item_row& row) const;
+    int priority_of(const job_state& job, const item_row& row) const;
     std::optional<samplers::sampler_id>
     choose_server(samplers::run_placement& placement,
                   const samplers::run_requirements& requirements,
@@ -347,7 +352,8 @@
     samplers::sampler_table& table_;
     std::map<job_id, job_state> jobs_;
     std::map<run_number, run_row> runs_;
-    std::map<item_id, cached_text> cached_texts_;
+    /// By workspace and item; texts are not shared between workspaces.
+    std::map<std::pair<std::string, item_id>, cached_text> cached_texts_;
     std::map<std::string, weight_version> newest_versions_;
     /// The highest number of waiting and running items of a model since the
     /// peak was last reset. It is reset once it is a minute old.
--- a/packages/batch/include/hibiscus/batch/job.hpp
+++ b/packages/batch/include/hibiscus/batch/job.hpp
@@ -53,6 +53,9 @@
     /// The host and path of the submission; they select the route.
     std::string host;
     std::string path;
+    /// The workspace that submitted the job; empty if the submission needed no
+    /// API key.
+    std::string workspace;
     std::string model;
     std::int64_t step = 0;
     weight_version min_version = 0;
@@ -71,6 +74,20 @@
     std::vector<item> items;
 };
 
+/// Which jobs a caller may read and end.
+struct job_access {
+    /// The workspace of the caller, empty for a caller without an API key. Not
+    /// set if the configuration defines no workspaces.
+    std::optional<std::string> workspace;
+
+    /// Returns true if the caller may access the job. A job without a workspace
+    /// is open to all callers.
+    bool includes(const job_header& job) const {
+        return !workspace || job.workspace.empty() ||
+               job.workspace == *workspace;
+    }
+};
+
 /// The final outcome of an item.
 enum class item_outcome { succeeded, errored };
 
--- a/packages/batch/src/item_scheduler_placement.cpp
+++ b/packages/batch/src/item_scheduler_placement.cpp
@@ -21,6 +21,13 @@
 
 constexpr int default_priority = 5;
 
+/// The least urgent priority that servers accept.
+constexpr int max_priority = 9;
+
+/// How much later an item is placed for each level of its job's priority, in
+/// ms. Bounded in time, so that jobs with a low priority do not starve.
+constexpr base::millis priority_delay_ms = 250;
+
 /// Added to the target time of speculative items, so that they are placed after
 /// those of all jobs, in ms. Longer than any job lasts.
 constexpr base::millis speculative_queue_offset_ms = 3600000;
@@ -59,6 +66,7 @@
             if (row.state == item_state::waiting && now >= row.not_before) {
                 const auto target_at =
                     job.first_seen_at + job.options.target_ms +
+                    job.options.priority * priority_delay_ms +
                     (job.speculative_until ? speculative_queue_offset_ms : 0);
                 const auto negated_length =
                     longest_first ? -row.content.expected_output_tokens : 0;
@@ -102,8 +110,8 @@
         ++counts_.runs;
         out.push_back(start_run{
             run, *server, *c.job, c.item_index, job.header.host,
-            job.header.model, &row.content, row.output.last_event,
-            priority_of(row),
+            job.header.workspace, job.header.model, &row.content,
+            row.output.last_event, priority_of(job, row),
             std::max<base::millis>(
                 1000, job.first_seen_at + job.options.item_expiry_ms - now)});
     }
@@ -129,16 +137,18 @@
                                     : placement.find_best(requirements);
 }
 
-int item_scheduler::priority_of(const item_row& row) const {
+int item_scheduler::priority_of(const job_state& job,
+                                const item_row& row) const {
     if (!table_.is_enabled(base::feature::priorities)) {
         return default_priority;
     }
+    int priority = default_priority;
     if (row.is_resubmitted) {
-        return resubmitted_priority;
+        priority = resubmitted_priority;
+    } else if (row.content.expected_output_tokens > long_output_tokens) {
+        priority = long_output_priority;
     }
-    return row.content.expected_output_tokens > long_output_tokens
-               ? long_output_priority
-               : default_priority;
+    return std::min(max_priority, priority + job.options.priority);
 }
 
 samplers::run_requirements
--- a/packages/batch/src/item_scheduler_texts.cpp
+++ b/packages/batch/src/item_scheduler_texts.cpp
@@ -21,7 +21,8 @@
 } // namespace
 
 void item_scheduler::reuse_cached_text(job_state& job, item_row& row) {
-    const auto cached = cached_texts_.find(row.content.id);
+    const auto cached =
+        cached_texts_.find({job.header.workspace, row.content.id});
     if (cached == cached_texts_.end()) {
         return;
     }
@@ -70,12 +71,13 @@
             row.outcome == item_outcome::errored) {
             continue;
         }
-        const auto earlier = cached_texts_.find(row.content.id);
+        const std::pair key(job.header.workspace, row.content.id);
+        const auto earlier = cached_texts_.find(key);
         // Keep the text with the newer weights.
         if (earlier == cached_texts_.end() ||
             earlier->second.output.versions.front() <=
                 row.output.versions.front()) {
-            cached_texts_[row.content.id] = {row.output, complete, now};
+            cached_texts_[key] = {row.output, complete, now};
         }
     }
 }
--- a/packages/batch/src/records.cpp
+++ b/packages/batch/src/records.cpp
@@ -209,16 +209,20 @@
 }
 
 std::string encode(const job_header& h) {
-    return to_cbor({{"id", h.id.str()},
-                    {"host", h.host},
-                    {"path", h.path},
-                    {"model", h.model},
-                    {"step", h.step},
-                    {"least", h.min_version},
-                    {"groups", h.required_groups},
-                    {"items", h.item_count},
-                    {"chunks", h.chunk_count},
-                    {"wall", h.accepted_wall_ms}});
+    json out{{"id", h.id.str()},
+             {"host", h.host},
+             {"path", h.path},
+             {"model", h.model},
+             {"step", h.step},
+             {"least", h.min_version},
+             {"groups", h.required_groups},
+             {"items", h.item_count},
+             {"chunks", h.chunk_count},
+             {"wall", h.accepted_wall_ms}};
+    if (!h.workspace.empty()) {
+        out["workspace"] = h.workspace;
+    }
+    return to_cbor(out);
 }
 
 std::optional<job_header> decode_header(const std::string& bytes) {
@@ -234,6 +238,7 @@
         h.item_count = in.at("items").get<int>();
         h.chunk_count = in.at("chunks").get<int>();
         h.accepted_wall_ms = in.at("wall").get<base::millis>();
+        h.workspace = in.value("workspace", std::string());
         return h;
     });
 }
--- a/packages/batch/test/item_scheduler_test.cpp
+++ b/packages/batch/test/item_scheduler_test.cpp
@@ -30,9 +30,11 @@
     }
 
     void add_job(int items, bool reward = true, weight_version min_version = 1,
-                 const std::string& id = "j") {
+                 const std::string& id = "j", int priority = 0,
+                 const std::string& workspace = "") {
         job j;
         j.header.id = job_id(id);
+        j.header.workspace = workspace;
         j.header.model = "m";
         j.header.min_version = min_version;
         for (int n = 0; n < items; ++n) {
@@ -52,6 +54,7 @@
         options.max_attempts = 3;
         options.target_ms = 7500;
         options.item_expiry_ms = 40000;
+        options.priority = priority;
         scheduler_.add_job(row, j.items, {}, options, 1000);
     }
 
@@ -474,6 +477,39 @@
     EXPECT_EQ(starts[0].sampler, first);
 }
 
+// Guards against a workspace that reads the texts of another one by submitting
+// its item ids.
+TEST_F(item_scheduler_test, texts_are_not_reused_by_another_workspace) {
+    add_job(1, true, 1, "j", 0, "one");
+    complete_run(of_type<start_run>(scheduler_.tick(true)).front());
+    scheduler_.remove_job(job_);
+    add_job(1, true, 1, "k", 0, "two");
+    const auto actions = scheduler_.tick(true);
+    EXPECT_TRUE(of_type<start_reward>(actions).empty());
+    ASSERT_EQ(of_type<start_run>(actions).size(), 1U);
+    EXPECT_EQ(of_type<start_run>(actions)[0].workspace, "two");
+    scheduler_.remove_job(job_id("k"));
+    add_job(1, true, 1, "l", 0, "one");
+    EXPECT_EQ(of_type<start_reward>(scheduler_.tick(true)).size(), 1U);
+}
+
+// Guards against a job that never runs because other jobs are more urgent.
+TEST_F(item_scheduler_test, a_low_priority_delays_a_job_by_a_bounded_time) {
+    const auto first_after = [&](base::millis head_start_ms) {
+        scheduler_.remove_all_jobs();
+        add_job(4, false, 1, "running");
+        const auto running = of_type<start_run>(scheduler_.tick(true));
+        add_job(1, false, 1, "low", 9);
+        time_->advance(head_start_ms);
+        add_job(1, false, 1, "high", 0);
+        scheduler_.on_run_ended(running.front().run, run_outcome::complete);
+        const auto starts = of_type<start_run>(scheduler_.place_waiting(true));
+        return starts.empty() ? "" : starts.front().job.str();
+    };
+    EXPECT_EQ(first_after(500), "high");
+    EXPECT_EQ(first_after(2500), "low");
+}
+
 TEST_F(item_scheduler_test, an_item_that_fails_in_every_run_is_errored) {
     add_job(1);
     for (int n = 0; n < 3; ++n) {
--- a/packages/batch/test/records_test.cpp
+++ b/packages/batch/test/records_test.cpp
@@ -37,6 +37,22 @@
     EXPECT_FALSE(decode_progress(""));
 }
 
+TEST(records_test, a_job_keeps_its_workspace) {
+    job_header header;
+    header.workspace = "w";
+    EXPECT_EQ(decode_header(encode(header))->workspace, "w");
+}
+
+// Guards against jobs that can't be read during an upgrade: earlier versions
+// write headers without a workspace.
+TEST(records_test, a_header_without_a_workspace_is_readable) {
+    const job_header header;
+    const auto bytes = encode(header);
+    EXPECT_EQ(bytes.find("workspace"), std::string::npos);
+    ASSERT_TRUE(decode_header(bytes));
+    EXPECT_EQ(decode_header(bytes)->workspace, "");
+}
+
 TEST(records_test, texts_are_found_among_others_at_their_position) {
     // While a node is isolated from the store, responses to appends are lost,
     // and the same results are stored several times under other names. A read
--- a/packages/entry/include/hibiscus/entry/settings.hpp
+++ b/packages/entry/include/hibiscus/entry/settings.hpp
@@ -46,6 +46,12 @@
     /// Maximum time from the end of a job until the node starts no more of its
     /// items, in ms.
     base::millis cancel_deadline_ms = 3000;
+    /// Maximum time in which a new configuration must take effect, in ms.
+    base::millis configuration_deadline_ms = 3000;
+    /// Whether a node that can't show that its configuration is newer than
+    /// `revocation_deadline_ms` rejects all API keys.
+    bool strict_revocation = false;
+    base::millis revocation_deadline_ms = 5000;
     /// Enabled features. Changes take effect when the process restarts.
     base::feature_set features;
 };
--- a/packages/entry/src/batch_api.cpp
+++ b/packages/entry/src/batch_api.cpp
@@ -51,6 +51,12 @@
     return journal_.is_loaded() && journal_.current_as_of() >= time;
 }
 
+/// Returns true if the job is known, and was submitted by the same workspace.
+bool batch_api::is_accepted(const batch::job_header& submitted) const {
+    const auto* row = state_.jobs.find(submitted.id);
+    return row != nullptr && row->header->workspace == submitted.workspace;
+}
+
 void batch_api::submit(batch::job job, base::millis deadline_ms,
                        std::shared_ptr<transport::response_writer> response) {
     auto s = std::make_shared<submission>();
@@ -59,7 +65,7 @@
     s->started_at = state_.clock.now();
     s->deadline = s->started_at +
                   (deadline_ms > 0 ? deadline_ms : default_write_timeout_ms);
-    if (state_.jobs.find(s->header.id) != nullptr) {
+    if (is_accepted(s->header)) {
         accept(*s, "known");
         return;
     }
@@ -76,7 +82,7 @@
                                   const store::append_result& result) {
     if (std::holds_alternative<store::appended>(result)) {
         append_job_header(s);
-    } else if (state_.jobs.find(s->header.id) != nullptr) {
+    } else if (is_accepted(s->header)) {
         accept(*s, "seen");
     } else {
         fail_submission(*s, "items_not_stored");
@@ -98,7 +104,7 @@
         accept(*s, "stored");
         return;
     }
-    if (state_.jobs.find(s->header.id) != nullptr) {
+    if (is_accepted(s->header)) {
         accept(*s, "seen");
         return;
     }
@@ -142,12 +148,13 @@
 }
 
 void batch_api::read_results(
-    const adapter::results_request& request,
+    const adapter::results_request& request, batch::job_access access,
     std::shared_ptr<transport::response_writer> response) {
     const auto now = state_.clock.now();
     pending_call call;
     call.kind = pending_call_kind::results;
     call.job = request.job;
+    call.access = std::move(access);
     call.from_position = request.after;
     call.received_at = now;
     call.wait_until = now + (state_.stopping ? 0 : request.wait_ms);
@@ -156,12 +163,13 @@
 }
 
 void batch_api::read_item_body(
-    const adapter::item_body_request& request,
+    const adapter::item_body_request& request, batch::job_access access,
     std::shared_ptr<transport::response_writer> response) {
     const auto now = state_.clock.now();
     pending_call call;
     call.kind = pending_call_kind::item_body;
     call.job = request.job;
+    call.access = std::move(access);
     call.item = request.item;
     call.received_at = now;
     call.response = std::move(response);
@@ -169,10 +177,12 @@
 }
 
 void batch_api::end_job(const adapter::end_job_request& request,
+                        batch::job_access access,
                         std::shared_ptr<transport::response_writer> response) {
     pending_call call;
     call.kind = pending_call_kind::job_end;
     call.job = request.job;
+    call.access = std::move(access);
     call.received_at = state_.clock.now();
     call.response = std::move(response);
     respond_or_enqueue(std::move(call));
@@ -202,7 +212,7 @@
 /// pending.
 bool batch_api::try_respond(const pending_call& call) {
     const auto* row = state_.jobs.find(call.job);
-    if (row != nullptr) {
+    if (row != nullptr && call.access.includes(*row->header)) {
         switch (call.kind) {
         case pending_call_kind::results:
             return try_respond_with_results(call, *row);
--- a/packages/entry/src/batch_api.hpp
+++ b/packages/entry/src/batch_api.hpp
@@ -36,11 +36,16 @@
     /// selects a default.
     void submit(batch::job job, base::millis deadline_ms,
                 std::shared_ptr<transport::response_writer> response);
+    /// Calls for a job that `access` does not include get the same response as
+    /// calls for a job that does not exist.
     void read_results(const adapter::results_request& request,
+                      batch::job_access access,
                       std::shared_ptr<transport::response_writer> response);
     void read_item_body(const adapter::item_body_request& request,
+                        batch::job_access access,
                         std::shared_ptr<transport::response_writer> response);
     void end_job(const adapter::end_job_request& request,
+                 batch::job_access access,
                  std::shared_ptr<transport::response_writer> response);
 
     /// Called after the job table has changed. Responds to pending calls that
@@ -64,6 +69,7 @@
     struct pending_call {
         pending_call_kind kind = pending_call_kind::results;
         batch::job_id job;
+        batch::job_access access;
         batch::item_id item;
         std::size_t from_position = 0;
         base::millis received_at = 0;
@@ -72,6 +78,7 @@
         std::shared_ptr<transport::response_writer> response;
     };
 
+    bool is_accepted(const batch::job_header& submitted) const;
     void on_items_appended(const std::shared_ptr<submission>& s,
                            const store::append_result& result);
     void append_job_header(const std::shared_ptr<submission>& s);
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -11,6 +11,7 @@
 #include "platform/sampler_calls.hpp"
 #include "platform/store_client.hpp"
 #include "reload_signal.hpp"
+#include "request_router.hpp"
 #include "server_registry.hpp"
 #include "store_monitor.hpp"
 
@@ -67,16 +68,10 @@
 /// longer time would send callers to nodes that no longer exist.
 constexpr int directory_ttl_s = 2;
 
-/// Retry-after time for callers of a node that has no configuration yet, in ms.
-constexpr base::millis startup_retry_after_ms = 300;
-
 /// Interval between two reads of the settings file, in ms. The file has about a
 /// kilobyte, so a read costs little.
 constexpr base::millis settings_poll_interval_ms = 2000;
 
-/// Timeout of requests without a deadline, in ms.
-constexpr base::millis default_deadline_ms = 10000;
-
 /// An entry node: its components and the servers on its listen addresses.
 class entry_node {
 public:
@@ -112,10 +107,16 @@
           job_owner_(state_, log_store_, store_monitor_.router(), journal_,
                      job_store_, client_, forwarder_, run_after_),
           batch_api_(state_, log_store_, journal_, job_store_, run_after_),
+          request_router_(state_, forwarder_, batch_api_,
+                          [this] {
+                              return state_.clock.now() -
+                                     operator_watcher_.current_as_of();
+                          }),
           caller_server_(
               io_, {},
               [this](auto request, auto response) {
-                  on_caller_request(std::move(request), std::move(response));
+                  request_router_.handle(std::move(request),
+                                         std::move(response));
               },
               {adapter::request_id_header,
                [this](const auto& aborted) { on_request_aborted(aborted); }}),
@@ -223,6 +224,9 @@
         current.result_retention_ms = updated->result_retention_ms;
         current.retention_margin_ms = updated->retention_margin_ms;
         current.servers_check_fences = updated->servers_check_fences;
+        current.configuration_deadline_ms = updated->configuration_deadline_ms;
+        current.strict_revocation = updated->strict_revocation;
+        current.revocation_deadline_ms = updated->revocation_deadline_ms;
         current.store = updated->store;
         if (store_address_changed) {
             store_monitor_.router().set_store_address(current.store);
@@ -363,12 +367,25 @@
             next.version <= state_.configuration->version) {
             return;
         }
+        // The time since the view was last known to be current bounds the time
+        // since the operator wrote the configuration.
+        const auto age_ms =
+            operator_watcher_.is_loaded()
+                ? state_.clock.now() - operator_watcher_.current_as_of()
+                : 0;
         state_.log.write(
             "configuration",
             {{"version", next.version},
              {"before",
               state_.configuration ? state_.configuration->version : 0},
-             {"routes", static_cast<int>(next.routes.size())}});
+             {"routes", static_cast<int>(next.routes.size())},
+             {"workspaces",
+              next.workspaces ? static_cast<int>(next.workspaces->size()) : -1},
+             {"api_keys", next.workspaces
+                              ? static_cast<int>(next.workspaces->key_count())
+                              : -1},
+             {"age_ms", age_ms}});
+        state_.counters.observe("configuration", age_ms);
         const auto& limits = next.limits;
         caller_server_.set_limits(
             {limits.max_header_bytes, limits.max_body_bytes,
@@ -446,26 +463,6 @@
                        state_.counters.serialize()});
     }
 
-    void
-    on_caller_request(transport::inbound_request request,
-                      std::shared_ptr<transport::response_writer> response) {
-        std::visit(base::overloaded{
-                       [&](const adapter::results_request& c) {
-                           batch_api_.read_results(c, std::move(response));
-                       },
-                       [&](const adapter::item_body_request& c) {
-                           batch_api_.read_item_body(c, std::move(response));
-                       },
-                       [&](const adapter::end_job_request& c) {
-                           batch_api_.end_job(c, std::move(response));
-                       },
-                       [&](const adapter::routed_request& c) {
-                           on_routed_request(c, std::move(request),
-                                             std::move(response));
-                       }},
-                   adapter::parse_client_request(request));
-    }
-
     /// Logs a request that ended without a complete response.
     void on_request_aborted(const transport::aborted_request& aborted) {
         const std::string cause(base::name_of(aborted.cause));
@@ -479,89 +476,6 @@
                           {"stopping", state_.stopping}});
     }
 
-    void
-    on_routed_request(const adapter::routed_request& call,
-                      transport::inbound_request request,
-                      std::shared_ptr<transport::response_writer> response) {
-        if (!state_.configuration) {
-            // Without a configuration the node can't tell which routes do not
-            // exist.
-            log_rejection(call, "no_configuration");
-            response->send(adapter::not_run_response(startup_retry_after_ms));
-            return;
-        }
-        const auto* route = gateway::find_route(*state_.configuration,
-                                                call.host, request.target);
-        if (route == nullptr) {
-            log_rejection(call, "no_route");
-            response->send(adapter::status_response(404));
-            return;
-        }
-        if (route->kind == gateway::route_kind::batch) {
-            on_submission(call, request, std::move(response));
-            return;
-        }
-        forwarder_.forward_to_caller(
-            make_forward_request(call, *route, std::move(request)),
-            std::move(response));
-    }
-
-    void log_rejection(const adapter::routed_request& call,
-                       const char* reason) {
-        state_.log.write(
-            "refused",
-            {{"id", call.id},
-             {"host", call.host},
-             {"configuration",
-              state_.configuration ? state_.configuration->version : 0},
-             {"reason", reason}});
-    }
-
-    void on_submission(const adapter::routed_request& call,
-                       const transport::inbound_request& request,
-                       std::shared_ptr<transport::response_writer> response) {
-        auto job = adapter::decode_job(request, call);
-        if (!job) {
-            log_rejection(call, "no_job");
-            response->send(adapter::status_response(400));
-            return;
-        }
-        batch_api_.submit(std::move(*job), call.deadline_ms,
-                          std::move(response));
-    }
-
-    forward_request make_forward_request(const adapter::routed_request& call,
-                                         const gateway::route& route,
-                                         transport::inbound_request request) {
-        forward_request f;
-        f.id = call.id;
-        f.kind = "request";
-        f.http_request.method = std::move(request.method);
-        f.http_request.target = std::move(request.target);
-        f.http_request.body = std::move(request.body);
-        f.http_request.fields.push_back({"Host", call.host});
-        for (auto& field : request.fields) {
-            if (!transport::is_hop_by_hop(field.name)) {
-                f.http_request.fields.push_back(std::move(field));
-            }
-        }
-        f.service = samplers::service_name(
-            choose_service(route, state_.random_fraction()));
-        f.max_attempts = route.max_attempts;
-        f.streaming = route.kind == gateway::route_kind::streaming;
-        f.resumable = f.streaming && route.resumable;
-        f.retryable =
-            route.kind == gateway::route_kind::idempotent || f.resumable;
-        auto timeout_ms =
-            call.deadline_ms > 0 ? call.deadline_ms : default_deadline_ms;
-        if (route.timeout_ms > 0) {
-            timeout_ms = std::min(timeout_ms, route.timeout_ms);
-        }
-        f.deadline = state_.clock.now() + timeout_ms;
-        f.latency_target_ms = route.latency_target_ms;
-        return f;
-    }
-
     asio::io_context io_{1};
     node_state state_;
     std::string settings_path_;
@@ -580,6 +494,7 @@
     forwarder forwarder_;
     job_owner job_owner_;
     batch_api batch_api_;
+    request_router request_router_;
     transport::streaming_http_server caller_server_;
     transport::streaming_http_server readiness_server_;
     transport::streaming_http_server directory_server_;
--- a/packages/entry/src/forwarder.hpp
+++ b/packages/entry/src/forwarder.hpp
@@ -17,6 +17,8 @@
     std::string id;
     /// The kind of the request for logs and metrics: "request" or "reward".
     const char* kind = "request";
+    /// The workspace of the caller; empty if the request needs no API key.
+    std::string workspace;
     transport::upstream_request http_request;
     samplers::service_name service;
     /// Maximum number of servers to try. A resend to the same server after a
--- a/packages/entry/src/job_owner.cpp
+++ b/packages/entry/src/job_owner.cpp
@@ -195,6 +195,10 @@
     options.single_version = route->single_version;
     options.target_ms = route->batch_target_ms;
     options.item_expiry_ms = route->batch_item_expiry_ms;
+    if (state_.configuration->workspaces) {
+        options.priority = gateway::effective_priority(
+            *route, state_.configuration->workspaces->find(header.workspace));
+    }
     return options;
 }
 
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -35,6 +35,10 @@
         m.integer("drain_ms", s.server_drain_ms, 0, max_duration_ms);
         m.integer("cancel_ms", s.cancel_deadline_ms, 100, max_duration_ms);
         m.flag("fences_checked", s.servers_check_fences);
+        m.integer("config_ms", s.configuration_deadline_ms, 100,
+                  max_duration_ms);
+        m.flag("strict_revocation", s.strict_revocation);
+        m.integer("revoke_ms", s.revocation_deadline_ms, 100, max_duration_ms);
         base::millis status_s = s.result_retention_ms / 1000;
         base::millis grace_s = s.shutdown_grace_ms / 1000;
         base::millis margin_s = s.retention_margin_ms / 1000;
--- a/packages/entry/test/batch_api_fuzz_test.cpp
+++ b/packages/entry/test/batch_api_fuzz_test.cpp
@@ -248,7 +248,7 @@
         const auto known_result_count = j.delivered_results.size();
         const bool was_accepted = j.accepted;
         nodes_[n]->api().read_results(
-            {j.id, after, wait},
+            {j.id, after, wait}, {},
             make_response_writer([this, &j, after, known_result_count,
                                   was_accepted](const response& r) {
                 if (was_accepted && j.is_retained(time_.now())) {
@@ -316,7 +316,7 @@
     void read_item_body(std::size_t n, expected_job& j, int item) {
         const bool was_accepted = j.accepted;
         nodes_[n]->api().read_item_body(
-            {j.id, make_item_id(j.number, item)},
+            {j.id, make_item_id(j.number, item)}, {},
             make_response_writer(
                 [this, &j, item, was_accepted](const response& r) {
                     if (was_accepted && j.is_retained(time_.now())) {
@@ -341,7 +341,7 @@
         const bool was_retained = j.is_retained(time_.now());
         j.ended = true;
         nodes_[n]->api().end_job(
-            {j.id},
+            {j.id}, {},
             make_response_writer([this, &j, was_retained](const response& r) {
                 if (r.status == 404 && was_retained &&
                     j.is_retained(time_.now())) {
@@ -359,7 +359,7 @@
             int status = 0;
             std::size_t next = position;
             nodes_[n]->api().read_results(
-                {j.id, position, 0},
+                {j.id, position, 0}, {},
                 make_response_writer([&](const response& r) {
                     status = r.status;
                     check_read(j, position, j.delivered_results.size(), r);
@@ -379,7 +379,7 @@
              ++item) {
             int status = 0;
             nodes_[n]->api().read_item_body(
-                {j.id, make_item_id(j.number, item)},
+                {j.id, make_item_id(j.number, item)}, {},
                 make_response_writer([&](const response& r) {
                     status = r.status;
                     check_body(j, item, r);
--- a/packages/entry/test/batch_api_test.cpp
+++ b/packages/entry/test/batch_api_test.cpp
@@ -46,7 +46,7 @@
 
     transport::outbound_response read_item_body(const std::string& item) {
         return call_and_wait([&](auto caller) {
-            node_.api().read_item_body({test_job_id, batch::item_id(item)},
+            node_.api().read_item_body({test_job_id, batch::item_id(item)}, {},
                                        caller);
         });
     }
@@ -88,7 +88,7 @@
         [&](auto caller) { node_.api().submit(make_job(3), 1000, caller); });
     for (const auto after : {std::size_t{0xffffffff}, ~std::size_t{0}}) {
         const auto response = call_and_wait([&](auto caller) {
-            node_.api().read_results({test_job_id, after, 0}, caller);
+            node_.api().read_results({test_job_id, after, 0}, {}, caller);
         });
         ASSERT_EQ(response.status, 200);
         EXPECT_TRUE(nlohmann::json::parse(response.body).at("results").empty());
@@ -125,7 +125,7 @@
     time_.run_for(500);
     const auto read = [&] {
         return call_and_wait([&](auto caller) {
-            node_.api().read_results({test_job_id, 0, 0}, caller);
+            node_.api().read_results({test_job_id, 0, 0}, {}, caller);
         });
     };
     EXPECT_NE(read().body.find("i0"), std::string::npos);
@@ -140,6 +140,34 @@
         std::string::npos);
 }
 
+// Guards against jobs that a caller of another workspace can read or end, or
+// tell from jobs that do not exist.
+TEST_F(batch_api_test, calls_of_another_workspace_get_404) {
+    auto job = make_job(1);
+    job.header.workspace = "one";
+    call_and_wait([&](auto caller) { node_.api().submit(job, 1000, caller); });
+    const auto statuses_for = [&](const batch::job_access& access) {
+        std::set<int> statuses;
+        statuses.insert(
+            call_and_wait([&](auto caller) {
+                node_.api().read_results({test_job_id, 0, 0}, access, caller);
+            }).status);
+        statuses.insert(call_and_wait([&](auto caller) {
+                            node_.api().read_item_body(
+                                {test_job_id, batch::item_id("i0")}, access,
+                                caller);
+                        }).status);
+        statuses.insert(call_and_wait([&](auto caller) {
+                            node_.api().end_job({test_job_id}, access, caller);
+                        }).status);
+        return statuses;
+    };
+    EXPECT_EQ(statuses_for({"two"}), std::set<int>{404});
+    EXPECT_EQ(statuses_for({""}), std::set<int>{404});
+    EXPECT_EQ(statuses_for({"one"}), std::set<int>{200});
+    EXPECT_EQ(statuses_for({}), std::set<int>{200});
+}
+
 } // namespace
 
 } // namespace hibiscus::entry
--- a/packages/gateway/include/hibiscus/gateway/configuration.hpp
+++ b/packages/gateway/include/hibiscus/gateway/configuration.hpp
@@ -3,10 +3,12 @@
 #include "hibiscus/base/clock.hpp"
 #include "hibiscus/base/enum_names.hpp"
 #include "hibiscus/base/ids.hpp"
+#include "hibiscus/gateway/workspaces.hpp"
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,7 +51,10 @@
     base::millis batch_target_ms = 0;
     /// Age of a batch job after which its items may be abandoned, in ms.
     base::millis batch_item_expiry_ms = 0;
+    /// 0 is the most urgent.
     int priority = 0;
+    /// True if requests need no API key.
+    bool is_public = false;
     /// Maximum number of backend servers to which one received request may be
     /// sent. A request that must not run twice is only resent if it has
     /// definitely not run.
@@ -78,8 +83,15 @@
     std::vector<route> routes;
     std::vector<sampler_service> sampler_services;
     request_limits limits;
+    /// Empty if the configuration defines no workspaces; requests then need no
+    /// API keys.
+    std::optional<workspace_directory> workspaces;
 };
 
+/// Returns the priority of requests of `holder` on the route: that of the
+/// workspace if it has one. `holder` may be null.
+int effective_priority(const route& r, const workspace* holder);
+
 /// Returns the route of the host with the longest prefix of the path, or null
 /// if none matches. `request_target` may include a query.
 const route* find_route(const configuration& c, std::string_view host,
--- a/packages/gateway/src/configuration.cpp
+++ b/packages/gateway/src/configuration.cpp
@@ -21,6 +21,11 @@
     return longest;
 }
 
+int effective_priority(const route& r, const workspace* holder) {
+    return holder != nullptr ? holder->priority.value_or(r.priority)
+                             : r.priority;
+}
+
 const std::string& choose_service(const route& r, double random_value) {
     int total_weight = 0;
     for (const auto& s : r.services) {
--- a/packages/transport/src/headers.cpp
+++ b/packages/transport/src/headers.cpp
@@ -24,15 +24,26 @@
 
 } // namespace
 
+bool has_name(const header& field, std::string_view name) {
+    return equals_ignore_case(field.name, name);
+}
+
 const std::string* find_header(const headers& fields, std::string_view name) {
     for (const auto& field : fields) {
-        if (equals_ignore_case(field.name, name)) {
+        if (has_name(field, name)) {
             return &field.value;
         }
     }
     return nullptr;
 }
 
+void erase_headers(headers& fields, std::string_view name) {
+    fields.erase(std::remove_if(
+                     fields.begin(), fields.end(),
+                     [&](const auto& field) { return has_name(field, name); }),
+                 fields.end());
+}
+
 bool is_hop_by_hop(std::string_view name) {
     return std::any_of(hop_by_hop_headers.begin(), hop_by_hop_headers.end(),
                        [&](auto hop_by_hop_name) {
