--- a/packages/store/include/hibiscus/store/partition_watcher.hpp
+++ b/packages/store/include/hibiscus/store/partition_watcher.hpp
@@ -65,7 +65,8 @@
     log_offset next_offset() const;
 
     /// Returns the latest time for which the view is known to be current: the
-    /// start of the last read that reached the end of the partition, the end of
+    /// start of the snapshot, the start of the last read that reached the end
+    /// of the partition, the end of
     /// such a read's wait if no record arrived, or the send time of the last
     /// append applied by apply_own_append().
     base::millis current_as_of() const;
--- a/packages/store/src/partition_watcher.cpp
+++ b/packages/store/src/partition_watcher.cpp
@@ -48,6 +48,9 @@
     }
 
     void request_page() {
+        if (!snapshot_end_) {
+            snapshot_requested_at_ = clock_.now();
+        }
         const auto after_key =
             snapshot_.empty() ? std::string() : snapshot_.back().content.key;
         store_.read_latest(source_, after_key,
@@ -105,6 +108,7 @@
             callbacks_.on_changes(deletions);
         }
         next_offset_ = std::max(next_offset_, *snapshot_end_);
+        current_as_of_ = std::max(current_as_of_, snapshot_requested_at_);
         loaded_ = true;
         mark_reachable();
         apply(std::exchange(snapshot_, {}));
@@ -227,6 +231,8 @@
     std::vector<stored_record> snapshot_;
     /// End of the partition as of the first page of the snapshot.
     std::optional<log_offset> snapshot_end_;
+    /// When the first page of the snapshot was requested.
+    base::millis snapshot_requested_at_ = 0;
     log_offset next_offset_ = 0;
     base::millis current_as_of_ = 0;
     bool loaded_ = false;
--- a/packages/store/test/partition_watcher_test.cpp
+++ b/packages/store/test/partition_watcher_test.cpp
@@ -91,6 +91,20 @@
     EXPECT_LT(watcher_->current_as_of(), unreachable_at);
 }
 
+// Guards against a node that has just started and takes its view for too old
+// to decide.
+TEST_F(partition_watcher_test, a_snapshot_shows_that_the_view_is_current) {
+    append("a", "1");
+    append("b", "1");
+    append("c", "1");
+    time_->advance(1000);
+    watcher_->start();
+    while (!watcher_->is_loaded()) {
+        run_rounds(1);
+    }
+    EXPECT_EQ(watcher_->current_as_of(), 1000);
+}
+
 TEST_F(partition_watcher_test, recovers_after_unread_records_were_trimmed) {
     // Guards against a watcher that stops, or misses deletions, when the store
     // has trimmed records that the watcher has not read yet.
