duties, entry: usage reports under the owner lease

The job owner is the holder of all duties: a second lease would cost renewals and two orders of holders; the fencing token is the offset of its claim plus one, as for orders to servers. duty_turn keeps successive holders apart: a node that holds again after another one waits until its own last call is lease_ms old; where tokens are not checked, each new holder waits lease_ms. A refused token is never used again.

Each node counts the requests that it makes run by window and stores the counts at once under keys of its own process; a write with an unknown outcome moves to a new key, so that its late execution replaces nothing. The time of day is taken against the boot clock and the estimates of other nodes.

Tests: duties_test (22, with a fuzz of four holders in virtual time, which fails without either wait of duty_turn), wall_clock_guard_test, entry_duties_test (whole nodes against a stand-in of the API: down, silent, late, fenced, holder killed).

--- a/packages/base/include/hibiscus/base/clock.hpp
+++ b/packages/base/include/hibiscus/base/clock.hpp
@@ -41,6 +41,10 @@
     /// jump forward or backward.
     millis wall_time() const;
 
+    /// Returns the time since the machine started, in ms. Unlike now(), it
+    /// includes the time for which the machine was suspended.
+    millis boot_time() const;
+
 private:
     struct system_source {};
     std::variant<system_source, std::shared_ptr<const manual_time>> source_;
--- a/packages/base/src/clock.cpp
+++ b/packages/base/src/clock.cpp
@@ -3,6 +3,7 @@
 #include "hibiscus/base/result.hpp"
 
 #include <chrono>
+#include <ctime>
 
 namespace hibiscus::base {
 
@@ -42,4 +43,20 @@
         source_);
 }
 
+millis clock::boot_time() const {
+    return std::visit(
+        overloaded{[](const system_source&) {
+                       constexpr millis ms_per_s = 1000;
+                       constexpr millis ns_per_ms = 1000000;
+                       timespec boot{};
+                       ::clock_gettime(CLOCK_BOOTTIME, &boot);
+                       return static_cast<millis>(boot.tv_sec) * ms_per_s +
+                              static_cast<millis>(boot.tv_nsec) / ns_per_ms;
+                   },
+                   [](const std::shared_ptr<const manual_time>& time) {
+                       return time->now();
+                   }},
+        source_);
+}
+
 } // namespace hibiscus::base
--- a/packages/entry/include/hibiscus/entry/settings.hpp
+++ b/packages/entry/include/hibiscus/entry/settings.hpp
@@ -8,10 +8,20 @@
 #include "hibiscus/settings/errors.hpp"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 
 namespace hibiscus::entry {
 
+/// The calls to the platform's API of which one node at a time is in charge.
+struct duty_settings {
+    base::endpoint address;
+    bool usage_reporting = false;
+    bool autoscaling = false;
+    /// Maximum number of calls per second from all nodes together.
+    double max_calls_per_s = 50;
+};
+
 /// Settings of one entry node, read from its YAML file.
 struct node_settings {
     base::node_id node;
@@ -52,6 +62,12 @@
     /// `revocation_deadline_ms` rejects all API keys.
     bool strict_revocation = false;
     base::millis revocation_deadline_ms = 5000;
+    /// Not set if there are no duties.
+    std::optional<duty_settings> duties;
+    /// Length of the windows for which usage is reported, and the time from the
+    /// end of a window until its report is due, in ms.
+    base::millis usage_window_ms = 5000;
+    base::millis usage_due_ms = 10000;
     /// Enabled features. Changes take effect when the process restarts.
     base::feature_set features;
 };
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -1,6 +1,7 @@
 #include "hibiscus/entry/daemon.hpp"
 
 #include "batch_api.hpp"
+#include "duty_runner.hpp"
 #include "forwarder.hpp"
 #include "hibiscus/base/result.hpp"
 #include "job_owner.hpp"
@@ -103,9 +104,12 @@
           job_store_(log_store_, settings.partitions_per_topic,
                      {settings.max_record_bytes, settings.max_append_bytes}),
           directory_(state_, log_store_, run_after_),
-          forwarder_(state_, client_),
+          usage_recorder_(state_, log_store_, run_after_),
+          forwarder_(state_, client_, &usage_recorder_),
           job_owner_(state_, log_store_, store_monitor_.router(), journal_,
                      job_store_, client_, forwarder_, run_after_),
+          duty_runner_(state_, log_store_, job_owner_, usage_recorder_, client_,
+                       run_after_),
           batch_api_(state_, log_store_, journal_, job_store_, run_after_),
           request_router_(state_, forwarder_, batch_api_,
                           [this] {
@@ -147,6 +151,7 @@
         journal_.start();
         directory_.start();
         job_owner_.start();
+        duty_runner_.start();
         batch_api_.start();
         flush_log();
         store_monitor_.start();
@@ -400,6 +405,9 @@
     void on_journal_changed(const std::vector<store::change>& changes) {
         std::set<batch::job_id> jobs;
         for (const auto& c : changes) {
+            if (duty_runner_.apply(c)) {
+                continue;
+            }
             if (const auto id = state_.jobs.apply(c)) {
                 jobs.insert(*id);
             }
@@ -491,8 +499,10 @@
     store::partition_watcher journal_;
     job_store job_store_;
     node_directory directory_;
+    usage_recorder usage_recorder_;
     forwarder forwarder_;
     job_owner job_owner_;
+    duty_runner duty_runner_;
     batch_api batch_api_;
     request_router request_router_;
     transport::streaming_http_server caller_server_;
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -40,11 +40,12 @@
                          public std::enable_shared_from_this<forward_attempts> {
 public:
     forward_attempts(node_state& state, transport::upstream_client& client,
-                     forward_request request,
+                     usage_recorder* usage, forward_request request,
                      std::function<void(forward_result)> done,
                      std::shared_ptr<transport::response_writer> response)
-        : state_(state), client_(client), request_(std::move(request)),
-          on_done_(std::move(done)), caller_response_(std::move(response)),
+        : state_(state), client_(client), usage_(usage),
+          request_(std::move(request)), on_done_(std::move(done)),
+          caller_response_(std::move(response)),
           started_at_(state.clock.now()) {}
 
     void try_next_server() {
@@ -127,6 +128,10 @@
                 self->on_end(outcome);
             };
         state_.samplers.on_request_started(server);
+        counted_run_.reset();
+        if (!request_.streaming) {
+            count_usage();
+        }
         call_ = client_.start(row->registered.address,
                               std::move(upstream_request), options,
                               std::move(events), adapter::request_id_header);
@@ -147,6 +152,9 @@
     }
 
     void on_data(std::string_view data) {
+        if (request_.streaming && !counted_run_) {
+            count_usage();
+        }
         if (!forwarding_stream_) {
             body_ += data;
         } else if (!request_.resumable) {
@@ -185,6 +193,21 @@
         on_response();
     }
 
+    /// Counts the attempt as a request of its workspace that began to run.
+    void count_usage() {
+        if (usage_ != nullptr) {
+            counted_run_ = usage_->count(request_.workspace);
+        }
+    }
+
+    /// Called when it turns out that the server has not run the attempt.
+    void revert_usage() {
+        if (counted_run_) {
+            usage_->revert(*counted_run_);
+            counted_run_.reset();
+        }
+    }
+
     void on_stream_end(transport::call_outcome outcome) {
         // A resumable stream without a length may have been cut off between two
         // events when its connection closed.
@@ -241,6 +264,10 @@
         may_have_executed_ =
             may_have_executed_ || outcome != transport::call_outcome::not_sent;
         log_attempt(std::string(base::name_of(outcome)));
+        if (outcome == transport::call_outcome::not_sent ||
+            outcome == transport::call_outcome::stale_connection) {
+            revert_usage();
+        }
         if (outcome == transport::call_outcome::stale_connection) {
             retry_same_server();
             return;
@@ -257,6 +284,7 @@
         const auto parsed = adapter::parse_response_head(head_);
         if (parsed.not_run || parsed.misdirected) {
             state_.samplers.block(server_, rejection_backoff_ms);
+            revert_usage();
             log_attempt("refused");
             try_next_server();
             return;
@@ -367,6 +395,7 @@
 
     node_state& state_;
     transport::upstream_client& client_;
+    usage_recorder* usage_;
     forward_request request_;
     std::function<void(forward_result)> on_done_;
     std::shared_ptr<transport::response_writer> caller_response_;
@@ -383,6 +412,8 @@
     /// Whether the last attempt reused an idle connection.
     bool connection_reused_ = false;
     int failed_attempts_ = 0;
+    /// The usage count of the current attempt, if it was counted.
+    std::optional<usage_recorder::counted_run> counted_run_;
     bool may_have_executed_ = false;
     /// Whether the response of the current server is passed on as it arrives.
     bool forwarding_stream_ = false;
@@ -425,7 +456,7 @@
 forwarder::send(forward_request request,
                 std::function<void(forward_result)> done) {
     auto attempts = std::make_shared<forward_attempts>(
-        state_, client_, std::move(request), std::move(done), nullptr);
+        state_, client_, usage_, std::move(request), std::move(done), nullptr);
     attempts->try_next_server();
     return attempts;
 }
@@ -434,7 +465,7 @@
     forward_request request,
     std::shared_ptr<transport::response_writer> response) {
     auto attempts = std::make_shared<forward_attempts>(
-        state_, client_, std::move(request), nullptr, response);
+        state_, client_, usage_, std::move(request), nullptr, response);
     response->on_disconnect([attempts] { attempts->cancel(); });
     attempts->try_next_server();
 }
--- a/packages/entry/src/forwarder.hpp
+++ b/packages/entry/src/forwarder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "node_state.hpp"
+#include "usage_recorder.hpp"
 
 #include "hibiscus/transport/streaming_http_server.hpp"
 
@@ -71,8 +72,10 @@
 /// as far as their kind allows.
 class forwarder {
 public:
-    forwarder(node_state& state, transport::upstream_client& client)
-        : state_(state), client_(client) {}
+    /// `usage` records the requests of workspaces that run; may be null.
+    forwarder(node_state& state, transport::upstream_client& client,
+              usage_recorder* usage = nullptr)
+        : state_(state), client_(client), usage_(usage) {}
 
     /// Sends a request and calls `done` exactly once with the result, unless it
     /// is cancelled.
@@ -88,6 +91,7 @@
 private:
     node_state& state_;
     transport::upstream_client& client_;
+    usage_recorder* usage_;
 };
 
 } // namespace hibiscus::entry
--- a/packages/entry/src/job_owner.cpp
+++ b/packages/entry/src/job_owner.cpp
@@ -63,6 +63,13 @@
     return !handover_.has_ended() && lease_.is_held(state_.jobs);
 }
 
+std::optional<std::uint64_t> job_owner::fencing_token() const {
+    if (!is_owner() || !is_journal_current() || handover_.has_begun()) {
+        return std::nullopt;
+    }
+    return state_.jobs.owner()->record.fencing_token + 1;
+}
+
 void job_owner::set_store_reachable(bool reachable) {
     lease_.set_store_reachable(reachable);
 }
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -54,6 +54,17 @@
 
     bool is_owner() const;
 
+    /// Returns the token for the calls of the owner. Returns nothing if this
+    /// node is not the owner, is handing over, or can't show that it has read
+    /// the journal lately.
+    std::optional<std::uint64_t> fencing_token() const;
+
+    /// Appends records to the journal on the condition that this node is still
+    /// the owner. Calls `done` with whether they were stored. Returns false if
+    /// the append can't be made now.
+    bool append_as_owner(std::vector<store::record> records,
+                         std::function<void(bool)> done);
+
 private:
     struct active_run {
         std::shared_ptr<transport::upstream_call> call;
--- a/packages/entry/src/job_owner_writes.cpp
+++ b/packages/entry/src/job_owner_writes.cpp
@@ -69,6 +69,18 @@
                       });
 }
 
+bool job_owner::append_as_owner(std::vector<store::record> records,
+                                std::function<void(bool)> done) {
+    if (appending_ || !fencing_token()) {
+        return false;
+    }
+    // Each append also renews the lease.
+    records.push_back(
+        make_owner_record(state_.jobs.owner()->record.fencing_token, false));
+    append_to_journal(records, std::move(done));
+    return true;
+}
+
 void job_owner::log_append_failure(const store::append_result& result,
                                    std::size_t record_count, base::millis ms) {
     std::visit(base::overloaded{
--- a/packages/entry/src/node_directory.cpp
+++ b/packages/entry/src/node_directory.cpp
@@ -47,6 +47,7 @@
         {"nodes", to_string(state_.settings.listen_metrics)},
         {"zone", state_.settings.zone.str()},
         {"stopping", state_.stopping},
+        {"true_time", state_.true_time()},
         {"cpu_share", state_.settings.cpu_share}};
     std::string bytes;
     nlohmann::json::to_cbor(value, bytes);
@@ -80,6 +81,11 @@
         const auto caller_address =
             base::parse_endpoint(in.value("callers", ""));
         const auto peer_address = base::parse_endpoint(in.value("nodes", ""));
+        const auto true_time = in.value("true_time", base::millis{0});
+        if (true_time > 0 && c.key != state_.settings.node.str()) {
+            state_.wall_clock.on_peer_time(c.key, true_time,
+                                           base::read_clocks(state_.clock));
+        }
         if (caller_address && peer_address) {
             nodes_.put(c.key, {*caller_address, *peer_address,
                                base::zone_id(in.value("zone", "")),
--- a/packages/entry/src/node_state.hpp
+++ b/packages/entry/src/node_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hibiscus/base/wall_clock_guard.hpp"
 #include "hibiscus/batch/job_table.hpp"
 #include "hibiscus/entry/settings.hpp"
 #include "hibiscus/gateway/configuration.hpp"
@@ -36,6 +37,14 @@
     /// Set once the node has received a stop signal.
     bool stopping = false;
 
+    base::wall_clock_guard wall_clock;
+
+    /// Returns the best estimate of the true time of day, in ms since the Unix
+    /// epoch.
+    base::millis true_time() {
+        return wall_clock.true_time(base::read_clocks(clock));
+    }
+
     /// Returns a random number in [0, 1).
     double random_fraction() {
         return std::uniform_real_distribution<double>(0, 1)(random_engine);
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -10,6 +10,10 @@
 
 constexpr long max_duration_ms = 3600000;
 constexpr long max_size_bytes = 1L << 30;
+constexpr long max_usage_seconds = 3600;
+
+constexpr const char* usage_reporting_duty = "usage_reporting";
+constexpr const char* autoscaling_duty = "autoscaling";
 
 node_settings read_node_settings(mapping_reader& in) {
     node_settings s;
@@ -39,6 +43,12 @@
                   max_duration_ms);
         m.flag("strict_revocation", s.strict_revocation);
         m.integer("revoke_ms", s.revocation_deadline_ms, 100, max_duration_ms);
+        base::millis usage_window_s = s.usage_window_ms / 1000;
+        base::millis usage_late_s = s.usage_due_ms / 1000;
+        m.integer("usage_window_s", usage_window_s, 1, max_usage_seconds);
+        m.integer("usage_late_s", usage_late_s, 1, max_usage_seconds);
+        s.usage_window_ms = usage_window_s * 1000;
+        s.usage_due_ms = usage_late_s * 1000;
         base::millis status_s = s.result_retention_ms / 1000;
         base::millis grace_s = s.shutdown_grace_ms / 1000;
         base::millis margin_s = s.retention_margin_ms / 1000;
@@ -49,6 +59,16 @@
         s.result_retention_ms = status_s * 1000;
         s.shutdown_grace_ms = grace_s * 1000;
     });
+    in.mapping("duties", false, [&](mapping_reader& m) {
+        duty_settings duties;
+        m.address("address", duties.address);
+        m.decimal("calls_per_s", duties.max_calls_per_s, 0.1, 1e6);
+        std::set<std::string> names;
+        m.words("names", names, {usage_reporting_duty, autoscaling_duty});
+        duties.usage_reporting = names.count(usage_reporting_duty) != 0;
+        duties.autoscaling = names.count(autoscaling_duty) != 0;
+        s.duties = duties;
+    });
     in.mapping("policy", false, [&](mapping_reader& m) {
         for (const auto& row : base::enum_names<base::feature>::table) {
             bool on = true;
--- a/packages/settings/include/hibiscus/settings/mapping_reader.hpp
+++ b/packages/settings/include/hibiscus/settings/mapping_reader.hpp
@@ -113,6 +113,28 @@
         target = value.Scalar();
     }
 
+    /// Reads an optional list of values, each of which must be one of
+    /// `choices`.
+    void words(const char* key, std::set<std::string>& target,
+               const std::set<std::string>& choices) {
+        const auto value = find_value(key);
+        if (!value.IsDefined()) {
+            return;
+        }
+        const auto expected = "a list, each " + describe_choices(choices);
+        if (!value.IsSequence()) {
+            add_error(setting_fault::wrong_type, value, key, expected);
+            return;
+        }
+        for (const auto& element : value) {
+            if (!element.IsScalar() || choices.count(element.Scalar()) == 0) {
+                add_error(setting_fault::wrong_type, element, key, expected);
+                return;
+            }
+            target.insert(element.Scalar());
+        }
+    }
+
     /// Calls `read` with a reader for the mapping at `key`, if it is present,
     /// and reports unknown keys in it. A missing mapping is an error if
     /// `required` is true.
--- /dev/null
+++ b/testing/entry/fake_duty_api.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "hibiscus/transport/streaming_http_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hibiscus::testing {
+
+/// How the fake API treats calls.
+enum class duty_api_behavior {
+    responds,
+    /// Rejects calls with 503, or 429 in turn, without executing them.
+    rejects,
+    /// Accepts calls, but never executes or responds to them.
+    silent,
+    /// Executes calls after a delay and does not respond to them.
+    executes_late,
+};
+
+/// A fake of the API that the users run for calls that only one node at a time
+/// may make. Records the first call that breaks their rules.
+class fake_duty_api {
+public:
+    explicit fake_duty_api(boost::asio::io_context& io);
+
+    base::endpoint address() const { return address_; }
+
+    void set_behavior(duty_api_behavior behavior) { behavior_ = behavior; }
+
+    /// Sets whether a holder with a newer token has called from outside, so
+    /// that all calls are refused.
+    void set_fenced(bool fenced) { fenced_ = fenced; }
+
+    /// Number of calls that have arrived.
+    int call_count() const { return call_count_; }
+
+    /// Returns the sum of all reports by workspace.
+    std::map<std::string, std::int64_t> total_usage() const;
+
+    /// Numbers of the windows that were reported.
+    std::vector<std::int64_t> windows() const;
+
+    /// Describes the first violation of the users' rules, or is empty.
+    const std::string& violation() const { return violation_; }
+
+private:
+    using response_writer_ptr = std::shared_ptr<transport::response_writer>;
+
+    void handle(const transport::inbound_request& request,
+                const response_writer_ptr& writer);
+    /// Executes a call. Returns the status of the response.
+    int execute(const transport::inbound_request& request);
+
+    boost::asio::io_context& io_;
+    duty_api_behavior behavior_ = duty_api_behavior::responds;
+    bool fenced_ = false;
+    int call_count_ = 0;
+    std::int64_t highest_token_ = 0;
+    std::map<std::int64_t, std::string> holder_by_token_;
+    std::map<std::int64_t, std::map<std::string, std::int64_t>> reports_;
+    std::string violation_;
+    std::vector<response_writer_ptr> unfinished_responses_;
+    transport::streaming_http_server server_;
+    base::endpoint address_;
+};
+
+} // namespace hibiscus::testing
--- a/testing/entry/fake_keyed_store.cpp
+++ b/testing/entry/fake_keyed_store.cpp
@@ -101,6 +101,23 @@
     return all.empty() ? "" : all.back();
 }
 
+std::map<std::string, std::string>
+fake_keyed_store::newest_values(const std::string& topic) const {
+    std::map<std::string, std::string> newest;
+    const auto log = logs_.find({topic, 0});
+    if (log == logs_.end()) {
+        return newest;
+    }
+    for (const auto& r : log->second) {
+        if (r.value.empty()) {
+            newest.erase(r.key);
+        } else {
+            newest[r.key] = r.value;
+        }
+    }
+    return newest;
+}
+
 std::vector<std::string>
 fake_keyed_store::all_values(const std::string& topic,
                              const std::string& key) const {
--- a/testing/entry/fake_keyed_store.hpp
+++ b/testing/entry/fake_keyed_store.hpp
@@ -59,6 +59,10 @@
     std::string newest_value(const std::string& topic,
                              const std::string& key) const;
 
+    /// Returns the newest value of each key in partition 0 that has one.
+    std::map<std::string, std::string>
+    newest_values(const std::string& topic) const;
+
     /// Returns all values of a key in partition 0, oldest first.
     std::vector<std::string> all_values(const std::string& topic,
                                         const std::string& key) const;
