duties: reports that can be in time go before overdue ones

Cause: reports went out oldest first, and those that were overdue already took the calls, at up to 1.5 s and a delay each.

The oldest report that is not overdue goes first now, then the overdue ones.

--- a/packages/duties/include/hibiscus/duties/usage_reporter.hpp
+++ b/packages/duties/include/hibiscus/duties/usage_reporter.hpp
@@ -37,8 +37,10 @@
 
 /// Decides when the usage of a window is fixed and when its report is sent. A
 /// report is fixed by a record in the journal; only then it is sent, so that
-/// each later holder sends the same counts. Reports are sent one at a time, the
-/// oldest first.
+/// each later holder sends the same counts. Reports are sent one at a time: the
+/// oldest of those that are not overdue, and only then the overdue ones. After
+/// an outage of the receiver, overdue reports would otherwise make the next
+/// ones late as well.
 class usage_reporter {
 public:
     explicit usage_reporter(reporter_times times)
@@ -78,8 +80,8 @@
     /// Returns the windows whose records can be erased.
     std::vector<window_number> expired_windows(base::millis true_time) const;
 
-    /// Returns the time from the end of a window to its due time minus the time
-    /// that has passed since its end, in ms; negative once it is late.
+    /// Returns the time until the report of a window is due, in ms; negative
+    /// once it is late.
     base::millis time_left(window_number window, base::millis true_time) const {
         return calendar_.end_of(window) + times_.due_ms - true_time;
     }
--- a/packages/duties/src/usage_reporter.cpp
+++ b/packages/duties/src/usage_reporter.cpp
@@ -48,18 +48,24 @@
     if (call_in_flight_ || now < retry_at_) {
         return std::nullopt;
     }
+    const report_row* overdue = nullptr;
     for (auto& [window, row] : reports_) {
+        row.given_up = row.given_up ||
+                       true_time - calendar_.end_of(window) > times_.max_age_ms;
         if (row.confirmed || row.given_up) {
             continue;
         }
-        if (true_time - calendar_.end_of(window) > times_.max_age_ms) {
-            row.given_up = true;
-            continue;
+        if (time_left(window, true_time) > 0) {
+            call_in_flight_ = true;
+            return row.report;
         }
-        call_in_flight_ = true;
-        return row.report;
+        overdue = overdue == nullptr ? &row : overdue;
+    }
+    if (overdue == nullptr) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    call_in_flight_ = true;
+    return overdue->report;
 }
 
 void usage_reporter::on_sent(window_number window, duty_result result,
