duties, entry: autoscaling, the plain way

The job owner orders servers on demand for each service that the configuration lets us scale: what is there is kept, servers that are missing for their boot time and 10 s are ordered in another zone, a tenth is added in the cheapest zone when all slots are busy and items wait for 10 s, a tenth removed in the most expensive one after five minutes with under 0.3 of the slots in use. Each duty has a channel of its own (duty_channel), so that a refused order does not end the turn of the reports. The API's address is taken from reloaded settings.

Not built: spot servers, and more than draining on a reclaim notice.

Tests: autoscaler_test with a fuzz, entry_duties_test.a_lasting_shortage_orders_servers_once (whole nodes, the holder killed after its order), settings_test, adapter_test.

--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -241,6 +241,8 @@
     std::vector<waiting_group> waiting_groups() const;
 
     int waiting_count() const;
+    /// Counts only the items of jobs that use the service.
+    int waiting_count(const samplers::service_name& service) const;
     int running_count() const { return static_cast<int>(runs_.size()); }
     const scheduler_counts& counts() const { return counts_; }
 
@@ -315,6 +317,7 @@
         base::millis cached_at = 0;
     };
 
+    static int waiting_count(const job_state& job);
     void commit_item(const job_id& id, job_state& job, int item_index,
                      effects& out);
     item_row* find_item(const run_row& run);
--- a/packages/batch/src/item_scheduler_placement.cpp
+++ b/packages/batch/src/item_scheduler_placement.cpp
@@ -221,15 +221,29 @@
     return result;
 }
 
+int item_scheduler::waiting_count(const job_state& job) {
+    return job.speculative_until
+               ? 0
+               : static_cast<int>(std::count_if(
+                     job.items.begin(), job.items.end(), [](const auto& r) {
+                         return r.state == item_state::waiting;
+                     }));
+}
+
 int item_scheduler::waiting_count() const {
     int count = 0;
-    for (const auto& [id, job] : jobs_) {
-        if (job.speculative_until) {
-            continue;
+    for (const auto& row : jobs_) {
+        count += waiting_count(row.second);
+    }
+    return count;
+}
+
+int item_scheduler::waiting_count(const samplers::service_name& service) const {
+    int count = 0;
+    for (const auto& row : jobs_) {
+        if (row.second.options.service == service) {
+            count += waiting_count(row.second);
         }
-        count += static_cast<int>(std::count_if(
-            job.items.begin(), job.items.end(),
-            [](const auto& r) { return r.state == item_state::waiting; }));
     }
     return count;
 }
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -1,7 +1,6 @@
 #include "hibiscus/entry/daemon.hpp"
 
 #include "batch_api.hpp"
-#include "duty_runner.hpp"
 #include "forwarder.hpp"
 #include "hibiscus/base/result.hpp"
 #include "job_owner.hpp"
@@ -13,8 +12,10 @@
 #include "platform/store_client.hpp"
 #include "reload_signal.hpp"
 #include "request_router.hpp"
+#include "scaling_duty.hpp"
 #include "server_registry.hpp"
 #include "store_monitor.hpp"
+#include "usage_duty.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -108,8 +109,9 @@
           forwarder_(state_, client_, &usage_recorder_),
           job_owner_(state_, log_store_, store_monitor_.router(), journal_,
                      job_store_, client_, forwarder_, run_after_),
-          duty_runner_(state_, log_store_, job_owner_, usage_recorder_, client_,
-                       run_after_),
+          usage_duty_(state_, log_store_, job_owner_, usage_recorder_, client_,
+                      run_after_),
+          scaling_duty_(state_, job_owner_, client_, run_after_),
           batch_api_(state_, log_store_, journal_, job_store_, run_after_),
           request_router_(state_, forwarder_, batch_api_,
                           [this] {
@@ -151,7 +153,8 @@
         journal_.start();
         directory_.start();
         job_owner_.start();
-        duty_runner_.start();
+        usage_duty_.start();
+        scaling_duty_.start();
         batch_api_.start();
         flush_log();
         store_monitor_.start();
@@ -232,6 +235,9 @@
         current.configuration_deadline_ms = updated->configuration_deadline_ms;
         current.strict_revocation = updated->strict_revocation;
         current.revocation_deadline_ms = updated->revocation_deadline_ms;
+        if (current.duties && updated->duties) {
+            current.duties = updated->duties;
+        }
         current.store = updated->store;
         if (store_address_changed) {
             store_monitor_.router().set_store_address(current.store);
@@ -405,7 +411,7 @@
     void on_journal_changed(const std::vector<store::change>& changes) {
         std::set<batch::job_id> jobs;
         for (const auto& c : changes) {
-            if (duty_runner_.apply(c)) {
+            if (usage_duty_.apply(c) || scaling_duty_.apply(c)) {
                 continue;
             }
             if (const auto id = state_.jobs.apply(c)) {
@@ -502,7 +508,8 @@
     usage_recorder usage_recorder_;
     forwarder forwarder_;
     job_owner job_owner_;
-    duty_runner duty_runner_;
+    usage_duty usage_duty_;
+    scaling_duty scaling_duty_;
     batch_api batch_api_;
     request_router request_router_;
     transport::streaming_http_server caller_server_;
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -59,6 +59,11 @@
     /// the journal lately.
     std::optional<std::uint64_t> fencing_token() const;
 
+    /// Returns the number of items that wait for a server of the service.
+    int waiting_items(const samplers::service_name& service) const {
+        return scheduler_.waiting_count(service);
+    }
+
     /// Appends records to the journal on the condition that this node is still
     /// the owner. Calls `done` with whether they were stored. Returns false if
     /// the append can't be made now.
--- a/packages/entry/src/usage_duty.hpp
+++ b/packages/entry/src/usage_duty.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "duty_channel.hpp"
 #include "job_owner.hpp"
 #include "node_state.hpp"
 #include "usage_recorder.hpp"
 
-#include "hibiscus/duties/duty_turn.hpp"
 #include "hibiscus/duties/usage_reporter.hpp"
 #include "hibiscus/store/partition_watcher.hpp"
 
@@ -14,26 +14,25 @@
 
 namespace hibiscus::entry {
 
-/// Carries out the singleton duties while this node is the job owner. What is
-/// to be said is stored in the journal before it is said, on the condition that
+/// Reports the usage of the workspaces while this node is the job owner. A
+/// report is stored in the journal before it is sent, on the condition that
 /// this node is still the owner.
-class duty_runner {
+class usage_duty {
 public:
-    duty_runner(node_state& state, const store::log_store& log_store,
-                job_owner& owner, usage_recorder& recorder,
-                transport::upstream_client& client,
-                store::run_after_function run_after);
+    usage_duty(node_state& state, const store::log_store& log_store,
+               job_owner& owner, usage_recorder& recorder,
+               transport::upstream_client& client,
+               store::run_after_function run_after);
 
-    /// Starts the periodic tick.
+    /// Starts the periodic tick if usage reporting is among the duties.
     void start();
 
     /// Applies a change of the journal. Returns false if it does not concern
-    /// the duties.
+    /// this duty.
     bool apply(const store::change& change);
 
 private:
     void tick();
-    void update_turn();
     void fix_next_report();
     void
     on_counts_read(duties::window_number window,
@@ -42,19 +41,14 @@
     void send_next_report();
     void on_report_response(const duties::usage_report& report,
                             duties::fencing_token token, int status);
-    void call(transport::upstream_request request,
-              std::function<void(int status)> done);
 
     node_state& state_;
     const store::log_store& log_store_;
     job_owner& owner_;
     usage_recorder& recorder_;
-    transport::upstream_client& client_;
+    duty_channel channel_;
     store::run_after_function run_after_;
-    duties::duty_turn turn_;
     duties::usage_reporter reporter_;
-    std::string holder_incarnation_;
-    bool is_own_ = false;
     bool fixing_ = false;
 };
 
--- a/packages/entry/test/request_router_test.cpp
+++ b/packages/entry/test/request_router_test.cpp
@@ -281,10 +281,10 @@
                 return "status " + std::to_string(r.status) + " for " + lines;
             }
             for (const auto& fields : harness.backend_requests()) {
-                const auto violation =
+                auto violation =
                     check_backend_headers(fields, is_public ? "" : workspace);
                 if (!violation.empty()) {
-                    return violation + " for " + lines;
+                    return violation.append(" for ").append(lines);
                 }
             }
         }
--- a/packages/entry/test/settings_test.cpp
+++ b/packages/entry/test/settings_test.cpp
@@ -57,6 +57,31 @@
     }
 }
 
+TEST_F(settings_test, reads_the_duties) {
+    const auto loaded = load("duties:\n  address: 127.0.0.1:9\n"
+                             "  names: [usage_reporting]\n"
+                             "  calls_per_s: 50.0\n");
+    const auto* s = base::value_if(loaded);
+    ASSERT_NE(s, nullptr);
+    ASSERT_TRUE(s->duties);
+    EXPECT_TRUE(s->duties->usage_reporting);
+    EXPECT_FALSE(s->duties->autoscaling);
+    const auto without = load("");
+    EXPECT_FALSE(base::value_if(without)->duties);
+}
+
+// Guards against a duty that nobody performs because its name is misspelt.
+TEST_F(settings_test, an_unknown_duty_is_an_error_with_its_line) {
+    const auto loaded = load("duties:\n  address: 127.0.0.1:9\n"
+                             "  names: [usage_reporting, scaling]\n");
+    const auto* errors = std::get_if<settings::setting_errors>(&loaded);
+    ASSERT_NE(errors, nullptr);
+    const auto text = settings::to_string(errors->front());
+    EXPECT_NE(text.find(path_ + ":12: duties.names: wrong_type"),
+              std::string::npos)
+        << text;
+}
+
 TEST_F(settings_test, a_feature_value_must_be_a_boolean) {
     const auto loaded = load("policy:\n  run_ahead: sometimes\n");
     const auto* errors = std::get_if<settings::setting_errors>(&loaded);
--- a/packages/gateway/include/hibiscus/gateway/configuration.hpp
+++ b/packages/gateway/include/hibiscus/gateway/configuration.hpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -69,6 +70,17 @@
     std::int64_t kv_capacity_tokens = 0;
 };
 
+/// A service whose number of servers this system decides on.
+struct scaled_service {
+    std::string name;
+    int min_servers_per_zone = 0;
+    int max_servers_per_zone = 0;
+    /// Time from an order until new servers are in use, in ms.
+    base::millis boot_ms = 0;
+    /// Relative price of a server by availability zone.
+    std::map<std::string, double> zone_prices;
+};
+
 /// Limits for requests of callers.
 struct request_limits {
     std::size_t max_header_bytes = 16 * 1024;
@@ -82,6 +94,7 @@
     std::int64_t version = 0;
     std::vector<route> routes;
     std::vector<sampler_service> sampler_services;
+    std::vector<scaled_service> scaled_services;
     request_limits limits;
     /// Empty if the configuration defines no workspaces; requests then need no
     /// API keys.
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -26,6 +26,8 @@
     base::zone_id zone;
     int slots = 1;
     bool draining = false;
+    /// Whether the server may be reclaimed at any time.
+    bool spot = false;
     /// Versions of the weights that the server has, by model.
     std::map<std::string, std::int64_t> versions;
     /// Start time in ms since the Unix epoch; 0 if not registered.
--- a/testing/entry/entry_duties_test.cpp
+++ b/testing/entry/entry_duties_test.cpp
@@ -20,11 +20,17 @@
                           "  usage_window_s: 1\n  usage_late_s: 2\n"
                           "duties:\n  address: " +
                           to_string(api_.address()) +
-                          "\n  names: [usage_reporting]\n";
+                          "\n  names: [usage_reporting, autoscaling]\n";
         auto configuration = json::parse(configuration_json);
         configuration["tenants"] = {
             {{"name", "one"}, {"apiKeys", {"key-1"}}},
             {{"name", "two"}, {"apiKeys", {"key-2", "key-3"}}}};
+        configuration["services"] = {{{"name", "llm"},
+                                      {"scaling",
+                                       {{"min", 1},
+                                        {"max", 5},
+                                        {"bootS", 1.0},
+                                        {"zonePrices", {{"z", 1.0}}}}}}};
         store_.put("keyed.op", "config", configuration.dump());
     }
 
@@ -137,6 +143,29 @@
     EXPECT_TRUE(wait_for_usage({{"one", 2}}));
 }
 
+// Guards against an order that a later holder does not know, and so takes back.
+TEST_F(entry_duties_test, a_lasting_shortage_orders_servers_once) {
+    constexpr int slow_event_interval_ms = 600;
+    for (const auto& s : samplers_) {
+        s->set_event_interval_ms(slow_event_interval_ms);
+    }
+    start_nodes();
+    const auto job = make_job_body("i");
+    const auto response =
+        call("n1", "POST", "/batch/x",
+             {{"Request-Id", "j"}, {"Authorization", "Token key-1"}}, job);
+    ASSERT_EQ(response.status, 202);
+    ASSERT_TRUE(run_until([&] { return !api_.scaling_orders().empty(); }));
+    const auto first = api_.scaling_orders().front();
+    EXPECT_EQ(first.service, "llm");
+    EXPECT_EQ(first.zone, "z");
+    EXPECT_EQ(first.target, 3);
+    nodes_.at(first.holder)->signal(SIGKILL);
+    ASSERT_TRUE(run_until(
+        [&] { return api_.scaling_orders().back().holder != first.holder; }));
+    EXPECT_EQ(api_.scaling_orders().back().target, 3);
+}
+
 } // namespace
 
 } // namespace hibiscus::testing
--- a/testing/entry/fake_duty_api.cpp
+++ b/testing/entry/fake_duty_api.cpp
@@ -38,14 +38,6 @@
     return total;
 }
 
-std::vector<std::int64_t> fake_duty_api::windows() const {
-    std::vector<std::int64_t> numbers;
-    for (const auto& report : reports_) {
-        numbers.push_back(report.first);
-    }
-    return numbers;
-}
-
 void fake_duty_api::handle(const transport::inbound_request& request,
                            const response_writer_ptr& writer) {
     ++call_count_;
@@ -80,15 +72,21 @@
         violation_ = "call without holder or token";
         return 400;
     }
-    if (fenced_ || token < highest_token_) {
+    auto& highest_token = highest_tokens_[request.target];
+    if (fenced_ || token < highest_token) {
         return 409;
     }
-    highest_token_ = token;
+    highest_token = token;
     const auto user = holder_by_token_.emplace(token, holder);
     if (user.first->second != holder) {
         violation_ = "two holders use one token";
     }
     const auto body = json::parse(request.body);
+    if (request.target == "/scale") {
+        scaling_orders_.push_back({holder, body.at("service"), body.at("zone"),
+                                   body.at("targetGroups")});
+        return 200;
+    }
     const auto window = body.at("window").get<std::int64_t>();
     const auto counts =
         body.at("counts").get<std::map<std::string, std::int64_t>>();
--- a/testing/entry/fake_duty_api.hpp
+++ b/testing/entry/fake_duty_api.hpp
@@ -43,8 +43,17 @@
     /// Returns the sum of all reports by workspace.
     std::map<std::string, std::int64_t> total_usage() const;
 
-    /// Numbers of the windows that were reported.
-    std::vector<std::int64_t> windows() const;
+    /// An order that was executed.
+    struct scaling_order {
+        std::string holder;
+        std::string service;
+        std::string zone;
+        int target = 0;
+    };
+
+    const std::vector<scaling_order>& scaling_orders() const {
+        return scaling_orders_;
+    }
 
     /// Describes the first violation of the users' rules, or is empty.
     const std::string& violation() const { return violation_; }
@@ -61,8 +70,10 @@
     duty_api_behavior behavior_ = duty_api_behavior::responds;
     bool fenced_ = false;
     int call_count_ = 0;
-    std::int64_t highest_token_ = 0;
+    /// By the path of the call.
+    std::map<std::string, std::int64_t> highest_tokens_;
     std::map<std::int64_t, std::string> holder_by_token_;
+    std::vector<scaling_order> scaling_orders_;
     std::map<std::int64_t, std::map<std::string, std::int64_t>> reports_;
     std::string violation_;
     std::vector<response_writer_ptr> unfinished_responses_;
