--- a/packages/duties/include/hibiscus/duties/autoscaler.hpp
+++ b/packages/duties/include/hibiscus/duties/autoscaler.hpp
@@ -125,12 +125,9 @@
                                               base::millis now);
     std::optional<scaling_order> follow_load(const service_load& load,
                                              base::millis now);
-    std::optional<scaling_order> add_servers(const service_load& load,
-                                             int count,
-                                             const std::string& avoided_zone,
-                                             scaling_reason reason);
-    std::optional<scaling_order> remove_servers(const service_load& load,
-                                                int count);
+    std::optional<scaling_order>
+    change_servers(const service_load& load, int change, scaling_reason reason,
+                   const std::string& avoided_zone = "");
     scaling_order accept(const scaling_order& order, base::millis now);
 
     autoscaler_times times_;
--- a/packages/duties/src/autoscaler.cpp
+++ b/packages/duties/src/autoscaler.cpp
@@ -148,7 +148,7 @@
         }
         const int missing = wanted_[subject] - observed.servers;
         auto order =
-            add_servers(load, missing, zone, scaling_reason::lost_servers);
+            change_servers(load, missing, scaling_reason::lost_servers, zone);
         if (order) {
             // The zone is not expected to get these servers back. If its target
             // stood, a later holder would replace them once more.
@@ -178,53 +178,37 @@
         state.last_order_at == 0 ||
         now - state.last_order_at > load.limits.boot_ms + times_.busy_ms;
     if (may_order && busy_ms >= times_.busy_ms) {
-        return add_servers(load, step_of(load), "", scaling_reason::busy);
+        return change_servers(load, step_of(load), scaling_reason::busy);
     }
     if (may_order && idle_ms >= times_.idle_ms) {
-        return remove_servers(load, step_of(load));
+        return change_servers(load, -step_of(load), scaling_reason::idle);
     }
     return std::nullopt;
 }
 
-/// Adds servers in the cheapest zone with room for one at least.
+/// Adds `change` servers in the cheapest zone that has room for one at least,
+/// or removes them in the most expensive one if `change` is negative.
 std::optional<scaling_order>
-autoscaler::add_servers(const service_load& load, int count,
-                        const std::string& avoided_zone,
-                        scaling_reason reason) {
+autoscaler::change_servers(const service_load& load, int change,
+                           scaling_reason reason,
+                           const std::string& avoided_zone) {
     std::optional<scaling_order> best;
-    double best_price = 0;
+    double best_cost = 0;
+    const int min_servers = std::max(1, load.limits.min_servers);
     for (const auto& row : load.zones) {
-        const auto& zone = row.first;
-        const scaling_subject subject{load.service, zone};
-        const int target =
-            std::min(load.limits.max_servers, wanted_[subject] + count);
-        const auto price = price_of(load.limits, zone);
-        if (zone == avoided_zone || target <= wanted_[subject] ||
-            (best && price >= best_price)) {
+        const scaling_subject subject{load.service, row.first};
+        const int before = wanted_[subject];
+        const int target = std::min(load.limits.max_servers,
+                                    std::max(min_servers, before + change));
+        const auto price = price_of(load.limits, row.first);
+        const auto cost = change > 0 ? price : -price;
+        const bool has_effect = change > 0 ? target > before : target < before;
+        if (row.first == avoided_zone || !has_effect ||
+            (best && cost >= best_cost)) {
             continue;
         }
         best = scaling_order{subject, target, reason};
-        best_price = price;
-    }
-    return best;
-}
-
-/// Removes servers in the most expensive zone that may lose one at least.
-std::optional<scaling_order>
-autoscaler::remove_servers(const service_load& load, int count) {
-    std::optional<scaling_order> best;
-    double best_price = 0;
-    for (const auto& row : load.zones) {
-        const auto& zone = row.first;
-        const scaling_subject subject{load.service, zone};
-        const int target =
-            std::max({load.limits.min_servers, 1, wanted_[subject] - count});
-        const auto price = price_of(load.limits, zone);
-        if (target >= wanted_[subject] || (best && price <= best_price)) {
-            continue;
-        }
-        best = scaling_order{subject, target, scaling_reason::idle};
-        best_price = price;
+        best_cost = cost;
     }
     return best;
 }
