gateway, entry: ignored keys and workspaces are counted and logged

A key that two workspaces hold, and a workspace whose name no header can hold, were ignored without a trace. The line `configuration` says how many were `unusable`.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -74,6 +74,16 @@
 /// kilobyte, so a read costs little.
 constexpr base::millis settings_poll_interval_ms = 2000;
 
+using gateway::workspace_directory;
+
+/// Returns a count of the workspaces of `c`, or -1 if it defines none.
+std::int64_t count_or_absent(const gateway::configuration& c,
+                             std::size_t (workspace_directory::*count)()
+                                 const) {
+    return c.workspaces ? static_cast<std::int64_t>(((*c.workspaces).*count)())
+                        : -1;
+}
+
 /// An entry node: its components and the servers on its listen addresses.
 class entry_node {
 public:
@@ -390,11 +400,11 @@
              {"before",
               state_.configuration ? state_.configuration->version : 0},
              {"routes", static_cast<int>(next.routes.size())},
-             {"workspaces",
-              next.workspaces ? static_cast<int>(next.workspaces->size()) : -1},
-             {"api_keys", next.workspaces
-                              ? static_cast<int>(next.workspaces->key_count())
-                              : -1},
+             {"workspaces", count_or_absent(next, &workspace_directory::size)},
+             {"api_keys",
+              count_or_absent(next, &workspace_directory::key_count)},
+             {"unusable",
+              count_or_absent(next, &workspace_directory::unusable_count)},
              {"age_ms", age_ms}});
         state_.counters.observe("configuration", age_ms);
         const auto& limits = next.limits;
--- a/packages/gateway/include/hibiscus/gateway/workspaces.hpp
+++ b/packages/gateway/include/hibiscus/gateway/workspaces.hpp
@@ -20,8 +20,11 @@
 class workspace_directory {
 public:
     /// Adds a workspace with its keys. A key that another workspace holds
-    /// already stays with that workspace. Returns the number of such keys.
-    std::size_t add(workspace added, const std::vector<std::string>& api_keys);
+    /// already stays with that workspace and counts as unusable.
+    void add(workspace added, const std::vector<std::string>& api_keys);
+
+    /// Called for a workspace of the configuration that can't be added.
+    void count_unusable() { ++unusable_count_; }
 
     /// Returns the workspace that holds the key, or null.
     const workspace* find_by_key(const std::string& api_key) const;
@@ -33,9 +36,13 @@
 
     std::size_t key_count() const { return index_by_key_.size(); }
 
+    /// Returns the number of keys and workspaces that were ignored.
+    std::size_t unusable_count() const { return unusable_count_; }
+
 private:
     std::vector<workspace> workspaces_;
     std::unordered_map<std::string, std::size_t> index_by_key_;
+    std::size_t unusable_count_ = 0;
 };
 
 } // namespace hibiscus::gateway
--- a/packages/gateway/src/workspaces.cpp
+++ b/packages/gateway/src/workspaces.cpp
@@ -5,18 +5,16 @@
 
 namespace hibiscus::gateway {
 
-std::size_t workspace_directory::add(workspace added,
-                                     const std::vector<std::string>& api_keys) {
+void workspace_directory::add(workspace added,
+                              const std::vector<std::string>& api_keys) {
     const auto index = workspaces_.size();
     workspaces_.push_back(std::move(added));
-    std::size_t duplicates = 0;
     for (const auto& key : api_keys) {
         const auto inserted = index_by_key_.emplace(key, index);
         const bool held_by_other =
             !inserted.second && inserted.first->second != index;
-        duplicates += held_by_other ? 1 : 0;
+        unusable_count_ += held_by_other ? 1 : 0;
     }
-    return duplicates;
 }
 
 const workspace*
--- a/packages/gateway/test/access_test.cpp
+++ b/packages/gateway/test/access_test.cpp
@@ -78,8 +78,10 @@
 
 TEST(workspace_directory_test, a_key_stays_with_the_first_workspace) {
     workspace_directory workspaces;
-    EXPECT_EQ(workspaces.add({"one", std::nullopt}, {"k", "k"}), 0U);
-    EXPECT_EQ(workspaces.add({"two", std::nullopt}, {"k", "l"}), 1U);
+    workspaces.add({"one", std::nullopt}, {"k", "k"});
+    EXPECT_EQ(workspaces.unusable_count(), 0U);
+    workspaces.add({"two", std::nullopt}, {"k", "l"});
+    EXPECT_EQ(workspaces.unusable_count(), 1U);
     EXPECT_EQ(workspaces.find_by_key("k")->name, "one");
     EXPECT_EQ(workspaces.find_by_key("l")->name, "two");
 }
