entry: servers that an outage of the store unlisted are not lost

Read in the code: servers whose registrations are missing after an outage counted as lost by the autoscaler, and would have been ordered elsewhere if the outage began just after they were last seen short. They count until the registry, which waits for 2.2 s after an outage, removes them.

--- a/packages/duties/include/hibiscus/duties/autoscaler.hpp
+++ b/packages/duties/include/hibiscus/duties/autoscaler.hpp
@@ -41,7 +41,7 @@
 
 /// The servers of a service in one zone, as observed.
 struct zone_load {
-    /// Servers that are registered and not draining.
+    /// Servers that are not draining.
     int servers = 0;
     int slots = 0;
     int busy_slots = 0;
--- a/packages/entry/src/scaling_duty.cpp
+++ b/packages/entry/src/scaling_duty.cpp
@@ -85,7 +85,9 @@
                 continue;
             }
             auto& zone = load.zones[server.zone.str()];
-            if (!server.draining && !row.second.unlisted) {
+            // A server that is unlisted counts: its registration may only be
+            // missing because of an outage of the store.
+            if (!server.draining) {
                 ++zone.servers;
                 zone.slots += server.slots;
                 zone.busy_slots += row.second.in_flight;
