--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -322,8 +322,8 @@
     }
 
     void fail(bool timed_out) {
-        finish(
-            forward_failure{may_have_executed_, timed_out, failed_attempts_});
+        finish(forward_failure{may_have_executed_, timed_out, failed_attempts_,
+                               0});
     }
 
     void finish(forward_result result) {
--- a/packages/entry/src/forwarder.hpp
+++ b/packages/entry/src/forwarder.hpp
@@ -37,6 +37,9 @@
     base::millis deadline = 0;
     /// Target latency of the response, in ms.
     base::millis latency_target_ms = 0;
+    /// Priority among the requests that wait for the service; 0 is the most
+    /// urgent.
+    int priority = 0;
 };
 
 /// The complete response of a server.
@@ -56,6 +59,9 @@
     bool timed_out = false;
     /// Number of servers that responded with status 500.
     int failed_attempts = 0;
+    /// Time after which the request is expected to be admitted, in ms; 0 if
+    /// unknown. Set only if no server may have executed the request.
+    base::millis retry_after_ms = 0;
 };
 
 using forward_result = std::variant<forwarded_response, forward_failure>;
