ctl: explain reads the nodes of the users' machines and adds shortages

`hibiscusctl explain ID` did not know the time of the lines of hibiscus_entryd, and showed nothing of why a service had no room. It now reads their times and adds the shortage lines of the services that the matching lines name, from 10 s before.

--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -265,6 +265,11 @@
         collect_explanations(in, name, explanations);
     }
     const bool has_results = !explanations.empty();
+    const auto query = make_service_query(explanations);
+    for (const auto& file : logs) {
+        std::ifstream in(file);
+        collect_shortages(in, query, explanations);
+    }
     if (context.format == output_format::json) {
         write_json(context.out, std::move(explanations));
     } else {
--- a/packages/ctl/src/explain.cpp
+++ b/packages/ctl/src/explain.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <istream>
 #include <optional>
 #include <ostream>
@@ -13,6 +14,13 @@
 
 using nlohmann::json;
 
+/// The events that tell that a service is short of room.
+constexpr std::array<const char*, 4> shortage_events{
+    "shortage", "scoring_lag", "scaling_demand", "scaling_limit"};
+
+/// How long before what is explained a shortage may have begun, in ms.
+constexpr base::millis shortage_lookback_ms = 10000;
+
 /// Returns the string value of `key`, or "" if there is none.
 std::string string_or_empty(const json& line, const char* key) {
     const auto it = line.find(key);
@@ -30,8 +38,8 @@
 std::string format_fields(const json& line) {
     std::string result;
     for (const auto& [key, value] : line.items()) {
-        if (key == "event" || key == "node" || key == "time_ms" ||
-            key == "level") {
+        if (key == "event" || key == "node" || key == "time_ms" || key == "t" ||
+            key == "mono" || key == "level") {
             continue;
         }
         result += result.empty() ? "" : ", ";
@@ -41,17 +49,22 @@
     return result;
 }
 
-std::optional<explanation> explain_line(const json& line,
-                                        const std::string& name) {
-    if (!line.is_object() || !mentions(line, name)) {
-        return std::nullopt;
+/// Returns the wall-clock time of a line, in ms; 0 if it has none.
+base::millis time_of(const json& line) {
+    for (const auto* key : {"time_ms", "t"}) {
+        const auto time = line.find(key);
+        if (time != line.end() && time->is_number_integer()) {
+            return time->get<base::millis>();
+        }
     }
+    return 0;
+}
+
+explanation explain_line(const json& line) {
     explanation e;
-    const auto time = line.find("time_ms");
-    if (time != line.end() && time->is_number_integer()) {
-        e.time = time->get<base::millis>();
-    }
+    e.time = time_of(line);
     e.node = string_or_empty(line, "node");
+    e.service = string_or_empty(line, "service");
     if (string_or_empty(line, "event") != "decision") {
         e.kind = string_or_empty(line, "event");
         e.reason = format_fields(line);
@@ -81,8 +94,41 @@
     std::string text;
     while (std::getline(log, text)) {
         const auto line = json::parse(text, nullptr, false);
-        if (auto e = explain_line(line, name)) {
-            explanations.push_back(std::move(*e));
+        if (line.is_object() && mentions(line, name)) {
+            explanations.push_back(explain_line(line));
+        }
+    }
+}
+
+service_query make_service_query(const std::vector<explanation>& explanations) {
+    service_query query;
+    for (const auto& e : explanations) {
+        const bool is_first = query.to == 0;
+        query.from = is_first ? e.time : std::min(query.from, e.time);
+        query.to = std::max(query.to, e.time);
+        if (!e.service.empty()) {
+            query.services.insert(e.service);
+        }
+    }
+    query.from -= shortage_lookback_ms;
+    return query;
+}
+
+void collect_shortages(std::istream& log, const service_query& query,
+                       std::vector<explanation>& explanations) {
+    std::string text;
+    while (std::getline(log, text)) {
+        const auto line = json::parse(text, nullptr, false);
+        if (!line.is_object()) {
+            continue;
+        }
+        const auto event = string_or_empty(line, "event");
+        const auto time = time_of(line);
+        if (std::find(shortage_events.begin(), shortage_events.end(), event) !=
+                shortage_events.end() &&
+            query.services.count(string_or_empty(line, "service")) != 0 &&
+            time >= query.from && time <= query.to) {
+            explanations.push_back(explain_line(line));
         }
     }
 }
--- a/packages/ctl/test/explain_test.cpp
+++ b/packages/ctl/test/explain_test.cpp
@@ -47,5 +47,28 @@
               "20 n2: claim sync-1 -> ledger (first)\n");
 }
 
+TEST(explain_test, adds_the_shortages_of_the_service_of_a_request) {
+    std::istringstream log(
+        R"({"t":5000,"mono":1,"node":"n1","event":"forward","id":"r1",)"
+        R"("service":"app","outcome":"rejected"})");
+    std::vector<explanation> explanations;
+    collect_explanations(log, "r1", explanations);
+    const auto query = make_service_query(explanations);
+    std::istringstream logs(
+        R"({"t":4000,"mono":1,"node":"n2","event":"shortage","service":"app"})"
+        "\n"
+        R"({"t":4000,"mono":1,"node":"n2","event":"shortage","service":"gen"})"
+        "\n"
+        R"({"t":4500,"mono":1,"node":"n2","event":"run_ended","service":"app"})"
+        "\n"
+        R"({"t":9000,"mono":1,"node":"n2","event":"shortage","service":"app"})");
+    collect_shortages(logs, query, explanations);
+    std::ostringstream out;
+    write_text(out, explanations);
+    EXPECT_EQ(out.str(), "4000 n2: shortage (service app)\n"
+                         "5000 n1: forward (id r1, outcome rejected, service "
+                         "app)\n");
+}
+
 } // namespace
 } // namespace hibiscus::ctl
