--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -3,6 +3,7 @@
 #include "hibiscus/base/stall_detector.hpp"
 #include "hibiscus/batch/job_table.hpp"
 #include "hibiscus/batch/token_estimator.hpp"
+#include "hibiscus/batch/work_meter.hpp"
 #include "hibiscus/samplers/run_placement.hpp"
 
 #include <cstdint>
@@ -240,6 +241,14 @@
     /// Returns the items that wait for a slot, grouped by their requirements.
     std::vector<waiting_group> waiting_groups() const;
 
+    /// Returns the slots that the trainers of a service need, or nothing if
+    /// that has not been measured. `load_ms` is the duration of a load of
+    /// weights.
+    std::optional<slot_demand> demand(const samplers::service_name& service,
+                                      base::millis load_ms) const {
+        return work_meter_.demand(service, load_ms, clock_.now());
+    }
+
     int waiting_count() const;
     /// Counts only the items of jobs that use the service.
     int waiting_count(const samplers::service_name& service) const;
@@ -317,6 +326,9 @@
         base::millis cached_at = 0;
     };
 
+    static trainer_key trainer_of(const job_state& job);
+    void measure_step(const job_state& job);
+    void measure_text(const run_row& run);
     static int waiting_count(const job_state& job);
     void commit_item(const job_id& id, job_state& job, int item_index,
                      effects& out);
@@ -368,6 +380,7 @@
     std::map<std::string, open_items_peak> open_items_peaks_;
     std::map<samplers::service_name, open_items_peak> open_items_of_services_;
     token_estimator token_estimator_;
+    work_meter work_meter_;
     run_number last_run_number_ = 0;
     /// The earliest time of the next move of long runs to faster servers.
     base::millis next_long_move_at_ = 0;
--- a/packages/batch/src/item_scheduler.cpp
+++ b/packages/batch/src/item_scheduler.cpp
@@ -88,9 +88,35 @@
         job.items.push_back(std::move(added));
         ++item_index;
     }
+    measure_step(job);
     return out;
 }
 
+trainer_key item_scheduler::trainer_of(const job_state& job) {
+    return {job.options.service, job.header.workspace, job.header.model};
+}
+
+void item_scheduler::measure_step(const job_state& job) {
+    step_size size{job.first_seen_at, job.options.target_ms, 0};
+    for (const auto& row : job.items) {
+        size.expected_tokens +=
+            row.is_resubmitted ? 0 : row.content.expected_output_tokens;
+    }
+    work_meter_.forget_idle(clock_.now());
+    work_meter_.on_step_added(trainer_of(job), job.header.id, size);
+}
+
+void item_scheduler::measure_text(const run_row& run) {
+    const auto& job = jobs_.at(run.job);
+    const auto& row = job.items[static_cast<std::size_t>(run.item_index)];
+    if (!row.is_resubmitted && !job.speculative_until) {
+        work_meter_.on_text(trainer_of(job),
+                            {row.content.expected_output_tokens,
+                             row.output.event_count, run.event_count,
+                             clock_.now() - run.started_at});
+    }
+}
+
 void item_scheduler::announce_version(const std::string& model,
                                       weight_version version) {
     auto& newest = newest_versions_[model];
@@ -117,6 +143,7 @@
         return out;
     }
     cancel_runs(id, "job_ended", out);
+    work_meter_.on_step_removed(id);
     cache_texts(found->second);
     const auto ended_job = std::move(found->second);
     jobs_.erase(found);
@@ -133,6 +160,7 @@
     }
     jobs_.clear();
     cached_texts_.clear();
+    work_meter_.clear();
     return out;
 }
 
@@ -310,6 +338,7 @@
     const auto& options = jobs_.at(ended_run.job).options;
     switch (outcome) {
     case run_outcome::complete:
+        measure_text(ended_run);
         request_reward_or_finish(ended_run.job, ended_run.item_index, out);
         break;
     case run_outcome::cut:
--- a/packages/duties/include/hibiscus/duties/usage_reporter.hpp
+++ b/packages/duties/include/hibiscus/duties/usage_reporter.hpp
@@ -29,6 +29,9 @@
     accepted,
     /// A holder with a newer fencing token has called.
     fenced,
+    /// A holder with a newer fencing token has called, or there are no more
+    /// servers.
+    refused,
     /// Not executed, or not known to be; may be repeated.
     failed,
     /// The receiver will never accept the call.
@@ -110,9 +113,10 @@
 
 template <>
 struct enum_names<duties::duty_result> {
-    static constexpr std::array<enum_name<duties::duty_result>, 4> table{{
+    static constexpr std::array<enum_name<duties::duty_result>, 5> table{{
         {duties::duty_result::accepted, "accepted"},
         {duties::duty_result::fenced, "fenced"},
+        {duties::duty_result::refused, "refused"},
         {duties::duty_result::failed, "failed"},
         {duties::duty_result::invalid, "invalid"},
     }};
--- a/packages/duties/test/autoscaler_test.cpp
+++ b/packages/duties/test/autoscaler_test.cpp
@@ -24,12 +24,12 @@
         std::vector<scaling_order> orders;
         for (int n = 0; n < seconds; ++n) {
             now_ += 1000;
-            if (const auto order = scaler_.next_order({load_}, now_)) {
-                orders.push_back(*order);
-                scaler_.on_ordered(order->subject, order->target);
+            for (const auto& order : scaler_.next_orders({load_}, now_)) {
+                orders.push_back(order);
+                scaler_.on_ordered(order.subject, order.target);
                 if (executes) {
-                    auto& zone = load_.zones[order->subject.zone];
-                    zone.servers = order->target;
+                    auto& zone = load_.zones[order.subject.zone];
+                    zone.servers = order.target;
                     zone.slots = 10 * zone.servers;
                 }
             }
@@ -129,6 +129,129 @@
     EXPECT_EQ(scaler_.wanted({"s", "a"}), 4);
 }
 
+/// The same service, with 18 servers at most in each zone and a measured
+/// demand.
+class demand_test : public autoscaler_test {
+protected:
+    demand_test() { load_.limits.max_servers = 18; }
+
+    void set_demand(double slots, bool is_complete = true) {
+        load_.demand = {slots, is_complete};
+    }
+
+    int total(const std::vector<scaling_order>& orders) const {
+        std::map<std::string, int> targets;
+        for (const auto& row : load_.zones) {
+            targets[row.first] = row.second.servers;
+        }
+        for (const auto& order : orders) {
+            targets[order.subject.zone] = order.target;
+        }
+        int sum = 0;
+        for (const auto& row : targets) {
+            sum += row.second;
+        }
+        return sum;
+    }
+};
+
+TEST_F(demand_test, the_whole_shortfall_is_ordered_at_once_and_once) {
+    set_demand(240);
+    const auto orders = run_for(1);
+    EXPECT_EQ(total(orders), 24);
+    EXPECT_EQ(scaler_.wanted({"s", "b"}), 18);
+    EXPECT_EQ(scaler_.wanted({"s", "a"}), 6);
+    // Before the servers have started, and after.
+    EXPECT_TRUE(run_for(4).empty());
+    load_.zones["a"] = {6, 60, 60};
+    load_.zones["b"] = {18, 180, 180};
+    EXPECT_TRUE(run_for(300).empty());
+}
+
+TEST_F(demand_test, zones_with_alike_prices_share_the_servers) {
+    load_.limits.zone_prices = {{"a", 1.0}, {"b", 1.05}};
+    set_demand(240);
+    run_for(1);
+    EXPECT_EQ(scaler_.wanted({"s", "a"}), 12);
+    EXPECT_EQ(scaler_.wanted({"s", "b"}), 12);
+}
+
+TEST_F(demand_test, bursts_that_fit_lead_to_no_order) {
+    for (int n = 0; n < 60; ++n) {
+        set_busy_share(1);
+        load_.waiting = 50;
+        set_demand(70);
+        EXPECT_TRUE(run_for(3).empty());
+        set_busy_share(0);
+        load_.waiting = 0;
+        EXPECT_TRUE(run_for(1).empty());
+    }
+}
+
+TEST_F(demand_test, nothing_is_ordered_before_the_demand_is_known) {
+    set_demand(240, false);
+    EXPECT_TRUE(run_for(10).empty());
+}
+
+// Guards against an order that the next one takes back.
+TEST_F(demand_test, a_load_that_goes_away_leads_to_one_order_down_later) {
+    set_demand(240);
+    run_for(60, true);
+    set_demand(120);
+    EXPECT_TRUE(run_for(110, true).empty());
+    const auto orders = run_for(600, true);
+    EXPECT_EQ(orders.size(), 2U);
+    EXPECT_EQ(total({}), 14);
+    EXPECT_EQ(orders[0].reason, scaling_reason::surplus);
+}
+
+TEST_F(demand_test, a_limit_that_the_operator_can_lift_is_told) {
+    set_demand(400);
+    EXPECT_EQ(total(run_for(1, true)), 36);
+    EXPECT_EQ(scaler_.missing("s").count, 4);
+    EXPECT_EQ(scaler_.missing("s").limit, scaling_limit::max_reached);
+    EXPECT_TRUE(run_for(60, true).empty());
+    load_.limits.max_servers = 30;
+    EXPECT_EQ(total(run_for(20, true)), 40);
+    EXPECT_EQ(scaler_.missing("s").limit, scaling_limit::none);
+}
+
+// Guards against a second order for servers that have not started yet.
+TEST_F(demand_test, a_new_holder_counts_what_the_one_before_ordered) {
+    set_demand(240);
+    run_for(1);
+    scaler_.begin_turn();
+    EXPECT_TRUE(run_for(5).empty());
+}
+
+// Guards against repeats at a zone that has no servers.
+TEST_F(demand_test, what_a_zone_refuses_is_ordered_elsewhere) {
+    set_demand(180);
+    EXPECT_EQ(run_for(1).size(), 1U);
+    scaler_.on_ordered({"s", "b"}, 4);
+    scaler_.on_refused({"s", "b"}, now_);
+    const auto orders = run_for(1);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].subject.zone, "a");
+    EXPECT_EQ(orders[0].target, 14);
+}
+
+TEST_F(demand_test, orders_to_a_zone_that_refuses_all_are_bounded) {
+    load_.zones.erase("a");
+    set_demand(80);
+    int order_count = 0;
+    for (int n = 0; n < 300; ++n) {
+        for (const auto& order : run_for(1)) {
+            ++order_count;
+            scaler_.on_ordered(order.subject, 4);
+            scaler_.on_refused(order.subject, now_);
+            EXPECT_TRUE(run_for(1).empty());
+            EXPECT_EQ(scaler_.missing("s").limit, scaling_limit::unavailable);
+        }
+    }
+    EXPECT_LE(order_count, 6);
+}
+
 TEST(autoscaler_records_test, keys_and_targets_round_trip) {
     const scaling_subject subject{"service/with/slashes", "zone-a"};
     EXPECT_EQ(parse_scaling_key(scaling_key(subject)), subject);
@@ -141,8 +264,8 @@
     }
 }
 
-// Guards against orders outside the limits, and against orders in quick
-// succession, whatever is observed.
+// Guards against orders outside the limits, against two orders at once for one
+// subject, and against orders in quick succession, whatever is observed.
 TEST(autoscaler_fuzz_test, orders_are_within_limits_and_not_hasty) {
     testing::fuzz("autoscaler", 40, [&](const auto& commands) {
         autoscaler scaler;
@@ -158,18 +281,24 @@
             zone.slots = 10 * zone.servers;
             zone.busy_slots = c.kind < 50 ? zone.slots : 0;
             load.waiting = c.kind < 50 ? c.c : 0;
-            const auto order = scaler.next_order({load}, now);
-            if (!order) {
-                continue;
+            load.demand.reset();
+            if (c.kind % 2 == 0) {
+                load.demand = {static_cast<double>(c.c), c.kind % 4 == 0};
             }
-            if (order->target < 0 || order->target > 8) {
-                return "target " + std::to_string(order->target);
+            std::set<scaling_subject> subjects;
+            for (const auto& order : scaler.next_orders({load}, now)) {
+                if (order.target < 0 || order.target > 8) {
+                    return "target " + std::to_string(order.target);
+                }
+                if (!subjects.insert(order.subject).second) {
+                    return std::string("two orders for one subject");
+                }
+                scaler.on_ordered(order.subject, order.target);
             }
-            if (now - last_order_at < 1000) {
-                return std::string("two orders at once");
+            if (!subjects.empty() && now - last_order_at < 1000) {
+                return std::string("two decisions at once");
             }
-            last_order_at = now;
-            scaler.on_ordered(order->subject, order->target);
+            last_order_at = subjects.empty() ? last_order_at : now;
         }
         return std::string();
     });
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -64,6 +64,13 @@
         return scheduler_.waiting_count(service);
     }
 
+    /// Returns the slots that the trainers of the service need, or nothing if
+    /// that has not been measured.
+    std::optional<batch::slot_demand>
+    slot_demand(const samplers::service_name& service) const {
+        return scheduler_.demand(service, rollout_.expected_load_ms());
+    }
+
     /// Appends records to the journal on the condition that this node is still
     /// the owner. Calls `done` with whether they were stored. Returns false if
     /// the append can't be made now.
--- a/packages/entry/src/scaling_duty.cpp
+++ b/packages/entry/src/scaling_duty.cpp
@@ -2,13 +2,19 @@
 
 #include "platform/duty_calls.hpp"
 
+#include <algorithm>
+#include <string>
 #include <utility>
 
 namespace hibiscus::entry {
 
 namespace {
 
-constexpr base::millis tick_interval_ms = 1000;
+constexpr base::millis tick_interval_ms = 250;
+constexpr base::millis decision_interval_ms = 1000;
+
+/// The measured demand is logged this often, in ms.
+constexpr base::millis demand_log_interval_ms = 10000;
 
 /// Delay before an order is sent again after a call without success, in ms.
 constexpr base::millis retry_delay_ms = 2000;
@@ -45,20 +51,25 @@
         return true;
     }
     autoscaler_.on_ordered(*subject, *target);
-    orders_[*subject] = {*target, state_.clock.now()};
+    auto& order = orders_[*subject];
+    order.target = *target;
+    order.send_at = state_.clock.now();
     return true;
 }
 
 void scaling_duty::tick() {
     if (channel_.update()) {
         autoscaler_.begin_turn();
-        unstored_order_.reset();
+        unstored_orders_.clear();
+        refusal_.reset();
         // The holder before may not have sent its last orders.
         for (auto& row : orders_) {
             row.second.send_at = state_.clock.now();
+            row.second.accepted_target = 0;
         }
     }
     if (owner_.fencing_token() && state_.configuration) {
+        settle_refusal();
         decide();
         send_due_order();
     }
@@ -79,6 +90,9 @@
         }
         const samplers::service_name service(scaled.name);
         load.waiting = owner_.waiting_items(service);
+        if (const auto demand = owner_.slot_demand(service)) {
+            load.demand = {demand->slots, demand->is_complete};
+        }
         for (const auto& row : state_.samplers.rows()) {
             const auto& server = row.second.registered;
             if (server.service != service || server.spot) {
@@ -99,40 +113,152 @@
 }
 
 void scaling_duty::decide() {
-    if (storing_) {
+    const auto now = state_.clock.now();
+    if (storing_ || refusal_) {
         return;
     }
-    if (!unstored_order_) {
-        unstored_order_ =
-            autoscaler_.next_order(observe_loads(), state_.clock.now());
+    if (unstored_orders_.empty() && now >= next_decision_at_) {
+        next_decision_at_ = now + decision_interval_ms;
+        const auto loads = observe_loads();
+        unstored_orders_ = autoscaler_.next_orders(loads, now);
+        report_demand(loads);
+        report_limits(loads);
     }
-    if (unstored_order_) {
-        store_order(*unstored_order_);
+    if (!unstored_orders_.empty()) {
+        store_orders(unstored_orders_);
     }
 }
 
-void scaling_duty::store_order(const duties::scaling_order& order) {
-    storing_ = owner_.append_as_owner(
-        {{duties::scaling_key(order.subject),
-          duties::encode_target(order.target)}},
-        [this, order](bool stored) {
+/// Stores all orders of one decision at once, so that a later holder knows all
+/// of them or none.
+void scaling_duty::store_orders(
+    const std::vector<duties::scaling_order>& orders) {
+    std::vector<store::record> records;
+    records.reserve(orders.size());
+    for (const auto& order : orders) {
+        records.push_back({duties::scaling_key(order.subject),
+                           duties::encode_target(order.target)});
+    }
+    storing_ =
+        owner_.append_as_owner(std::move(records), [this, orders](bool stored) {
             storing_ = false;
-            state_.log.write("scaling_order",
-                             {{"service", order.subject.service},
-                              {"zone", order.subject.zone},
-                              {"target", order.target},
-                              {"reason", base::name_of(order.reason)},
-                              {"stored", stored}});
+            for (const auto& order : orders) {
+                state_.log.write("scaling_order",
+                                 {{"service", order.subject.service},
+                                  {"zone", order.subject.zone},
+                                  {"target", order.target},
+                                  {"reason", base::name_of(order.reason)},
+                                  {"stored", stored}});
+            }
             if (stored) {
-                unstored_order_.reset();
+                unstored_orders_.clear();
+            }
+        });
+}
+
+void scaling_duty::report_demand(
+    const std::vector<duties::service_load>& loads) {
+    const auto now = state_.clock.now();
+    if (now < next_demand_log_at_) {
+        return;
+    }
+    next_demand_log_at_ = now + demand_log_interval_ms;
+    for (const auto& load : loads) {
+        if (!load.demand) {
+            continue;
+        }
+        int slots = 0;
+        for (const auto& zone : load.zones) {
+            slots += zone.second.slots;
+        }
+        state_.log.write(
+            "scaling_demand",
+            {{"service", load.service},
+             {"needed_slots", static_cast<int>(load.demand->slots)},
+             {"slots", slots},
+             {"waiting", load.waiting}});
+    }
+}
+
+/// Writes a line when a service begins or ceases to lack servers that can't be
+/// ordered.
+void scaling_duty::report_limits(
+    const std::vector<duties::service_load>& loads) {
+    for (const auto& load : loads) {
+        const auto missing = autoscaler_.missing(load.service);
+        auto& reported = limits_[load.service];
+        if (missing.limit == reported) {
+            continue;
+        }
+        reported = missing.limit;
+        const auto limit = std::string(base::name_of(missing.limit));
+        state_.log.write("scaling_limit", {{"service", load.service},
+                                           {"limit", limit},
+                                           {"missing", missing.count}});
+        if (missing.limit != duties::scaling_limit::none) {
+            state_.counters.count_response("scaling_limit", limit, "");
+        }
+    }
+}
+
+/// A refusal means that a newer holder has called or that the zone has no more
+/// servers. Takes the order back in the journal: that succeeds only if no other
+/// node has become the holder, and then the zone has refused.
+void scaling_duty::settle_refusal() {
+    if (!refusal_ || storing_) {
+        return;
+    }
+    const auto refused = *refusal_;
+    const int target = available_target(refused.subject);
+    storing_ = owner_.append_as_owner(
+        {{duties::scaling_key(refused.subject), duties::encode_target(target)}},
+        [this, refused, target](bool stored) {
+            storing_ = false;
+            if (stored && refusal_) {
+                on_refusal_settled(refused, target);
             }
         });
 }
 
+void scaling_duty::on_refusal_settled(const refusal& refused, int target) {
+    refusal_.reset();
+    const auto now = state_.clock.now();
+    autoscaler_.on_ordered(refused.subject, target);
+    autoscaler_.on_refused(refused.subject, now);
+    auto& order = orders_[refused.subject];
+    order.target = target;
+    order.send_at.reset();
+    next_decision_at_ = now;
+    state_.log.write(
+        "scaling_order",
+        {{"service", refused.subject.service},
+         {"zone", refused.subject.zone},
+         {"target", target},
+         {"reason", base::name_of(duties::scaling_reason::refused)},
+         {"stored", true}});
+}
+
+/// Returns the target that a zone is known to fulfil: what it accepted last in
+/// this turn, or the servers that are there.
+int scaling_duty::available_target(
+    const duties::scaling_subject& subject) const {
+    int servers = 0;
+    for (const auto& load : observe_loads()) {
+        const auto zone = load.zones.find(subject.zone);
+        if (load.service == subject.service && zone != load.zones.end()) {
+            servers = zone->second.servers;
+        }
+    }
+    const auto order = orders_.find(subject);
+    return order == orders_.end()
+               ? servers
+               : std::max(servers, order->second.accepted_target);
+}
+
 /// Sends one order that is not confirmed. Only one call is in flight.
 void scaling_duty::send_due_order() {
     const auto token = channel_.token_to_call();
-    if (!token || call_in_flight_) {
+    if (!token || call_in_flight_ || refusal_) {
         return;
     }
     const auto now = state_.clock.now();
@@ -154,7 +280,7 @@
                                int target, duties::fencing_token token,
                                int status) {
     call_in_flight_ = false;
-    const auto result = adapter::parse_duty_result(status);
+    const auto result = adapter::parse_scaling_result(status);
     state_.counters.count_response("scaling_order",
                                    std::string(base::name_of(result)), "");
     state_.log.write("scaling_call", {{"service", subject.service},
@@ -164,14 +290,22 @@
                                       {"status", status},
                                       {"outcome", base::name_of(result)}});
     auto& order = orders_[subject];
-    if (result == duties::duty_result::fenced) {
-        channel_.on_fenced(token);
+    if (result == duties::duty_result::refused) {
+        if (order.target == target) {
+            refusal_ = refusal{subject, target};
+        }
         return;
     }
     if (result == duties::duty_result::failed) {
         order.send_at = state_.clock.now() +
                         (status == 0 ? late_execution_ms : retry_delay_ms);
-    } else if (order.target == target) {
+        return;
+    }
+    if (result == duties::duty_result::accepted) {
+        order.accepted_target = target;
+        autoscaler_.on_accepted(subject);
+    }
+    if (order.target == target) {
         order.send_at.reset();
     }
 }
--- a/packages/entry/src/scaling_duty.hpp
+++ b/packages/entry/src/scaling_duty.hpp
@@ -35,12 +35,25 @@
         int target = 0;
         /// When to send the order again; not set once it is confirmed.
         std::optional<base::millis> send_at;
+        /// The last target that was accepted in this turn.
+        int accepted_target = 0;
+    };
+
+    /// An order that was refused.
+    struct refusal {
+        duties::scaling_subject subject;
+        int refused_target = 0;
     };
 
     void tick();
     std::vector<duties::service_load> observe_loads() const;
     void decide();
-    void store_order(const duties::scaling_order& order);
+    void store_orders(const std::vector<duties::scaling_order>& orders);
+    void report_demand(const std::vector<duties::service_load>& loads);
+    void report_limits(const std::vector<duties::service_load>& loads);
+    void settle_refusal();
+    void on_refusal_settled(const refusal& refused, int target);
+    int available_target(const duties::scaling_subject& subject) const;
     void send_due_order();
     void on_response(const duties::scaling_subject& subject, int target,
                      duties::fencing_token token, int status);
@@ -51,8 +64,15 @@
     store::run_after_function run_after_;
     duties::autoscaler autoscaler_;
     std::map<duties::scaling_subject, order_state> orders_;
-    /// An order that is decided but not stored yet.
-    std::optional<duties::scaling_order> unstored_order_;
+    /// Orders that are decided but not stored yet.
+    std::vector<duties::scaling_order> unstored_orders_;
+    /// Set until the journal shows whether this node was still the holder when
+    /// the order was refused. No calls are made until then.
+    std::optional<refusal> refusal_;
+    /// The last reported limit of each service.
+    std::map<std::string, duties::scaling_limit> limits_;
+    base::millis next_decision_at_ = 0;
+    base::millis next_demand_log_at_ = 0;
     bool storing_ = false;
     bool call_in_flight_ = false;
 };
--- a/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
+++ b/packages/samplers/include/hibiscus/samplers/weight_rollout.hpp
@@ -80,6 +80,9 @@
     /// counts, in ms.
     base::millis load_timeout_ms() const { return load_time_.timeout_ms(); }
 
+    /// Returns the expected duration of a load, in ms.
+    base::millis expected_load_ms() const { return load_time_.expected_ms(); }
+
     /// Returns the newest announced version of a model, or 0.
     std::int64_t newest_version(const std::string& model) const;
 
