--- a/packages/batch/test/step_simulation.hpp
+++ b/packages/batch/test/step_simulation.hpp
@@ -107,6 +107,11 @@
         return static_cast<int>(used_servers_.size());
     }
 
+    /// Returns the slots that the trainers are estimated to need.
+    std::optional<slot_demand> demand() const {
+        return scheduler_.demand(service_, rollout_.expected_load_ms());
+    }
+
     /// Returns the number of ordered loads.
     int load_count() const { return load_count_; }
 
--- a/packages/batch/test/step_simulation_test.cpp
+++ b/packages/batch/test/step_simulation_test.cpp
@@ -156,6 +156,30 @@
     EXPECT_LE(simulation.used_server_count(), 4 * open_items / servers.slots);
 }
 
+// Guards against an estimate that follows the servers in place of the work.
+TEST(step_simulation_test, the_demand_is_what_ends_steps_in_time) {
+    const std::vector<trainer_config> trainers(3, large_steps());
+    constexpr base::millis two_steps_ms = 8000;
+    step_simulation starved(small_servers(14, 9), trainers, 1);
+    const auto starved_results = starved.run(two_steps_ms);
+    ASSERT_TRUE(starved.demand());
+    step_simulation ample(small_servers(60, 9), trainers, 1);
+    ample.run(two_steps_ms);
+    ASSERT_TRUE(ample.demand());
+    std::printf("needed slots: %.0f with 84, %.0f with 360\n",
+                starved.demand()->slots, ample.demand()->slots);
+    EXPECT_NEAR(starved.demand()->slots, ample.demand()->slots,
+                0.25 * ample.demand()->slots);
+    const auto needed = static_cast<int>(starved.demand()->slots / 6) + 1;
+    for (const auto& r :
+         simulate_minutes(small_servers(needed, 9), trainers, 1)) {
+        EXPECT_GE(share_in_time(r), 0.95);
+    }
+    for (const auto& r : simulate_minutes(small_servers(14, 9), trainers, 1)) {
+        EXPECT_LT(share_in_time(r), 0.5);
+    }
+}
+
 TEST(step_simulation_test, steps_of_a_single_trainer_end_in_time) {
     const trainer_config usual;
     for (const auto& r : simulate_minutes({}, {usual})) {
--- a/testing/entry/entry_duties_test.cpp
+++ b/testing/entry/entry_duties_test.cpp
@@ -166,6 +166,33 @@
     EXPECT_EQ(api_.scaling_orders().back().target, 3);
 }
 
+// Guards against a refusal that is taken for the end of this holder's turn, and
+// against an order that a later holder repeats.
+TEST_F(entry_duties_test, an_order_that_is_refused_is_taken_back) {
+    constexpr int slow_event_interval_ms = 600;
+    for (const auto& s : samplers_) {
+        s->set_event_interval_ms(slow_event_interval_ms);
+    }
+    api_.set_servers_exhausted(true);
+    start_nodes();
+    const auto response =
+        call("n1", "POST", "/batch/x",
+             {{"Request-Id", "j"}, {"Authorization", "Token key-1"}},
+             make_job_body("i"));
+    ASSERT_EQ(response.status, 202);
+    ASSERT_TRUE(run_until([&] { return api_.refused_orders() > 0; }));
+    const auto stored_target = [&] {
+        const auto values = store_.newest_values("keyed.journal");
+        const auto row = values.find("!scale/llm/z");
+        return row == values.end() ? std::string() : row->second;
+    };
+    ASSERT_TRUE(run_until([&] { return stored_target() == "2"; }));
+    api_.set_servers_exhausted(false);
+    EXPECT_TRUE(run_until([&] { return !api_.scaling_orders().empty(); }));
+    EXPECT_EQ(api_.scaling_orders().front().target, 3);
+    EXPECT_EQ(api_.refused_orders(), 1);
+}
+
 } // namespace
 
 } // namespace hibiscus::testing
--- a/testing/entry/fake_duty_api.cpp
+++ b/testing/entry/fake_duty_api.cpp
@@ -82,6 +82,10 @@
         violation_ = "two holders use one token";
     }
     const auto body = json::parse(request.body);
+    if (request.target == "/scale" && exhausted_) {
+        ++refused_orders_;
+        return 409;
+    }
     if (request.target == "/scale") {
         scaling_orders_.push_back({holder, body.at("service"), body.at("zone"),
                                    body.at("targetGroups")});
--- a/testing/entry/fake_duty_api.hpp
+++ b/testing/entry/fake_duty_api.hpp
@@ -37,6 +37,12 @@
     /// that all calls are refused.
     void set_fenced(bool fenced) { fenced_ = fenced; }
 
+    /// Sets whether there are no more servers, so that orders are refused.
+    void set_servers_exhausted(bool exhausted) { exhausted_ = exhausted; }
+
+    /// Number of orders that were refused since there are no more servers.
+    int refused_orders() const { return refused_orders_; }
+
     /// Number of calls that have arrived.
     int call_count() const { return call_count_; }
 
@@ -69,6 +75,8 @@
     boost::asio::io_context& io_;
     duty_api_behavior behavior_ = duty_api_behavior::responds;
     bool fenced_ = false;
+    bool exhausted_ = false;
+    int refused_orders_ = 0;
     int call_count_ = 0;
     /// By the path of the call.
     std::map<std::string, std::int64_t> highest_tokens_;
