--- a/testing/entry/entry_duties_test.cpp
+++ b/testing/entry/entry_duties_test.cpp
@@ -175,11 +175,13 @@
     }
     api_.set_servers_exhausted(true);
     start_nodes();
-    const auto response =
-        call("n1", "POST", "/batch/x",
-             {{"Request-Id", "j"}, {"Authorization", "Token key-1"}},
-             make_job_body("i"));
-    ASSERT_EQ(response.status, 202);
+    for (const std::string name : {"i", "k", "l"}) {
+        const auto response =
+            call("n1", "POST", "/batch/x",
+                 {{"Request-Id", name}, {"Authorization", "Token key-1"}},
+                 make_job_body(name));
+        ASSERT_EQ(response.status, 202);
+    }
     ASSERT_TRUE(run_until([&] { return api_.refused_orders() > 0; }));
     const auto stored_target = [&] {
         const auto values = store_.newest_values("keyed.journal");
