--- a/packages/batch/src/work_meter.cpp
+++ b/packages/batch/src/work_meter.cpp
@@ -17,7 +17,7 @@
 /// Part of its target time in which a step should end if nothing goes wrong.
 /// The rest is for servers that are slow or lost, and for the reads and scores
 /// that follow the texts.
-constexpr double planned_share = 0.6;
+constexpr double planned_share = 0.75;
 
 /// Smallest part of its target time that is planned for the work of a step,
 /// however long single runs and loads take.
