--- a/packages/batch/include/hibiscus/batch/work_meter.hpp
+++ b/packages/batch/include/hibiscus/batch/work_meter.hpp
@@ -29,6 +29,8 @@
 /// A job as the meter counts it.
 struct step_size {
     base::millis first_seen_at = 0;
+    /// By the clock of the node that accepted the job; only a hint.
+    base::millis accepted_wall_ms = 0;
     base::millis target_ms = 0;
     /// Sum over the items that no earlier step contained.
     std::int64_t expected_tokens = 0;
@@ -56,6 +58,7 @@
 /// targets.
 class work_meter {
 public:
+    /// Steps without a target time are not measured.
     void on_step_added(const trainer_key& trainer, const job_id& id,
                        const step_size& size);
     void on_step_removed(const job_id& id);
--- a/packages/batch/src/item_scheduler.cpp
+++ b/packages/batch/src/item_scheduler.cpp
@@ -97,7 +97,8 @@
 }
 
 void item_scheduler::measure_step(const job_state& job) {
-    step_size size{job.first_seen_at, job.options.target_ms, 0};
+    step_size size{job.first_seen_at, job.header.accepted_wall_ms,
+                   job.options.target_ms, 0};
     for (const auto& row : job.items) {
         size.expected_tokens +=
             row.is_resubmitted ? 0 : row.content.expected_output_tokens;
--- a/packages/batch/src/work_meter.cpp
+++ b/packages/batch/src/work_meter.cpp
@@ -20,7 +20,7 @@
 constexpr double planned_share = 0.75;
 
 /// Smallest part of its target time that is planned for the work of a step,
-/// however long single runs and loads take.
+/// however long single runs and loads take, and however often steps come.
 constexpr double min_work_share = 0.2;
 
 /// The part of the texts that are at most as long as the run that may begin
@@ -76,8 +76,10 @@
 std::optional<double> step_interval(const std::deque<step_size>& steps) {
     std::vector<double> intervals;
     for (std::size_t n = 1; n < steps.size(); ++n) {
+        // A process that has just read the journal saw all of its jobs at once.
         const auto interval =
-            steps[n].first_seen_at - steps[n - 1].first_seen_at;
+            std::max(steps[n].first_seen_at - steps[n - 1].first_seen_at,
+                     steps[n].accepted_wall_ms - steps[n - 1].accepted_wall_ms);
         if (interval > 0 && interval <= steps[n - 1].target_ms) {
             intervals.push_back(static_cast<double>(interval));
         }
@@ -90,6 +92,9 @@
 
 void work_meter::on_step_added(const trainer_key& trainer, const job_id& id,
                                const step_size& size) {
+    if (size.target_ms <= 0) {
+        return;
+    }
     auto& state = trainers_[trainer];
     if (state.steps.empty()) {
         state.first_step_at = size.first_seen_at;
@@ -98,7 +103,8 @@
     // After a takeover, jobs are added in the order of their ids.
     std::sort(state.steps.begin(), state.steps.end(),
               [](const auto& a, const auto& b) {
-                  return a.first_seen_at < b.first_seen_at;
+                  return std::tie(a.first_seen_at, a.accepted_wall_ms) <
+                         std::tie(b.first_seen_at, b.accepted_wall_ms);
               });
     if (state.steps.size() > remembered_steps) {
         state.steps.pop_front();
@@ -159,13 +165,12 @@
         const auto target_ms = static_cast<double>(step.target_ms);
         const auto planned_ms = planned_share * target_ms - last_run_ms -
                                 static_cast<double>(load_ms);
-        auto work_ms = std::max(planned_ms, min_work_share * target_ms);
-        if (interval) {
-            work_ms = std::min(work_ms, *interval);
-        }
+        const auto work_ms =
+            std::max(std::min(planned_ms, interval.value_or(planned_ms)),
+                     min_work_share * target_ms);
         slots = std::max(slots, token_ms *
                                     static_cast<double>(step.expected_tokens) /
-                                    std::max(1.0, work_ms));
+                                    work_ms);
     }
     return slots;
 }
--- a/packages/batch/test/work_meter_test.cpp
+++ b/packages/batch/test/work_meter_test.cpp
@@ -15,7 +15,7 @@
 protected:
     void add_step(const trainer_key& key, base::millis at, int items = 100) {
         last_job_ = job_id("j" + std::to_string(++job_count_));
-        meter_.on_step_added(key, last_job_, {at, 7500, items * 500});
+        meter_.on_step_added(key, last_job_, {at, at, 7500, items * 500});
     }
 
     void add_texts(const trainer_key& key, int count, base::millis ms = 400) {
@@ -69,6 +69,22 @@
     EXPECT_NEAR(slots(2000), 40000 / 5225.0, 0.1);
 }
 
+// Guards against a new owner that takes all steps for ones that came at once.
+TEST_F(work_meter_test, steps_that_are_first_seen_together_did_not_come_so) {
+    for (int n = 0; n < 4; ++n) {
+        meter_.on_step_added(trainer, job_id(std::to_string(n)),
+                             {1000, 1000 + 4000 * n, 7500, 50000});
+    }
+    add_texts(trainer, 20);
+    EXPECT_NEAR(slots(2000), 10, 0.1);
+}
+
+TEST_F(work_meter_test, steps_without_a_target_are_not_measured) {
+    meter_.on_step_added(trainer, job_id("j"), {1000, 1000, 0, 50000});
+    add_texts(trainer, 20);
+    EXPECT_FALSE(meter_.demand(service, 0, 2000));
+}
+
 TEST_F(work_meter_test, trainers_add_up_once_each_is_measured) {
     const trainer_key other{service, "w", "other"};
     add_step(trainer, 1000);
--- a/packages/duties/include/hibiscus/duties/autoscaler.hpp
+++ b/packages/duties/include/hibiscus/duties/autoscaler.hpp
@@ -123,6 +123,8 @@
     /// How long after the boot time of an order the demand may lead to the next
     /// one that adds servers.
     base::millis demand_ms = 2000;
+    /// For how long an order waits for a demand that is not complete.
+    base::millis incomplete_ms = 10000;
     /// For how long the demand must have been lower before servers are removed:
     /// many steps.
     base::millis surplus_ms = 120000;
@@ -174,6 +176,8 @@
         base::millis last_order_at = 0;
         /// When an order added servers.
         base::millis last_raise_at = 0;
+        /// Since when the demand has not been complete; 0 if it is.
+        base::millis incomplete_since = 0;
         /// Since when the demand has been measured.
         base::millis measured_since = 0;
         /// The peaks of the needed servers, each higher than all later ones.
--- a/packages/duties/src/autoscaler.cpp
+++ b/packages/duties/src/autoscaler.cpp
@@ -217,7 +217,9 @@
                                                      base::millis now) {
     auto& state = services_[load.service];
     const auto needed = needed_servers(load);
-    if (!needed || !load.demand->is_complete) {
+    const bool is_complete = load.demand->is_complete;
+    const auto incomplete_ms = track(!is_complete, state.incomplete_since, now);
+    if (!needed || (!is_complete && incomplete_ms < times_.incomplete_ms)) {
         return {};
     }
     const int peak = observe_peak(state, *needed, now);
@@ -236,7 +238,8 @@
         return orders;
     }
     state.missing = {};
-    const bool is_lasting = now - state.measured_since >= times_.surplus_ms &&
+    const bool is_lasting = is_complete &&
+                            now - state.measured_since >= times_.surplus_ms &&
                             now - state.last_order_at >= times_.surplus_ms;
     if (is_lasting && wanted > surplus_factor * peak) {
         const auto kept = static_cast<int>(std::ceil(kept_factor * peak));
--- a/packages/duties/test/autoscaler_test.cpp
+++ b/packages/duties/test/autoscaler_test.cpp
@@ -193,6 +193,14 @@
     EXPECT_TRUE(run_for(10).empty());
 }
 
+// Guards against new trainers, one after the other, that put off all orders.
+TEST_F(demand_test, an_order_does_not_wait_for_new_trainers_forever) {
+    set_demand(240, false);
+    EXPECT_EQ(total(run_for(15, true)), 24);
+    set_demand(10, false);
+    EXPECT_TRUE(run_for(600, true).empty());
+}
+
 // Guards against an order that the next one takes back.
 TEST_F(demand_test, a_load_that_goes_away_leads_to_one_order_down_later) {
     set_demand(240);
