transport, entry: what is held for slow readers is bounded, its source waits

Cause: a response was held whole for a caller that reads slowly (a stream as it came, others of up to 64 MB), without a bound in all, and a caller that took more than 15 s for one write was cut although it was reading.

Change: peer_buffers counts what waits for each connection and decides: the server's connection is paused, pages of results get smaller or wait, large bodies of requests wait to be read, and at the bound in all (24 MB) the largest holder is closed. Who makes no progress for 60 s is cut. A response over 256 KB (less when room is short) is passed on as it arrives.

--- a/packages/entry/src/batch_api.cpp
+++ b/packages/entry/src/batch_api.cpp
@@ -32,6 +32,10 @@
 /// most one megabyte.
 constexpr std::size_t max_response_text_bytes = 900 * 1024;
 
+/// Maximum time for which a call waits until slow readers leave room for its
+/// response, in ms.
+constexpr base::millis room_timeout_ms = 3000;
+
 const store::partition journal_partition{adapter::journal_topic, 0};
 
 } // namespace
@@ -245,11 +249,10 @@
 
 bool batch_api::try_respond_with_results(const pending_call& call,
                                          const batch::job_row& row) {
+    const auto now = state_.clock.now();
     if (call.from_position < static_cast<std::size_t>(row.next_position())) {
-        load_results(call, row);
-        return true;
+        return try_load_results(call, row);
     }
-    const auto now = state_.clock.now();
     const bool is_current = is_view_current_since(call.received_at);
     if (is_current && (now >= call.wait_until || state_.stopping)) {
         send_empty_results(call, row);
@@ -358,21 +361,39 @@
     delivered_[job] = {next, now};
 }
 
+/// Reads results, as many as there is room for. Returns false if the call has
+/// to wait for room.
+bool batch_api::try_load_results(const pending_call& call,
+                                 const batch::job_row& row) {
+    const auto room = call.response->room();
+    if (room > 0) {
+        load_results(call, row, std::min(max_response_text_bytes, room));
+        return true;
+    }
+    if (state_.clock.now() - call.received_at > room_timeout_ms) {
+        reject_unavailable(call, "no_room");
+        return true;
+    }
+    return false;
+}
+
 void batch_api::load_results(const pending_call& call,
-                             const batch::job_row& row) {
+                             const batch::job_row& row, std::size_t max_bytes) {
     const auto first = std::prev(
         row.commits.upper_bound(static_cast<int>(call.from_position)));
-    job_store_.load_texts(
-        call.job, first->first, first->second.texts_name,
-        max_response_text_bytes,
-        [this, call](const auto& texts) { send_results(call, texts); });
+    job_store_.load_texts(call.job, first->first, first->second.texts_name,
+                          max_bytes,
+                          [this, call, max_bytes](const auto& texts) {
+                              send_results(call, texts, max_bytes);
+                          });
 }
 
 /// Responds with the results from the requested position on, as far as their
 /// texts were read.
 void batch_api::send_results(
     const pending_call& call,
-    const std::optional<std::vector<store::record>>& texts) {
+    const std::optional<std::vector<store::record>>& texts,
+    std::size_t max_bytes) {
     const auto* row = state_.jobs.find(call.job);
     if (!texts || row == nullptr) {
         reject_unavailable(call, "no_answer");
@@ -403,13 +424,13 @@
             position - static_cast<std::size_t>(commit->first);
         for (std::size_t n = skipped_results; n < results->size(); ++n) {
             bytes += (*results)[n].text.size();
-            if (!selected.empty() && bytes > max_response_text_bytes) {
+            if (!selected.empty() && bytes > max_bytes) {
                 break;
             }
             selected.push_back(std::move((*results)[n]));
             ++position;
         }
-        if (bytes > max_response_text_bytes) {
+        if (bytes > max_bytes) {
             break;
         }
     }
--- a/packages/entry/src/batch_api.hpp
+++ b/packages/entry/src/batch_api.hpp
@@ -95,9 +95,12 @@
     bool try_respond(const pending_call& call);
     bool try_respond_with_results(const pending_call& call,
                                   const batch::job_row& row);
-    void load_results(const pending_call& call, const batch::job_row& row);
+    bool try_load_results(const pending_call& call, const batch::job_row& row);
+    void load_results(const pending_call& call, const batch::job_row& row,
+                      std::size_t max_bytes);
     void send_results(const pending_call& call,
-                      const std::optional<std::vector<store::record>>& texts);
+                      const std::optional<std::vector<store::record>>& texts,
+                      std::size_t max_bytes);
     void send_item_body(const pending_call& call);
     void reject_unavailable(const pending_call& call, const char* reason,
                             int records = 0);
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -583,6 +583,10 @@
                             static_cast<double>(c.connections_reused));
         state_.counters.set("stray_bytes",
                             static_cast<double>(c.unsolicited_reads));
+        const auto& buffers = caller_server_.buffers();
+        state_.counters.set("held_bytes", static_cast<double>(buffers.held()));
+        state_.counters.set("held_bytes_peak",
+                            static_cast<double>(buffers.peak()));
         state_.counters.set("log_lines_dropped",
                             static_cast<double>(state_.log.dropped_lines()));
         state_.counters.set("owner", job_owner_.is_owner() ? 1 : 0);
--- a/packages/transport/include/hibiscus/transport/streaming_http_server.hpp
+++ b/packages/transport/include/hibiscus/transport/streaming_http_server.hpp
@@ -4,11 +4,13 @@
 #include "hibiscus/base/endpoint.hpp"
 #include "hibiscus/base/enum_names.hpp"
 #include "hibiscus/transport/headers.hpp"
+#include "hibiscus/transport/peer_buffers.hpp"
 
 #include <boost/asio/io_context.hpp>
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -61,6 +63,20 @@
     /// disconnects. Calls it immediately if the request has already ended, even
     /// if its response was sent completely.
     virtual void on_disconnect(std::function<void()> callback) = 0;
+
+    /// Returns true while so much of the response waits for the caller that its
+    /// source must pause.
+    virtual bool is_full() const { return false; }
+    /// Sets a callback that is called whenever the caller has read and the
+    /// response is not full. Dropped when the request ends.
+    virtual void on_room(std::function<void()> callback) {
+        static_cast<void>(callback);
+    }
+    /// Returns how many bytes the response may add at once; 0 if it has to
+    /// wait.
+    virtual std::size_t room() const {
+        return std::numeric_limits<std::size_t>::max();
+    }
 };
 
 /// Called for each request once it has been read completely. The handler
@@ -72,7 +88,7 @@
 enum class abort_cause {
     /// The caller closed or reset its connection.
     caller_disconnected,
-    /// The caller did not read the response in time.
+    /// The caller read the response too slowly.
     write_timeout,
     /// The handler aborted the response or released its response_writer
     /// without responding.
@@ -126,6 +142,12 @@
     /// timeout.
     void set_limits(http_server_limits limits);
 
+    /// Changes the bounds on what is held for callers.
+    void set_buffer_limits(peer_buffer_limits limits);
+
+    /// Returns what is held for callers.
+    const peer_buffers& buffers() const;
+
     /// Adds `Connection: close` to all further responses. Idle connections stay
     /// open until then, because the caller may be about to send a request.
     void drain();
--- a/packages/transport/include/hibiscus/transport/upstream.hpp
+++ b/packages/transport/include/hibiscus/transport/upstream.hpp
@@ -87,6 +87,13 @@
     /// cancellation. No callback is called after this.
     virtual void cancel() = 0;
 
+    /// Stops reading the response, so that the server has to wait; no timeout
+    /// expires meanwhile. A part that was read already may still be delivered.
+    virtual void pause() = 0;
+
+    /// Reads on.
+    virtual void resume() = 0;
+
     /// Returns true if the call opened a new connection instead of reusing one.
     virtual bool opened_connection() const = 0;
 };
--- a/packages/transport/src/server_session.cpp
+++ b/packages/transport/src/server_session.cpp
@@ -1,8 +1,10 @@
 #include "server_session.hpp"
 
-#include <boost/asio/write.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace hibiscus::transport {
@@ -18,10 +20,15 @@
 /// Callers send their request as soon as the connection is open.
 constexpr base::millis first_request_timeout_ms = 250;
 
-/// How long a caller may take to read a part of a response before the
-/// connection is closed. Bounds the memory used for callers that stopped
-/// reading.
-constexpr base::millis write_timeout_ms = 15000;
+/// The largest body, in bytes, that is read without a reservation.
+constexpr std::size_t max_unreserved_body_bytes = 64 * 1024;
+
+/// How often a body is held while it is forwarded: as received, and as sent to
+/// a server.
+constexpr std::size_t body_copies = 2;
+
+/// Interval between checks for room for the body of a request.
+constexpr std::chrono::milliseconds room_check_interval(20);
 
 /// How long a connection may be idle while its remaining input is read and
 /// dropped after the last response. Closing a socket with unread input resets
@@ -114,6 +121,14 @@
         session_->set_on_disconnect(number_, std::move(callback));
     }
 
+    bool is_full() const override { return session_->is_full(number_); }
+
+    void on_room(std::function<void()> callback) override {
+        session_->set_on_room(number_, std::move(callback));
+    }
+
+    std::size_t room() const override { return session_->room(); }
+
 private:
     void append_connection_header(std::string& bytes) const {
         if (!session_->keep_alive()) {
@@ -129,7 +144,8 @@
 
 server_session::server_session(tcp::socket socket,
                                std::shared_ptr<server_state> state)
-    : socket_(std::move(socket)), state_(std::move(state)),
+    : socket_(std::move(socket)), room_timer_(socket_.get_executor()),
+      state_(std::move(state)), id_(++state_->connections_accepted),
       opened_at_(state_->clock.now()) {
     state_->sessions.insert(this);
     ++state_->open_connections;
@@ -138,13 +154,14 @@
 server_session::~server_session() {
     state_->sessions.erase(this);
     state_->open_connections -= open_ ? 1 : 0;
+    state_->buffers.erase(id_);
+    release_body();
+    state_->buffers.release_request(std::exchange(next_body_bytes_, 0));
 }
 
 void server_session::check_timeouts(base::millis now) {
-    if (write_deadline_ != 0 && now > write_deadline_) {
-        close(abort_cause::write_timeout);
-    }
-    if (current_request_number_) {
+    check_read_progress(now);
+    if (current_request_number_ || waiting_for_room_) {
         return;
     }
     const bool timed_out = is_idle_timeout_over(now);
@@ -173,6 +190,10 @@
     }
     last_write_queued_ = last;
     response_started_ = true;
+    state_->buffers.add(id_, bytes.size(), state_->clock.now());
+    if (state_->buffers.find_excess()) {
+        state_->on_excess();
+    }
     write_queue_.push_back(std::move(bytes));
     if (write_queue_.size() == 1) {
         write_next();
@@ -236,6 +257,31 @@
 
 void server_session::continue_read() {
     start_idle_timer();
+    if (parser_->is_header_done()) {
+        read_body();
+        return;
+    }
+    http::async_read_header(
+        socket_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code error, std::size_t) {
+            self->on_header_read(error);
+        });
+}
+
+void server_session::on_header_read(beast::error_code error) {
+    if (error || !open_ || parser_->is_done()) {
+        on_read(error);
+        return;
+    }
+    read_body();
+}
+
+void server_session::read_body() {
+    waiting_for_room_ = !reserve_body();
+    if (waiting_for_room_) {
+        wait_for_room();
+        return;
+    }
     http::async_read(
         socket_, buffer_, *parser_,
         [self = shared_from_this()](beast::error_code error, std::size_t) {
@@ -243,6 +289,34 @@
         });
 }
 
+bool server_session::reserve_body() {
+    const auto announced = parser_->content_length().value_or(0);
+    if (announced <= max_unreserved_body_bytes || next_body_bytes_ > 0) {
+        return true;
+    }
+    const auto bytes = static_cast<std::size_t>(announced) * body_copies;
+    if (!state_->buffers.reserve_request(bytes)) {
+        return false;
+    }
+    next_body_bytes_ = bytes;
+    return true;
+}
+
+void server_session::wait_for_room() {
+    idle_since_.reset();
+    room_timer_.expires_after(room_check_interval);
+    room_timer_.async_wait([self = shared_from_this()](beast::error_code) {
+        if (self->open_) {
+            self->start_idle_timer();
+            self->read_body();
+        }
+    });
+}
+
+void server_session::release_body() {
+    state_->buffers.release_request(std::exchange(current_body_bytes_, 0));
+}
+
 bool server_session::may_close_idle_connection(base::millis now) const {
     return state_->phase == server_phase::closing &&
            (last_request_number_ > 0 ||
@@ -334,16 +408,14 @@
 }
 
 void server_session::write_next() {
-    write_deadline_ = state_->clock.now() + write_timeout_ms;
-    asio::async_write(
-        socket_, asio::buffer(write_queue_.front()),
-        [self = shared_from_this()](beast::error_code error, std::size_t) {
-            self->on_write(error);
-        });
+    socket_.async_write_some(asio::buffer(write_queue_.front()) + front_sent_,
+                             [self = shared_from_this()](
+                                 beast::error_code error, std::size_t bytes) {
+                                 self->on_write(error, bytes);
+                             });
 }
 
-void server_session::on_write(beast::error_code error) {
-    write_deadline_ = 0;
+void server_session::on_write(beast::error_code error, std::size_t bytes) {
     if (!open_) {
         return;
     }
@@ -351,13 +423,52 @@
         close();
         return;
     }
-    write_queue_.pop_front();
+    state_->buffers.on_progress(id_, bytes, state_->clock.now());
+    front_sent_ += bytes;
+    if (front_sent_ == write_queue_.front().size()) {
+        write_queue_.pop_front();
+        front_sent_ = 0;
+    }
     if (!write_queue_.empty()) {
         write_next();
+        notify_room();
         return;
     }
     if (last_write_queued_) {
         on_response_sent();
+        return;
+    }
+    notify_room();
+}
+
+void server_session::check_read_progress(base::millis now) {
+    if (!open_ || write_queue_.empty()) {
+        return;
+    }
+    int unacknowledged = 0;
+    if (::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) == 0 &&
+        unacknowledged < std::exchange(unacknowledged_, unacknowledged)) {
+        state_->buffers.on_progress(id_, 0, now);
+    }
+    // The share of a connection grows when others end.
+    notify_room();
+}
+
+bool server_session::is_full(std::uint64_t number) const {
+    return current_request_number_ == number && state_->buffers.is_full(id_);
+}
+
+void server_session::set_on_room(std::uint64_t number,
+                                 std::function<void()> callback) {
+    if (current_request_number_ == number && open_) {
+        on_room_ = std::move(callback);
+    }
+}
+
+void server_session::notify_room() {
+    if (on_room_ && !state_->buffers.is_full(id_)) {
+        const auto callback = on_room_;
+        callback();
     }
 }
 
@@ -366,6 +477,8 @@
     current_request_number_ = 0;
     --state_->requests_in_flight;
     on_disconnect_ = nullptr;
+    on_room_ = nullptr;
+    release_body();
     if (discard_remaining_input_ || !keep_alive_) {
         shutdown_send();
         return;
@@ -411,6 +524,8 @@
     --state_->open_connections;
     beast::error_code ignored;
     socket_.close(ignored);
+    state_->buffers.erase(id_);
+    on_room_ = nullptr;
     if (current_request_number_) {
         report_abort(cause);
         current_request_number_ = 0;
@@ -442,6 +557,7 @@
     request.body = std::move(message.body());
     current_request_number_ = ++last_request_number_;
     ++state_->requests_in_flight;
+    current_body_bytes_ = std::exchange(next_body_bytes_, 0);
     record_request(request);
     auto responder =
         std::make_shared<writer>(shared_from_this(), current_request_number_);
--- a/packages/transport/src/server_session.hpp
+++ b/packages/transport/src/server_session.hpp
@@ -3,6 +3,7 @@
 #include "hibiscus/transport/streaming_http_server.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -28,6 +29,12 @@
     abort_reporting reporting;
     base::clock clock;
     std::set<server_session*> sessions;
+    /// What is held for callers that have not read it yet, and for requests.
+    peer_buffers buffers;
+    /// The number of connections accepted so far.
+    std::uint64_t connections_accepted = 0;
+    /// Called when more is held than the limit; closes connections later.
+    std::function<void()> on_excess;
     /// The number of requests whose response has not been sent completely.
     std::size_t requests_in_flight = 0;
     /// The number of open connections.
@@ -53,6 +60,23 @@
     /// idle while the server is closing.
     void check_timeouts(base::millis now);
 
+    /// Closes the connection if its caller reads too slowly.
+    void close_slow_reader() { close(abort_cause::write_timeout); }
+
+    /// The number of the connection in `server_state::buffers`.
+    peer_buffers::connection_id id() const { return id_; }
+
+    /// Returns true while the source of the response to request `number` is to
+    /// pause.
+    bool is_full(std::uint64_t number) const;
+
+    /// Returns how many bytes a response may add at once; 0 if it has to wait.
+    std::size_t room() const { return state_->buffers.room(); }
+
+    /// Sets the callback for the time when the response to request `number`
+    /// may go on.
+    void set_on_room(std::uint64_t number, std::function<void()> callback);
+
     /// Applies the current limits, unless a request has been partly read.
     void apply_limits();
 
@@ -87,6 +111,19 @@
 
     void continue_read();
 
+    /// Reads the body once there is room for it.
+    void read_body();
+
+    void wait_for_room();
+
+    void on_header_read(boost::beast::error_code error);
+
+    /// Reserves room for the body of the request that is being read. Returns
+    /// false if there is none.
+    bool reserve_body();
+
+    void release_body();
+
     void start_idle_timer();
 
     /// Returns true if the connection has been idle longer than both the limit
@@ -116,7 +153,14 @@
 
     void write_next();
 
-    void on_write(boost::beast::error_code error);
+    void on_write(boost::beast::error_code error, std::size_t bytes);
+
+    /// Notes whether the caller has read since the last check, also if the
+    /// kernel has taken no more bytes from the session.
+    void check_read_progress(base::millis now);
+
+    /// Calls `on_room_` if the source of the response may go on.
+    void notify_room();
 
     /// Called when the current response has been sent completely.
     void on_response_sent();
@@ -132,14 +176,26 @@
     void report_abort(abort_cause cause) const;
 
     boost::asio::ip::tcp::socket socket_;
+    /// Runs while a request waits for room for its body.
+    boost::asio::steady_timer room_timer_;
     std::shared_ptr<server_state> state_;
     boost::beast::flat_buffer buffer_;
     std::optional<
         boost::beast::http::request_parser<boost::beast::http::string_body>>
         parser_;
     std::deque<std::string> write_queue_;
+    /// Bytes of the first entry of the queue that were sent.
+    std::size_t front_sent_ = 0;
+    /// Bytes sent that the caller had not acknowledged at the last check.
+    int unacknowledged_ = 0;
     std::string discard_buffer_;
     std::function<void()> on_disconnect_;
+    std::function<void()> on_room_;
+    peer_buffers::connection_id id_;
+    /// Bytes reserved for the body of the request that is being read or has
+    /// been read, and for the body of the request that is being answered.
+    std::size_t next_body_bytes_ = 0;
+    std::size_t current_body_bytes_ = 0;
     std::uint64_t last_request_number_ = 0;
     /// The number of the request that is being answered, or 0.
     std::uint64_t current_request_number_ = 0;
@@ -154,11 +210,11 @@
     /// idle timeout in force at that time.
     std::optional<base::millis> idle_since_;
     base::millis idle_timeout_ms_ = 0;
-    /// The deadline of the current write, or 0 if none is in progress.
-    base::millis write_deadline_ = 0;
     base::millis opened_at_;
     bool open_ = true;
     bool next_request_ready_ = false;
+    /// Whether the body of a request is read only once there is room for it.
+    bool waiting_for_room_ = false;
     bool last_write_queued_ = false;
     /// False once the server or the caller has announced that the current
     /// response is the last one of the connection.
--- a/packages/transport/src/streaming_http_server.cpp
+++ b/packages/transport/src/streaming_http_server.cpp
@@ -3,8 +3,12 @@
 #include "server_session.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <chrono>
 #include <utility>
 
@@ -23,6 +27,10 @@
 /// Interval between these checks while the server is closing.
 constexpr base::millis closing_timeout_check_interval_ms = 20;
 
+/// How much the kernel takes of a response, in bytes, beyond what the caller's
+/// window admits.
+constexpr int max_unsent_kernel_bytes = 64 * 1024;
+
 } // namespace
 
 /// Accepts connections and checks their timeouts.
@@ -56,6 +64,11 @@
         if (error) {
             return std::nullopt;
         }
+        state_->on_excess = [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->schedule_excess_check();
+            }
+        };
         accept();
         schedule_timeout_check();
         return base::endpoint{address.ip, acceptor_.local_endpoint().port()};
@@ -113,6 +126,8 @@
     void start_session(tcp::socket socket) {
         beast::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
+        ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                     &max_unsent_kernel_bytes, sizeof max_unsent_kernel_bytes);
         std::make_shared<server_session>(std::move(socket), state_)->start();
     }
 
@@ -143,10 +158,36 @@
             const auto now = self->state_->clock.now();
             self->for_each_session(
                 [now](server_session& s) { s.check_timeouts(now); });
+            self->close_stalled_readers(now);
             self->schedule_timeout_check();
         });
     }
 
+    void close_stalled_readers(base::millis now) {
+        while (const auto id = state_->buffers.find_stalled(now)) {
+            close_slow_reader(*id);
+        }
+    }
+
+    /// Closes the largest holders until the rest is within the limit. Called
+    /// later, because the caller may be sending to one of them.
+    void schedule_excess_check() {
+        asio::post(timer_.get_executor(), [self = shared_from_this()] {
+            while (const auto id = self->state_->buffers.find_excess()) {
+                self->close_slow_reader(*id);
+            }
+        });
+    }
+
+    void close_slow_reader(peer_buffers::connection_id id) {
+        for_each_session([id](server_session& s) {
+            if (s.id() == id) {
+                s.close_slow_reader();
+            }
+        });
+        state_->buffers.erase(id);
+    }
+
     tcp::acceptor acceptor_;
     asio::steady_timer timer_;
     std::shared_ptr<server_state> state_;
@@ -174,6 +215,14 @@
     impl_->for_each_session([](server_session& s) { s.apply_limits(); });
 }
 
+void streaming_http_server::set_buffer_limits(peer_buffer_limits limits) {
+    impl_->state().buffers.set_limits(limits);
+}
+
+const peer_buffers& streaming_http_server::buffers() const {
+    return impl_->state().buffers;
+}
+
 void streaming_http_server::drain() {
     impl_->state().phase = server_phase::draining;
 }
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -1,6 +1,7 @@
 #include "hibiscus/transport/upstream.hpp"
 
 #include "hibiscus/base/stall_detector.hpp"
+#include "serialize_request.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -101,7 +102,7 @@
         if (const auto* id = find_header(request.fields, echo_header_)) {
             echo_value_ = *id;
         }
-        request_bytes_ = serialize(request);
+        request_bytes_ = serialize_request(request, address_);
     }
 
     void start() {
@@ -121,6 +122,24 @@
         }
     }
 
+    void pause() override {
+        if (!std::exchange(paused_, true)) {
+            paused_at_ = state_->clock.now();
+        }
+    }
+
+    void resume() override {
+        if (!std::exchange(paused_, false) || done_) {
+            return;
+        }
+        const auto now = state_->clock.now();
+        started_at_ += now - paused_at_;
+        last_activity_ = now;
+        if (std::exchange(read_deferred_, false)) {
+            read();
+        }
+    }
+
     bool opened_connection() const override { return opened_connection_; }
 
     bool is_done() const { return done_; }
@@ -139,7 +158,7 @@
     }
 
     void check_timeouts(base::millis now) {
-        if (done_) {
+        if (done_ || paused_) {
             return;
         }
         if (!connected_ && now - last_activity_ > options_.connect_timeout_ms) {
@@ -154,28 +173,6 @@
     }
 
 private:
-    std::string serialize(const upstream_request& request) const {
-        std::string message =
-            request.method + " " + request.target + " HTTP/1.1\r\n";
-        if (find_header(request.fields, "host") == nullptr) {
-            message += "Host: " + to_string(address_) + "\r\n";
-        }
-        for (const auto& field : request.fields) {
-            message += field.name;
-            message += ": ";
-            message += field.value;
-            message += "\r\n";
-        }
-        if (!request.body.empty() || request.method != "GET") {
-            message +=
-                "Content-Length: " + std::to_string(request.body.size()) +
-                "\r\n";
-        }
-        message += "\r\n";
-        message += request.body;
-        return message;
-    }
-
     bool take_idle_connection() {
         auto& connections = state_->idle_connections[address_];
         const auto now = state_->clock.now();
@@ -233,6 +230,7 @@
             *socket_, asio::buffer(request_bytes_),
             [self = shared_from_this()](beast::error_code error, std::size_t) {
                 self->request_written_ = !error;
+                self->request_bytes_ = {};
             });
         parser_.emplace();
         parser_->body_limit(max_body_bytes);
@@ -246,6 +244,10 @@
     /// buffer a part of a chunk until the next chunk arrives, which would delay
     /// each event until the next one.
     void read() {
+        if (paused_) {
+            read_deferred_ = true;
+            return;
+        }
         socket_->async_read_some(
             buffer_.prepare(read_buffer_bytes),
             [self = shared_from_this()](beast::error_code error,
@@ -452,6 +454,11 @@
     /// Whether no part of the response has been received yet.
     bool nothing_received_ = true;
     bool head_delivered_ = false;
+    /// Whether the response is not read at present, since when, and whether a
+    /// read is to follow.
+    bool paused_ = false;
+    base::millis paused_at_ = 0;
+    bool read_deferred_ = false;
     bool done_ = false;
     /// Whether a callback of this call is running.
     bool in_callback_ = false;
--- a/packages/transport/test/streaming_http_server_test.cpp
+++ b/packages/transport/test/streaming_http_server_test.cpp
@@ -476,6 +476,60 @@
     run_until([&] { return responses_.size() == 1; });
 }
 
+// A caller that reads little by little makes progress, however long it takes.
+TEST_F(streaming_http_server_test, a_slow_caller_is_not_cut_while_it_reads) {
+    server_.set_buffer_limits({256 * 1024, 1024 * 1024, 1500});
+    send(request);
+    run_until([&] { return !responses_.empty(); });
+    responses_[0]->send({200, {}, std::string(900 * 1024, 'x')});
+    for (int n = 0; n < 40; ++n) {
+        run_for(100);
+        std::vector<char> bytes(16 * 1024);
+        received_.append(bytes.data(), socket_.read_some(asio::buffer(bytes)));
+    }
+    EXPECT_TRUE(aborted_requests_.empty());
+    EXPECT_GT(server_.buffers().held(), 0U);
+}
+
+TEST_F(streaming_http_server_test, a_caller_that_stops_reading_is_cut) {
+    server_.set_buffer_limits({256 * 1024, 32 * 1024 * 1024, 1000});
+    send(request);
+    run_until([&] { return !responses_.empty(); });
+    responses_[0]->send({200, {}, std::string(16 * 1024 * 1024, 'x')});
+    run_until([&] { return !aborted_requests_.empty(); });
+    EXPECT_EQ(aborted_requests_[0].cause, abort_cause::write_timeout);
+    EXPECT_EQ(server_.buffers().held(), 0U);
+}
+
+TEST_F(streaming_http_server_test, the_largest_holder_is_cut_at_the_bound) {
+    server_.set_buffer_limits({256 * 1024, 8 * 1024 * 1024, 60000});
+    send(request);
+    run_until([&] { return !responses_.empty(); });
+    responses_[0]->send({200, {}, std::string(16 * 1024 * 1024, 'x')});
+    run_until([&] { return !aborted_requests_.empty(); });
+    EXPECT_EQ(server_.buffers().held(), 0U);
+}
+
+// Bodies that many callers send at once must not take all memory.
+TEST_F(streaming_http_server_test, a_large_body_waits_for_room) {
+    server_.set_buffer_limits({256 * 1024, 1024 * 1024, 60000});
+    const std::string large(400 * 1024, 'x');
+    const auto post = "POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                      std::to_string(large.size()) + "\r\n\r\n" + large;
+    tcp::socket second(io_);
+    second.connect(socket_.remote_endpoint());
+    asio::async_write(socket_, asio::buffer(post), [](auto, auto) {});
+    run_until([&] { return requests_.size() == 1; });
+    asio::async_write(second, asio::buffer(post), [](auto, auto) {});
+    run_for(300);
+    EXPECT_EQ(requests_.size(), 1U);
+    responses_[0]->send({200, {}, "first"});
+    run_until([&] { return requests_.size() == 2; });
+    EXPECT_EQ(requests_[1].body, large);
+    responses_[1]->send({200, {}, "second"});
+    run_until([&] { return server_.buffers().held() == 0; });
+}
+
 } // namespace
 
 } // namespace hibiscus::transport
