base, batch, duties: one guarded call decodes CBOR

Cause: the decoder throws for a size that can't be allocated although it is told not to; batch/records and duties/usage called it outside of their guards, so a damaged record ended the node.

Change: the guard of membership/records is base::decode_cbor, which all three use.

How the tests failed before: "excessive array size:" thrown from decode_owner and decode_report.

--- a/packages/batch/src/records.cpp
+++ b/packages/batch/src/records.cpp
@@ -1,5 +1,6 @@
 #include "hibiscus/batch/records.hpp"
 
+#include "hibiscus/base/cbor.hpp"
 #include "hibiscus/base/result.hpp"
 
 #include <nlohmann/json.hpp>
@@ -50,25 +51,13 @@
     return value;
 }
 
-std::string to_cbor(const json& value) {
-    std::string out;
-    json::to_cbor(value, out);
-    return out;
-}
-
 /// Decodes a value with `read`. Returns nothing if the bytes are not CBOR or
 /// don't have the form that `read` expects.
 template <class T, class F>
 std::optional<T> from_cbor(const std::string& bytes, F read) {
-    const auto value = json::from_cbor(bytes, true, false);
-    if (value.is_discarded()) {
-        return std::nullopt;
-    }
-    try {
+    return base::decode_cbor(bytes, [&](const json& value) -> std::optional<T> {
         return read(value);
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
+    });
 }
 
 json to_json_binary(const std::string& bytes) {
@@ -191,11 +180,11 @@
 }
 
 std::string encode(const owner_record& value) {
-    return to_cbor({{"node", value.node.str()},
-                    {"incarnation", value.incarnation},
-                    {"fence", value.fencing_token},
-                    {"beat", value.renewals},
-                    {"left", value.handed_over}});
+    return base::encode_cbor({{"node", value.node.str()},
+                              {"incarnation", value.incarnation},
+                              {"fence", value.fencing_token},
+                              {"beat", value.renewals},
+                              {"left", value.handed_over}});
 }
 
 std::optional<owner_record> decode_owner(const std::string& bytes) {
@@ -222,7 +211,7 @@
     if (!h.workspace.empty()) {
         out["workspace"] = h.workspace;
     }
-    return to_cbor(out);
+    return base::encode_cbor(out);
 }
 
 std::optional<job_header> decode_header(const std::string& bytes) {
@@ -248,7 +237,7 @@
     for (const auto& i : value) {
         out.push_back(to_json(i));
     }
-    return to_cbor(out);
+    return base::encode_cbor(out);
 }
 
 std::optional<std::vector<item>> decode_items(const std::string& bytes) {
@@ -266,7 +255,8 @@
     for (const auto& r : value.rows) {
         rows.push_back({r.item_index, base::name_of(r.outcome)});
     }
-    return to_cbor({{"texts", value.texts_name}, {"rows", std::move(rows)}});
+    return base::encode_cbor(
+        {{"texts", value.texts_name}, {"rows", std::move(rows)}});
 }
 
 std::optional<result_commit> decode_commit(const std::string& bytes) {
@@ -292,7 +282,7 @@
                        {"versions", r.versions},
                        {"score", r.score}});
     }
-    return to_cbor(out);
+    return base::encode_cbor(out);
 }
 
 std::optional<std::vector<item_result>>
@@ -315,14 +305,14 @@
 }
 
 std::string encode(const progress_part& p) {
-    return to_cbor({{"item", p.item_index},
-                    {"epoch", p.epoch},
-                    {"from", p.first_event},
-                    {"events", p.event_count},
-                    {"last", p.last_event},
-                    {"text", to_json_binary(p.text)},
-                    {"versions", p.versions},
-                    {"failures", p.failures}});
+    return base::encode_cbor({{"item", p.item_index},
+                              {"epoch", p.epoch},
+                              {"from", p.first_event},
+                              {"events", p.event_count},
+                              {"last", p.last_event},
+                              {"text", to_json_binary(p.text)},
+                              {"versions", p.versions},
+                              {"failures", p.failures}});
 }
 
 std::optional<progress_part> decode_progress(const std::string& bytes) {
@@ -358,7 +348,7 @@
         chunk_bytes = 0;
     };
     for (auto& i : items) {
-        const auto size = to_cbor(to_json(i)).size();
+        const auto size = base::encode_cbor(to_json(i)).size();
         if (chunk_bytes + size + max_record_overhead_bytes > max_record_bytes) {
             flush();
         }
--- a/packages/batch/test/records_test.cpp
+++ b/packages/batch/test/records_test.cpp
@@ -37,6 +37,19 @@
     EXPECT_FALSE(decode_progress(""));
 }
 
+// The decoder throws for these sizes although it is told not to.
+TEST(records_test, sizes_that_cannot_be_allocated_are_rejected) {
+    for (const char type : {'\x9b', '\xbb'}) {
+        const auto bytes = type + ('\x7f' + std::string(7, '\xff'));
+        EXPECT_FALSE(decode_owner(bytes));
+        EXPECT_FALSE(decode_header(bytes));
+        EXPECT_FALSE(decode_commit(bytes));
+        EXPECT_FALSE(decode_items(bytes));
+        EXPECT_FALSE(decode_results(bytes));
+        EXPECT_FALSE(decode_progress(bytes));
+    }
+}
+
 TEST(records_test, a_job_keeps_its_workspace) {
     job_header header;
     header.workspace = "w";
--- a/packages/duties/src/usage.cpp
+++ b/packages/duties/src/usage.cpp
@@ -1,5 +1,7 @@
 #include "hibiscus/duties/usage.hpp"
 
+#include "hibiscus/base/cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -15,12 +17,6 @@
 /// separator, so the keys don't collide with those of jobs.
 const std::string report_key_prefix = "!usage/";
 
-std::string to_cbor(const json& value) {
-    std::string out;
-    json::to_cbor(value, out);
-    return out;
-}
-
 std::optional<usage_counts> read_counts(const json& in) {
     if (!in.is_object()) {
         return std::nullopt;
@@ -89,31 +85,33 @@
 }
 
 std::string encode(const usage_report& report) {
-    return to_cbor(
+    return base::encode_cbor(
         {{"counts", report.counts}, {"delivered", report.delivered}});
 }
 
 std::string encode(const usage_counts& counts) {
-    return to_cbor(json(counts));
+    return base::encode_cbor(json(counts));
 }
 
 std::optional<usage_report> decode_report(window_number window,
                                           const std::string& bytes) {
-    const auto in = json::from_cbor(bytes, true, false);
-    if (!in.is_object() || !in.contains("counts") ||
-        !in.value("delivered", json()).is_boolean()) {
-        return std::nullopt;
-    }
-    auto counts = read_counts(in.at("counts"));
-    if (!counts) {
-        return std::nullopt;
-    }
-    return usage_report{window, std::move(*counts),
-                        in.at("delivered").get<bool>()};
+    return base::decode_cbor(
+        bytes, [&](const json& in) -> std::optional<usage_report> {
+            if (!in.is_object() || !in.contains("counts") ||
+                !in.value("delivered", json()).is_boolean()) {
+                return std::nullopt;
+            }
+            auto counts = read_counts(in.at("counts"));
+            if (!counts) {
+                return std::nullopt;
+            }
+            return usage_report{window, std::move(*counts),
+                                in.at("delivered").get<bool>()};
+        });
 }
 
 std::optional<usage_counts> decode_counts(const std::string& bytes) {
-    return read_counts(json::from_cbor(bytes, true, false));
+    return base::decode_cbor(bytes, read_counts);
 }
 
 } // namespace hibiscus::duties
--- a/packages/duties/test/usage_test.cpp
+++ b/packages/duties/test/usage_test.cpp
@@ -30,6 +30,15 @@
 }
 
 // Guards against a save that is executed late and replaces newer counts.
+// The decoder throws for these sizes although it is told not to.
+TEST(usage_test, sizes_that_cannot_be_allocated_are_rejected) {
+    for (const char type : {'\x9b', '\xbb'}) {
+        const auto bytes = type + ('\x7f' + std::string(7, '\xff'));
+        EXPECT_FALSE(decode_report(1, bytes));
+        EXPECT_FALSE(decode_counts(bytes));
+    }
+}
+
 TEST(usage_test, only_the_last_generation_of_a_process_counts) {
     const auto record = [](const char* node, int generation, int count) {
         return std::pair(format_key(count_record_key{7, node, "i", generation}),
--- a/packages/membership/src/records.cpp
+++ b/packages/membership/src/records.cpp
@@ -1,5 +1,7 @@
 #include "hibiscus/membership/records.hpp"
 
+#include "hibiscus/base/cbor.hpp"
+
 #include <nlohmann/json.hpp>
 #include <zlib.h>
 
@@ -9,29 +11,6 @@
 
 using json = nlohmann::json;
 
-std::string to_bytes(const json& value) {
-    std::string bytes;
-    json::to_cbor(value, bytes);
-    return bytes;
-}
-
-/// Decodes a CBOR value with `decode`. Returns std::nullopt if the bytes are
-/// not CBOR, or if a field is missing or of another type.
-template <class Decode>
-auto decode_cbor(const std::string& bytes, const Decode& decode)
-    -> decltype(decode(json())) {
-    try {
-        // Throws for a size that can't be allocated even without exceptions.
-        const auto in = json::from_cbor(bytes, true, false);
-        if (in.is_discarded()) {
-            return std::nullopt;
-        }
-        return decode(in);
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
-}
-
 /// Largest configuration that is decompressed, in bytes.
 constexpr std::size_t max_decompressed_bytes = std::size_t{64} << 20U;
 
@@ -59,17 +38,17 @@
 
 std::string encode_node(const node_renewal& renewal) {
     const auto& e = renewal.entry;
-    return to_bytes({{"callers", to_string(e.caller_address)},
-                     {"nodes", to_string(e.peer_address)},
-                     {"zone", e.zone.str()},
-                     {"stopping", e.stopping},
-                     {"true_time", renewal.true_time},
-                     {"cpu_share", e.cpu_share},
-                     {"renewal_ms", e.renewal_ms}});
+    return base::encode_cbor({{"callers", to_string(e.caller_address)},
+                              {"nodes", to_string(e.peer_address)},
+                              {"zone", e.zone.str()},
+                              {"stopping", e.stopping},
+                              {"true_time", renewal.true_time},
+                              {"cpu_share", e.cpu_share},
+                              {"renewal_ms", e.renewal_ms}});
 }
 
 std::optional<node_renewal> decode_node(const std::string& value) {
-    return decode_cbor(
+    return base::decode_cbor(
         value, [](const json& in) -> std::optional<node_renewal> {
             if (!in.is_object()) {
                 return std::nullopt;
@@ -92,28 +71,30 @@
 }
 
 std::string encode_listed_node(const node_entry& node) {
-    return to_bytes(json::array({to_string(node.caller_address),
-                                 to_string(node.peer_address), node.zone.str(),
-                                 node.cpu_share}));
+    return base::encode_cbor(json::array({to_string(node.caller_address),
+                                          to_string(node.peer_address),
+                                          node.zone.str(), node.cpu_share}));
 }
 
 std::optional<node_entry> decode_listed_node(const std::string& value) {
-    return decode_cbor(value, [](const json& in) -> std::optional<node_entry> {
-        const auto endpoint_at = [&in](std::size_t field) {
-            return base::parse_endpoint(in.at(field).get<std::string>());
-        };
-        const auto callers = endpoint_at(callers_field);
-        const auto peers = endpoint_at(peers_field);
-        if (!callers || !peers) {
-            return std::nullopt;
-        }
-        node_entry node;
-        node.caller_address = *callers;
-        node.peer_address = *peers;
-        node.zone = base::zone_id(in.at(node_zone_field).get<std::string>());
-        node.cpu_share = in.at(cpu_share_field).get<double>();
-        return node;
-    });
+    return base::decode_cbor(
+        value, [](const json& in) -> std::optional<node_entry> {
+            const auto endpoint_at = [&in](std::size_t field) {
+                return base::parse_endpoint(in.at(field).get<std::string>());
+            };
+            const auto callers = endpoint_at(callers_field);
+            const auto peers = endpoint_at(peers_field);
+            if (!callers || !peers) {
+                return std::nullopt;
+            }
+            node_entry node;
+            node.caller_address = *callers;
+            node.peer_address = *peers;
+            node.zone =
+                base::zone_id(in.at(node_zone_field).get<std::string>());
+            node.cpu_share = in.at(cpu_share_field).get<double>();
+            return node;
+        });
 }
 
 std::string encode_status(const fleet_status& status) {
@@ -123,17 +104,18 @@
             servers[service.str()][zone.str()] = count;
         }
     }
-    return to_bytes({{"publisher", status.publisher},
-                     {"sequence", status.sequence},
-                     {"source", base::name_of(status.source)},
-                     {"nodes", status.nodes},
-                     {"configuration_age_ms", status.configuration_age_ms},
-                     {"servers", std::move(servers)},
-                     {"true_times", status.true_times}});
+    return base::encode_cbor(
+        {{"publisher", status.publisher},
+         {"sequence", status.sequence},
+         {"source", base::name_of(status.source)},
+         {"nodes", status.nodes},
+         {"configuration_age_ms", status.configuration_age_ms},
+         {"servers", std::move(servers)},
+         {"true_times", status.true_times}});
 }
 
 std::optional<fleet_status> decode_status(const std::string& value) {
-    return decode_cbor(
+    return base::decode_cbor(
         value, [](const json& in) -> std::optional<fleet_status> {
             fleet_status s;
             s.publisher = in.at("publisher").get<std::string>();
@@ -164,14 +146,14 @@
     for (const auto& [model, version] : server.versions) {
         models.push_back(model);
     }
-    return to_bytes(
+    return base::encode_cbor(
         json::array({server.service.str(), to_string(server.address),
                      server.zone.str(), server.slots, server.draining,
                      server.spot, server.started_ms, std::move(models)}));
 }
 
 std::optional<samplers::registration> decode_server(const std::string& value) {
-    return decode_cbor(
+    return base::decode_cbor(
         value, [](const json& in) -> std::optional<samplers::registration> {
             const auto address =
                 base::parse_endpoint(in.at(address_field).get<std::string>());
