entry, batch: of two workspaces that submit one job id at once, one is refused

Cause: items were stored under the job's id alone, before the header that names the workspace, so those of the second submission replaced those of the first, and both were answered 202.

Change: items and headers lie under a tag of the workspace (none for the empty one, so its records stay as they were; items of an earlier release are found without it). The job table counts the header with the smallest offset, whatever the order in which it is read.

--- a/packages/batch/include/hibiscus/batch/job_table.hpp
+++ b/packages/batch/include/hibiscus/batch/job_table.hpp
@@ -11,7 +11,14 @@
 
 /// A job as recorded in the journal.
 struct job_row {
+    /// The header that was stored first, if several workspaces have submitted
+    /// the id.
     std::optional<job_header> header;
+    /// The submitter in the key of the header, and the header's offset.
+    std::string submitter;
+    store::log_offset header_offset = 0;
+    /// The submitters of other headers that are in the journal.
+    std::set<std::string> rejected_submitters;
     /// Committed results by the position of their first row.
     std::map<int, result_commit> commits;
     /// Indices of the committed items.
@@ -52,7 +59,8 @@
     std::uint64_t unreadable_records() const { return unreadable_records_; }
 
 private:
-    void apply_value(const journal_key& key, const std::string& value);
+    void apply_value(const journal_key& key, const store::change& change);
+    void apply_header(const header_key& key, const store::change& change);
     void apply_erasure(const journal_key& key);
     job_row& find_or_add(const job_id& id);
 
--- a/packages/batch/include/hibiscus/batch/records.hpp
+++ b/packages/batch/include/hibiscus/batch/records.hpp
@@ -47,6 +47,10 @@
 struct owner_key {};
 struct header_key {
     job_id job;
+    /// Identifies the workspace that submitted the job, as submitter_tag()
+    /// does. Two workspaces may submit one id at the same time; their headers
+    /// don't replace each other.
+    std::string submitter = {};
 };
 struct commit_key {
     job_id job;
@@ -55,6 +59,10 @@
 struct end_key {
     job_id job;
 };
+/// Returns the part of keys that tells submissions of workspaces apart; empty
+/// for the empty workspace.
+std::string submitter_tag(const std::string& workspace);
+
 using journal_key = std::variant<owner_key, header_key, commit_key, end_key>;
 
 /// Converts a journal key to text and back. parse_key() returns nothing for a
@@ -64,7 +72,8 @@
 
 /// Keys of the records that are read on demand. Each begins with job_prefix().
 std::string job_prefix(const job_id& job);
-std::string chunk_key(const job_id& job, int chunk);
+std::string chunk_key(const job_id& job, int chunk,
+                      const std::string& submitter = "");
 std::string texts_key(const job_id& job, int position,
                       const std::string& texts_name);
 /// Returns a key that sorts directly before the key of these texts. Other texts
@@ -91,6 +100,12 @@
 decode_results(const std::string& bytes);
 std::optional<progress_part> decode_progress(const std::string& bytes);
 
+/// Returns those of the records with a job's items that were stored for the
+/// workspace, in key order.
+std::vector<store::record>
+select_item_records(std::vector<store::record> records, const job_id& job,
+                    const std::string& workspace);
+
 /// Splits the items of a job into records of at most about `max_record_bytes`
 /// and sets the number of these chunks in `header`. An item that is larger gets
 /// a record of its own, which the store splits into value chunks.
--- a/packages/batch/src/job_table.cpp
+++ b/packages/batch/src/job_table.cpp
@@ -31,7 +31,7 @@
         return std::nullopt;
     }
     if (change.value) {
-        apply_value(*key, *change.value);
+        apply_value(*key, change);
     } else {
         apply_erasure(*key);
     }
@@ -46,7 +46,33 @@
     return row;
 }
 
-void job_table::apply_value(const journal_key& key, const std::string& value) {
+void job_table::apply_header(const header_key& key,
+                             const store::change& change) {
+    auto header = decode_header(*change.value);
+    if (!header) {
+        ++unreadable_records_;
+        return;
+    }
+    auto& row = find_or_add(key.job);
+    if (row.header && row.submitter == key.submitter) {
+        return;
+    }
+    // A first read returns the headers in the order of their keys.
+    if (row.header && row.header_offset <= change.offset) {
+        row.rejected_submitters.insert(key.submitter);
+        return;
+    }
+    if (row.header) {
+        row.rejected_submitters.insert(row.submitter);
+    }
+    row.header = std::move(header);
+    row.submitter = key.submitter;
+    row.header_offset = change.offset;
+}
+
+void job_table::apply_value(const journal_key& key,
+                            const store::change& change) {
+    const auto& value = *change.value;
     std::visit(
         base::overloaded{
             [&](const owner_key&) {
@@ -56,17 +82,7 @@
                     ++unreadable_records_;
                 }
             },
-            [&](const header_key& k) {
-                auto header = decode_header(value);
-                if (!header) {
-                    ++unreadable_records_;
-                    return;
-                }
-                auto& row = find_or_add(k.job);
-                if (!row.header) {
-                    row.header = std::move(header);
-                }
-            },
+            [&](const header_key& k) { apply_header(k, change); },
             [&](const commit_key& k) {
                 auto commit = decode_commit(value);
                 if (!commit) {
@@ -86,7 +102,16 @@
 void job_table::apply_erasure(const journal_key& key) {
     std::visit(base::overloaded{
                    [&](const owner_key&) { owner_.reset(); },
-                   [&](const header_key& k) { jobs_.erase(k.job); },
+                   [&](const header_key& k) {
+                       const auto row = jobs_.find(k.job);
+                       if (row == jobs_.end()) {
+                           return;
+                       }
+                       row->second.rejected_submitters.erase(k.submitter);
+                       if (row->second.submitter == k.submitter) {
+                           jobs_.erase(row);
+                       }
+                   },
                    [](const auto&) {},
                },
                key);
--- a/packages/batch/src/records.cpp
+++ b/packages/batch/src/records.cpp
@@ -1,6 +1,7 @@
 #include "hibiscus/batch/records.hpp"
 
 #include "hibiscus/base/cbor.hpp"
+#include "hibiscus/base/hash.hpp"
 #include "hibiscus/base/result.hpp"
 
 #include <nlohmann/json.hpp>
@@ -18,6 +19,9 @@
 
 constexpr char separator = '/';
 
+/// Size of a submitter's tag: a letter and 16 hexadecimal digits.
+constexpr std::size_t submitter_tag_size = 17;
+
 /// Upper bound of the size of a record without its value: the key and its
 /// framing.
 constexpr std::size_t max_record_overhead_bytes = 512;
@@ -118,13 +122,16 @@
 
 std::string format_key(const journal_key& key) {
     return std::visit(
-        base::overloaded{[](const owner_key&) { return owner_key_text; },
-                         [](const header_key& k) { return k.job.str() + "/h"; },
-                         [](const commit_key& k) {
-                             return k.job.str() + "/l/" +
-                                    zero_padded(k.position);
-                         },
-                         [](const end_key& k) { return k.job.str() + "/x"; }},
+        base::overloaded{
+            [](const owner_key&) { return owner_key_text; },
+            [](const header_key& k) {
+                return k.job.str() + "/h" +
+                       (k.submitter.empty() ? "" : "/" + k.submitter);
+            },
+            [](const commit_key& k) {
+                return k.job.str() + "/l/" + zero_padded(k.position);
+            },
+            [](const end_key& k) { return k.job.str() + "/x"; }},
         key);
 }
 
@@ -140,6 +147,10 @@
     if (parts.size() == 2 && parts[1] == "h") {
         return header_key{job};
     }
+    if (parts.size() == 3 && parts[1] == "h" &&
+        parts[2].size() == submitter_tag_size) {
+        return header_key{job, parts[2]};
+    }
     if (parts.size() == 2 && parts[1] == "x") {
         return end_key{job};
     }
@@ -155,8 +166,45 @@
     return job.str() + separator;
 }
 
-std::string chunk_key(const job_id& job, int chunk) {
-    return job_prefix(job) + zero_padded(chunk);
+std::string submitter_tag(const std::string& workspace) {
+    if (workspace.empty()) {
+        return "";
+    }
+    char tag[submitter_tag_size + 1];
+    std::snprintf(
+        tag, sizeof tag, "w%016llx",
+        static_cast<unsigned long long>(base::stable_hash(workspace)));
+    return tag;
+}
+
+std::string chunk_key(const job_id& job, int chunk,
+                      const std::string& submitter) {
+    return job_prefix(job) + (submitter.empty() ? "" : submitter + separator) +
+           zero_padded(chunk);
+}
+
+std::vector<store::record>
+select_item_records(std::vector<store::record> records, const job_id& job,
+                    const std::string& workspace) {
+    const auto prefix = job_prefix(job) + submitter_tag(workspace);
+    const auto is_tagged = [&](const store::record& r) {
+        return r.key.compare(0, prefix.size(), prefix) == 0;
+    };
+    const auto has_tag = [&](const store::record& r) {
+        return r.key.find(separator, job_prefix(job).size()) !=
+               std::string::npos;
+    };
+    // Items of jobs stored by an earlier release have no tag.
+    const bool use_tagged =
+        !workspace.empty() &&
+        std::any_of(records.begin(), records.end(), is_tagged);
+    records.erase(std::remove_if(records.begin(), records.end(),
+                                 [&](const auto& r) {
+                                     return use_tagged ? !is_tagged(r)
+                                                       : has_tag(r);
+                                 }),
+                  records.end());
+    return records;
 }
 
 std::string texts_key(const job_id& job, int position,
@@ -335,6 +383,7 @@
                                              std::size_t max_record_bytes) {
     header.item_count = static_cast<int>(items.size());
     header.chunk_count = 0;
+    const auto submitter = submitter_tag(header.workspace);
     std::vector<store::record> records;
     std::vector<item> chunk;
     std::size_t chunk_bytes = 0;
@@ -343,7 +392,8 @@
             return;
         }
         records.push_back(
-            {chunk_key(header.id, header.chunk_count++), encode(chunk)});
+            {chunk_key(header.id, header.chunk_count++, submitter),
+             encode(chunk)});
         chunk.clear();
         chunk_bytes = 0;
     };
--- a/packages/batch/src/retention.cpp
+++ b/packages/batch/src/retention.cpp
@@ -20,7 +20,10 @@
         erasures.push_back({format_key(commit_key{id, commit.first}), ""});
     }
     erasures.push_back({format_key(end_key{id}), ""});
-    erasures.push_back({format_key(header_key{id}), ""});
+    for (const auto& submitter : row.rejected_submitters) {
+        erasures.push_back({format_key(header_key{id, submitter}), ""});
+    }
+    erasures.push_back({format_key(header_key{id, row.submitter}), ""});
     return erasures;
 }
 
--- a/packages/batch/test/records_test.cpp
+++ b/packages/batch/test/records_test.cpp
@@ -13,6 +13,7 @@
 TEST(records_test, journal_keys_round_trip) {
     for (const journal_key& key :
          {journal_key(owner_key{}), journal_key(header_key{job}),
+          journal_key(header_key{job, submitter_tag("shop")}),
           journal_key(commit_key{job, 17}), journal_key(end_key{job})}) {
         const auto read = parse_key(format_key(key));
         ASSERT_TRUE(read);
@@ -37,6 +38,25 @@
     EXPECT_FALSE(decode_progress(""));
 }
 
+TEST(records_test, items_of_one_workspace_are_selected) {
+    const auto one = submitter_tag("one");
+    const std::vector<store::record> untagged{{chunk_key(job, 0), "u"}};
+    auto all = untagged;
+    all.push_back({chunk_key(job, 0, one), "1"});
+    all.push_back({chunk_key(job, 0, submitter_tag("two")), "2"});
+    const auto selected = [&](const auto& records, const char* workspace) {
+        std::string values;
+        for (const auto& r : select_item_records(records, job, workspace)) {
+            values += r.value;
+        }
+        return values;
+    };
+    EXPECT_EQ(selected(all, "one"), "1");
+    EXPECT_EQ(selected(all, "two"), "2");
+    EXPECT_EQ(selected(all, ""), "u");
+    EXPECT_EQ(selected(untagged, "one"), "u");
+}
+
 // The decoder throws for these sizes although it is told not to.
 TEST(records_test, sizes_that_cannot_be_allocated_are_rejected) {
     for (const char type : {'\x9b', '\xbb'}) {
--- a/packages/entry/src/batch_api.cpp
+++ b/packages/entry/src/batch_api.cpp
@@ -61,6 +61,11 @@
     return row != nullptr && row->header->workspace == submitted.workspace;
 }
 
+bool batch_api::is_taken(const batch::job_header& submitted) const {
+    const auto* row = state_.jobs.find(submitted.id);
+    return row != nullptr && row->header->workspace != submitted.workspace;
+}
+
 void batch_api::on_call() {
     last_call_at_ = state_.clock.now();
     journal_.resume();
@@ -90,7 +95,9 @@
 
 void batch_api::on_items_appended(const std::shared_ptr<submission>& s,
                                   const store::append_result& result) {
-    if (std::holds_alternative<store::appended>(result)) {
+    if (is_taken(s->header)) {
+        reject_taken(s);
+    } else if (std::holds_alternative<store::appended>(result)) {
         append_job_header(s);
     } else if (is_accepted(s->header)) {
         accept(*s, "seen");
@@ -100,18 +107,31 @@
 }
 
 void batch_api::append_job_header(const std::shared_ptr<submission>& s) {
-    log_store_.append(journal_partition,
-                      {{batch::format_key(batch::header_key{s->header.id}),
-                        batch::encode(s->header)}},
-                      nullptr, [this, s](const store::append_result& r) {
-                          on_job_header_appended(s, r);
-                      });
+    s->header_sent = true;
+    log_store_.append(
+        journal_partition,
+        {{batch::format_key(batch::header_key{
+              s->header.id, batch::submitter_tag(s->header.workspace)}),
+          batch::encode(s->header)}},
+        nullptr, [this, s](const store::append_result& r) {
+            on_job_header_appended(s, r);
+        });
 }
 
 void batch_api::on_job_header_appended(const std::shared_ptr<submission>& s,
                                        const store::append_result& result) {
-    if (std::holds_alternative<store::appended>(result)) {
-        accept(*s, "stored");
+    if (const auto* stored = base::value_if(result)) {
+        if (s->header.workspace.empty()) {
+            accept(*s, "stored");
+            return;
+        }
+        if (!try_confirm(s, stored->first)) {
+            unconfirmed_.emplace_back(s, stored->first);
+        }
+        return;
+    }
+    if (is_taken(s->header)) {
+        reject_taken(s);
         return;
     }
     if (is_accepted(s->header)) {
@@ -131,6 +151,52 @@
     fail_submission(*s, "header_not_stored");
 }
 
+bool batch_api::try_confirm(const std::shared_ptr<submission>& s,
+                            store::log_offset offset) {
+    if (is_taken(s->header)) {
+        reject_taken(s);
+        return true;
+    }
+    if (journal_.next_offset() > offset) {
+        accept(*s, "stored");
+        return true;
+    }
+    if (state_.clock.now() > s->deadline) {
+        s->may_be_stored = true;
+        fail_submission(*s, "view_is_old");
+        return true;
+    }
+    return false;
+}
+
+void batch_api::confirm_submissions() {
+    for (auto& [s, offset] : std::exchange(unconfirmed_, {})) {
+        if (!try_confirm(s, offset)) {
+            unconfirmed_.emplace_back(s, offset);
+        }
+    }
+}
+
+/// Refuses a submission whose id another workspace has taken.
+void batch_api::reject_taken(const std::shared_ptr<submission>& s) {
+    state_.log.write("submit", {{"job", s->header.id},
+                                {"ms", state_.clock.now() - s->started_at},
+                                {"outcome", "refused"},
+                                {"reason", "job_of_other_workspace"}});
+    state_.counters.count_response("submit", "refused",
+                                   "job_of_other_workspace");
+    s->response->send(adapter::status_response(409));
+    if (s->header_sent) {
+        // The owner erases it with the job if this does not reach the store.
+        log_store_.append(
+            journal_partition,
+            {{batch::format_key(batch::header_key{
+                  s->header.id, batch::submitter_tag(s->header.workspace)}),
+              ""}},
+            nullptr, [](const store::append_result&) {});
+    }
+}
+
 void batch_api::accept(const submission& s, const char* reason) {
     const auto ms = state_.clock.now() - s.started_at;
     state_.log.write("submit", {{"job", s.header.id},
@@ -206,6 +272,7 @@
 }
 
 void batch_api::on_jobs_changed() {
+    confirm_submissions();
     auto calls = std::exchange(pending_calls_, {});
     for (auto& call : calls) {
         if (!try_respond(call)) {
@@ -452,7 +519,8 @@
 }
 
 void batch_api::send_item_body(const pending_call& call) {
-    job_store_.load_items(call.job, [this, call](const auto& items) {
+    const auto& workspace = state_.jobs.find(call.job)->header->workspace;
+    job_store_.load_items(call.job, workspace, [this, call](const auto& items) {
         if (!items) {
             reject_unavailable(call, "no_answer");
             return;
--- a/packages/entry/src/batch_api.hpp
+++ b/packages/entry/src/batch_api.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace hibiscus::entry {
@@ -59,6 +60,8 @@
     struct submission {
         batch::job_header header;
         bool may_be_stored = false;
+        /// Whether the header was sent to the store.
+        bool header_sent = false;
         base::millis started_at = 0;
         base::millis deadline = 0;
         std::shared_ptr<transport::response_writer> response;
@@ -90,6 +93,14 @@
     void append_job_header(const std::shared_ptr<submission>& s);
     void on_job_header_appended(const std::shared_ptr<submission>& s,
                                 const store::append_result& result);
+    /// Returns true if another workspace has submitted the job's id first.
+    bool is_taken(const batch::job_header& submitted) const;
+    /// Accepts or refuses a submission whose header is stored at `offset`, once
+    /// this node has read the journal that far. Returns false until then.
+    bool try_confirm(const std::shared_ptr<submission>& s,
+                     store::log_offset offset);
+    void confirm_submissions();
+    void reject_taken(const std::shared_ptr<submission>& s);
     void fail_submission(const submission& s, const char* reason);
     void accept(const submission& s, const char* reason);
     bool try_respond(const pending_call& call);
@@ -125,6 +136,9 @@
     store::run_after_function run_after_;
     base::millis last_call_at_ = 0;
     std::vector<pending_call> pending_calls_;
+    /// Submissions whose header is stored, and its offset.
+    std::vector<std::pair<std::shared_ptr<submission>, store::log_offset>>
+        unconfirmed_;
     std::map<batch::job_id, delivered_results> delivered_;
 };
 
--- a/packages/entry/src/job_owner.cpp
+++ b/packages/entry/src/job_owner.cpp
@@ -280,10 +280,12 @@
         loading_jobs_.erase(id);
         add_loaded_job(id, std::move(*loaded->items), *loaded->progress);
     };
-    job_store_.load_items(id, [loaded, on_part_loaded](auto items) {
-        loaded->items = std::move(items);
-        on_part_loaded();
-    });
+    const auto* row = state_.jobs.find(id);
+    job_store_.load_items(id, row == nullptr ? "" : row->header->workspace,
+                          [loaded, on_part_loaded](auto items) {
+                              loaded->items = std::move(items);
+                              on_part_loaded();
+                          });
     job_store_.load_progress(id, [loaded, on_part_loaded](auto progress) {
         loaded->progress = std::move(progress);
         on_part_loaded();
--- a/packages/entry/src/job_store.cpp
+++ b/packages/entry/src/job_store.cpp
@@ -108,20 +108,21 @@
 }
 
 void job_store::load_items(
-    const batch::job_id& job,
+    const batch::job_id& job, const std::string& workspace,
     std::function<void(std::optional<std::vector<batch::item>>)> done) const {
     const auto prefix = batch::job_prefix(job);
     store::read_prefix(
         log_store_, partition_for(adapter::items_topic, job), prefix, prefix,
         unlimited_bytes,
-        [done = std::move(done)](
-            const std::optional<std::vector<store::record>>& records) {
+        [done = std::move(done), job,
+         workspace](const std::optional<std::vector<store::record>>& records) {
             if (!records) {
                 done(std::nullopt);
                 return;
             }
             std::vector<batch::item> all_items;
-            for (const auto& r : *records) {
+            for (const auto& r :
+                 batch::select_item_records(*records, job, workspace)) {
                 auto items = batch::decode_items(r.value);
                 if (!items) {
                     done(std::nullopt);
--- a/packages/entry/src/job_store.hpp
+++ b/packages/entry/src/job_store.hpp
@@ -39,7 +39,7 @@
     void erase(const batch::job_id& job, std::function<void(bool)> done) const;
 
     /// These functions call `done` with no value if the store did not respond.
-    void load_items(const batch::job_id& job,
+    void load_items(const batch::job_id& job, const std::string& workspace,
                     std::function<void(std::optional<std::vector<batch::item>>)>
                         done) const;
     using progress_by_item = std::map<int, std::vector<batch::progress_part>>;
--- a/packages/entry/test/batch_api_test.cpp
+++ b/packages/entry/test/batch_api_test.cpp
@@ -168,6 +168,59 @@
     EXPECT_EQ(statuses_for({}), std::set<int>{200});
 }
 
+// Guards against items of one workspace in the job of another one.
+TEST_F(batch_api_test, one_of_two_workspaces_gets_an_id_at_the_same_time) {
+    batch_node other(store_, time_, "m", "t");
+    time_.run_for(500);
+    std::map<std::string, int> statuses;
+    const auto submit = [&](batch_node& node, const std::string& workspace) {
+        auto job = make_job(3);
+        job.header.workspace = workspace;
+        for (auto& item : job.items) {
+            item.body += " of " + workspace;
+        }
+        node.api().submit(job, 1000,
+                          std::make_shared<test_response_writer>(
+                              [&statuses, workspace](const auto& r) {
+                                  statuses[workspace] = r.status;
+                              }));
+    };
+    submit(node_, "one");
+    time_.run_for(1);
+    submit(other, "two");
+    time_.run_for(3000);
+    EXPECT_EQ(statuses["one"] + statuses["two"], 202 + 409);
+    const std::string winner = statuses["one"] == 202 ? "one" : "two";
+    EXPECT_EQ(read_item_body("i1").body, "body 1 of " + winner);
+    // A node that starts later sees the same job.
+    batch_node late(store_, time_, "l", "u");
+    time_.run_for(500);
+    EXPECT_EQ(late.state().jobs.find(test_job_id)->header->workspace, winner);
+}
+
+// Guards against a header that lies later in the journal but sorts first.
+TEST_F(batch_api_test, the_first_header_of_an_id_wins_in_any_order) {
+    batch::job_header header;
+    header.id = test_job_id;
+    const auto change = [&](const std::string& workspace,
+                            store::log_offset offset) {
+        header.workspace = workspace;
+        return store::change{batch::format_key(batch::header_key{
+                                 test_job_id, batch::submitter_tag(workspace)}),
+                             batch::encode(header), offset};
+    };
+    for (const bool reversed : {false, true}) {
+        batch::job_table jobs(time_.clock());
+        jobs.apply(change(reversed ? "two" : "one", reversed ? 8 : 7));
+        jobs.apply(change(reversed ? "one" : "two", reversed ? 7 : 8));
+        EXPECT_EQ(jobs.find(test_job_id)->header->workspace, "one");
+        auto erasure = change("two", 9);
+        erasure.value.reset();
+        jobs.apply(erasure);
+        EXPECT_NE(jobs.find(test_job_id), nullptr);
+    }
+}
+
 } // namespace
 
 } // namespace hibiscus::entry
