transport, net: a failed accept is tried again after a pause

Cause: without descriptors an accept fails at once and was tried again at once.

Change: a pause that doubles from 10 to 200 ms (hibiscusd: 50 ms); the first of a row is logged as accept_failed and counted. hibiscusd's HTTP server has no log, so there it is a pause only.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -165,6 +165,7 @@
         if (auto failed = listen()) {
             return failed;
         }
+        log_failed_accepts();
         state_.log.write(
             "start", {{"zone", state_.settings.zone},
                       {"callers", to_string(state_.settings.listen_callers)},
@@ -363,6 +364,15 @@
         });
     }
 
+    void log_failed_accepts() {
+        for (auto* s : servers()) {
+            s->set_on_accept_failed([this](const std::string& error) {
+                state_.log.write("accept_failed", {{"reason", error}});
+                state_.counters.count_event("accept_failed");
+            });
+        }
+    }
+
     std::array<transport::streaming_http_server*, 4> servers() {
         return {&caller_server_, &readiness_server_, &directory_server_,
                 &internal_server_};
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -1,6 +1,7 @@
 #include "hibiscus/net/http_server.hpp"
 
 #include <boost/asio/dispatch.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -77,6 +78,10 @@
 constexpr std::size_t max_linger_bytes = 64 * 1024 * 1024;
 constexpr std::size_t discard_buffer_bytes = 16 * 1024;
 
+/// Pause after a failed accept. Descriptors become free when other connections
+/// end.
+constexpr std::chrono::milliseconds accept_pause(50);
+
 /// Serves the requests of one connection in sequence.
 class server_connection
     : public std::enable_shared_from_this<server_connection> {
@@ -293,6 +298,7 @@
 public:
     impl(asio::io_context& io, http_limits limits, http_handler handler)
         : io_(io), acceptor_(asio::make_strand(io)),
+          accept_timer_(acceptor_.get_executor()),
           state_(std::make_shared<detail::server_state>()) {
         state_->limits = limits;
         state_->handler = std::move(handler);
@@ -327,6 +333,7 @@
             self->accept_backlog();
             beast::error_code ignored;
             self->acceptor_.close(ignored);
+            self->accept_timer_.cancel();
         });
     }
 
@@ -366,12 +373,27 @@
     }
 
     void on_accept(beast::error_code error, tcp::socket socket) {
-        if (!error) {
-            serve(std::move(socket));
+        if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
+            return;
         }
-        if (error != asio::error::operation_aborted && acceptor_.is_open()) {
-            accept();
+        if (error) {
+            accept_after_pause();
+            return;
         }
+        serve(std::move(socket));
+        accept();
+    }
+
+    /// Accepts again after a pause: without descriptors, each try would fail at
+    /// once.
+    void accept_after_pause() {
+        accept_timer_.expires_after(detail::accept_pause);
+        accept_timer_.async_wait(
+            [self = shared_from_this()](beast::error_code cancelled) {
+                if (!cancelled && self->acceptor_.is_open()) {
+                    self->accept();
+                }
+            });
     }
 
     /// Closes a connection over max_connections at once, so that callers can't
@@ -386,6 +408,7 @@
 
     asio::io_context& io_;
     tcp::acceptor acceptor_;
+    asio::steady_timer accept_timer_;
     std::shared_ptr<detail::server_state> state_;
 };
 
--- a/packages/transport/include/hibiscus/transport/streaming_http_server.hpp
+++ b/packages/transport/include/hibiscus/transport/streaming_http_server.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <limits>
 #include <memory>
@@ -148,6 +149,13 @@
     /// Returns what is held for callers.
     const peer_buffers& buffers() const;
 
+    /// Sets a callback for the first of a row of failed accepts; it gets the
+    /// error's message.
+    void set_on_accept_failed(std::function<void(const std::string&)> callback);
+
+    /// Returns the number of failed accepts.
+    std::uint64_t accept_failures() const;
+
     /// Adds `Connection: close` to all further responses. Idle connections stay
     /// open until then, because the caller may be about to send a request.
     void drain();
--- a/packages/transport/src/streaming_http_server.cpp
+++ b/packages/transport/src/streaming_http_server.cpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -27,6 +28,11 @@
 /// Interval between these checks while the server is closing.
 constexpr base::millis closing_timeout_check_interval_ms = 20;
 
+/// Bounds of the pause after a failed accept. Descriptors become free when
+/// other connections end, which takes a part of a second at least.
+constexpr base::millis min_accept_pause_ms = 10;
+constexpr base::millis max_accept_pause_ms = 200;
+
 /// How much the kernel takes of a response, in bytes, beyond what the caller's
 /// window admits.
 constexpr int max_unsent_kernel_bytes = 64 * 1024;
@@ -38,7 +44,8 @@
 public:
     impl(asio::io_context& io, http_server_limits limits,
          request_handler handler, abort_reporting reporting)
-        : acceptor_(io), timer_(io), state_(std::make_shared<server_state>()) {
+        : acceptor_(io), timer_(io), accept_timer_(io),
+          state_(std::make_shared<server_state>()) {
         state_->limits = limits;
         state_->handler = std::move(handler);
         state_->reporting = std::move(reporting);
@@ -78,6 +85,7 @@
         beast::error_code ignored;
         acceptor_.close(ignored);
         timer_.cancel();
+        accept_timer_.cancel();
     }
 
     void close() {
@@ -95,6 +103,13 @@
 
     server_state& state() { return *state_; }
 
+    void
+    set_on_accept_failed(std::function<void(const std::string&)> callback) {
+        on_accept_failed_ = std::move(callback);
+    }
+
+    std::uint64_t accept_failures() const { return accept_failures_; }
+
     /// Calls `function` with each session. Skips sessions that were destroyed
     /// by an earlier call, because closing one session may end others.
     template <class F>
@@ -114,10 +129,33 @@
             [self = shared_from_this()](beast::error_code error,
                                         tcp::socket socket) {
                 self->accepting_ = false;
-                if (!error) {
-                    self->start_session(std::move(socket));
+                if (!self->acceptor_.is_open()) {
+                    return;
                 }
-                if (self->acceptor_.is_open()) {
+                if (error) {
+                    self->on_accept_failed(error);
+                    return;
+                }
+                self->accept_pause_ms_ = 0;
+                self->start_session(std::move(socket));
+                self->accept();
+            });
+    }
+
+    /// Accepts again after a pause: without descriptors, each try would fail at
+    /// once.
+    void on_accept_failed(beast::error_code error) {
+        ++accept_failures_;
+        if (accept_pause_ms_ == 0 && on_accept_failed_) {
+            on_accept_failed_(error.message());
+        }
+        accept_pause_ms_ = std::clamp(2 * accept_pause_ms_, min_accept_pause_ms,
+                                      max_accept_pause_ms);
+        accept_timer_.expires_after(
+            std::chrono::milliseconds(accept_pause_ms_));
+        accept_timer_.async_wait(
+            [self = shared_from_this()](beast::error_code cancelled) {
+                if (!cancelled && self->acceptor_.is_open()) {
                     self->accept();
                 }
             });
@@ -190,7 +228,12 @@
 
     tcp::acceptor acceptor_;
     asio::steady_timer timer_;
+    asio::steady_timer accept_timer_;
     std::shared_ptr<server_state> state_;
+    std::function<void(const std::string&)> on_accept_failed_;
+    std::uint64_t accept_failures_ = 0;
+    /// The pause after the last failed accept, or 0 if the last one succeeded.
+    base::millis accept_pause_ms_ = 0;
     bool accepting_ = false;
 };
 
@@ -219,6 +262,15 @@
     impl_->state().buffers.set_limits(limits);
 }
 
+void streaming_http_server::set_on_accept_failed(
+    std::function<void(const std::string&)> callback) {
+    impl_->set_on_accept_failed(std::move(callback));
+}
+
+std::uint64_t streaming_http_server::accept_failures() const {
+    return impl_->accept_failures();
+}
+
 const peer_buffers& streaming_http_server::buffers() const {
     return impl_->state().buffers;
 }
--- a/packages/transport/test/streaming_http_server_test.cpp
+++ b/packages/transport/test/streaming_http_server_test.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+
 #include <chrono>
 #include <memory>
 #include <string>
@@ -510,6 +512,27 @@
     EXPECT_EQ(server_.buffers().held(), 0U);
 }
 
+// A node out of descriptors must not spend its processor on failing accepts.
+TEST_F(streaming_http_server_test, a_failed_accept_is_repeated_after_a_pause) {
+    poll();
+    int reported = 0;
+    server_.set_on_accept_failed([&](const std::string&) { ++reported; });
+    tcp::socket second(io_, tcp::v4());
+    ::rlimit original{};
+    ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &original), 0);
+    auto none_left = original;
+    none_left.rlim_cur = 1;
+    ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &none_left), 0);
+    second.connect(socket_.remote_endpoint());
+    run_for(1000);
+    ::setrlimit(RLIMIT_NOFILE, &original);
+    EXPECT_GT(server_.accept_failures(), 1U);
+    EXPECT_LT(server_.accept_failures(), 50U);
+    EXPECT_EQ(reported, 1);
+    asio::write(second, asio::buffer(request));
+    run_until([&] { return requests_.size() == 1; });
+}
+
 // Bodies that many callers send at once must not take all memory.
 TEST_F(streaming_http_server_test, a_large_body_waits_for_room) {
     server_.set_buffer_limits({256 * 1024, 1024 * 1024, 60000});
