entry, batch: one line for each change while appends fail, claims are not repeated blindly

After a conflict a node claims again only once it has read up to the end that the conflict named, after other failures with a pause of 50 to 200 ms, half of it random, which ends when the store is reachable again. A claim that is due is not delayed otherwise.

--- a/packages/batch/include/hibiscus/batch/owner_lease.hpp
+++ b/packages/batch/include/hibiscus/batch/owner_lease.hpp
@@ -59,6 +59,15 @@
     /// claim or a renewal.
     void on_renewed();
 
+    /// Called when the store has not appended a record of this process.
+    void on_append_failed(const store::append_result& result);
+
+    /// Returns whether a claim is worth a try by a node that has read the
+    /// journal up to `read_to`: after a conflict it has to read the rest first,
+    /// which may be the claim of another node; other failures are followed by a
+    /// growing pause.
+    bool may_claim(store::log_offset read_to) const;
+
     /// Returns true if the last renewal is older than renewal_timeout.
     bool is_renewal_overdue() const;
 
@@ -79,6 +88,12 @@
     owner_lease_times times_;
     bool is_small_node_;
     base::millis claim_delay_;
+    /// Fraction of the pause after a failed append that is random.
+    double random_fraction_;
+    base::millis append_pause_ = 0;
+    base::millis claim_again_at_ = 0;
+    /// The end of the journal at the last conflict.
+    store::log_offset conflict_end_ = 0;
     base::millis store_reachable_since_ = 0;
     base::millis renewed_at_ = 0;
     base::millis cooldown_until_ = 0;
--- a/packages/batch/src/owner_lease.cpp
+++ b/packages/batch/src/owner_lease.cpp
@@ -10,6 +10,11 @@
 /// takes a tenth of a core on average, and more at the start of a step.
 constexpr double min_owner_cpu_share = 0.25;
 
+/// Bounds of the pause after an append that failed, in ms. The longest is short
+/// beside the lease timeout, so that a takeover is hardly later.
+constexpr base::millis min_append_pause = 50;
+constexpr base::millis max_append_pause = 200;
+
 } // namespace
 
 owner_lease::owner_lease(base::clock clock, base::node_id node,
@@ -21,7 +26,8 @@
       claim_delay_(
           static_cast<base::millis>(random_fraction *
                                     static_cast<double>(times.max_jitter)) +
-          (is_small_node_ ? times.small_node_delay : 0)) {}
+          (is_small_node_ ? times.small_node_delay : 0)),
+      random_fraction_(random_fraction) {}
 
 bool owner_lease::is_held(const job_table& jobs) const {
     const auto& owner = jobs.owner();
@@ -32,12 +38,33 @@
 
 void owner_lease::set_store_reachable(bool reachable) {
     if (reachable) {
+        append_pause_ = 0;
+        claim_again_at_ = 0;
         store_reachable_since_ = clock_.now();
     }
 }
 
 void owner_lease::on_renewed() {
     renewed_at_ = clock_.now();
+    append_pause_ = 0;
+    claim_again_at_ = 0;
+}
+
+void owner_lease::on_append_failed(const store::append_result& result) {
+    if (const auto* conflict = std::get_if<store::append_conflict>(&result)) {
+        conflict_end_ = std::max(conflict_end_, conflict->end);
+        return;
+    }
+    append_pause_ =
+        std::clamp(2 * append_pause_, min_append_pause, max_append_pause);
+    claim_again_at_ =
+        clock_.now() + append_pause_ / 2 +
+        static_cast<base::millis>(random_fraction_ *
+                                  static_cast<double>(append_pause_) / 2);
+}
+
+bool owner_lease::may_claim(store::log_offset read_to) const {
+    return read_to >= conflict_end_ && clock_.now() >= claim_again_at_;
 }
 
 bool owner_lease::is_renewal_overdue() const {
--- a/packages/batch/test/owner_lease_test.cpp
+++ b/packages/batch/test/owner_lease_test.cpp
@@ -36,6 +36,30 @@
     EXPECT_EQ(next_action(), lease_action::claim);
 }
 
+// Guards against nodes that repeat a claim at each tick although another one
+// has claimed the lease.
+TEST_F(owner_lease_test, a_conflict_is_read_before_the_next_claim) {
+    EXPECT_TRUE(lease_.may_claim(4));
+    lease_.on_append_failed(store::append_conflict{7});
+    EXPECT_FALSE(lease_.may_claim(6));
+    EXPECT_TRUE(lease_.may_claim(7));
+}
+
+TEST_F(owner_lease_test, claims_that_the_store_refuses_are_spread) {
+    int claims = 0;
+    for (int tick = 0; tick < 80; ++tick) {
+        if (lease_.may_claim(0)) {
+            ++claims;
+            lease_.on_append_failed(store::rejected{503});
+        }
+        time_->advance(25);
+    }
+    EXPECT_LE(claims, 15);
+    EXPECT_GE(claims, 8);
+    lease_.set_store_reachable(true);
+    EXPECT_TRUE(lease_.may_claim(0));
+}
+
 TEST_F(owner_lease_test, renews_a_held_lease) {
     write_owner("n1", "x");
     lease_.on_renewed();
--- a/packages/entry/src/job_owner.cpp
+++ b/packages/entry/src/job_owner.cpp
@@ -89,7 +89,7 @@
 }
 
 void job_owner::claim_lease() {
-    if (appending_) {
+    if (appending_ || !lease_.may_claim(journal_.next_offset())) {
         return;
     }
     const auto& before = state_.jobs.owner();
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -11,6 +11,7 @@
 #include "hibiscus/samplers/weight_rollout.hpp"
 #include "hibiscus/store/partition_watcher.hpp"
 #include "hibiscus/store/store_router.hpp"
+#include "hibiscus/telemetry/failure_streak.hpp"
 #include "hibiscus/transport/event_stream.hpp"
 #include "platform/sampler_calls.hpp"
 
@@ -204,6 +205,7 @@
     base::millis last_progress_save_at_ = 0;
     base::millis last_wait_report_at_ = 0;
     base::millis last_service_update_at_ = 0;
+    telemetry::failure_streak append_failures_;
 };
 
 } // namespace hibiscus::entry
--- a/packages/entry/src/job_owner_writes.cpp
+++ b/packages/entry/src/job_owner_writes.cpp
@@ -35,6 +35,19 @@
 /// be long.
 constexpr std::size_t record_fill_divisor = 2;
 
+/// Names a failure for the log; empty for success.
+std::string describe(const store::append_result& result) {
+    return std::visit(
+        base::overloaded{
+            [](const store::appended&) { return std::string(); },
+            [](const store::append_conflict&) { return std::string("end"); },
+            [](const store::rejected& r) { return std::to_string(r.status); },
+            [](const store::outcome_unknown&) {
+                return std::string("unanswered");
+            }},
+        result);
+}
+
 } // namespace
 
 store::record job_owner::make_owner_record(store::log_offset fencing_token,
@@ -60,7 +73,9 @@
                           state_.counters.observe("store_append", ms);
                           log_append_failure(r, records.size(), ms);
                           const auto* stored = base::value_if(r);
-                          if (stored != nullptr) {
+                          if (stored == nullptr) {
+                              lease_.on_append_failed(r);
+                          } else {
                               lease_.on_renewed();
                               journal_.apply_own_append(stored->first, records,
                                                         sent_at);
@@ -83,6 +98,12 @@
 
 void job_owner::log_append_failure(const store::append_result& result,
                                    std::size_t record_count, base::millis ms) {
+    if (const auto failures = append_failures_.update(describe(result))) {
+        state_.log.write("append_works", {{"failures", *failures}});
+    }
+    if (!append_failures_.is_new()) {
+        return;
+    }
     std::visit(base::overloaded{
                    [&](const store::appended&) {},
                    [&](const store::append_conflict& conflict) {
