transport, entry, store: a dropped idle connection is nobody's failure

Cause: the end of an idle connection just when a request was sent on it counted as a cut run, that is as a failure of the server, and as loss of the store.

Appends are not sent twice: their outcome stays unknown, but the store is not taken for lost (abandon_call).

How the tests failed before (may_resend always false, in a scratch copy): the call ended as stale_connection (4) after two requests on one connection, in place of complete; a_request_is_resent_once_at_most likewise. In the same commit the test of a paused call (slow readers), which failed with pausing ignored: 1,000,000 bytes read in place of under 20,000, ended while paused.

--- a/packages/entry/src/job_owner_runs.cpp
+++ b/packages/entry/src/job_owner_runs.cpp
@@ -66,6 +66,8 @@
     active.started_at = state_.clock.now();
     transport::upstream_call_options options;
     options.connect_timeout_ms = server_connect_timeout_ms;
+    // The end of an idle connection says nothing about the server.
+    options.resend_if_stale = true;
     transport::upstream_callbacks events;
     const auto run_id = r.run;
     events.on_head = [this, run_id](const transport::response_head& head) {
--- a/packages/store/include/hibiscus/store/store_router.hpp
+++ b/packages/store/include/hibiscus/store/store_router.hpp
@@ -71,6 +71,12 @@
     /// again at once, after `attempts` attempts.
     bool should_retry(int attempts) const;
 
+    /// Called in place of end_call() if an idle connection ended before the
+    /// response, which says nothing about the store or the peer.
+    void abandon_call(const call_route& route) {
+        pending_calls_.erase(route.call_number);
+    }
+
     /// Reports the end of a call. `served` is true if the store itself served
     /// the call, `responded` if any response arrived.
     void end_call(const call_route& route, bool served, bool responded);
--- a/packages/store/test/store_router_test.cpp
+++ b/packages/store/test/store_router_test.cpp
@@ -45,6 +45,14 @@
     EXPECT_FALSE(route.address == store_address_);
 }
 
+// Guards against a node that treats the store as unreachable because the store
+// has closed an idle connection.
+TEST_F(store_router_test, an_abandoned_call_does_not_count_as_a_failure) {
+    router_.abandon_call(router_.begin_call(0, journal_));
+    advance_with_checks(5000);
+    EXPECT_FALSE(router_.begin_call(0, journal_).relayed);
+}
+
 TEST_F(store_router_test, hanging_call_is_detected_before_its_timeout) {
     // A network partition drops packets: a call gets no response and no error.
     router_.begin_call(300, journal_);
--- a/packages/transport/include/hibiscus/transport/upstream.hpp
+++ b/packages/transport/include/hibiscus/transport/upstream.hpp
@@ -76,6 +76,10 @@
     /// a connection just when the request is sent, and it is then unknown
     /// whether the request was processed.
     bool reuse_connection = true;
+    /// Whether a request whose reused connection ended without a response is
+    /// sent once more on a new connection. Only for requests that may be
+    /// processed twice.
+    bool resend_if_stale = false;
 };
 
 /// A call in flight.
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -226,12 +226,17 @@
 
     void send() {
         last_activity_ = state_->clock.now();
-        asio::async_write(
-            *socket_, asio::buffer(request_bytes_),
-            [self = shared_from_this()](beast::error_code error, std::size_t) {
-                self->request_written_ = !error;
-                self->request_bytes_ = {};
-            });
+        asio::async_write(*socket_, asio::buffer(request_bytes_),
+                          [self = shared_from_this(), socket = socket_](
+                              beast::error_code error, std::size_t) {
+                              if (socket != self->socket_) {
+                                  return;
+                              }
+                              self->request_written_ = !error;
+                              if (!self->may_resend()) {
+                                  self->request_bytes_ = {};
+                              }
+                          });
         parser_.emplace();
         parser_->body_limit(max_body_bytes);
         parser_->header_limit(64 * 1024);
@@ -267,8 +272,7 @@
             return;
         }
         if (error) {
-            finish(nothing_received_ ? no_response_outcome()
-                                     : call_outcome::broken);
+            end_without_response();
             return;
         }
         nothing_received_ = false;
@@ -318,8 +322,31 @@
                          : call_outcome::closed_without_length);
             return;
         }
-        finish(nothing_received_ ? no_response_outcome()
-                                 : call_outcome::broken);
+        end_without_response();
+    }
+
+    bool may_resend() const {
+        return options_.resend_if_stale && !opened_connection_;
+    }
+
+    void end_without_response() {
+        if (!nothing_received_) {
+            finish(call_outcome::broken);
+        } else if (may_resend()) {
+            resend();
+        } else {
+            finish(no_response_outcome());
+        }
+    }
+
+    void resend() {
+        close();
+        buffer_.consume(buffer_.size());
+        nothing_received_ = true;
+        connected_ = false;
+        request_written_ = false;
+        last_activity_ = state_->clock.now();
+        connect();
     }
 
     /// Returns the outcome of a call that received no part of its response.
@@ -348,7 +375,12 @@
         if (!echo_header_.empty() &&
             (id != nullptr ? *id != echo_value_ : head.status < 400)) {
             ++state_->counts.unsolicited_reads;
-            finish(no_response_outcome());
+            if (may_resend()) {
+                head_delivered_ = false;
+                resend();
+            } else {
+                finish(no_response_outcome());
+            }
             return false;
         }
         read_keep_alive_timeout(head.fields);
--- a/packages/transport/test/upstream_test.cpp
+++ b/packages/transport/test/upstream_test.cpp
@@ -179,6 +179,67 @@
     EXPECT_EQ(client_.counts().connections_reused, 1U);
 }
 
+// Guards against a server that counts as failed because it closed an idle
+// connection.
+TEST_F(upstream_test, a_request_is_resent_if_its_idle_connection_has_ended) {
+    const std::string response =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    scripted_server server(io_, {{response}, {"", true}, {response}});
+    upstream_call_options options;
+    options.resend_if_stale = true;
+    EXPECT_EQ(get(server.address(), "", options).body, "ok");
+    const auto second = get(server.address(), "", options);
+    EXPECT_EQ(second.outcome, call_outcome::complete);
+    EXPECT_EQ(second.body, "ok");
+    EXPECT_EQ(server.requests(), 3);
+    EXPECT_EQ(server.connections(), 2);
+}
+
+// A new connection that ends is the server's failure.
+TEST_F(upstream_test, a_request_is_resent_once_at_most) {
+    const std::string response =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    scripted_server server(io_, {{response}, {"", true}, {"", true}});
+    upstream_call_options options;
+    options.resend_if_stale = true;
+    get(server.address(), "", options);
+    EXPECT_EQ(get(server.address(), "", options).outcome, call_outcome::broken);
+    EXPECT_EQ(server.requests(), 3);
+}
+
+// While a caller reads slowly, the server has to wait and no timeout expires.
+TEST_F(upstream_test, a_paused_call_reads_on_when_resumed) {
+    const std::string part(10000, 'x');
+    std::string bytes = chunked_head;
+    for (int i = 0; i < 100; ++i) {
+        bytes += encode_chunk(part);
+    }
+    scripted_server server(io_, {{bytes + "0\r\n\r\n"}});
+    std::size_t received = 0;
+    std::optional<call_outcome> outcome;
+    std::shared_ptr<upstream_call> call;
+    upstream_callbacks callbacks;
+    callbacks.on_data = [&](std::string_view data) {
+        received += data.size();
+        call->pause();
+    };
+    callbacks.on_end = [&](call_outcome o) { outcome = o; };
+    upstream_call_options options;
+    options.idle_timeout_ms = 100;
+    options.total_timeout_ms = 400;
+    call = client_.start(server.address(), {}, options, callbacks);
+    io_.run_for(std::chrono::milliseconds(800));
+    EXPECT_LT(received, 2 * part.size());
+    EXPECT_FALSE(outcome);
+    while (!outcome) {
+        call->resume();
+        io_.restart();
+        io_.run_one_for(std::chrono::seconds(5));
+    }
+    EXPECT_EQ(outcome, call_outcome::complete);
+    EXPECT_EQ(received, 100 * part.size());
+}
+
 TEST_F(upstream_test, a_response_to_another_request_is_broken) {
     // A server sends a second response to an earlier request where the response
     // to the next request is expected. One caller would receive the response to
