--- a/packages/entry/src/job_owner.cpp
+++ b/packages/entry/src/job_owner.cpp
@@ -75,7 +75,8 @@
 }
 
 bool job_owner::is_journal_current() const {
-    const auto age = state_.clock.now() - journal_.current_as_of();
+    const auto age =
+        journal_age_.update(journal_.current_as_of(), state_.clock);
     return journal_.is_loaded() &&
            age < state_.settings.cancel_deadline_ms / cancel_deadline_divisor;
 }
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -4,6 +4,7 @@
 #include "job_store.hpp"
 #include "node_state.hpp"
 
+#include "hibiscus/base/suspend_aware_age.hpp"
 #include "hibiscus/batch/commit_plan.hpp"
 #include "hibiscus/batch/handover.hpp"
 #include "hibiscus/batch/item_scheduler.hpp"
@@ -205,6 +206,7 @@
     base::millis last_progress_save_at_ = 0;
     base::millis last_wait_report_at_ = 0;
     base::millis last_service_update_at_ = 0;
+    mutable base::suspend_aware_age journal_age_;
     telemetry::failure_streak append_failures_;
 };
 
