--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -1,6 +1,7 @@
 #include "hibiscus/transport/upstream.hpp"
 
 #include "hibiscus/base/stall_detector.hpp"
+#include "idle_connection_pool.hpp"
 #include "serialize_request.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -61,32 +62,12 @@
 /// so a larger body is treated as malformed.
 constexpr std::uint64_t max_body_bytes = 64 * 1024 * 1024;
 
-/// An open connection without a request in flight.
-struct idle_connection {
-    std::shared_ptr<tcp::socket> socket;
-    base::millis expires_at = 0;
-};
-
-using connection_pool = std::map<base::endpoint, std::deque<idle_connection>>;
-
 struct client_state {
-    connection_pool idle_connections;
+    idle_connection_pool idle_connections;
     base::clock clock;
     upstream_counts counts;
 };
 
-/// Returns true if an idle connection is open and has no unread input. Counts
-/// unread input, which belongs to no request.
-bool has_no_unread_input(tcp::socket& socket, upstream_counts& counts) {
-    char byte = 0;
-    const auto received =
-        ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (received > 0) {
-        ++counts.unsolicited_reads;
-    }
-    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 class client_call : public upstream_call,
                     public std::enable_shared_from_this<client_call> {
 public:
@@ -174,19 +155,10 @@
 
 private:
     bool take_idle_connection() {
-        auto& connections = state_->idle_connections[address_];
-        const auto now = state_->clock.now();
-        while (!connections.empty()) {
-            auto connection = std::move(connections.back());
-            connections.pop_back();
-            if (now < connection.expires_at &&
-                has_no_unread_input(*connection.socket, state_->counts)) {
-                socket_ = std::move(connection.socket);
-                connected_ = true;
-                return true;
-            }
-        }
-        return false;
+        socket_ = state_->idle_connections.take(address_, state_->clock.now(),
+                                                state_->counts);
+        connected_ = socket_ != nullptr;
+        return connected_;
     }
 
     void connect() {
@@ -439,7 +411,8 @@
         const bool is_reusable = parser_->keep_alive() && request_written_ &&
                                  buffer_.size() == 0 && !parser_->need_eof();
         if (is_reusable && keep_alive_ms_ > 0) {
-            state_->idle_connections[address_].push_back(
+            state_->idle_connections.put(
+                address_,
                 {std::move(socket_), state_->clock.now() + keep_alive_ms_});
         }
     }
@@ -564,7 +537,7 @@
                 calls_.push_back(call);
             }
         }
-        close_expired_connections(now);
+        state_->idle_connections.close_expired(now);
         if (calls_.empty() && state_->idle_connections.empty()) {
             timeout_check_scheduled_ = false;
             return;
@@ -572,19 +545,6 @@
         schedule_timeout_check();
     }
 
-    void close_expired_connections(base::millis now) {
-        for (auto entry = state_->idle_connections.begin();
-             entry != state_->idle_connections.end();) {
-            auto& connections = entry->second;
-            while (!connections.empty() &&
-                   now >= connections.front().expires_at) {
-                connections.pop_front();
-            }
-            entry = connections.empty() ? state_->idle_connections.erase(entry)
-                                        : std::next(entry);
-        }
-    }
-
     asio::io_context& io_;
     asio::steady_timer timer_;
     std::shared_ptr<client_state> state_;
@@ -616,7 +576,7 @@
 }
 
 void upstream_client::close_idle_connections(const base::endpoint& address) {
-    impl_->state().idle_connections.erase(address);
+    impl_->state().idle_connections.close(address);
 }
 
 upstream_counts upstream_client::counts() const {
