--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -35,17 +35,16 @@
 /// the shortest gap after which callers abandon a stream.
 constexpr base::millis stream_idle_timeout_ms = 1000;
 
-/// Size of a response to a caller, in bytes, above which it is passed on as it
-/// arrives. A longer one is not held as a whole, so no other server is tried
-/// once its beginning was sent.
-constexpr std::size_t max_collected_bytes = 256 * 1024;
+/// Maximum size of a response that is collected before it is passed on, in
+/// bytes.
+constexpr std::size_t max_collected_response_bytes = 256 * 1024;
 
 /// The part of the room for a response that is collected before it is passed
 /// on.
 constexpr std::size_t collected_room_divisor = 8;
 
-/// Maximum size of a response that is not for a caller, in bytes.
-constexpr std::size_t max_own_response_bytes = 4 * 1024 * 1024;
+/// Maximum size of a response that may not be passed on in parts, in bytes.
+constexpr std::size_t max_held_response_bytes = 4 * 1024 * 1024;
 
 /// Sends a request to one server after the other until one responds.
 class forward_attempts : public active_forward,
@@ -187,27 +186,34 @@
     /// Collects a response that is sent as a whole, unless it is too large.
     void collect(std::string_view data) {
         body_ += data;
-        if (!caller_response_) {
-            if (body_.size() > max_own_response_bytes) {
-                call_->cancel();
-                on_end(transport::call_outcome::broken);
-            }
-            return;
-        }
-        const auto parsed = adapter::parse_response_head(head_);
-        const auto max_bytes =
-            std::min(max_collected_bytes,
-                     caller_response_->room() / collected_room_divisor);
-        if (body_.size() > max_bytes && !response_started_ &&
-            head_.status / 100 == 2 && !parsed.signature.empty()) {
+        if (body_.size() > max_collected_bytes() && may_pass_on()) {
             forwarding_stream_ = true;
             response_started_ = true;
             caller_response_->send_head(head_.status,
                                         end_to_end_headers(head_));
             caller_response_->write(std::exchange(body_, {}));
+        } else if (body_.size() > max_held_response_bytes) {
+            call_->cancel();
+            on_end(transport::call_outcome::broken);
         }
     }
 
+    bool may_pass_on() const {
+        return caller_response_ && !response_started_ &&
+               head_.status / 100 == 2 &&
+               !adapter::parse_response_head(head_).signature.empty();
+    }
+
+    /// Size of a response, in bytes, above which it is passed on to the caller
+    /// as it arrives. A longer one is not held as a whole, so no other server
+    /// is tried once its beginning was sent.
+    std::size_t max_collected_bytes() const {
+        return caller_response_
+                   ? std::min(max_collected_response_bytes,
+                              caller_response_->room() / collected_room_divisor)
+                   : max_held_response_bytes;
+    }
+
     /// Lets the server wait while the caller has not read what was sent.
     void pause_if_full() {
         if (!caller_response_ || !call_ || !caller_response_->is_full()) {
--- a/packages/entry/test/slow_reader_test.cpp
+++ b/packages/entry/test/slow_reader_test.cpp
@@ -15,6 +15,7 @@
 
 constexpr int slow_callers = 200;
 constexpr std::size_t response_bytes = 768 * 1024;
+constexpr std::size_t unsigned_response_bytes = 12 * 1024 * 1024;
 constexpr std::size_t max_held_bytes = 8 * 1024 * 1024;
 constexpr std::size_t slow_read_bytes = 1024;
 
@@ -23,13 +24,15 @@
 class large_server {
 public:
     explicit large_server(asio::io_context& io)
-        : server_(io, {}, [](auto request, auto response) {
-              respond(request, response);
-          }) {
+        : server_(
+              io, {},
+              [](auto request, auto response) { respond(request, response); },
+              {"Request-Id", [this](const auto&) { ++aborted_; }}) {
         address = *server_.listen({"127.0.0.1", 0});
     }
 
-    const transport::peer_buffers& buffers() const { return server_.buffers(); }
+    /// Returns how many responses ended before they were sent completely.
+    int aborted() const { return aborted_; }
 
     base::endpoint address;
 
@@ -38,7 +41,12 @@
 
     static void respond(const transport::inbound_request& request,
                         const shared_writer& response) {
-        transport::headers fields{{"Response-Stamp", "s"}};
+        transport::headers fields;
+        const bool is_signed =
+            request.target.find("unsigned") == std::string::npos;
+        if (is_signed) {
+            fields.push_back({"Response-Stamp", "s"});
+        }
         if (const auto* id =
                 transport::find_header(request.fields, "Request-Id")) {
             fields.push_back({"Request-Id", *id});
@@ -48,7 +56,8 @@
             return;
         }
         response->send_head(200, fields);
-        auto left = std::make_shared<std::size_t>(response_bytes);
+        auto left = std::make_shared<std::size_t>(
+            is_signed ? response_bytes : unsigned_response_bytes);
         response->on_room([response, left] { send_more(*response, *left); });
         send_more(*response, *left);
     }
@@ -66,6 +75,7 @@
         }
     }
 
+    int aborted_ = 0;
     transport::streaming_http_server server_;
 };
 
@@ -202,6 +212,19 @@
     EXPECT_EQ(server_.buffers().held(), 0U);
 }
 
+// A response that may not be passed on is held, but not at any size.
+TEST_F(slow_reader_test, a_large_response_without_a_stamp_is_not_read_whole) {
+    raw_caller caller(io_, address_);
+    caller.request("/plain/large/unsigned");
+    for (int tries = 0; tries < 5000 && !caller.has("HTTP/1.1"); ++tries) {
+        run_for(2);
+        caller.read(4096);
+    }
+    EXPECT_TRUE(caller.has("502"));
+    run_for(100);
+    EXPECT_EQ(backend_.aborted(), 1);
+}
+
 } // namespace
 
 } // namespace hibiscus::entry
