--- a/packages/entry/test/batch_api_test.cpp
+++ b/packages/entry/test/batch_api_test.cpp
@@ -140,6 +140,53 @@
         std::string::npos);
 }
 
+/// A response whose connection has little room because of slow readers.
+class narrow_response_writer : public test_response_writer {
+public:
+    narrow_response_writer(std::size_t room, response_callback done)
+        : test_response_writer(std::move(done)), room_(room) {}
+    std::size_t room() const override { return room_; }
+
+private:
+    std::size_t room_;
+};
+
+// Guards against pages of results that slow readers hold in memory.
+TEST_F(batch_api_test, results_are_read_as_far_as_there_is_room) {
+    call_and_wait(
+        [&](auto caller) { node_.api().submit(make_job(3), 1000, caller); });
+    node_.claim_or_renew(true);
+    time_.run_for(500);
+    std::vector<batch::ready_result> results;
+    for (int n = 0; n < 3; ++n) {
+        results.push_back({test_job_id,
+                           n,
+                           {batch::item_id("i" + std::to_string(n)),
+                            {},
+                            std::string(400, 't'),
+                            {1},
+                            "s"}});
+    }
+    node_.commit_results(results);
+    time_.run_for(500);
+    const auto read = [&](std::size_t room) {
+        transport::outbound_response response{0, {}, ""};
+        node_.api().read_results(
+            {test_job_id, 0, 0}, {},
+            std::make_shared<narrow_response_writer>(
+                room, [&](const auto& r) { response = r; }));
+        time_.run_for(5000);
+        return response;
+    };
+    const auto count = [](const transport::outbound_response& response) {
+        return nlohmann::json::parse(response.body).at("results").size();
+    };
+    EXPECT_EQ(count(read(100000)), 3U);
+    EXPECT_EQ(count(read(900)), 2U);
+    EXPECT_EQ(count(read(1)), 1U);
+    EXPECT_EQ(read(0).status, 503);
+}
+
 // Guards against jobs that a caller of another workspace can read or end, or
 // tell from jobs that do not exist.
 TEST_F(batch_api_test, calls_of_another_workspace_get_404) {
