--- a/packages/entry/test/batch_api_test.cpp
+++ b/packages/entry/test/batch_api_test.cpp
@@ -158,6 +158,7 @@
     node_.claim_or_renew(true);
     time_.run_for(500);
     std::vector<batch::ready_result> results;
+    results.reserve(3);
     for (int n = 0; n < 3; ++n) {
         results.push_back({test_job_id,
                            n,
