--- a/packages/batch/src/records.cpp
+++ b/packages/batch/src/records.cpp
@@ -1,5 +1,7 @@
 #include "hibiscus/batch/records.hpp"
 
+#include "hibiscus/base/cbor.hpp"
+#include "hibiscus/base/hash.hpp"
 #include "hibiscus/base/result.hpp"
 
 #include <nlohmann/json.hpp>
@@ -17,6 +19,9 @@
 
 constexpr char separator = '/';
 
+/// Size of a submitter's tag: a letter and 16 hexadecimal digits.
+constexpr std::size_t submitter_tag_size = 17;
+
 /// Upper bound of the size of a record without its value: the key and its
 /// framing.
 constexpr std::size_t max_record_overhead_bytes = 512;
@@ -50,25 +55,13 @@
     return value;
 }
 
-std::string to_cbor(const json& value) {
-    std::string out;
-    json::to_cbor(value, out);
-    return out;
-}
-
 /// Decodes a value with `read`. Returns nothing if the bytes are not CBOR or
 /// don't have the form that `read` expects.
 template <class T, class F>
 std::optional<T> from_cbor(const std::string& bytes, F read) {
-    const auto value = json::from_cbor(bytes, true, false);
-    if (value.is_discarded()) {
-        return std::nullopt;
-    }
-    try {
+    return base::decode_cbor(bytes, [&](const json& value) -> std::optional<T> {
         return read(value);
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
+    });
 }
 
 json to_json_binary(const std::string& bytes) {
@@ -129,13 +122,16 @@
 
 std::string format_key(const journal_key& key) {
     return std::visit(
-        base::overloaded{[](const owner_key&) { return owner_key_text; },
-                         [](const header_key& k) { return k.job.str() + "/h"; },
-                         [](const commit_key& k) {
-                             return k.job.str() + "/l/" +
-                                    zero_padded(k.position);
-                         },
-                         [](const end_key& k) { return k.job.str() + "/x"; }},
+        base::overloaded{
+            [](const owner_key&) { return owner_key_text; },
+            [](const header_key& k) {
+                return k.job.str() + "/h" +
+                       (k.submitter.empty() ? "" : "/" + k.submitter);
+            },
+            [](const commit_key& k) {
+                return k.job.str() + "/l/" + zero_padded(k.position);
+            },
+            [](const end_key& k) { return k.job.str() + "/x"; }},
         key);
 }
 
@@ -151,6 +147,10 @@
     if (parts.size() == 2 && parts[1] == "h") {
         return header_key{job};
     }
+    if (parts.size() == 3 && parts[1] == "h" &&
+        parts[2].size() == submitter_tag_size) {
+        return header_key{job, parts[2]};
+    }
     if (parts.size() == 2 && parts[1] == "x") {
         return end_key{job};
     }
@@ -166,8 +166,45 @@
     return job.str() + separator;
 }
 
-std::string chunk_key(const job_id& job, int chunk) {
-    return job_prefix(job) + zero_padded(chunk);
+std::string submitter_tag(const std::string& workspace) {
+    if (workspace.empty()) {
+        return "";
+    }
+    char tag[submitter_tag_size + 1];
+    std::snprintf(
+        tag, sizeof tag, "w%016llx",
+        static_cast<unsigned long long>(base::stable_hash(workspace)));
+    return tag;
+}
+
+std::string chunk_key(const job_id& job, int chunk,
+                      const std::string& submitter) {
+    return job_prefix(job) + (submitter.empty() ? "" : submitter + separator) +
+           zero_padded(chunk);
+}
+
+std::vector<store::record>
+select_item_records(std::vector<store::record> records, const job_id& job,
+                    const std::string& workspace) {
+    const auto prefix = job_prefix(job) + submitter_tag(workspace);
+    const auto is_tagged = [&](const store::record& r) {
+        return r.key.compare(0, prefix.size(), prefix) == 0;
+    };
+    const auto has_tag = [&](const store::record& r) {
+        return r.key.find(separator, job_prefix(job).size()) !=
+               std::string::npos;
+    };
+    // Items of jobs stored by an earlier release have no tag.
+    const bool use_tagged =
+        !workspace.empty() &&
+        std::any_of(records.begin(), records.end(), is_tagged);
+    records.erase(std::remove_if(records.begin(), records.end(),
+                                 [&](const auto& r) {
+                                     return use_tagged ? !is_tagged(r)
+                                                       : has_tag(r);
+                                 }),
+                  records.end());
+    return records;
 }
 
 std::string texts_key(const job_id& job, int position,
@@ -191,11 +228,11 @@
 }
 
 std::string encode(const owner_record& value) {
-    return to_cbor({{"node", value.node.str()},
-                    {"incarnation", value.incarnation},
-                    {"fence", value.fencing_token},
-                    {"beat", value.renewals},
-                    {"left", value.handed_over}});
+    return base::encode_cbor({{"node", value.node.str()},
+                              {"incarnation", value.incarnation},
+                              {"fence", value.fencing_token},
+                              {"beat", value.renewals},
+                              {"left", value.handed_over}});
 }
 
 std::optional<owner_record> decode_owner(const std::string& bytes) {
@@ -222,7 +259,7 @@
     if (!h.workspace.empty()) {
         out["workspace"] = h.workspace;
     }
-    return to_cbor(out);
+    return base::encode_cbor(out);
 }
 
 std::optional<job_header> decode_header(const std::string& bytes) {
@@ -248,7 +285,7 @@
     for (const auto& i : value) {
         out.push_back(to_json(i));
     }
-    return to_cbor(out);
+    return base::encode_cbor(out);
 }
 
 std::optional<std::vector<item>> decode_items(const std::string& bytes) {
@@ -266,7 +303,8 @@
     for (const auto& r : value.rows) {
         rows.push_back({r.item_index, base::name_of(r.outcome)});
     }
-    return to_cbor({{"texts", value.texts_name}, {"rows", std::move(rows)}});
+    return base::encode_cbor(
+        {{"texts", value.texts_name}, {"rows", std::move(rows)}});
 }
 
 std::optional<result_commit> decode_commit(const std::string& bytes) {
@@ -292,7 +330,7 @@
                        {"versions", r.versions},
                        {"score", r.score}});
     }
-    return to_cbor(out);
+    return base::encode_cbor(out);
 }
 
 std::optional<std::vector<item_result>>
@@ -315,14 +353,14 @@
 }
 
 std::string encode(const progress_part& p) {
-    return to_cbor({{"item", p.item_index},
-                    {"epoch", p.epoch},
-                    {"from", p.first_event},
-                    {"events", p.event_count},
-                    {"last", p.last_event},
-                    {"text", to_json_binary(p.text)},
-                    {"versions", p.versions},
-                    {"failures", p.failures}});
+    return base::encode_cbor({{"item", p.item_index},
+                              {"epoch", p.epoch},
+                              {"from", p.first_event},
+                              {"events", p.event_count},
+                              {"last", p.last_event},
+                              {"text", to_json_binary(p.text)},
+                              {"versions", p.versions},
+                              {"failures", p.failures}});
 }
 
 std::optional<progress_part> decode_progress(const std::string& bytes) {
@@ -345,6 +383,7 @@
                                              std::size_t max_record_bytes) {
     header.item_count = static_cast<int>(items.size());
     header.chunk_count = 0;
+    const auto submitter = submitter_tag(header.workspace);
     std::vector<store::record> records;
     std::vector<item> chunk;
     std::size_t chunk_bytes = 0;
@@ -353,12 +392,13 @@
             return;
         }
         records.push_back(
-            {chunk_key(header.id, header.chunk_count++), encode(chunk)});
+            {chunk_key(header.id, header.chunk_count++, submitter),
+             encode(chunk)});
         chunk.clear();
         chunk_bytes = 0;
     };
     for (auto& i : items) {
-        const auto size = to_cbor(to_json(i)).size();
+        const auto size = base::encode_cbor(to_json(i)).size();
         if (chunk_bytes + size + max_record_overhead_bytes > max_record_bytes) {
             flush();
         }
--- a/packages/entry/src/batch_api.cpp
+++ b/packages/entry/src/batch_api.cpp
@@ -32,6 +32,10 @@
 /// most one megabyte.
 constexpr std::size_t max_response_text_bytes = 900 * 1024;
 
+/// Maximum time for which a call waits until slow readers leave room for its
+/// response, in ms.
+constexpr base::millis room_timeout_ms = 3000;
+
 const store::partition journal_partition{adapter::journal_topic, 0};
 
 } // namespace
@@ -57,6 +61,11 @@
     return row != nullptr && row->header->workspace == submitted.workspace;
 }
 
+bool batch_api::is_taken(const batch::job_header& submitted) const {
+    const auto* row = state_.jobs.find(submitted.id);
+    return row != nullptr && row->header->workspace != submitted.workspace;
+}
+
 void batch_api::on_call() {
     last_call_at_ = state_.clock.now();
     journal_.resume();
@@ -86,7 +95,9 @@
 
 void batch_api::on_items_appended(const std::shared_ptr<submission>& s,
                                   const store::append_result& result) {
-    if (std::holds_alternative<store::appended>(result)) {
+    if (is_taken(s->header)) {
+        reject_taken(s);
+    } else if (std::holds_alternative<store::appended>(result)) {
         append_job_header(s);
     } else if (is_accepted(s->header)) {
         accept(*s, "seen");
@@ -96,18 +107,31 @@
 }
 
 void batch_api::append_job_header(const std::shared_ptr<submission>& s) {
-    log_store_.append(journal_partition,
-                      {{batch::format_key(batch::header_key{s->header.id}),
-                        batch::encode(s->header)}},
-                      nullptr, [this, s](const store::append_result& r) {
-                          on_job_header_appended(s, r);
-                      });
+    s->header_sent = true;
+    log_store_.append(
+        journal_partition,
+        {{batch::format_key(batch::header_key{
+              s->header.id, batch::submitter_tag(s->header.workspace)}),
+          batch::encode(s->header)}},
+        nullptr, [this, s](const store::append_result& r) {
+            on_job_header_appended(s, r);
+        });
 }
 
 void batch_api::on_job_header_appended(const std::shared_ptr<submission>& s,
                                        const store::append_result& result) {
-    if (std::holds_alternative<store::appended>(result)) {
-        accept(*s, "stored");
+    if (const auto* stored = base::value_if(result)) {
+        if (s->header.workspace.empty()) {
+            accept(*s, "stored");
+            return;
+        }
+        if (!try_confirm(s, stored->first)) {
+            unconfirmed_.emplace_back(s, stored->first);
+        }
+        return;
+    }
+    if (is_taken(s->header)) {
+        reject_taken(s);
         return;
     }
     if (is_accepted(s->header)) {
@@ -127,6 +151,52 @@
     fail_submission(*s, "header_not_stored");
 }
 
+bool batch_api::try_confirm(const std::shared_ptr<submission>& s,
+                            store::log_offset offset) {
+    if (is_taken(s->header)) {
+        reject_taken(s);
+        return true;
+    }
+    if (journal_.next_offset() > offset) {
+        accept(*s, "stored");
+        return true;
+    }
+    if (state_.clock.now() > s->deadline) {
+        s->may_be_stored = true;
+        fail_submission(*s, "view_is_old");
+        return true;
+    }
+    return false;
+}
+
+void batch_api::confirm_submissions() {
+    for (auto& [s, offset] : std::exchange(unconfirmed_, {})) {
+        if (!try_confirm(s, offset)) {
+            unconfirmed_.emplace_back(s, offset);
+        }
+    }
+}
+
+/// Refuses a submission whose id another workspace has taken.
+void batch_api::reject_taken(const std::shared_ptr<submission>& s) {
+    state_.log.write("submit", {{"job", s->header.id},
+                                {"ms", state_.clock.now() - s->started_at},
+                                {"outcome", "refused"},
+                                {"reason", "job_of_other_workspace"}});
+    state_.counters.count_response("submit", "refused",
+                                   "job_of_other_workspace");
+    s->response->send(adapter::status_response(409));
+    if (s->header_sent) {
+        // The owner erases it with the job if this does not reach the store.
+        log_store_.append(
+            journal_partition,
+            {{batch::format_key(batch::header_key{
+                  s->header.id, batch::submitter_tag(s->header.workspace)}),
+              ""}},
+            nullptr, [](const store::append_result&) {});
+    }
+}
+
 void batch_api::accept(const submission& s, const char* reason) {
     const auto ms = state_.clock.now() - s.started_at;
     state_.log.write("submit", {{"job", s.header.id},
@@ -202,6 +272,7 @@
 }
 
 void batch_api::on_jobs_changed() {
+    confirm_submissions();
     auto calls = std::exchange(pending_calls_, {});
     for (auto& call : calls) {
         if (!try_respond(call)) {
@@ -245,11 +316,10 @@
 
 bool batch_api::try_respond_with_results(const pending_call& call,
                                          const batch::job_row& row) {
+    const auto now = state_.clock.now();
     if (call.from_position < static_cast<std::size_t>(row.next_position())) {
-        load_results(call, row);
-        return true;
+        return try_load_results(call, row);
     }
-    const auto now = state_.clock.now();
     const bool is_current = is_view_current_since(call.received_at);
     if (is_current && (now >= call.wait_until || state_.stopping)) {
         send_empty_results(call, row);
@@ -358,21 +428,39 @@
     delivered_[job] = {next, now};
 }
 
+/// Reads results, as many as there is room for. Returns false if the call has
+/// to wait for room.
+bool batch_api::try_load_results(const pending_call& call,
+                                 const batch::job_row& row) {
+    const auto room = call.response->room();
+    if (room > 0) {
+        load_results(call, row, std::min(max_response_text_bytes, room));
+        return true;
+    }
+    if (state_.clock.now() - call.received_at > room_timeout_ms) {
+        reject_unavailable(call, "no_room");
+        return true;
+    }
+    return false;
+}
+
 void batch_api::load_results(const pending_call& call,
-                             const batch::job_row& row) {
+                             const batch::job_row& row, std::size_t max_bytes) {
     const auto first = std::prev(
         row.commits.upper_bound(static_cast<int>(call.from_position)));
-    job_store_.load_texts(
-        call.job, first->first, first->second.texts_name,
-        max_response_text_bytes,
-        [this, call](const auto& texts) { send_results(call, texts); });
+    job_store_.load_texts(call.job, first->first, first->second.texts_name,
+                          max_bytes,
+                          [this, call, max_bytes](const auto& texts) {
+                              send_results(call, texts, max_bytes);
+                          });
 }
 
 /// Responds with the results from the requested position on, as far as their
 /// texts were read.
 void batch_api::send_results(
     const pending_call& call,
-    const std::optional<std::vector<store::record>>& texts) {
+    const std::optional<std::vector<store::record>>& texts,
+    std::size_t max_bytes) {
     const auto* row = state_.jobs.find(call.job);
     if (!texts || row == nullptr) {
         reject_unavailable(call, "no_answer");
@@ -403,13 +491,13 @@
             position - static_cast<std::size_t>(commit->first);
         for (std::size_t n = skipped_results; n < results->size(); ++n) {
             bytes += (*results)[n].text.size();
-            if (!selected.empty() && bytes > max_response_text_bytes) {
+            if (!selected.empty() && bytes > max_bytes) {
                 break;
             }
             selected.push_back(std::move((*results)[n]));
             ++position;
         }
-        if (bytes > max_response_text_bytes) {
+        if (bytes > max_bytes) {
             break;
         }
     }
@@ -431,7 +519,8 @@
 }
 
 void batch_api::send_item_body(const pending_call& call) {
-    job_store_.load_items(call.job, [this, call](const auto& items) {
+    const auto& workspace = state_.jobs.find(call.job)->header->workspace;
+    job_store_.load_items(call.job, workspace, [this, call](const auto& items) {
         if (!items) {
             reject_unavailable(call, "no_answer");
             return;
--- a/packages/entry/src/job_owner.cpp
+++ b/packages/entry/src/job_owner.cpp
@@ -75,7 +75,8 @@
 }
 
 bool job_owner::is_journal_current() const {
-    const auto age = state_.clock.now() - journal_.current_as_of();
+    const auto age =
+        journal_age_.update(journal_.current_as_of(), state_.clock);
     return journal_.is_loaded() &&
            age < state_.settings.cancel_deadline_ms / cancel_deadline_divisor;
 }
@@ -89,7 +90,7 @@
 }
 
 void job_owner::claim_lease() {
-    if (appending_) {
+    if (appending_ || !lease_.may_claim(journal_.next_offset())) {
         return;
     }
     const auto& before = state_.jobs.owner();
@@ -280,10 +281,12 @@
         loading_jobs_.erase(id);
         add_loaded_job(id, std::move(*loaded->items), *loaded->progress);
     };
-    job_store_.load_items(id, [loaded, on_part_loaded](auto items) {
-        loaded->items = std::move(items);
-        on_part_loaded();
-    });
+    const auto* row = state_.jobs.find(id);
+    job_store_.load_items(id, row == nullptr ? "" : row->header->workspace,
+                          [loaded, on_part_loaded](auto items) {
+                              loaded->items = std::move(items);
+                              on_part_loaded();
+                          });
     job_store_.load_progress(id, [loaded, on_part_loaded](auto progress) {
         loaded->progress = std::move(progress);
         on_part_loaded();
--- a/packages/entry/test/batch_api_test.cpp
+++ b/packages/entry/test/batch_api_test.cpp
@@ -140,6 +140,54 @@
         std::string::npos);
 }
 
+/// A response whose connection has little room because of slow readers.
+class narrow_response_writer : public test_response_writer {
+public:
+    narrow_response_writer(std::size_t room, response_callback done)
+        : test_response_writer(std::move(done)), room_(room) {}
+    std::size_t room() const override { return room_; }
+
+private:
+    std::size_t room_;
+};
+
+// Guards against pages of results that slow readers hold in memory.
+TEST_F(batch_api_test, results_are_read_as_far_as_there_is_room) {
+    call_and_wait(
+        [&](auto caller) { node_.api().submit(make_job(3), 1000, caller); });
+    node_.claim_or_renew(true);
+    time_.run_for(500);
+    std::vector<batch::ready_result> results;
+    results.reserve(3);
+    for (int n = 0; n < 3; ++n) {
+        results.push_back({test_job_id,
+                           n,
+                           {batch::item_id("i" + std::to_string(n)),
+                            {},
+                            std::string(400, 't'),
+                            {1},
+                            "s"}});
+    }
+    node_.commit_results(results);
+    time_.run_for(500);
+    const auto read = [&](std::size_t room) {
+        transport::outbound_response response{0, {}, ""};
+        node_.api().read_results(
+            {test_job_id, 0, 0}, {},
+            std::make_shared<narrow_response_writer>(
+                room, [&](const auto& r) { response = r; }));
+        time_.run_for(5000);
+        return response;
+    };
+    const auto count = [](const transport::outbound_response& response) {
+        return nlohmann::json::parse(response.body).at("results").size();
+    };
+    EXPECT_EQ(count(read(100000)), 3U);
+    EXPECT_EQ(count(read(900)), 2U);
+    EXPECT_EQ(count(read(1)), 1U);
+    EXPECT_EQ(read(0).status, 503);
+}
+
 // Guards against jobs that a caller of another workspace can read or end, or
 // tell from jobs that do not exist.
 TEST_F(batch_api_test, calls_of_another_workspace_get_404) {
@@ -168,6 +216,59 @@
     EXPECT_EQ(statuses_for({}), std::set<int>{200});
 }
 
+// Guards against items of one workspace in the job of another one.
+TEST_F(batch_api_test, one_of_two_workspaces_gets_an_id_at_the_same_time) {
+    batch_node other(store_, time_, "m", "t");
+    time_.run_for(500);
+    std::map<std::string, int> statuses;
+    const auto submit = [&](batch_node& node, const std::string& workspace) {
+        auto job = make_job(3);
+        job.header.workspace = workspace;
+        for (auto& item : job.items) {
+            item.body += " of " + workspace;
+        }
+        node.api().submit(job, 1000,
+                          std::make_shared<test_response_writer>(
+                              [&statuses, workspace](const auto& r) {
+                                  statuses[workspace] = r.status;
+                              }));
+    };
+    submit(node_, "one");
+    time_.run_for(1);
+    submit(other, "two");
+    time_.run_for(3000);
+    EXPECT_EQ(statuses["one"] + statuses["two"], 202 + 409);
+    const std::string winner = statuses["one"] == 202 ? "one" : "two";
+    EXPECT_EQ(read_item_body("i1").body, "body 1 of " + winner);
+    // A node that starts later sees the same job.
+    batch_node late(store_, time_, "l", "u");
+    time_.run_for(500);
+    EXPECT_EQ(late.state().jobs.find(test_job_id)->header->workspace, winner);
+}
+
+// Guards against a header that lies later in the journal but sorts first.
+TEST_F(batch_api_test, the_first_header_of_an_id_wins_in_any_order) {
+    batch::job_header header;
+    header.id = test_job_id;
+    const auto change = [&](const std::string& workspace,
+                            store::log_offset offset) {
+        header.workspace = workspace;
+        return store::change{batch::format_key(batch::header_key{
+                                 test_job_id, batch::submitter_tag(workspace)}),
+                             batch::encode(header), offset};
+    };
+    for (const bool reversed : {false, true}) {
+        batch::job_table jobs(time_.clock());
+        jobs.apply(change(reversed ? "two" : "one", reversed ? 8 : 7));
+        jobs.apply(change(reversed ? "one" : "two", reversed ? 7 : 8));
+        EXPECT_EQ(jobs.find(test_job_id)->header->workspace, "one");
+        auto erasure = change("two", 9);
+        erasure.value.reset();
+        jobs.apply(erasure);
+        EXPECT_NE(jobs.find(test_job_id), nullptr);
+    }
+}
+
 } // namespace
 
 } // namespace hibiscus::entry
--- a/packages/transport/include/hibiscus/transport/upstream.hpp
+++ b/packages/transport/include/hibiscus/transport/upstream.hpp
@@ -76,6 +76,10 @@
     /// a connection just when the request is sent, and it is then unknown
     /// whether the request was processed.
     bool reuse_connection = true;
+    /// Whether a request whose reused connection ended without a response is
+    /// sent once more on a new connection. Only for requests that may be
+    /// processed twice.
+    bool resend_if_stale = false;
 };
 
 /// A call in flight.
@@ -87,6 +91,13 @@
     /// cancellation. No callback is called after this.
     virtual void cancel() = 0;
 
+    /// Stops reading the response, so that the server has to wait; no timeout
+    /// expires meanwhile. A part that was read already may still be delivered.
+    virtual void pause() = 0;
+
+    /// Reads on.
+    virtual void resume() = 0;
+
     /// Returns true if the call opened a new connection instead of reusing one.
     virtual bool opened_connection() const = 0;
 };
--- a/packages/transport/src/streaming_http_server.cpp
+++ b/packages/transport/src/streaming_http_server.cpp
@@ -3,8 +3,13 @@
 #include "server_session.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -23,6 +28,15 @@
 /// Interval between these checks while the server is closing.
 constexpr base::millis closing_timeout_check_interval_ms = 20;
 
+/// Bounds of the pause after a failed accept. Descriptors become free when
+/// other connections end, which takes a part of a second at least.
+constexpr base::millis min_accept_pause_ms = 10;
+constexpr base::millis max_accept_pause_ms = 200;
+
+/// How much the kernel takes of a response, in bytes, beyond what the caller's
+/// window admits.
+constexpr int max_unsent_kernel_bytes = 64 * 1024;
+
 } // namespace
 
 /// Accepts connections and checks their timeouts.
@@ -30,7 +44,8 @@
 public:
     impl(asio::io_context& io, http_server_limits limits,
          request_handler handler, abort_reporting reporting)
-        : acceptor_(io), timer_(io), state_(std::make_shared<server_state>()) {
+        : acceptor_(io), timer_(io), accept_timer_(io),
+          state_(std::make_shared<server_state>()) {
         state_->limits = limits;
         state_->handler = std::move(handler);
         state_->reporting = std::move(reporting);
@@ -56,6 +71,11 @@
         if (error) {
             return std::nullopt;
         }
+        state_->on_excess = [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->schedule_excess_check();
+            }
+        };
         accept();
         schedule_timeout_check();
         return base::endpoint{address.ip, acceptor_.local_endpoint().port()};
@@ -65,6 +85,7 @@
         beast::error_code ignored;
         acceptor_.close(ignored);
         timer_.cancel();
+        accept_timer_.cancel();
     }
 
     void close() {
@@ -82,6 +103,13 @@
 
     server_state& state() { return *state_; }
 
+    void
+    set_on_accept_failed(std::function<void(const std::string&)> callback) {
+        on_accept_failed_ = std::move(callback);
+    }
+
+    std::uint64_t accept_failures() const { return accept_failures_; }
+
     /// Calls `function` with each session. Skips sessions that were destroyed
     /// by an earlier call, because closing one session may end others.
     template <class F>
@@ -101,10 +129,33 @@
             [self = shared_from_this()](beast::error_code error,
                                         tcp::socket socket) {
                 self->accepting_ = false;
-                if (!error) {
-                    self->start_session(std::move(socket));
+                if (!self->acceptor_.is_open()) {
+                    return;
+                }
+                if (error) {
+                    self->on_accept_failed(error);
+                    return;
                 }
-                if (self->acceptor_.is_open()) {
+                self->accept_pause_ms_ = 0;
+                self->start_session(std::move(socket));
+                self->accept();
+            });
+    }
+
+    /// Accepts again after a pause: without descriptors, each try would fail at
+    /// once.
+    void on_accept_failed(beast::error_code error) {
+        ++accept_failures_;
+        if (accept_pause_ms_ == 0 && on_accept_failed_) {
+            on_accept_failed_(error.message());
+        }
+        accept_pause_ms_ = std::clamp(2 * accept_pause_ms_, min_accept_pause_ms,
+                                      max_accept_pause_ms);
+        accept_timer_.expires_after(
+            std::chrono::milliseconds(accept_pause_ms_));
+        accept_timer_.async_wait(
+            [self = shared_from_this()](beast::error_code cancelled) {
+                if (!cancelled && self->acceptor_.is_open()) {
                     self->accept();
                 }
             });
@@ -113,6 +164,8 @@
     void start_session(tcp::socket socket) {
         beast::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
+        ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                     &max_unsent_kernel_bytes, sizeof max_unsent_kernel_bytes);
         std::make_shared<server_session>(std::move(socket), state_)->start();
     }
 
@@ -143,13 +196,44 @@
             const auto now = self->state_->clock.now();
             self->for_each_session(
                 [now](server_session& s) { s.check_timeouts(now); });
+            self->close_stalled_readers(now);
             self->schedule_timeout_check();
         });
     }
 
+    void close_stalled_readers(base::millis now) {
+        while (const auto id = state_->buffers.find_stalled(now)) {
+            close_slow_reader(*id);
+        }
+    }
+
+    /// Closes the largest holders until the rest is within the limit. Called
+    /// later, because the caller may be sending to one of them.
+    void schedule_excess_check() {
+        asio::post(timer_.get_executor(), [self = shared_from_this()] {
+            while (const auto id = self->state_->buffers.find_excess()) {
+                self->close_slow_reader(*id);
+            }
+        });
+    }
+
+    void close_slow_reader(peer_buffers::connection_id id) {
+        for_each_session([id](server_session& s) {
+            if (s.id() == id) {
+                s.close_slow_reader();
+            }
+        });
+        state_->buffers.erase(id);
+    }
+
     tcp::acceptor acceptor_;
     asio::steady_timer timer_;
+    asio::steady_timer accept_timer_;
     std::shared_ptr<server_state> state_;
+    std::function<void(const std::string&)> on_accept_failed_;
+    std::uint64_t accept_failures_ = 0;
+    /// The pause after the last failed accept, or 0 if the last one succeeded.
+    base::millis accept_pause_ms_ = 0;
     bool accepting_ = false;
 };
 
@@ -174,6 +258,23 @@
     impl_->for_each_session([](server_session& s) { s.apply_limits(); });
 }
 
+void streaming_http_server::set_buffer_limits(peer_buffer_limits limits) {
+    impl_->state().buffers.set_limits(limits);
+}
+
+void streaming_http_server::set_on_accept_failed(
+    std::function<void(const std::string&)> callback) {
+    impl_->set_on_accept_failed(std::move(callback));
+}
+
+std::uint64_t streaming_http_server::accept_failures() const {
+    return impl_->accept_failures();
+}
+
+const peer_buffers& streaming_http_server::buffers() const {
+    return impl_->state().buffers;
+}
+
 void streaming_http_server::drain() {
     impl_->state().phase = server_phase::draining;
 }
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -1,6 +1,8 @@
 #include "hibiscus/transport/upstream.hpp"
 
 #include "hibiscus/base/stall_detector.hpp"
+#include "idle_connection_pool.hpp"
+#include "serialize_request.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -60,32 +62,12 @@
 /// so a larger body is treated as malformed.
 constexpr std::uint64_t max_body_bytes = 64 * 1024 * 1024;
 
-/// An open connection without a request in flight.
-struct idle_connection {
-    std::shared_ptr<tcp::socket> socket;
-    base::millis expires_at = 0;
-};
-
-using connection_pool = std::map<base::endpoint, std::deque<idle_connection>>;
-
 struct client_state {
-    connection_pool idle_connections;
+    idle_connection_pool idle_connections;
     base::clock clock;
     upstream_counts counts;
 };
 
-/// Returns true if an idle connection is open and has no unread input. Counts
-/// unread input, which belongs to no request.
-bool has_no_unread_input(tcp::socket& socket, upstream_counts& counts) {
-    char byte = 0;
-    const auto received =
-        ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (received > 0) {
-        ++counts.unsolicited_reads;
-    }
-    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 class client_call : public upstream_call,
                     public std::enable_shared_from_this<client_call> {
 public:
@@ -101,7 +83,7 @@
         if (const auto* id = find_header(request.fields, echo_header_)) {
             echo_value_ = *id;
         }
-        request_bytes_ = serialize(request);
+        request_bytes_ = serialize_request(request, address_);
     }
 
     void start() {
@@ -121,6 +103,24 @@
         }
     }
 
+    void pause() override {
+        if (!std::exchange(paused_, true)) {
+            paused_at_ = state_->clock.now();
+        }
+    }
+
+    void resume() override {
+        if (!std::exchange(paused_, false) || done_) {
+            return;
+        }
+        const auto now = state_->clock.now();
+        started_at_ += now - paused_at_;
+        last_activity_ = now;
+        if (std::exchange(read_deferred_, false)) {
+            read();
+        }
+    }
+
     bool opened_connection() const override { return opened_connection_; }
 
     bool is_done() const { return done_; }
@@ -139,7 +139,7 @@
     }
 
     void check_timeouts(base::millis now) {
-        if (done_) {
+        if (done_ || paused_) {
             return;
         }
         if (!connected_ && now - last_activity_ > options_.connect_timeout_ms) {
@@ -154,42 +154,11 @@
     }
 
 private:
-    std::string serialize(const upstream_request& request) const {
-        std::string message =
-            request.method + " " + request.target + " HTTP/1.1\r\n";
-        if (find_header(request.fields, "host") == nullptr) {
-            message += "Host: " + to_string(address_) + "\r\n";
-        }
-        for (const auto& field : request.fields) {
-            message += field.name;
-            message += ": ";
-            message += field.value;
-            message += "\r\n";
-        }
-        if (!request.body.empty() || request.method != "GET") {
-            message +=
-                "Content-Length: " + std::to_string(request.body.size()) +
-                "\r\n";
-        }
-        message += "\r\n";
-        message += request.body;
-        return message;
-    }
-
     bool take_idle_connection() {
-        auto& connections = state_->idle_connections[address_];
-        const auto now = state_->clock.now();
-        while (!connections.empty()) {
-            auto connection = std::move(connections.back());
-            connections.pop_back();
-            if (now < connection.expires_at &&
-                has_no_unread_input(*connection.socket, state_->counts)) {
-                socket_ = std::move(connection.socket);
-                connected_ = true;
-                return true;
-            }
-        }
-        return false;
+        socket_ = state_->idle_connections.take(address_, state_->clock.now(),
+                                                state_->counts);
+        connected_ = socket_ != nullptr;
+        return connected_;
     }
 
     void connect() {
@@ -229,11 +198,17 @@
 
     void send() {
         last_activity_ = state_->clock.now();
-        asio::async_write(
-            *socket_, asio::buffer(request_bytes_),
-            [self = shared_from_this()](beast::error_code error, std::size_t) {
-                self->request_written_ = !error;
-            });
+        asio::async_write(*socket_, asio::buffer(request_bytes_),
+                          [self = shared_from_this(), socket = socket_](
+                              beast::error_code error, std::size_t) {
+                              if (socket != self->socket_) {
+                                  return;
+                              }
+                              self->request_written_ = !error;
+                              if (!self->may_resend()) {
+                                  self->request_bytes_ = {};
+                              }
+                          });
         parser_.emplace();
         parser_->body_limit(max_body_bytes);
         parser_->header_limit(64 * 1024);
@@ -246,6 +221,10 @@
     /// buffer a part of a chunk until the next chunk arrives, which would delay
     /// each event until the next one.
     void read() {
+        if (paused_) {
+            read_deferred_ = true;
+            return;
+        }
         socket_->async_read_some(
             buffer_.prepare(read_buffer_bytes),
             [self = shared_from_this()](beast::error_code error,
@@ -265,8 +244,7 @@
             return;
         }
         if (error) {
-            finish(nothing_received_ ? no_response_outcome()
-                                     : call_outcome::broken);
+            end_without_response();
             return;
         }
         nothing_received_ = false;
@@ -316,8 +294,31 @@
                          : call_outcome::closed_without_length);
             return;
         }
-        finish(nothing_received_ ? no_response_outcome()
-                                 : call_outcome::broken);
+        end_without_response();
+    }
+
+    bool may_resend() const {
+        return options_.resend_if_stale && !opened_connection_;
+    }
+
+    void end_without_response() {
+        if (!nothing_received_) {
+            finish(call_outcome::broken);
+        } else if (may_resend()) {
+            resend();
+        } else {
+            finish(no_response_outcome());
+        }
+    }
+
+    void resend() {
+        close();
+        buffer_.consume(buffer_.size());
+        nothing_received_ = true;
+        connected_ = false;
+        request_written_ = false;
+        last_activity_ = state_->clock.now();
+        connect();
     }
 
     /// Returns the outcome of a call that received no part of its response.
@@ -346,7 +347,12 @@
         if (!echo_header_.empty() &&
             (id != nullptr ? *id != echo_value_ : head.status < 400)) {
             ++state_->counts.unsolicited_reads;
-            finish(no_response_outcome());
+            if (may_resend()) {
+                head_delivered_ = false;
+                resend();
+            } else {
+                finish(no_response_outcome());
+            }
             return false;
         }
         read_keep_alive_timeout(head.fields);
@@ -405,7 +411,8 @@
         const bool is_reusable = parser_->keep_alive() && request_written_ &&
                                  buffer_.size() == 0 && !parser_->need_eof();
         if (is_reusable && keep_alive_ms_ > 0) {
-            state_->idle_connections[address_].push_back(
+            state_->idle_connections.put(
+                address_,
                 {std::move(socket_), state_->clock.now() + keep_alive_ms_});
         }
     }
@@ -452,6 +459,11 @@
     /// Whether no part of the response has been received yet.
     bool nothing_received_ = true;
     bool head_delivered_ = false;
+    /// Whether the response is not read at present, since when, and whether a
+    /// read is to follow.
+    bool paused_ = false;
+    base::millis paused_at_ = 0;
+    bool read_deferred_ = false;
     bool done_ = false;
     /// Whether a callback of this call is running.
     bool in_callback_ = false;
@@ -525,7 +537,7 @@
                 calls_.push_back(call);
             }
         }
-        close_expired_connections(now);
+        state_->idle_connections.close_expired(now);
         if (calls_.empty() && state_->idle_connections.empty()) {
             timeout_check_scheduled_ = false;
             return;
@@ -533,19 +545,6 @@
         schedule_timeout_check();
     }
 
-    void close_expired_connections(base::millis now) {
-        for (auto entry = state_->idle_connections.begin();
-             entry != state_->idle_connections.end();) {
-            auto& connections = entry->second;
-            while (!connections.empty() &&
-                   now >= connections.front().expires_at) {
-                connections.pop_front();
-            }
-            entry = connections.empty() ? state_->idle_connections.erase(entry)
-                                        : std::next(entry);
-        }
-    }
-
     asio::io_context& io_;
     asio::steady_timer timer_;
     std::shared_ptr<client_state> state_;
@@ -577,7 +576,7 @@
 }
 
 void upstream_client::close_idle_connections(const base::endpoint& address) {
-    impl_->state().idle_connections.erase(address);
+    impl_->state().idle_connections.close(address);
 }
 
 upstream_counts upstream_client::counts() const {
