batch, entry: reward calls are ordered by group, and their number is learnt

Reward calls were a queue in the order of the texts, bounded by 0.6 of the slots and repeated each 100 ms. When callers fill the plain servers, some 20 calls a second were answered where 140 were needed, spread over all groups, so that hardly any group was whole in time.

scoring_queue decides which call is next (whole groups first, jobs past their target last), scoring_window how many are in flight and for how long one may take, reward_caller sends. Repeats back off and honour retry_after_ms. The window keeps half of the servers' work when callers press too; without a shortage each call is sent at once.

While calls lag, items that would be scored too late don't begin, for 3 s at most.

--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -61,6 +61,16 @@
     job_id job;
     int item_index = 0;
     const reward_call* call = nullptr;
+    std::string group;
+    /// Items of the group that have no result yet, this one included, and all
+    /// of its items.
+    int unscored_items = 1;
+    int group_items = 1;
+    bool is_resubmitted = false;
+    /// The target time of the job, and the time at which its items may be
+    /// abandoned; 0 if they may not.
+    base::millis target_at = 0;
+    base::millis expires_at = 0;
 };
 
 using effect = std::variant<start_run, stop_run, start_reward>;
@@ -87,6 +97,8 @@
     /// Number of failed responses, over all calls for an item, after which the
     /// item ends as errored.
     int max_failed_responses = 1;
+    /// Delay before the call is repeated, in ms.
+    base::millis retry_delay_ms = 0;
 };
 using reward_outcome = std::variant<reward_score, reward_failure>;
 
@@ -215,6 +227,17 @@
     effects on_reward_ended(const job_id& id, int item_index,
                             const reward_outcome& outcome);
 
+    /// Sets the time until a new reward call of a job would be answered, in ms,
+    /// for the jobs whose calls are queued. Items of these jobs that would be
+    /// scored too late don't begin.
+    void set_scoring_delays(std::map<job_id, base::millis> delays) {
+        scoring_delays_ = std::move(delays);
+    }
+
+    /// Returns the number of items that wait because they would be scored too
+    /// late.
+    int withheld_count() const;
+
     /// Returns results that are ready to be committed, except those of the jobs
     /// in `excluded_jobs`. Stops after `max_bytes` of text; the last result may
     /// exceed it.
@@ -343,6 +366,9 @@
     void requeue(item_row& row, base::millis delay);
     void request_reward_or_finish(const job_id& id, int item_index,
                                   effects& out);
+    static start_reward make_reward(const job_state& job, int item_index);
+    bool is_score_too_late(const job_state& job, const item_row& row) const;
+    bool is_unscored_for_long(const job_state& job, const item_row& row) const;
     void discard_output(item_row& row);
     void cache_texts(const job_state& job);
     static std::set<std::string> incomplete_groups(const job_state& job);
@@ -368,6 +394,7 @@
     std::map<std::string, open_items_peak> open_items_peaks_;
     std::map<samplers::service_name, open_items_peak> open_items_of_services_;
     token_estimator token_estimator_;
+    std::map<job_id, base::millis> scoring_delays_;
     run_number last_run_number_ = 0;
     /// The earliest time of the next move of long runs to faster servers.
     base::millis next_long_move_at_ = 0;
--- a/packages/batch/src/item_scheduler.cpp
+++ b/packages/batch/src/item_scheduler.cpp
@@ -26,9 +26,6 @@
 /// has not failed, in ms.
 constexpr base::millis avoid_failed_servers_ms = 500;
 
-/// Delay before a reward call is repeated, in ms.
-constexpr base::millis reward_retry_delay_ms = 100;
-
 /// A gap of this length between two ticks shows that the owner's thread
 /// stalled, in ms.
 constexpr base::millis late_tick_threshold_ms = 100;
@@ -343,61 +340,6 @@
     return out;
 }
 
-void item_scheduler::request_reward_or_finish(const job_id& id, int item_index,
-                                              effects& out) {
-    auto& job = jobs_.at(id);
-    auto& row = job.items[static_cast<std::size_t>(item_index)];
-    if (row.timeline.text_complete_ms < 0) {
-        row.timeline.text_complete_ms = clock_.now() - job.first_seen_at;
-        if (!row.is_resubmitted) {
-            token_estimator_.add_sample(row.content.expected_output_tokens,
-                                        row.output.event_count);
-        }
-    }
-    if (row.content.reward) {
-        row.state = item_state::reward_in_flight;
-        out.push_back(start_reward{id, item_index, &*row.content.reward});
-    } else {
-        row.state = item_state::ready;
-    }
-}
-
-effects item_scheduler::on_reward_ended(const job_id& id, int item_index,
-                                        const reward_outcome& outcome) {
-    const auto job = jobs_.find(id);
-    if (job == jobs_.end()) {
-        return {};
-    }
-    auto& row = job->second.items[static_cast<std::size_t>(item_index)];
-    if (row.state != item_state::reward_in_flight) {
-        return {};
-    }
-    std::visit(base::overloaded{
-                   [&](const reward_score& success) {
-                       row.score = success.score;
-                       row.state = item_state::ready;
-                       row.timeline.ready_ms =
-                           clock_.now() - job->second.first_seen_at;
-                   },
-                   [&](const reward_failure& failure) {
-                       // Only failed responses count: rejected or lost calls
-                       // say nothing about the text.
-                       row.reward_failures += failure.failed_responses;
-                       if (row.reward_failures >=
-                           failure.max_failed_responses) {
-                           row.outcome = item_outcome::errored;
-                           row.state = item_state::ready;
-                           row.timeline.ready_ms =
-                               clock_.now() - job->second.first_seen_at;
-                           return;
-                       }
-                       row.state = item_state::reward_pending;
-                       row.not_before = clock_.now() + reward_retry_delay_ms;
-                   }},
-               outcome);
-    return {};
-}
-
 std::vector<ready_result>
 item_scheduler::ready_results(std::size_t max_bytes,
                               const std::set<job_id>& excluded_jobs) const {
@@ -435,7 +377,8 @@
              ++n) {
             const auto& row = job.items[n];
             const bool is_unfinished = row.state == item_state::running ||
-                                       row.state == item_state::waiting;
+                                       row.state == item_state::waiting ||
+                                       is_unscored_for_long(job, row);
             const int new_events = row.output.event_count - row.saved_events;
             if (!is_unfinished || new_events < min_events ||
                 total > max_bytes) {
--- a/packages/batch/src/item_scheduler_placement.cpp
+++ b/packages/batch/src/item_scheduler_placement.cpp
@@ -71,7 +71,8 @@
     for (auto& [id, job] : jobs_) {
         for (std::size_t n = 0; n < job.items.size(); ++n) {
             const auto& row = job.items[n];
-            if (row.state == item_state::waiting && now >= row.not_before) {
+            if (row.state == item_state::waiting && now >= row.not_before &&
+                !is_score_too_late(job, row)) {
                 const auto target_at =
                     job.first_seen_at + job.options.target_ms +
                     job.options.priority * priority_delay_ms +
--- /dev/null
+++ b/packages/batch/src/item_scheduler_scoring.cpp
@@ -0,0 +1,147 @@
+#include "hibiscus/base/result.hpp"
+#include "hibiscus/batch/item_scheduler.hpp"
+
+#include <algorithm>
+
+/// Reward calls of finished texts, and which items don't begin while these lag.
+namespace hibiscus::batch {
+
+namespace {
+
+/// How long after a job's target callers may still use its results, as a part
+/// of the target time.
+constexpr base::millis usable_after_target_divisor = 2;
+
+/// The longest time for which an item is kept from beginning, in ms. The
+/// estimate of the delay may be wrong, and its trainer may wait for it.
+constexpr base::millis max_withheld_ms = 3000;
+
+/// A finished text that has waited this long for its score, in ms, is saved
+/// with the unfinished ones.
+constexpr base::millis unscored_save_delay_ms = 1000;
+
+} // namespace
+
+void item_scheduler::request_reward_or_finish(const job_id& id, int item_index,
+                                              effects& out) {
+    auto& job = jobs_.at(id);
+    auto& row = job.items[static_cast<std::size_t>(item_index)];
+    if (row.timeline.text_complete_ms < 0) {
+        row.timeline.text_complete_ms = clock_.now() - job.first_seen_at;
+        if (!row.is_resubmitted) {
+            token_estimator_.add_sample(row.content.expected_output_tokens,
+                                        row.output.event_count);
+        }
+    }
+    if (row.content.reward) {
+        row.state = item_state::reward_in_flight;
+        out.push_back(make_reward(job, item_index));
+    } else {
+        row.state = item_state::ready;
+    }
+}
+
+effects item_scheduler::on_reward_ended(const job_id& id, int item_index,
+                                        const reward_outcome& outcome) {
+    const auto job = jobs_.find(id);
+    if (job == jobs_.end()) {
+        return {};
+    }
+    auto& row = job->second.items[static_cast<std::size_t>(item_index)];
+    if (row.state != item_state::reward_in_flight) {
+        return {};
+    }
+    std::visit(base::overloaded{
+                   [&](const reward_score& success) {
+                       row.score = success.score;
+                       row.state = item_state::ready;
+                       row.timeline.ready_ms =
+                           clock_.now() - job->second.first_seen_at;
+                   },
+                   [&](const reward_failure& failure) {
+                       // Only failed responses count: rejected or lost calls
+                       // say nothing about the text.
+                       row.reward_failures += failure.failed_responses;
+                       if (row.reward_failures >=
+                           failure.max_failed_responses) {
+                           row.outcome = item_outcome::errored;
+                           row.state = item_state::ready;
+                           row.timeline.ready_ms =
+                               clock_.now() - job->second.first_seen_at;
+                           return;
+                       }
+                       row.state = item_state::reward_pending;
+                       row.not_before = clock_.now() + failure.retry_delay_ms;
+                   }},
+               outcome);
+    return {};
+}
+
+start_reward item_scheduler::make_reward(const job_state& job, int item_index) {
+    const auto& row = job.items[static_cast<std::size_t>(item_index)];
+    start_reward reward;
+    reward.job = job.header.id;
+    reward.item_index = item_index;
+    reward.call = &*row.content.reward;
+    reward.group = row.content.group;
+    reward.unscored_items = 0;
+    reward.group_items = 0;
+    for (const auto& other : job.items) {
+        if (other.content.group == row.content.group) {
+            ++reward.group_items;
+            reward.unscored_items += other.state != item_state::ready &&
+                                     other.state != item_state::committed;
+        }
+    }
+    reward.is_resubmitted = row.is_resubmitted;
+    reward.target_at = job.first_seen_at + job.options.target_ms;
+    reward.expires_at = job.options.item_expiry_ms > 0
+                            ? job.first_seen_at + job.options.item_expiry_ms
+                            : 0;
+    return reward;
+}
+
+/// Returns true if an item that begins now would be scored after its job's
+/// results are of use, while finished texts of the job wait for their scores.
+bool item_scheduler::is_score_too_late(const job_state& job,
+                                       const item_row& row) const {
+    const auto delay = scoring_delays_.find(job.header.id);
+    if (delay == scoring_delays_.end() || !row.content.reward ||
+        row.timeline.first_start_ms >= 0 || row.output.event_count > 0) {
+        return false;
+    }
+    const auto now = clock_.now();
+    const auto usable_until =
+        job.first_seen_at + job.options.target_ms +
+        job.options.target_ms / usable_after_target_divisor;
+    return now + delay->second > usable_until &&
+           now - row.last_served_at < max_withheld_ms;
+}
+
+int item_scheduler::withheld_count() const {
+    int count = 0;
+    for (const auto& delay : scoring_delays_) {
+        const auto job = jobs_.find(delay.first);
+        if (job == jobs_.end()) {
+            continue;
+        }
+        for (const auto& row : job->second.items) {
+            count += row.state == item_state::waiting &&
+                     is_score_too_late(job->second, row);
+        }
+    }
+    return count;
+}
+
+/// Returns true if the text of an item is finished and has waited for its score
+/// for long. A new owner that resumes it after its last event finds it whole.
+bool item_scheduler::is_unscored_for_long(const job_state& job,
+                                          const item_row& row) const {
+    const bool is_unscored = row.state == item_state::reward_pending ||
+                             row.state == item_state::reward_in_flight;
+    return is_unscored &&
+           clock_.now() - job.first_seen_at - row.timeline.text_complete_ms >
+               unscored_save_delay_ms;
+}
+
+} // namespace hibiscus::batch
--- a/packages/batch/test/item_scheduler_test.cpp
+++ b/packages/batch/test/item_scheduler_test.cpp
@@ -521,6 +521,62 @@
     ASSERT_EQ(scheduler_.ready_results(1000).size(), 1U);
 }
 
+TEST_F(item_scheduler_test, a_failed_reward_call_is_repeated_after_its_delay) {
+    add_job(1);
+    complete_run(of_type<start_run>(scheduler_.tick(true)).front());
+    scheduler_.on_reward_ended(job_, 0, reward_failure{0, 3, 400});
+    EXPECT_TRUE(of_type<start_reward>(tick_for(375)).empty());
+    EXPECT_EQ(of_type<start_reward>(tick_for(50)).size(), 1U);
+}
+
+TEST_F(item_scheduler_test, items_that_would_be_scored_too_late_do_not_begin) {
+    add_job(6);
+    const auto starts = of_type<start_run>(scheduler_.tick(true));
+    ASSERT_EQ(starts.size(), 4U);
+    scheduler_.set_scoring_delays({{job_, 20000}});
+    complete_run(starts[0]);
+    EXPECT_TRUE(of_type<start_run>(tick_for(200)).empty());
+    EXPECT_EQ(scheduler_.withheld_count(), 2);
+    scheduler_.set_scoring_delays({{job_, 5000}});
+    EXPECT_EQ(scheduler_.withheld_count(), 0);
+    EXPECT_EQ(of_type<start_run>(tick_for(25)).size(), 1U);
+}
+
+TEST_F(item_scheduler_test, an_item_is_not_withheld_for_long) {
+    add_job(5);
+    const auto starts = of_type<start_run>(scheduler_.tick(true));
+    scheduler_.set_scoring_delays({{job_, 60000}});
+    for (const auto& start : starts) {
+        complete_run(start);
+    }
+    EXPECT_TRUE(of_type<start_run>(tick_for(2500)).empty());
+    EXPECT_EQ(of_type<start_run>(tick_for(1000)).size(), 1U);
+}
+
+TEST_F(item_scheduler_test, a_finished_text_without_a_score_is_saved) {
+    // A new owner wrote such texts again.
+    add_job(1);
+    complete_run(of_type<start_run>(scheduler_.tick(true)).front());
+    EXPECT_TRUE(scheduler_.unsaved_parts(1, 1000).empty());
+    tick_for(1100);
+    const auto parts = scheduler_.unsaved_parts(1, 1000);
+    ASSERT_EQ(parts.size(), 1U);
+    EXPECT_EQ(parts[0].part.text, "e1\ne2");
+    scheduler_.on_part_saved(parts[0]);
+    EXPECT_TRUE(scheduler_.unsaved_parts(1, 1000).empty());
+}
+
+TEST_F(item_scheduler_test, a_reward_call_tells_what_its_group_lacks) {
+    add_job(3);
+    const auto starts = of_type<start_run>(scheduler_.tick(true));
+    complete_run(starts[0]);
+    scheduler_.on_reward_ended(job_, starts[0].item_index, reward_score{"s"});
+    const auto reward = of_type<start_reward>(complete_run(starts[1])).front();
+    EXPECT_EQ(reward.unscored_items, 2);
+    EXPECT_EQ(reward.group_items, 3);
+    EXPECT_EQ(reward.target_at, 7500);
+}
+
 } // namespace
 
 } // namespace hibiscus::batch
--- a/packages/entry/src/job_owner.cpp
+++ b/packages/entry/src/job_owner.cpp
@@ -44,8 +44,15 @@
                      store::run_after_function run_after)
     : state_(state), log_store_(log_store), store_router_(router),
       journal_(journal), job_store_(stored_jobs), client_(client),
-      forwarder_(request_forwarder), run_after_(std::move(run_after)),
-      scheduler_(state.clock, state.samplers), rollout_(state.clock),
+      run_after_(std::move(run_after)), scheduler_(state.clock, state.samplers),
+      reward_caller_(
+          state, request_forwarder,
+          [this](const auto& job, int item_index, const auto& outcome) {
+              apply_effects(
+                  scheduler_.on_reward_ended(job, item_index, outcome));
+              commit_results();
+          }),
+      rollout_(state.clock),
       incarnation_(std::to_string(state.random_engine()) + "-" +
                    std::to_string(state.random_engine())),
       lease_(state.clock, state.settings.node, incarnation_, {},
@@ -116,7 +123,7 @@
         const auto* row = state_.jobs.find(id);
         if (row != nullptr && row->has_ended) {
             log_slow_items(id, *row);
-            drop_rewards(id);
+            reward_caller_.drop_job(id, "job_ended");
             apply_effects(scheduler_.remove_job(id));
             erase_progress(id);
         } else if (row != nullptr) {
@@ -151,13 +158,9 @@
         return;
     }
     apply_effects(scheduler_.remove_all_jobs());
-    pending_rewards_.clear();
+    reward_caller_.drop_all("owner_changed");
     progress_keys_.clear();
     loading_jobs_.clear();
-    for (auto& j : active_rewards_) {
-        j.second.forward->cancel();
-    }
-    active_rewards_.clear();
 }
 
 /// Logs the timelines of the slowest items of an ended job.
@@ -355,7 +358,9 @@
     if (is_owner()) {
         load_open_jobs();
         update_job_services();
+        scheduler_.set_scoring_delays(reward_caller_.job_delays());
         apply_effects(scheduler_.tick(may_start_items()));
+        reward_caller_.report(scheduler_.withheld_count());
         order_weight_loads();
         renew_if_overdue();
         commit_results();
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -3,6 +3,7 @@
 #include "forwarder.hpp"
 #include "job_store.hpp"
 #include "node_state.hpp"
+#include "reward_caller.hpp"
 
 #include "hibiscus/batch/commit_plan.hpp"
 #include "hibiscus/batch/handover.hpp"
@@ -14,7 +15,6 @@
 #include "hibiscus/transport/event_stream.hpp"
 #include "platform/sampler_calls.hpp"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -91,17 +91,6 @@
         transport::call_outcome outcome = transport::call_outcome::not_sent;
     };
 
-    struct reward_task {
-        batch::job_id job;
-        int item_index = 0;
-        batch::reward_call call;
-    };
-
-    struct active_reward {
-        batch::job_id job;
-        std::shared_ptr<active_forward> forward;
-    };
-
     void claim_lease();
     store::record make_owner_record(store::log_offset fencing_token,
                                     bool handed_over);
@@ -126,11 +115,6 @@
     void schedule_placement();
     batch::run_outcome classify_run_end(const active_run& active,
                                         transport::call_outcome outcome) const;
-    void start_rewards();
-    void send_reward(const reward_task& task);
-    void drop_rewards(const batch::job_id& id);
-    std::size_t
-    max_concurrent_rewards(const samplers::service_name& service) const;
     void renew_if_overdue();
     void commit_results();
     std::vector<batch::planned_commit> plan_ready_commits();
@@ -173,17 +157,14 @@
     store::partition_watcher& journal_;
     const job_store& job_store_;
     transport::upstream_client& client_;
-    forwarder& forwarder_;
     store::run_after_function run_after_;
     batch::item_scheduler scheduler_;
+    reward_caller reward_caller_;
     samplers::weight_rollout rollout_;
     std::string incarnation_;
     batch::owner_lease lease_;
     std::set<batch::job_id> loading_jobs_;
     std::map<batch::run_number, active_run> active_runs_;
-    std::deque<reward_task> pending_rewards_;
-    std::map<std::uint64_t, active_reward> active_rewards_;
-    std::uint64_t last_reward_number_ = 0;
     std::int64_t renewals_ = 0;
     std::uint64_t last_texts_record_number_ = 0;
     base::node_id previous_owner_;
--- a/packages/entry/src/job_owner_runs.cpp
+++ b/packages/entry/src/job_owner_runs.cpp
@@ -5,21 +5,11 @@
 
 #include <algorithm>
 
-/// Runs and reward calls of job_owner.
+/// Runs of job_owner.
 namespace hibiscus::entry {
 
 namespace {
 
-/// Fraction of the slots of a service that reward calls may use. Requests of
-/// callers to the same service have priority.
-constexpr double reward_slot_share = 0.6;
-
-constexpr std::size_t min_concurrent_rewards = 2;
-
-/// Timeout of a reward call, in ms. A server takes 80 ms for one, and at most
-/// 600 ms.
-constexpr base::millis reward_timeout_ms = 2000;
-
 /// Delay between the end of a run and the placement of waiting items, in ms.
 constexpr base::millis placement_delay_ms = 5;
 
@@ -49,12 +39,10 @@
                     active->second.call->cancel();
                     active_runs_.erase(active);
                 },
-                [&](const batch::start_reward& r) {
-                    pending_rewards_.push_back({r.job, r.item_index, *r.call});
-                }},
+                [&](const batch::start_reward& r) { reward_caller_.add(r); }},
             e);
     }
-    start_rewards();
+    reward_caller_.start_calls();
 }
 
 void job_owner::start_run(const batch::start_run& r) {
@@ -182,102 +170,4 @@
     });
 }
 
-std::size_t
-job_owner::max_concurrent_rewards(const samplers::service_name& service) const {
-    const int slots = state_.samplers.slot_count(service);
-    return std::max(min_concurrent_rewards,
-                    static_cast<std::size_t>(slots * reward_slot_share));
-}
-
-void job_owner::start_rewards() {
-    while (!pending_rewards_.empty()) {
-        const auto& first = pending_rewards_.front();
-        const auto* route =
-            state_.configuration
-                ? gateway::find_route(*state_.configuration, first.call.host,
-                                      first.call.path)
-                : nullptr;
-        if (route != nullptr &&
-            active_rewards_.size() >=
-                max_concurrent_rewards(
-                    samplers::service_name(route->services.front().service))) {
-            return;
-        }
-        const auto task = std::move(pending_rewards_.front());
-        pending_rewards_.pop_front();
-        send_reward(task);
-    }
-}
-
-void job_owner::send_reward(const reward_task& task) {
-    const auto* route = gateway::find_route(*state_.configuration,
-                                            task.call.host, task.call.path);
-    if (route == nullptr) {
-        state_.log.write("reward_failed", {{"job", task.job},
-                                           {"item", task.item_index},
-                                           {"reason", "no route"}});
-        apply_effects(scheduler_.on_reward_ended(task.job, task.item_index,
-                                                 batch::reward_failure{}));
-        return;
-    }
-    forward_request request;
-    request.id = task.call.id;
-    request.kind = "reward";
-    request.http_request = adapter::make_reward_request(task.call);
-    request.service = samplers::service_name(
-        choose_service(*route, state_.random_fraction()));
-    request.max_attempts = route->max_attempts;
-    request.retryable = true;
-    request.retry_server_errors = true;
-    request.deadline = state_.clock.now() + reward_timeout_ms;
-    request.latency_target_ms = route->latency_target_ms;
-    const auto number = ++last_reward_number_;
-    const int attempts = route->max_attempts;
-    auto on_scored = [this, number, attempts,
-                      task](const forward_result& result) {
-        active_rewards_.erase(number);
-        const auto outcome = std::visit(
-            base::overloaded{
-                [&](const forwarded_response& response)
-                    -> batch::reward_outcome {
-                    if (response.head.status / 100 == 2) {
-                        return batch::reward_score{response.signature};
-                    }
-                    return batch::reward_failure{response.failed_attempts,
-                                                 attempts};
-                },
-                [&](const forward_failure& failure) -> batch::reward_outcome {
-                    return batch::reward_failure{failure.failed_attempts,
-                                                 attempts};
-                }},
-            result);
-        apply_effects(
-            scheduler_.on_reward_ended(task.job, task.item_index, outcome));
-        commit_results();
-    };
-    active_rewards_[number] = {task.job, nullptr};
-    auto active = forwarder_.send(std::move(request), std::move(on_scored));
-    const auto found = active_rewards_.find(number);
-    if (found != active_rewards_.end()) {
-        found->second.forward = std::move(active);
-    }
-}
-
-/// Drops the queued reward calls of a job and cancels those in flight.
-void job_owner::drop_rewards(const batch::job_id& id) {
-    pending_rewards_.erase(
-        std::remove_if(pending_rewards_.begin(), pending_rewards_.end(),
-                       [&](const reward_task& task) { return task.job == id; }),
-        pending_rewards_.end());
-    for (auto active = active_rewards_.begin();
-         active != active_rewards_.end();) {
-        if (active->second.job == id) {
-            active->second.forward->cancel();
-            active = active_rewards_.erase(active);
-        } else {
-            ++active;
-        }
-    }
-}
-
 } // namespace hibiscus::entry
