batch: a handover saves every finished text without a score

Only those that had waited for a second were saved; a new owner wrote the others again. The test expected no part for a text that has just been finished; it now expects it with one event as the least, which a handover passes, and none with two, so it is as strict and checks one thing more.

--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -246,7 +246,9 @@
                   const std::set<job_id>& excluded_jobs = {}) const;
 
     /// Returns the unsaved parts of texts with at least `min_events` new
-    /// events. Stops after `max_bytes` of text; the last part may exceed it.
+    /// events. Of finished texts only those that have waited long for their
+    /// scores, unless `min_events` is 1. Stops after `max_bytes` of text; the
+    /// last part may exceed it.
     std::vector<unsaved_part> unsaved_parts(int min_events,
                                             std::size_t max_bytes) const;
 
@@ -368,7 +370,8 @@
                                   effects& out);
     static start_reward make_reward(const job_state& job, int item_index);
     bool is_score_too_late(const job_state& job, const item_row& row) const;
-    bool is_unscored_for_long(const job_state& job, const item_row& row) const;
+    bool is_unscored_text_due(const job_state& job, const item_row& row,
+                              int min_events) const;
     void discard_output(item_row& row);
     void cache_texts(const job_state& job);
     static std::set<std::string> incomplete_groups(const job_state& job);
--- a/packages/batch/src/item_scheduler.cpp
+++ b/packages/batch/src/item_scheduler.cpp
@@ -376,9 +376,10 @@
         for (std::size_t n = 0; !job.speculative_until && n < job.items.size();
              ++n) {
             const auto& row = job.items[n];
-            const bool is_unfinished = row.state == item_state::running ||
-                                       row.state == item_state::waiting ||
-                                       is_unscored_for_long(job, row);
+            const bool is_unfinished =
+                row.state == item_state::running ||
+                row.state == item_state::waiting ||
+                is_unscored_text_due(job, row, min_events);
             const int new_events = row.output.event_count - row.saved_events;
             if (!is_unfinished || new_events < min_events ||
                 total > max_bytes) {
--- a/packages/batch/src/item_scheduler_scoring.cpp
+++ b/packages/batch/src/item_scheduler_scoring.cpp
@@ -133,15 +133,18 @@
     return count;
 }
 
-/// Returns true if the text of an item is finished and has waited for its score
-/// for long. A new owner that resumes it after its last event finds it whole.
-bool item_scheduler::is_unscored_for_long(const job_state& job,
-                                          const item_row& row) const {
+/// Returns true if the text of an item is finished, waits for its score, and is
+/// to be saved: at once if every event is (`min_events` is 1), otherwise after
+/// a while. A new owner that resumes it after its last event finds it whole.
+bool item_scheduler::is_unscored_text_due(const job_state& job,
+                                          const item_row& row,
+                                          int min_events) const {
     const bool is_unscored = row.state == item_state::reward_pending ||
                              row.state == item_state::reward_in_flight;
+    const auto waited_ms =
+        clock_.now() - job.first_seen_at - row.timeline.text_complete_ms;
     return is_unscored &&
-           clock_.now() - job.first_seen_at - row.timeline.text_complete_ms >
-               unscored_save_delay_ms;
+           (min_events <= 1 || waited_ms > unscored_save_delay_ms);
 }
 
 } // namespace hibiscus::batch
--- a/packages/batch/test/item_scheduler_test.cpp
+++ b/packages/batch/test/item_scheduler_test.cpp
@@ -557,9 +557,10 @@
     // A new owner wrote such texts again.
     add_job(1);
     complete_run(of_type<start_run>(scheduler_.tick(true)).front());
-    EXPECT_TRUE(scheduler_.unsaved_parts(1, 1000).empty());
+    EXPECT_EQ(scheduler_.unsaved_parts(1, 1000).size(), 1U);
+    EXPECT_TRUE(scheduler_.unsaved_parts(2, 1000).empty());
     tick_for(1100);
-    const auto parts = scheduler_.unsaved_parts(1, 1000);
+    const auto parts = scheduler_.unsaved_parts(2, 1000);
     ASSERT_EQ(parts.size(), 1U);
     EXPECT_EQ(parts[0].part.text, "e1\ne2");
     scheduler_.on_part_saved(parts[0]);
