--- a/packages/batch/include/hibiscus/batch/scoring_queue.hpp
+++ b/packages/batch/include/hibiscus/batch/scoring_queue.hpp
@@ -67,6 +67,11 @@
 
     void set_capacity(const samplers::service_name& service, int slots);
 
+    /// Sets the desired response time of the calls, in ms; 0 if there is none.
+    void set_target(const samplers::service_name& service, base::millis ms) {
+        services_[service].window.set_target(ms);
+    }
+
     void add(scoring_call call, base::millis now);
 
     /// Returns the next call to send, which counts as in flight from now on, or
--- a/packages/batch/include/hibiscus/batch/scoring_window.hpp
+++ b/packages/batch/include/hibiscus/batch/scoring_window.hpp
@@ -12,6 +12,11 @@
     /// Sets how many requests the servers of the service work on at a time.
     void set_capacity(int slots);
 
+    /// Sets the desired response time, 0 if there is none. Calls take no longer
+    /// than that while nothing waits at the servers, so that a new owner
+    /// doesn't take the waits of a shortage for usual.
+    void set_target(base::millis ms) { target_ms_ = static_cast<double>(ms); }
+
     int size() const;
 
     /// Called when a server has answered a call after `response_ms`.
@@ -36,6 +41,7 @@
     bool shrink(double factor, base::millis now);
 
     double capacity_ = 1;
+    double target_ms_ = 0;
     double size_ = 0;
     /// The time that calls take while nothing waits at the servers; 0 if
     /// unknown.
--- a/packages/batch/src/scoring_window.cpp
+++ b/packages/batch/src/scoring_window.cpp
@@ -95,6 +95,9 @@
     usual_ms_ = std::max(
         1.0, ms < usual_ms_ ? usual_ms_ + shorter_weight * (ms - usual_ms_)
                             : std::min(ms, usual_ms_ * longer_factor));
+    if (target_ms_ > 0) {
+        usual_ms_ = std::min(usual_ms_, target_ms_);
+    }
 }
 
 base::millis scoring_window::on_rejected(base::millis now) {
--- a/packages/batch/test/scoring_queue_test.cpp
+++ b/packages/batch/test/scoring_queue_test.cpp
@@ -308,8 +308,11 @@
 class full_queue_simulation {
 public:
     void run(base::millis duration) {
-        queue_.set_capacity(scorers, capacity);
+        set_up();
         for (base::millis now = 0; now < duration; now += 5) {
+            if (now == owner_changes_at) {
+                change_owner();
+            }
             for (auto row = busy_.begin();
                  row != busy_.end() && row->first <= now;
                  row = busy_.erase(row)) {
@@ -329,6 +332,8 @@
         }
     }
 
+    /// When another owner begins, which has learnt nothing.
+    base::millis owner_changes_at = -1;
     /// Counts by second.
     std::map<base::millis, int> callers_served;
     std::map<base::millis, int> calls_scored;
@@ -340,9 +345,28 @@
     static constexpr base::millis caller_ms = 400;
     static constexpr int calls_per_s = 120;
     static constexpr base::millis call_ms = 30;
+    static constexpr base::millis target_ms = 150;
     static constexpr std::size_t queue_limit = 60;
 
 private:
+    void set_up() {
+        queue_.set_capacity(scorers, capacity);
+        queue_.set_target(scorers, target_ms);
+    }
+
+    void change_owner() {
+        queue_ = {};
+        set_up();
+        constexpr scoring_number other_owner = 1U << 30U;
+        const auto leave = [&](scoring_number& number) {
+            number = number == 0 ? 0 : other_owner;
+        };
+        std::for_each(waiting_.begin(), waiting_.end(), leave);
+        for (auto& row : busy_) {
+            leave(row.second);
+        }
+    }
+
     void send_callers(base::millis now) {
         const bool presses = now >= press_from && now < press_until;
         callers_due_ += presses ? callers_per_s * 5 / 1000.0 : 0;
@@ -421,6 +445,19 @@
     EXPECT_GE(play.calls_scored[28], 115);
 }
 
+TEST(scoring_press_test, a_new_owner_keeps_a_share_of_full_servers) {
+    // An owner that began under a press took its waits for usual.
+    full_queue_simulation play;
+    play.owner_changes_at = 10000;
+    play.run(20000);
+    int scored = 0;
+    for (base::millis second = 12; second < 20; ++second) {
+        scored += play.calls_scored[second];
+        EXPECT_GE(play.callers_served[second], 30) << second;
+    }
+    EXPECT_GE(scored, 400);
+}
+
 } // namespace
 
 } // namespace hibiscus::batch
--- a/packages/entry/src/reward_caller.cpp
+++ b/packages/entry/src/reward_caller.cpp
@@ -78,6 +78,7 @@
     call.target_at = reward.target_at;
     queued_[{reward.job, reward.item_index}] = {*reward.call,
                                                 reward.expires_at};
+    queue_.set_target(call.service, route->latency_target_ms);
     queue_.add(std::move(call), state_.clock.now());
 }
 
