batch, entry: item_scheduler places groups as planned; shortages are logged

While the work fits, ranks are equal and the order is unchanged (test: load_that_fits_is_placed_as_before). The feature choose_groups switches it off. step_simulation: trainers that give up and resubmit groups, servers that come and go, a replaced owner.

--- a/packages/base/include/hibiscus/base/features.hpp
+++ b/packages/base/include/hibiscus/base/features.hpp
@@ -33,6 +33,9 @@
     load_where_needed,
     /// Starts items with the longest expected output first.
     longest_first,
+    /// Chooses the groups to finish when the servers can't finish all of them
+    /// in time.
+    choose_groups,
     /// Sends servers the priority of each run.
     priorities,
     /// Runs items speculatively, before their job exists.
@@ -55,7 +58,7 @@
 
 template <>
 struct enum_names<feature> {
-    static constexpr std::array<enum_name<feature>, 20> table{{
+    static constexpr std::array<enum_name<feature>, 21> table{{
         {feature::move_silent_runs, "move_silent_runs"},
         {feature::move_slow_runs, "move_slow_runs"},
         {feature::move_to_faster, "move_to_faster"},
@@ -67,6 +70,7 @@
         {feature::load_by_need, "load_by_need"},
         {feature::load_where_needed, "load_where_needed"},
         {feature::longest_first, "longest_first"},
+        {feature::choose_groups, "choose_groups"},
         {feature::priorities, "priorities"},
         {feature::run_ahead, "run_ahead"},
         {feature::reuse_texts, "reuse_texts"},
--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -2,6 +2,8 @@
 
 #include "hibiscus/base/stall_detector.hpp"
 #include "hibiscus/batch/job_table.hpp"
+#include "hibiscus/batch/run_pace.hpp"
+#include "hibiscus/batch/step_plan.hpp"
 #include "hibiscus/batch/token_estimator.hpp"
 #include "hibiscus/samplers/run_placement.hpp"
 
@@ -240,6 +242,13 @@
     /// Returns the items that wait for a slot, grouped by their requirements.
     std::vector<waiting_group> waiting_groups() const;
 
+    /// Returns the shortages of servers for the open jobs.
+    std::vector<step_shortage> shortages() const {
+        return planner_.shortages();
+    }
+    /// Returns how many shortages have begun.
+    std::uint64_t shortage_count() const { return planner_.shortage_count(); }
+
     int waiting_count() const;
     /// Counts only the items of jobs that use the service.
     int waiting_count(const samplers::service_name& service) const;
@@ -295,6 +304,8 @@
         std::vector<item_row> items;
         /// Set for a job of speculative items: when it expires.
         std::optional<base::millis> speculative_until;
+        /// The index of each item's group; empty until the job is planned.
+        std::vector<int> group_indices;
     };
 
     struct run_row {
@@ -323,6 +334,14 @@
     item_row* find_item(const run_row& run);
     void discount_stall();
     void place_items(effects& out);
+    void update_plan();
+    void update_paces(base::millis now);
+    open_job describe_job(const job_id& id, job_state& job) const;
+    void add_to_group(open_group& group, const job_state& job,
+                      const item_row& row) const;
+    double expected_run_ms(const job_state& job, const item_row& row) const;
+    group_rank rank_of(const job_id& id, const job_state& job,
+                       std::size_t item_index) const;
     void update_run_slots();
     void move_runs(effects& out);
     bool is_silent(const run_row& run,
@@ -368,6 +387,9 @@
     std::map<std::string, open_items_peak> open_items_peaks_;
     std::map<samplers::service_name, open_items_peak> open_items_of_services_;
     token_estimator token_estimator_;
+    step_planner planner_;
+    std::map<samplers::service_name, run_pace> paces_;
+    base::millis planned_at_ = 0;
     run_number last_run_number_ = 0;
     /// The earliest time of the next move of long runs to faster servers.
     base::millis next_long_move_at_ = 0;
--- a/packages/batch/src/item_scheduler.cpp
+++ b/packages/batch/src/item_scheduler.cpp
@@ -274,6 +274,7 @@
     }
     current.last_activity_at = now;
     row.last_served_at = now;
+    paces_[job.options.service].on_event();
     ++current.event_count;
     if (version) {
         current.version = *version;
--- a/packages/batch/src/item_scheduler_placement.cpp
+++ b/packages/batch/src/item_scheduler_placement.cpp
@@ -59,12 +59,14 @@
 
 void item_scheduler::place_items(effects& out) {
     struct candidate {
+        group_rank rank;
         base::millis target_at;
         bool is_new;
         std::int64_t negated_length;
         const job_id* job;
         int item_index;
     };
+    update_plan();
     const auto now = clock_.now();
     const bool longest_first = table_.is_enabled(base::feature::longest_first);
     std::vector<candidate> queue;
@@ -72,20 +74,28 @@
         for (std::size_t n = 0; n < job.items.size(); ++n) {
             const auto& row = job.items[n];
             if (row.state == item_state::waiting && now >= row.not_before) {
+                const auto rank = rank_of(id, job, n);
+                const auto lead_ms =
+                    rank == in_time_rank
+                        ? static_cast<base::millis>(expected_run_ms(job, row))
+                        : 0;
                 const auto target_at =
                     job.first_seen_at + job.options.target_ms +
                     job.options.priority * priority_delay_ms +
-                    (job.speculative_until ? speculative_queue_offset_ms : 0);
+                    (job.speculative_until ? speculative_queue_offset_ms : 0) -
+                    lead_ms;
                 const auto negated_length =
                     longest_first ? -row.content.expected_output_tokens : 0;
-                queue.push_back({target_at, !row.is_resubmitted, negated_length,
-                                 &id, static_cast<int>(n)});
+                queue.push_back({rank, target_at, !row.is_resubmitted,
+                                 negated_length, &id, static_cast<int>(n)});
             }
         }
     }
     std::sort(queue.begin(), queue.end(), [](const auto& a, const auto& b) {
-        return std::tie(a.target_at, a.is_new, a.negated_length, a.item_index) <
-               std::tie(b.target_at, b.is_new, b.negated_length, b.item_index);
+        return std::tie(a.rank, a.target_at, a.is_new, a.negated_length,
+                        a.item_index) < std::tie(b.rank, b.target_at, b.is_new,
+                                                 b.negated_length,
+                                                 b.item_index);
     });
     samplers::run_placement placement(table_, now);
     for (const auto& c : queue) {
--- a/packages/batch/test/step_simulation_test.cpp
+++ b/packages/batch/test/step_simulation_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <map>
 #include <vector>
 
 namespace hibiscus::batch::simulation {
@@ -163,6 +164,128 @@
     }
 }
 
+/// Returns a trainer that gives up late steps and resubmits their groups.
+trainer_config impatient(int groups, int group_size) {
+    trainer_config trainer;
+    trainer.groups = groups;
+    trainer.group_size = group_size;
+    trainer.required_groups = groups * 9 / 10;
+    trainer.max_events = 170;
+    trainer.train_ms = 1000;
+    trainer.give_up_ms = 12000;
+    return trainer;
+}
+
+/// Three trainers of unlike steps, whose load fits 30 of small_servers().
+std::vector<trainer_config> unlike_trainers() {
+    std::vector<trainer_config> trainers{impatient(14, 8), impatient(14, 16),
+                                         impatient(28, 8)};
+    trainers[1].start_delay_ms = 1300;
+    trainers[2].start_delay_ms = 2700;
+    return trainers;
+}
+
+/// Returns the features with or without the choice of groups.
+base::feature_set choosing(bool chooses) {
+    base::feature_set features;
+    features.set_enabled(base::feature::choose_groups, chooses);
+    return features;
+}
+
+/// Returns the part of its wanted groups that a trainer had in time, of all
+/// steps for which there was time.
+double part_in_time(const trainer_result& r, const trainer_config& trainer,
+                    base::millis duration) {
+    const auto steps = (duration - read_target_ms) / step_interval_ms;
+    return static_cast<double>(r.groups_in_time) /
+           static_cast<double>(steps * trainer.required_groups);
+}
+
+/// Returns the work in time as a part of what the servers could do.
+double work_in_time(const std::vector<trainer_result>& results,
+                    const server_config& servers, base::millis duration) {
+    double events = 0;
+    for (const auto& r : results) {
+        events += static_cast<double>(r.events_in_time);
+    }
+    const double full_event_ms =
+        servers.event_ms * (1 + servers.slowdown_per_run * (servers.slots - 1));
+    return events * full_event_ms /
+           static_cast<double>(servers.server_count * servers.slots * duration);
+}
+
+TEST(step_simulation_test, a_third_of_the_servers_finishes_whole_groups) {
+    // In the order of targets every step is late and almost none is in time.
+    const auto servers = small_servers(10, 2);
+    const auto trainers = unlike_trainers();
+    std::map<bool, double> work;
+    for (const bool chooses : {false, true}) {
+        step_simulation simulation(servers, trainers, 1, choosing(chooses));
+        const auto results = simulation.run(minute_ms);
+        work[chooses] = work_in_time(results, servers, minute_ms);
+        double least = 1;
+        double most = 0;
+        for (std::size_t n = 0; n < results.size(); ++n) {
+            const double part =
+                part_in_time(results[n], trainers[n], minute_ms);
+            std::printf("part in time %.2f\n", part);
+            least = std::min(least, part);
+            most = std::max(most, part);
+        }
+        EXPECT_TRUE(!chooses || least >= 0.6 * most);
+    }
+    std::printf("work in time %.3f, without %.3f\n", work[true], work[false]);
+    EXPECT_GE(work[true], 0.55);
+    EXPECT_GE(work[true], 2 * work[false]);
+}
+
+TEST(step_simulation_test, load_that_fits_is_placed_as_before) {
+    const auto servers = small_servers(38, 8);
+    step_simulation with(servers, unlike_trainers(), 1, choosing(true));
+    step_simulation without(servers, unlike_trainers(), 1, choosing(false));
+    with.run(minute_ms / 2);
+    without.run(minute_ms / 2);
+    EXPECT_EQ(with.scheduler().shortage_count(), 0U);
+    EXPECT_EQ(with.placements(), without.placements());
+}
+
+TEST(step_simulation_test, steps_are_in_time_soon_after_a_shortage) {
+    const auto trainers = unlike_trainers();
+    step_simulation simulation(small_servers(10, 8), trainers, 1);
+    simulation.run(30000);
+    EXPECT_FALSE(simulation.scheduler().shortages().empty());
+    simulation.set_server_count(45);
+    // Steps submitted within 5 s may still be late.
+    const auto before = simulation.run(30000 + 5000 + read_target_ms);
+    const auto after = simulation.run(2 * minute_ms);
+    for (std::size_t n = 0; n < trainers.size(); ++n) {
+        const int steps = after[n].ended_steps - before[n].ended_steps;
+        EXPECT_GE(steps, 15);
+        EXPECT_GE(after[n].groups_in_time - before[n].groups_in_time,
+                  steps * trainers[n].required_groups * 98 / 100);
+    }
+}
+
+TEST(step_simulation_test, an_owner_replaced_in_a_shortage_goes_on) {
+    const auto servers = small_servers(10, 2);
+    step_simulation simulation(servers, unlike_trainers(), 1);
+    simulation.run(minute_ms / 2);
+    simulation.replace_owner();
+    const auto results = simulation.run(minute_ms);
+    EXPECT_GE(work_in_time(results, servers, minute_ms), 0.5);
+    EXPECT_EQ(simulation.scheduler().shortage_count(), 1U);
+}
+
+TEST(step_simulation_test, a_step_of_eight_items_beside_one_of_2000) {
+    const base::millis duration = minute_ms / 2;
+    const std::vector<trainer_config> trainers{impatient(250, 8),
+                                               impatient(2, 4)};
+    step_simulation simulation(small_servers(15, 3), trainers, 1);
+    const auto results = simulation.run(duration);
+    EXPECT_GE(part_in_time(results[1], trainers[1], duration), 0.9);
+    EXPECT_GE(results[0].groups_in_time, 50);
+}
+
 } // namespace
 
 } // namespace hibiscus::batch::simulation
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -134,6 +134,8 @@
     void save_progress_if_due();
     void save_progress(int min_events, std::function<void()> done);
     void report_waiting_items();
+    void report_shortages();
+    void log_shortage(const batch::step_shortage& shortage, const char* state);
     void log_waiting_items(const batch::waiting_group& group);
     void log_unloaded_jobs();
     void log_handover();
@@ -203,6 +205,8 @@
     base::millis last_commit_at_ = 0;
     base::millis last_progress_save_at_ = 0;
     base::millis last_wait_report_at_ = 0;
+    /// The shortages in the log, by service, as last reported.
+    std::map<samplers::service_name, batch::step_shortage> reported_shortages_;
     base::millis last_service_update_at_ = 0;
 };
 
--- a/packages/entry/src/job_owner_reports.cpp
+++ b/packages/entry/src/job_owner_reports.cpp
@@ -13,6 +13,24 @@
 /// are still loading weights.
 constexpr base::millis long_wait_threshold_ms = 1000;
 
+/// Maximum number of trainers in a line on a shortage.
+constexpr std::size_t max_reported_trainers = 16;
+
+/// Returns "model GIVEN/WANTED" for each trainer.
+std::string format_shares(const batch::step_shortage& shortage) {
+    std::string text;
+    std::size_t count = 0;
+    for (const auto& [trainer, share] : shortage.trainers) {
+        if (++count > max_reported_trainers) {
+            break;
+        }
+        text += (text.empty() ? "" : ", ") + trainer.second + " " +
+                std::to_string(share.given_groups) + "/" +
+                std::to_string(share.wanted_groups);
+    }
+    return text;
+}
+
 } // namespace
 
 /// Logs the largest group of items that wait although some server has a free
@@ -37,6 +55,39 @@
         log_waiting_items(*largest_group);
     }
     log_unloaded_jobs();
+    report_shortages();
+}
+
+/// Logs shortages of servers that began, got another victim or ended.
+void job_owner::report_shortages() {
+    auto ended = std::move(reported_shortages_);
+    reported_shortages_.clear();
+    for (const auto& shortage : scheduler_.shortages()) {
+        const auto before = ended.find(shortage.service);
+        if (before == ended.end()) {
+            log_shortage(shortage, "begins");
+        } else if (before->second.victim() != shortage.victim()) {
+            log_shortage(shortage, "victim");
+        }
+        reported_shortages_[shortage.service] = shortage;
+        ended.erase(shortage.service);
+    }
+    for (const auto& [service, shortage] : ended) {
+        log_shortage(shortage, "ends");
+    }
+}
+
+void job_owner::log_shortage(const batch::step_shortage& shortage,
+                             const char* state) {
+    state_.counters.count_event(std::string("shortage_") + state);
+    state_.log.write("shortage",
+                     {{"state", state},
+                      {"service", shortage.service},
+                      {"for_ms", state_.clock.now() - shortage.began_at},
+                      {"work_ms", static_cast<std::int64_t>(shortage.work_ms)},
+                      {"room_ms", static_cast<std::int64_t>(shortage.room_ms)},
+                      {"victim", shortage.victim().second},
+                      {"given", format_shares(shortage)}});
 }
 
 void job_owner::log_waiting_items(const batch::waiting_group& group) {
