--- a/packages/entry/src/job_owner_reports.cpp
+++ b/packages/entry/src/job_owner_reports.cpp
@@ -79,7 +79,8 @@
 
 void job_owner::log_shortage(const batch::step_shortage& shortage,
                              const char* state) {
-    state_.counters.count_event(std::string("shortage_") + state);
+    const auto event = std::string("shortage_") + state;
+    state_.counters.count_event(event);
     state_.log.write("shortage",
                      {{"state", state},
                       {"service", shortage.service},
