--- a/packages/batch/include/hibiscus/batch/step_plan.hpp
+++ b/packages/batch/include/hibiscus/batch/step_plan.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "hibiscus/batch/job.hpp"
-#include "hibiscus/samplers/sampler_table.hpp"
+#include "hibiscus/batch/trainer_key.hpp"
 
 #include <cstdint>
 #include <map>
@@ -15,10 +15,6 @@
 /// finish all of them in time.
 namespace hibiscus::batch {
 
-/// Identifies a trainer: the workspace of its jobs, which may be empty, and the
-/// model that it trains.
-using trainer_key = std::pair<std::string, std::string>;
-
 /// A group of an open job.
 struct open_group {
     /// The index of the group in its job.
--- a/packages/batch/include/hibiscus/batch/work_meter.hpp
+++ b/packages/batch/include/hibiscus/batch/work_meter.hpp
@@ -2,30 +2,16 @@
 
 #include "hibiscus/base/clock.hpp"
 #include "hibiscus/batch/job.hpp"
-#include "hibiscus/samplers/sampler_table.hpp"
+#include "hibiscus/batch/trainer_key.hpp"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <set>
-#include <string>
-#include <tuple>
 
 namespace hibiscus::batch {
 
-/// Identifies whoever submits the steps of one model.
-struct trainer_key {
-    samplers::service_name service;
-    std::string workspace;
-    std::string model;
-
-    bool operator<(const trainer_key& other) const {
-        return std::tie(service, workspace, model) <
-               std::tie(other.service, other.workspace, other.model);
-    }
-};
-
 /// A job as the meter counts it.
 struct step_size {
     base::millis first_seen_at = 0;
--- a/packages/batch/src/item_scheduler_plan.cpp
+++ b/packages/batch/src/item_scheduler_plan.cpp
@@ -62,7 +62,7 @@
     open_job result;
     result.id = id;
     result.service = job.options.service;
-    result.trainer = {job.header.workspace, job.header.model};
+    result.trainer = trainer_of(job);
     result.target_at = job.first_seen_at + job.options.target_ms;
     result.weight = 1.0 / (1 + std::max(0, job.options.priority));
     result.required_groups = job.header.required_groups;
--- a/packages/batch/src/step_plan.cpp
+++ b/packages/batch/src/step_plan.cpp
@@ -190,7 +190,7 @@
 
 void step_planner::note_groups(base::millis now, const open_job& job) {
     for (const auto& group : job.groups) {
-        auto& seen = seen_groups_[{job.trainer.first, group.first_item}];
+        auto& seen = seen_groups_[{job.trainer.workspace, group.first_item}];
         if (seen.last_seen_at > 0 && seen.job != job.id) {
             ++seen.postponements;
         }
@@ -201,7 +201,8 @@
 
 int step_planner::postponements(const open_job& job,
                                 const open_group& group) const {
-    const auto seen = seen_groups_.find({job.trainer.first, group.first_item});
+    const auto seen =
+        seen_groups_.find({job.trainer.workspace, group.first_item});
     return std::max(group.is_resubmitted ? 1 : 0,
                     seen == seen_groups_.end() ? 0
                                                : seen->second.postponements);
--- a/packages/batch/src/work_meter.cpp
+++ b/packages/batch/src/work_meter.cpp
@@ -1,6 +1,7 @@
 #include "hibiscus/batch/work_meter.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 namespace hibiscus::batch {
--- a/packages/batch/test/step_plan_test.cpp
+++ b/packages/batch/test/step_plan_test.cpp
@@ -18,7 +18,7 @@
         open_job job;
         job.id = job_id(model + std::to_string(step));
         job.service = engines;
-        job.trainer = {"", model};
+        job.trainer = {engines, "", model};
         job.target_at = now_ + 7500;
         job.required_groups = required;
         for (const double work : group_work) {
@@ -55,7 +55,7 @@
     }
 
     trainer_share share(const std::string& model) const {
-        return planner_.shortages().at(0).trainers.at({"", model});
+        return planner_.shortages().at(0).trainers.at({engines, "", model});
     }
 
     /// Returns the part of its wanted groups that a trainer is given.
@@ -151,7 +151,8 @@
     update(0);
     EXPECT_EQ(share("tiny").given_groups, 1);
     EXPECT_GE(share("huge").given_groups, 7);
-    EXPECT_EQ(planner_.shortages()[0].victim(), trainer_key("", "huge"));
+    EXPECT_EQ(planner_.shortages()[0].victim(),
+              (trainer_key{engines, "", "huge"}));
 }
 
 TEST_F(step_plan_test, a_trainer_that_was_served_less_is_served_first) {
--- a/packages/entry/src/job_owner_reports.cpp
+++ b/packages/entry/src/job_owner_reports.cpp
@@ -24,7 +24,7 @@
         if (++count > max_reported_trainers) {
             break;
         }
-        text += (text.empty() ? "" : ", ") + trainer.second + " " +
+        text += (text.empty() ? "" : ", ") + trainer.model + " " +
                 std::to_string(share.given_groups) + "/" +
                 std::to_string(share.wanted_groups);
     }
@@ -66,7 +66,7 @@
         const auto before = ended.find(shortage.service);
         if (before == ended.end()) {
             log_shortage(shortage, "begins");
-        } else if (before->second.victim() != shortage.victim()) {
+        } else if (!(before->second.victim() == shortage.victim())) {
             log_shortage(shortage, "victim");
         }
         reported_shortages_[shortage.service] = shortage;
@@ -87,7 +87,7 @@
                       {"for_ms", state_.clock.now() - shortage.began_at},
                       {"work_ms", static_cast<std::int64_t>(shortage.work_ms)},
                       {"room_ms", static_cast<std::int64_t>(shortage.room_ms)},
-                      {"victim", shortage.victim().second},
+                      {"victim", shortage.victim().model},
                       {"given", format_shares(shortage)}});
 }
 
