--- a/packages/policy/include/hibiscus/policy/admission.hpp
+++ b/packages/admission/include/hibiscus/admission/limits.hpp
@@ -6,7 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace hibiscus::policy {
+namespace hibiscus::admission {
 
 /// Estimates the latency of a service's calls by a smoothed mean and a smoothed
 /// deviation, as TCP does for its retransmission timeout, but allows for twice
@@ -100,4 +100,4 @@
     throughput_meter throughput_;
 };
 
-} // namespace hibiscus::policy
+} // namespace hibiscus::admission
--- a/packages/policy/src/admission.cpp
+++ b/packages/admission/src/limits.cpp
@@ -1,9 +1,9 @@
-#include "hibiscus/policy/admission.hpp"
+#include "hibiscus/admission/limits.hpp"
 
 #include <algorithm>
 #include <cmath>
 
-namespace hibiscus::policy {
+namespace hibiscus::admission {
 
 namespace {
 
@@ -105,4 +105,4 @@
                     estimate_wait(requests, throughput_.rate_per_ms(now)));
 }
 
-} // namespace hibiscus::policy
+} // namespace hibiscus::admission
--- a/packages/policy/test/admission_test.cpp
+++ b/packages/admission/test/limits_test.cpp
@@ -1,8 +1,8 @@
-#include "hibiscus/policy/admission.hpp"
+#include "hibiscus/admission/limits.hpp"
 
 #include <gtest/gtest.h>
 
-namespace hibiscus::policy {
+namespace hibiscus::admission {
 namespace {
 
 TEST(latency_estimate_test, timeout_is_above_the_mean_of_steady_calls) {
@@ -91,4 +91,4 @@
 }
 
 } // namespace
-} // namespace hibiscus::policy
+} // namespace hibiscus::admission
--- a/packages/node/src/public_api.hpp
+++ b/packages/node/src/public_api.hpp
@@ -2,7 +2,7 @@
 
 #include "control_plane.hpp"
 #include "hibiscus/net/http.hpp"
-#include "hibiscus/policy/admission.hpp"
+#include "hibiscus/admission/limits.hpp"
 
 #include <functional>
 #include <mutex>
@@ -55,7 +55,7 @@
     telemetry::metrics& counters_;
     base::clock clock_;
     std::mutex mutex_;
-    policy::concurrency_limit non_idempotent_limit_;
+    admission::concurrency_limit non_idempotent_limit_;
 };
 
 } // namespace hibiscus::node
--- a/packages/node/src/service_gateway.cpp
+++ b/packages/node/src/service_gateway.cpp
@@ -113,7 +113,7 @@
                      default_retry_after_ms);
         return nullptr;
     }
-    policy::admission_decision admission;
+    admission::admission_decision decision;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         auto& state = services_[name];
@@ -124,20 +124,20 @@
             }
         }
         const auto now = clock_.now();
-        admission = policy::admit(
+        decision = admission::admit(
             {state.queue.size(), state.drain_rate.rate_per_ms(now),
              state.latency.mean(), pending->deadline - now});
-        if (admission.admitted) {
+        if (decision.admitted) {
             state.queue.push_back(pending);
             ++queued_count_;
             arm_expiry_timer();
         }
     }
-    log_choice(*pending, listed->second, admission.admitted ? "queue" : "none",
+    log_choice(*pending, listed->second, decision.admitted ? "queue" : "none",
                "all at their limit, predicted wait " +
-                   std::to_string(admission.wait) + " ms");
-    if (!admission.admitted) {
-        fail_request(pending, wire::reason::overloaded, admission.wait);
+                   std::to_string(decision.wait) + " ms");
+    if (!decision.admitted) {
+        fail_request(pending, wire::reason::overloaded, decision.wait);
     }
     return nullptr;
 }
--- a/packages/node/src/service_gateway.hpp
+++ b/packages/node/src/service_gateway.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "event_log.hpp"
+#include "hibiscus/admission/limits.hpp"
 #include "hibiscus/net/http_client.hpp"
-#include "hibiscus/policy/admission.hpp"
 #include "hibiscus/telemetry/metrics.hpp"
 #include "hibiscus/wire/service.hpp"
 #include "shared_view.hpp"
@@ -51,8 +51,8 @@
     /// State of one service. Each service has its own queue, so that an
     /// overloaded service does not delay requests for other services.
     struct service_state {
-        policy::latency_estimate latency;
-        policy::throughput_meter drain_rate;
+        admission::latency_estimate latency;
+        admission::throughput_meter drain_rate;
         std::deque<pending_ptr> queue;
     };
 
