entry, membership: plain requests are admitted by shares of the fleet

What a node wants and uses of a service rides in its registration; in a large fleet the publisher passes the shares on in its status record. No call more to the store; records stay readable both ways. The forwarder asks for admission before it sends a plain request or a reward call, repeats it within the retry budget while the service has no room, and judges slowness by the usual time of the route. Rejected requests get 503 with the time after which they would be admitted.

--- a/packages/admission/include/hibiscus/admission/estimates.hpp
+++ b/packages/admission/include/hibiscus/admission/estimates.hpp
@@ -90,6 +90,8 @@
     /// Takes one repeat from the budget. Returns false if none is left.
     bool try_take(base::millis now);
 
+    bool has_any(base::millis now);
+
 private:
     void refill(base::millis now);
 
--- a/packages/admission/include/hibiscus/admission/service_gate.hpp
+++ b/packages/admission/include/hibiscus/admission/service_gate.hpp
@@ -77,9 +77,16 @@
     void on_sent(base::millis now);
     void on_ended(base::millis now);
 
-    /// Returns true if a request may be sent to another server.
+    /// Returns true if a request may be sent to another server, and counts it.
     bool may_repeat(base::millis now);
 
+    /// Returns true if may_repeat() would.
+    bool can_repeat(base::millis now);
+
+    /// Returns the time after which a rejected request would be admitted, in
+    /// ms; 0 if requests are not limited.
+    base::millis retry_after_ms(traffic_kind kind, base::millis now);
+
     /// Returns the usual response time of a kind of call, in ms; 0 if unknown.
     double usual_ms(const std::string& route) const;
 
@@ -95,8 +102,10 @@
 
     bool is_limiting() const { return limiting_; }
     const share_levels& levels() const { return levels_; }
-    double share(traffic_kind kind) const {
-        return lane_of(kind).bucket.rate();
+    /// Returns the rates to which the requests of this node are limited.
+    traffic_slots rates() const {
+        return {lane_of(traffic_kind::callers).bucket.rate(),
+                lane_of(traffic_kind::rewards).bucket.rate()};
     }
     std::size_t queued() const;
 
@@ -132,6 +141,7 @@
         return lanes_[static_cast<std::size_t>(kind)];
     }
     static double demand_of(const lane& l, base::millis now);
+    bool has_room(base::millis now) const;
     double cost_ms(const std::string& route) const;
     double response_ms(const std::string& route) const;
     double active_workspaces(base::millis now);
--- a/packages/admission/src/estimates.cpp
+++ b/packages/admission/src/estimates.cpp
@@ -156,9 +156,13 @@
     tokens_ = std::min(max_retry_tokens, tokens_ + ratio_);
 }
 
-bool retry_budget::try_take(base::millis now) {
+bool retry_budget::has_any(base::millis now) {
     refill(now);
-    if (tokens_ < 1) {
+    return tokens_ >= 1;
+}
+
+bool retry_budget::try_take(base::millis now) {
+    if (!has_any(now)) {
         return false;
     }
     tokens_ -= 1;
--- a/packages/admission/src/service_gate.cpp
+++ b/packages/admission/src/service_gate.cpp
@@ -204,8 +204,19 @@
 }
 
 bool service_gate::may_repeat(base::millis now) {
-    const bool has_room = !limiting_ && !room_.is_pressed(now);
-    return has_room || budget_.try_take(now);
+    return has_room(now) || budget_.try_take(now);
+}
+
+bool service_gate::can_repeat(base::millis now) {
+    return has_room(now) || budget_.has_any(now);
+}
+
+bool service_gate::has_room(base::millis now) const {
+    return !limiting_ && !room_.is_pressed(now);
+}
+
+base::millis service_gate::retry_after_ms(traffic_kind kind, base::millis now) {
+    return limiting_ ? retry_after(lane_of(kind), now) : 0;
 }
 
 double service_gate::usual_ms(const std::string& route) const {
--- a/packages/admission/test/fleet_simulation.hpp
+++ b/packages/admission/test/fleet_simulation.hpp
@@ -86,7 +86,7 @@
 
     /// The rate to which a node limits its callers, in slots.
     double level(std::size_t node) const {
-        return gates_[node]->share(admission::traffic_kind::callers);
+        return gates_[node]->rates().callers;
     }
 
     int slot_count() const { return options_.servers * slots; }
--- a/packages/entry/include/hibiscus/entry/settings.hpp
+++ b/packages/entry/include/hibiscus/entry/settings.hpp
@@ -73,6 +73,11 @@
     /// end of a window until its report is due, in ms.
     base::millis usage_window_ms = 5000;
     base::millis usage_due_ms = 10000;
+    /// Number of repeats at other servers for each plain request while a
+    /// service has no room to spare.
+    double retry_ratio = 0.1;
+    /// The part of a service's room that reward calls keep when callers press.
+    double reward_share = 0.25;
     /// Enabled features. Changes take effect when the process restarts.
     base::feature_set features;
 };
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -130,7 +130,11 @@
           job_store_(log_store_, settings.partitions_per_topic,
                      {settings.max_record_bytes, settings.max_append_bytes}),
           usage_recorder_(state_, log_store_, run_after_),
-          forwarder_(state_, client_, &usage_recorder_),
+          admission_(state_, run_after_,
+                     {[this] { return membership_.other_demands(); },
+                      [this] { return membership_.published_levels(); },
+                      [this] { return membership_.is_publishing_view(); }}),
+          forwarder_(state_, client_, &usage_recorder_, &admission_),
           job_owner_(state_, log_store_, store_monitor_.router(), journal_,
                      job_store_, client_, forwarder_, run_after_),
           usage_duty_(state_, log_store_, job_owner_, usage_recorder_, client_,
@@ -170,6 +174,7 @@
                       {"callers", to_string(state_.settings.listen_callers)},
                       {"store", to_string(state_.settings.store)}});
         membership_.start();
+        admission_.start();
         update_watchers();
         operator_watcher_.start();
         journal_.start();
@@ -260,6 +265,8 @@
         if (current.duties && updated->duties) {
             current.duties = updated->duties;
         }
+        current.retry_ratio = updated->retry_ratio;
+        current.reward_share = updated->reward_share;
         current.store = updated->store;
         if (store_address_changed) {
             store_monitor_.router().set_store_address(current.store);
@@ -397,18 +404,21 @@
     }
 
     membership::membership_callbacks make_membership_callbacks() {
-        return {
-            adapter::decode_registration, [this] { return state_.true_time(); },
-            [this](const std::string& node, base::millis true_time) {
-                state_.wall_clock.on_peer_time(node, true_time,
-                                               base::read_clocks(state_.clock));
-            },
-            [this](const std::string& text) {
-                apply_published_configuration(text);
-            },
-            [this] {
-                return state_.clock.now() - operator_watcher_.current_as_of();
-            }};
+        return {adapter::decode_registration,
+                [this] { return state_.true_time(); },
+                [this](const std::string& node, base::millis true_time) {
+                    state_.wall_clock.on_peer_time(
+                        node, true_time, base::read_clocks(state_.clock));
+                },
+                [this](const std::string& text) {
+                    apply_published_configuration(text);
+                },
+                [this] {
+                    return state_.clock.now() -
+                           operator_watcher_.current_as_of();
+                },
+                [this] { return admission_.demands(); },
+                [this] { return admission_.published_levels(); }};
     }
 
     /// Returns the time since the configuration was last known to be current,
@@ -636,6 +646,7 @@
     store::partition_watcher journal_;
     job_store job_store_;
     usage_recorder usage_recorder_;
+    admission_control admission_;
     forwarder forwarder_;
     job_owner job_owner_;
     usage_duty usage_duty_;
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -40,13 +40,44 @@
                          public std::enable_shared_from_this<forward_attempts> {
 public:
     forward_attempts(node_state& state, transport::upstream_client& client,
-                     usage_recorder* usage, forward_request request,
+                     usage_recorder* usage, admission_control* admission,
+                     forward_request request,
                      std::function<void(forward_result)> done,
                      std::shared_ptr<transport::response_writer> response)
         : state_(state), client_(client), usage_(usage),
           request_(std::move(request)), on_done_(std::move(done)),
           caller_response_(std::move(response)),
-          started_at_(state.clock.now()) {}
+          started_at_(state.clock.now()) {
+        if (!request_.streaming) {
+            admission_ = admission;
+        }
+    }
+
+    /// Sends the request once it is admitted.
+    void start() {
+        if (finished_) {
+            return;
+        }
+        if (admission_ == nullptr) {
+            try_next_server();
+            return;
+        }
+        waiting_for_admission_ = true;
+        const auto number = admission_->request(
+            request_, [self = shared_from_this()](const auto& decision) {
+                self->on_admission(decision);
+            });
+        admission_number_ = number;
+    }
+
+    void on_admission(const admission::gate_decision& decision) {
+        waiting_for_admission_ = false;
+        if (decision.outcome == admission::verdict::rejected) {
+            fail(false, decision.retry_after_ms);
+        } else {
+            try_next_server();
+        }
+    }
 
     void try_next_server() {
         if (finished_) {
@@ -73,6 +104,9 @@
     }
 
     void cancel() override {
+        if (std::exchange(waiting_for_admission_, false)) {
+            admission_->cancel(request_.service, admission_number_);
+        }
         if (!std::exchange(finished_, true)) {
             log("forward", "cancelled");
             count_request("cancelled", "");
@@ -82,11 +116,51 @@
         if (call_) {
             call_->cancel();
             call_.reset();
-            state_.samplers.on_request_ended(server_);
+            end_attempt();
         }
     }
 
 private:
+    admission::service_gate& gate() {
+        return admission_->gate(request_.service);
+    }
+
+    void end_attempt() {
+        state_.samplers.on_request_ended(server_);
+        if (admission_ != nullptr) {
+            gate().on_ended(state_.clock.now());
+        }
+    }
+
+    /// Tries another server if the retry budget allows it. Servers have done
+    /// something for the attempt before.
+    void repeat_at_next_server(bool timed_out) {
+        if (admission_ != nullptr && !gate().may_repeat(state_.clock.now())) {
+            log_attempt("no_retry_budget");
+            fail(timed_out);
+            return;
+        }
+        try_next_server();
+    }
+
+    /// Returns the time after which another server is tried although the first
+    /// one may still respond, in ms.
+    base::millis attempt_timeout(double mean_response_ms,
+                                 base::millis remaining_ms) {
+        double expected_ms = mean_response_ms;
+        if (admission_ != nullptr) {
+            if (!gate().can_repeat(state_.clock.now())) {
+                return remaining_ms;
+            }
+            const double usual_ms = gate().usual_ms(request_.route);
+            expected_ms = usual_ms > 0 ? usual_ms : expected_ms;
+        }
+        return std::min(remaining_ms,
+                        std::max(min_attempt_timeout_ms,
+                                 static_cast<base::millis>(expected_ms) *
+                                     attempt_timeout_factor));
+    }
+
     void send_attempt(const samplers::sampler_id& server,
                       base::millis remaining_ms, bool reuse_connection) {
         server_ = server;
@@ -106,11 +180,8 @@
         options.total_timeout_ms = remaining_ms;
         if (!request_.streaming && request_.retryable &&
             attempts_ < request_.max_attempts) {
-            const auto expected_ms =
-                static_cast<base::millis>(row->mean_response_ms) *
-                attempt_timeout_factor;
-            options.total_timeout_ms = std::min(
-                remaining_ms, std::max(min_attempt_timeout_ms, expected_ms));
+            options.total_timeout_ms =
+                attempt_timeout(row->mean_response_ms, remaining_ms);
         }
         if (request_.resumable && attempts_ < request_.max_attempts) {
             options.idle_timeout_ms = stream_idle_timeout_ms;
@@ -128,6 +199,9 @@
                 self->on_end(outcome);
             };
         state_.samplers.on_request_started(server);
+        if (admission_ != nullptr) {
+            gate().on_sent(state_.clock.now());
+        }
         counted_run_.reset();
         if (!request_.streaming) {
             count_usage();
@@ -175,7 +249,7 @@
         connection_reused_ = call_ && !call_->opened_connection();
         connections_opened_ += connection_reused_ ? 0 : 1;
         call_.reset();
-        state_.samplers.on_request_ended(server_);
+        end_attempt();
         if (finished_) {
             return;
         }
@@ -273,8 +347,11 @@
             return;
         }
         state_.samplers.on_failure(server_);
-        if (!may_have_executed_ || request_.retryable) {
+        if (outcome == transport::call_outcome::not_sent) {
             try_next_server();
+        } else if (request_.retryable) {
+            repeat_at_next_server(outcome ==
+                                  transport::call_outcome::total_timeout);
         } else {
             fail(outcome == transport::call_outcome::total_timeout);
         }
@@ -286,7 +363,10 @@
             state_.samplers.block(server_, rejection_backoff_ms);
             revert_usage();
             log_attempt("refused");
-            try_next_server();
+            if (admission_ != nullptr && parsed.not_run) {
+                gate().on_rejected(server_.str(), state_.clock.now());
+            }
+            repeat_at_next_server(false);
             return;
         }
         if (response_started_ ||
@@ -296,8 +376,12 @@
             on_attempt_failed(transport::call_outcome::broken);
             return;
         }
-        state_.samplers.on_response(server_,
-                                    state_.clock.now() - attempt_sent_at_);
+        const auto now = state_.clock.now();
+        state_.samplers.on_response(server_, now - attempt_sent_at_);
+        if (admission_ != nullptr && parsed.status / 100 == 2) {
+            gate().on_response(server_.str(), request_.route,
+                               now - attempt_sent_at_, now);
+        }
         may_have_executed_ = true;
         if (parsed.implies_not_run && !request_.retryable) {
             // The status suggests that the request was not executed, but the
@@ -312,7 +396,7 @@
             if (request_.retry_server_errors && request_.retryable &&
                 attempts_ < request_.max_attempts) {
                 log_attempt("failed");
-                try_next_server();
+                repeat_at_next_server(false);
                 return;
             }
         }
@@ -321,9 +405,14 @@
                                   failed_attempts_});
     }
 
-    void fail(bool timed_out) {
+    void fail(bool timed_out, base::millis retry_after_ms = 0) {
+        if (retry_after_ms == 0 && admission_ != nullptr &&
+            !may_have_executed_) {
+            retry_after_ms = gate().retry_after_ms(traffic_kind_of(request_),
+                                                   state_.clock.now());
+        }
         finish(forward_failure{may_have_executed_, timed_out, failed_attempts_,
-                               0});
+                               may_have_executed_ ? 0 : retry_after_ms});
     }
 
     void finish(forward_result result) {
@@ -396,6 +485,10 @@
     node_state& state_;
     transport::upstream_client& client_;
     usage_recorder* usage_;
+    /// Null if requests of this kind are sent without admission.
+    admission_control* admission_ = nullptr;
+    std::uint64_t admission_number_ = 0;
+    bool waiting_for_admission_ = false;
     forward_request request_;
     std::function<void(forward_result)> on_done_;
     std::shared_ptr<transport::response_writer> caller_response_;
@@ -430,7 +523,7 @@
 /// Retry-after time for a caller whose request could not be placed, in ms. A
 /// server that rejected it has a free slot again after about the time of one
 /// request.
-constexpr base::millis retry_after_ms = 100;
+constexpr base::millis default_retry_after_ms = 100;
 
 void forward_attempts::respond_to_caller(const forward_result& result) {
     std::visit(base::overloaded{
@@ -440,8 +533,10 @@
                    },
                    [&](const forward_failure& failure) {
                        if (!failure.may_have_executed) {
-                           caller_response_->send(
-                               adapter::not_run_response(retry_after_ms));
+                           caller_response_->send(adapter::not_run_response(
+                               failure.retry_after_ms > 0
+                                   ? failure.retry_after_ms
+                                   : default_retry_after_ms));
                        } else {
                            caller_response_->send(adapter::status_response(
                                failure.timed_out ? 504 : 502));
@@ -452,12 +547,19 @@
 
 } // namespace
 
+admission::traffic_kind traffic_kind_of(const forward_request& request) {
+    return request.kind == std::string_view("reward")
+               ? admission::traffic_kind::rewards
+               : admission::traffic_kind::callers;
+}
+
 std::shared_ptr<active_forward>
 forwarder::send(forward_request request,
                 std::function<void(forward_result)> done) {
     auto attempts = std::make_shared<forward_attempts>(
-        state_, client_, usage_, std::move(request), std::move(done), nullptr);
-    attempts->try_next_server();
+        state_, client_, usage_, admission_, std::move(request),
+        std::move(done), nullptr);
+    attempts->start();
     return attempts;
 }
 
@@ -465,9 +567,10 @@
     forward_request request,
     std::shared_ptr<transport::response_writer> response) {
     auto attempts = std::make_shared<forward_attempts>(
-        state_, client_, usage_, std::move(request), nullptr, response);
+        state_, client_, usage_, admission_, std::move(request), nullptr,
+        response);
     response->on_disconnect([attempts] { attempts->cancel(); });
-    attempts->try_next_server();
+    attempts->start();
 }
 
 } // namespace hibiscus::entry
--- a/packages/entry/src/forwarder.hpp
+++ b/packages/entry/src/forwarder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission_control.hpp"
 #include "node_state.hpp"
 #include "usage_recorder.hpp"
 
@@ -22,6 +23,8 @@
     std::string workspace;
     transport::upstream_request http_request;
     samplers::service_name service;
+    /// The kind of call, which determines how long a response usually takes.
+    std::string route;
     /// Maximum number of servers to try. A resend to the same server after a
     /// stale connection does not count.
     int max_attempts = 1;
@@ -42,6 +45,8 @@
     int priority = 0;
 };
 
+admission::traffic_kind traffic_kind_of(const forward_request& request);
+
 /// The complete response of a server.
 struct forwarded_response {
     transport::response_head head;
@@ -78,10 +83,13 @@
 /// as far as their kind allows.
 class forwarder {
 public:
-    /// `usage` records the requests of workspaces that run; may be null.
+    /// `usage` records the requests of workspaces that run, and `admission`
+    /// admits plain requests; both may be null.
     forwarder(node_state& state, transport::upstream_client& client,
-              usage_recorder* usage = nullptr)
-        : state_(state), client_(client), usage_(usage) {}
+              usage_recorder* usage = nullptr,
+              admission_control* admission = nullptr)
+        : state_(state), client_(client), usage_(usage), admission_(admission) {
+    }
 
     /// Sends a request and calls `done` exactly once with the result, unless it
     /// is cancelled.
@@ -98,6 +106,7 @@
     node_state& state_;
     transport::upstream_client& client_;
     usage_recorder* usage_;
+    admission_control* admission_;
 };
 
 } // namespace hibiscus::entry
--- a/packages/entry/src/request_router.cpp
+++ b/packages/entry/src/request_router.cpp
@@ -208,6 +208,8 @@
     adapter::set_workspace(f.http_request, f.workspace);
     f.service =
         samplers::service_name(choose_service(route, state_.random_fraction()));
+    f.route = route.name;
+    f.priority = gateway::effective_priority(route, holder);
     f.max_attempts = route.max_attempts;
     f.streaming = route.kind == gateway::route_kind::streaming;
     f.resumable = f.streaming && route.resumable;
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -80,6 +80,10 @@
         duties.autoscaling = names.count(autoscaling_duty) != 0;
         s.duties = duties;
     });
+    in.mapping("admission", false, [&](mapping_reader& m) {
+        m.decimal("retry_ratio", s.retry_ratio, 0, 1);
+        m.decimal("reward_share", s.reward_share, 0, 1);
+    });
     in.mapping("policy", false, [&](mapping_reader& m) {
         for (const auto& row : base::enum_names<base::feature>::table) {
             bool on = true;
--- a/packages/membership/include/hibiscus/membership/fleet_membership.hpp
+++ b/packages/membership/include/hibiscus/membership/fleet_membership.hpp
@@ -63,6 +63,10 @@
     std::function<void(const std::string&)> on_configuration;
     /// Returns the age of this node's own view of the configuration, in ms.
     std::function<base::millis()> configuration_age;
+    /// Returns what this node wants of services. May be empty.
+    std::function<service_demands()> demands = nullptr;
+    /// Returns the shares that this node publishes. May be empty.
+    std::function<service_levels()> levels = nullptr;
 };
 
 /// Knows the nodes of the fleet and the backend servers, and announces this
@@ -97,6 +101,17 @@
 
     const node_table& nodes() const { return nodes_; }
 
+    /// Returns what the other nodes want of services, or nullptr if this node
+    /// does not know it.
+    const std::vector<const service_demands*>* other_demands();
+
+    /// Returns the shares that the publisher passes on, or nullptr if this node
+    /// does not follow the fleet view or the view is old.
+    const service_levels* published_levels() const;
+
+    /// Returns true if this node publishes the fleet view to other nodes.
+    bool is_publishing_view() const;
+
     /// Returns true once the backend servers are known.
     bool is_loaded() const;
 
@@ -214,6 +229,7 @@
     std::map<std::string, node_entry> offered_nodes_;
     /// Nodes of which only one registration was seen.
     std::set<std::string> unconfirmed_nodes_;
+    std::vector<const service_demands*> other_demands_;
     struct heard_time {
         base::millis true_time = 0;
         base::millis received_at = 0;
--- a/packages/membership/include/hibiscus/membership/node_table.hpp
+++ b/packages/membership/include/hibiscus/membership/node_table.hpp
@@ -1,16 +1,21 @@
 #pragma once
 
+#include "hibiscus/admission/shares.hpp"
 #include "hibiscus/base/clock.hpp"
 #include "hibiscus/base/endpoint.hpp"
 #include "hibiscus/base/features.hpp"
 #include "hibiscus/base/ids.hpp"
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
 
 namespace hibiscus::membership {
 
+/// What a node wants of services, by the name of the service.
+using service_demands = std::map<std::string, admission::node_demand>;
+
 /// The record in which a node announces itself.
 struct node_entry {
     base::endpoint caller_address;
@@ -22,8 +27,13 @@
     double cpu_share = 1;
     /// Interval between two renewals of the record, in ms.
     base::millis renewal_ms = 500;
+    /// At most max_demands services, only those that the node uses.
+    service_demands demands{};
 };
 
+/// Largest number of services of which a node announces its demand.
+constexpr std::size_t max_demands = 16;
+
 /// The known nodes, each with the time of its last renewal.
 class node_table {
 public:
--- a/packages/membership/include/hibiscus/membership/records.hpp
+++ b/packages/membership/include/hibiscus/membership/records.hpp
@@ -35,6 +35,8 @@
 using server_counts =
     std::map<samplers::service_name, std::map<base::zone_id, int>>;
 
+using service_levels = std::map<std::string, admission::share_levels>;
+
 /// The record in which the publisher shows that the fleet view is current.
 struct fleet_status {
     /// The node that publishes, and the number of its status records so far.
@@ -48,6 +50,8 @@
     /// Estimates of the time of day of a few nodes at the time of this record,
     /// in ms since the Unix epoch, by the name of the node.
     std::map<std::string, base::millis> true_times;
+    /// The shares of the services that are in use, by the name of the service.
+    service_levels levels;
 };
 
 std::string encode_status(const fleet_status& status);
--- a/packages/membership/src/fleet_membership.cpp
+++ b/packages/membership/src/fleet_membership.cpp
@@ -55,6 +55,10 @@
 /// cores.
 constexpr double min_first_publisher_cpu_share = 0.25;
 
+/// Age of the publisher's status from which its shares are old, in ms: some
+/// times its interval.
+constexpr base::millis max_levels_age_ms = 4000;
+
 /// A service with fewer servers in an availability zone is followed in all
 /// zones.
 constexpr int min_servers_in_zone = 16;
@@ -118,6 +122,32 @@
     return status_ && status_->source == view_source::fleet_view;
 }
 
+const std::vector<const service_demands*>* fleet_membership::other_demands() {
+    const bool follows_all = role_ == membership_role::registrations ||
+                             role_ == membership_role::publishing;
+    if (!follows_all || !are_registrations_current()) {
+        return nullptr;
+    }
+    other_demands_.clear();
+    for (const auto& [name, row] : nodes_.rows()) {
+        if (name != settings_.node && !row.entry.demands.empty() &&
+            nodes_.is_alive(name)) {
+            other_demands_.push_back(&row.entry.demands);
+        }
+    }
+    return &other_demands_;
+}
+
+const service_levels* fleet_membership::published_levels() const {
+    const bool is_current = role_ == membership_role::fleet_view && status_ &&
+                            clock_.now() - status_at_ <= max_levels_age_ms;
+    return is_current ? &status_->levels : nullptr;
+}
+
+bool fleet_membership::is_publishing_view() const {
+    return role_ == membership_role::publishing && is_fleet_view();
+}
+
 void fleet_membership::set_configuration(const std::string& text) {
     own_configuration_ = compress(text);
     offer_configuration();
@@ -338,6 +368,9 @@
 void fleet_membership::renew_registration() {
     auto entry = settings_.own_entry;
     entry.stopping = stopping_;
+    if (callbacks_.demands) {
+        entry.demands = callbacks_.demands();
+    }
     entry.renewal_ms =
         is_fleet_view()
             ? node_renewal_interval(status_->nodes, settings_.capacity)
--- a/packages/membership/src/fleet_membership_publishing.cpp
+++ b/packages/membership/src/fleet_membership_publishing.cpp
@@ -219,6 +219,9 @@
             ++s.servers[r.service][r.zone];
         }
     }
+    if (source == view_source::fleet_view && callbacks_.levels) {
+        s.levels = callbacks_.levels();
+    }
     const auto now = clock_.now();
     for (const auto& [node, heard] : heard_times_) {
         if (s.true_times.size() < max_true_times && nodes_.is_alive(node)) {
--- a/packages/membership/src/records.cpp
+++ b/packages/membership/src/records.cpp
@@ -3,6 +3,9 @@
 #include <nlohmann/json.hpp>
 #include <zlib.h>
 
+#include <algorithm>
+#include <cmath>
+
 namespace hibiscus::membership {
 
 namespace {
@@ -55,17 +58,111 @@
     models_field,
 };
 
+/// Amounts of slots are whole hundredths in the records.
+constexpr double parts_per_slot = 100;
+
+enum demand_field : std::size_t {
+    demand_callers_field,
+    demand_rewards_field,
+    demand_factor_field,
+    demand_weight_field,
+    demand_in_flight_field,
+    demand_served_field,
+};
+
+enum level_field : std::size_t {
+    level_room_field,
+    level_demand_callers_field,
+    level_demand_rewards_field,
+    level_load_field,
+    level_callers_field,
+    level_rewards_field,
+};
+
+/// Returns -1 if `slots` is unlimited.
+std::int64_t to_parts(double slots) {
+    return slots == admission::unlimited
+               ? -1
+               : static_cast<std::int64_t>(std::lround(slots * parts_per_slot));
+}
+
+double from_parts(const json& in, std::size_t field) {
+    const auto parts = in.at(field).get<std::int64_t>();
+    return parts < 0 ? admission::unlimited
+                     : static_cast<double>(parts) / parts_per_slot;
+}
+
+json encode_demands(const service_demands& demands) {
+    json out = json::object();
+    for (const auto& [service, d] : demands) {
+        if (out.size() == max_demands) {
+            break;
+        }
+        out[service] =
+            json::array({to_parts(d.slots.callers), to_parts(d.slots.rewards),
+                         to_parts(d.room_factor), to_parts(d.weight),
+                         to_parts(d.in_flight), to_parts(d.served)});
+    }
+    return out;
+}
+
+service_demands decode_demands(const json& in) {
+    service_demands demands;
+    for (const auto& [service, fields] : in.items()) {
+        if (demands.size() == max_demands) {
+            break;
+        }
+        auto& d = demands[service];
+        d.slots = {from_parts(fields, demand_callers_field),
+                   from_parts(fields, demand_rewards_field)};
+        d.room_factor = from_parts(fields, demand_factor_field);
+        d.weight = std::max(1.0, from_parts(fields, demand_weight_field));
+        d.in_flight = from_parts(fields, demand_in_flight_field);
+        d.served = from_parts(fields, demand_served_field);
+    }
+    return demands;
+}
+
+json encode_levels(const service_levels& levels) {
+    json out = json::object();
+    for (const auto& [service, l] : levels) {
+        out[service] =
+            json::array({to_parts(l.room), to_parts(l.demand.callers),
+                         to_parts(l.demand.rewards), to_parts(l.load),
+                         to_parts(l.level.callers), to_parts(l.level.rewards)});
+    }
+    return out;
+}
+
+service_levels decode_levels(const json& in) {
+    service_levels levels;
+    for (const auto& [service, fields] : in.items()) {
+        auto& l = levels[service];
+        l.room = from_parts(fields, level_room_field);
+        l.demand = {from_parts(fields, level_demand_callers_field),
+                    from_parts(fields, level_demand_rewards_field)};
+        l.load = from_parts(fields, level_load_field);
+        l.level = {from_parts(fields, level_callers_field),
+                   from_parts(fields, level_rewards_field)};
+    }
+    return levels;
+}
+
 } // namespace
 
 std::string encode_node(const node_renewal& renewal) {
     const auto& e = renewal.entry;
-    return to_bytes({{"callers", to_string(e.caller_address)},
-                     {"nodes", to_string(e.peer_address)},
-                     {"zone", e.zone.str()},
-                     {"stopping", e.stopping},
-                     {"true_time", renewal.true_time},
-                     {"cpu_share", e.cpu_share},
-                     {"renewal_ms", e.renewal_ms}});
+    json out({{"callers", to_string(e.caller_address)},
+              {"nodes", to_string(e.peer_address)},
+              {"zone", e.zone.str()},
+              {"stopping", e.stopping},
+              {"true_time", renewal.true_time},
+              {"cpu_share", e.cpu_share},
+              {"renewal_ms", e.renewal_ms}});
+    if (!e.demands.empty()) {
+        out["demands"] = encode_demands(e.demands);
+    }
+    return to_bytes(out);
 }
 
 std::optional<node_renewal> decode_node(const std::string& value) {
@@ -85,7 +182,8 @@
                        base::zone_id(in.value("zone", "")),
                        in.value("stopping", false),
                        in.value("cpu_share", 1.0),
-                       in.value("renewal_ms", r.entry.renewal_ms)};
+                       in.value("renewal_ms", r.entry.renewal_ms),
+                       decode_demands(in.value("demands", json::object()))};
             r.true_time = in.value("true_time", base::millis{0});
             return r;
         });
@@ -123,13 +221,17 @@
             servers[service.str()][zone.str()] = count;
         }
     }
-    return to_bytes({{"publisher", status.publisher},
-                     {"sequence", status.sequence},
-                     {"source", base::name_of(status.source)},
-                     {"nodes", status.nodes},
-                     {"configuration_age_ms", status.configuration_age_ms},
-                     {"servers", std::move(servers)},
-                     {"true_times", status.true_times}});
+    json out({{"publisher", status.publisher},
+              {"sequence", status.sequence},
+              {"source", base::name_of(status.source)},
+              {"nodes", status.nodes},
+              {"configuration_age_ms", status.configuration_age_ms},
+              {"servers", std::move(servers)},
+              {"true_times", status.true_times}});
+    if (!status.levels.empty()) {
+        out["levels"] = encode_levels(status.levels);
+    }
+    return to_bytes(out);
 }
 
 std::optional<fleet_status> decode_status(const std::string& value) {
@@ -155,6 +257,7 @@
             }
             s.true_times =
                 in.at("true_times").get<std::map<std::string, base::millis>>();
+            s.levels = decode_levels(in.value("levels", json::object()));
             return s;
         });
 }
--- a/packages/membership/test/records_test.cpp
+++ b/packages/membership/test/records_test.cpp
@@ -12,6 +12,7 @@
     r.entry = {
         {"10.0.0.1", 1}, {"10.0.0.1", 2}, base::zone_id("z"), true, 0.12, 984};
     r.true_time = 1234567890123;
+    r.entry.demands["app"] = {{1.25, 0.5}, 0.9, 3, 7, 1.5};
     return r;
 }
 
@@ -23,6 +24,7 @@
     s.nodes = 984;
     s.servers[samplers::service_name("app")][base::zone_id("z")] = 732;
     s.true_times["n2"] = 1234567890123;
+    s.levels["app"] = {18, {30, 4}, 1.5, {0.3, admission::unlimited}};
     return s;
 }
 
@@ -50,6 +52,37 @@
     EXPECT_EQ(e.cpu_share, 0.12);
     EXPECT_EQ(e.renewal_ms, 984);
     EXPECT_EQ(decoded->true_time, 1234567890123);
+    const auto& d = e.demands.at("app");
+    EXPECT_EQ(d.slots.callers, 1.25);
+    EXPECT_EQ(d.slots.rewards, 0.5);
+    EXPECT_EQ(d.room_factor, 0.9);
+    EXPECT_EQ(d.weight, 3);
+    EXPECT_EQ(d.in_flight, 7);
+    EXPECT_EQ(d.served, 1.5);
+}
+
+TEST(records_test, demands_are_bounded_and_absent_if_nothing_is_used) {
+    node_renewal r = make_node();
+    r.entry.demands.clear();
+    const auto without = encode_node(r);
+    EXPECT_TRUE(decode_node(without)->entry.demands.empty());
+    for (int n = 0; n < 100; ++n) {
+        r.entry.demands["service-" + std::to_string(n)] = {};
+    }
+    const auto with_demands = encode_node(r);
+    EXPECT_EQ(decode_node(with_demands)->entry.demands.size(), max_demands);
+    EXPECT_LE(with_demands.size() - without.size(), max_demands * 40);
+}
+
+TEST(records_test, status_keeps_the_shares) {
+    const auto status = decode_status(encode_status(make_status()));
+    ASSERT_TRUE(status);
+    const auto& l = status->levels.at("app");
+    EXPECT_EQ(l.room, 18);
+    EXPECT_EQ(l.demand.callers, 30);
+    EXPECT_EQ(l.load, 1.5);
+    EXPECT_EQ(l.level.callers, 0.3);
+    EXPECT_EQ(l.level.rewards, admission::unlimited);
 }
 
 TEST(records_test, listed_nodes_keep_their_addresses_zone_and_size) {
