--- a/packages/entry/test/forwarder_harness.hpp
+++ b/packages/entry/test/forwarder_harness.hpp
@@ -8,6 +8,8 @@
 #include "keep_alive_caller.hpp"
 #include "platform/client_api.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -18,6 +20,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -168,7 +171,7 @@
         f.service = samplers::service_name(make_service_name(0));
         f.retryable = true;
         f.deadline = state_.clock.now() + plain_deadline_ms;
-        forwarder_.forward_to_caller(
+        forwarder_->forward_to_caller(
             std::move(f), std::make_shared<disconnected_response_writer>());
     }
 
@@ -205,8 +208,33 @@
         return total_sends() >= sends;
     }
 
+    /// Admits requests from now on; `other_demands` tells what other nodes
+    /// want.
+    void start_admission(
+        std::function<const std::vector<const membership::service_demands*>*()>
+            other_demands) {
+        admission_.emplace(
+            state_,
+            [this](base::millis ms, std::function<void()> callback) {
+                run_after(ms, std::move(callback));
+            },
+            entry::fleet_demand_view{std::move(other_demands),
+                                     [] { return nullptr; },
+                                     [] { return false; }});
+        forwarder_.emplace(state_, client_, nullptr, &*admission_);
+        admission_->start();
+    }
+
     std::string metrics() const { return state_.counters.serialize(); }
 
+    int total_sends() const {
+        int total = 0;
+        for (const auto& [id, s] : observed_) {
+            total += s.send_count;
+        }
+        return total;
+    }
+
     std::size_t request_count() const { return sent_requests_.size(); }
 
     /// Runs until all callers are done. Returns the first violation, or "".
@@ -229,6 +257,17 @@
     }
 
 private:
+    void run_after(base::millis ms, std::function<void()> callback) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(
+            io_, std::chrono::milliseconds(ms));
+        timer->async_wait(
+            [timer, callback = std::move(callback)](const auto& error) {
+                if (!error) {
+                    callback();
+                }
+            });
+    }
+
     samplers::sampler_id sampler_id_at(int n) const {
         return samplers::sampler_id(
             servers_[static_cast<std::size_t>(n) % servers_.size()]->name());
@@ -261,15 +300,7 @@
                 ? std::min(call.deadline_ms, route->timeout_ms)
                 : call.deadline_ms;
         f.deadline = state_.clock.now() + timeout_ms;
-        forwarder_.forward_to_caller(std::move(f), std::move(response));
-    }
-
-    int total_sends() const {
-        int total = 0;
-        for (const auto& [id, s] : observed_) {
-            total += s.send_count;
-        }
-        return total;
+        forwarder_->forward_to_caller(std::move(f), std::move(response));
     }
 
     bool has_busy_callers() const {
@@ -390,7 +421,8 @@
     std::vector<std::unique_ptr<faulty_server>> servers_;
     entry::node_state state_;
     transport::upstream_client client_{io_};
-    entry::forwarder forwarder_{state_, client_};
+    std::optional<entry::admission_control> admission_;
+    std::optional<entry::forwarder> forwarder_{std::in_place, state_, client_};
     transport::streaming_http_server server_{
         io_, {}, [this](auto request, auto response) {
             on_request(std::move(request), std::move(response));
