--- a/packages/admission/include/hibiscus/admission/estimates.hpp
+++ b/packages/admission/include/hibiscus/admission/estimates.hpp
@@ -78,8 +78,8 @@
     base::millis updated_at_ = 0;
 };
 
-/// Bounds the repeats of requests to a part of the requests. A node with few
-/// requests has some repeats in hand.
+/// Bounds the server time of repeats to a part of that of the requests. A node
+/// with few requests has some repeats in hand.
 class retry_budget {
 public:
     /// `ratio` is the number of repeats for each request.
@@ -87,10 +87,12 @@
 
     void on_request(base::millis now);
 
-    /// Takes one repeat from the budget. Returns false if none is left.
-    bool try_take(base::millis now);
+    /// Takes a repeat from the budget. `cost` is the server time that the
+    /// attempt before has taken, in usual response times. Returns false if too
+    /// little is left.
+    bool try_take(double cost, base::millis now);
 
-    bool has_any(base::millis now);
+    bool has(double cost, base::millis now);
 
 private:
     void refill(base::millis now);
--- a/packages/admission/include/hibiscus/admission/service_gate.hpp
+++ b/packages/admission/include/hibiscus/admission/service_gate.hpp
@@ -78,10 +78,12 @@
     void on_ended(base::millis now);
 
     /// Returns true if a request may be sent to another server, and counts it.
-    bool may_repeat(base::millis now);
+    /// `cost` is the server time that the attempt before has taken, in usual
+    /// response times.
+    bool may_repeat(double cost, base::millis now);
 
     /// Returns true if may_repeat() would.
-    bool can_repeat(base::millis now);
+    bool can_repeat(double cost, base::millis now);
 
     /// Returns the time after which a rejected request would be admitted, in
     /// ms; 0 if requests are not limited.
--- a/packages/admission/src/estimates.cpp
+++ b/packages/admission/src/estimates.cpp
@@ -156,16 +156,16 @@
     tokens_ = std::min(max_retry_tokens, tokens_ + ratio_);
 }
 
-bool retry_budget::has_any(base::millis now) {
+bool retry_budget::has(double cost, base::millis now) {
     refill(now);
-    return tokens_ >= 1;
+    return tokens_ >= cost;
 }
 
-bool retry_budget::try_take(base::millis now) {
-    if (!has_any(now)) {
+bool retry_budget::try_take(double cost, base::millis now) {
+    if (!has(cost, now)) {
         return false;
     }
-    tokens_ -= 1;
+    tokens_ -= cost;
     return true;
 }
 
--- a/packages/admission/src/service_gate.cpp
+++ b/packages/admission/src/service_gate.cpp
@@ -203,12 +203,12 @@
     in_flight_.set(std::max(0.0, in_flight_.level() - 1), now);
 }
 
-bool service_gate::may_repeat(base::millis now) {
-    return has_room(now) || budget_.try_take(now);
+bool service_gate::may_repeat(double cost, base::millis now) {
+    return has_room(now) || budget_.try_take(cost, now);
 }
 
-bool service_gate::can_repeat(base::millis now) {
-    return has_room(now) || budget_.has_any(now);
+bool service_gate::can_repeat(double cost, base::millis now) {
+    return has_room(now) || budget_.has(cost, now);
 }
 
 bool service_gate::has_room(base::millis now) const {
--- a/packages/admission/src/shares.cpp
+++ b/packages/admission/src/shares.cpp
@@ -15,12 +15,13 @@
 /// Slots that are assumed to serve what is expected, as a part of all.
 constexpr double assumed_busy = 0.1;
 
-constexpr double min_scale = 0.5;
+constexpr double min_scale = 0.3;
 constexpr double max_scale = 5;
 
 /// Requests in flight, as a multiple of the slots, that keep all slots in use
 /// while few wait, and how far the room changes with the distance to it.
 constexpr double full_load = 1.4;
+constexpr double min_load = 0.7;
 constexpr double queue_gain = 0.5;
 constexpr double min_correction = 0.4;
 constexpr double max_correction = 1.8;
@@ -65,8 +66,10 @@
     scale_ =
         std::clamp(scale_ + gain * (observed - scale_), min_scale, max_scale);
     load_ = slots > 0 ? in_flight / slots : 1;
+    // Servers that slow down near full serve more with fewer requests.
+    const double target = std::clamp(full_load * scale_, min_load, full_load);
     return slots * scale_ *
-           std::clamp(1 - queue_gain * (load_ - full_load), min_correction,
+           std::clamp(1 - queue_gain * (load_ - target), min_correction,
                       max_correction);
 }
 
--- a/packages/admission/test/estimates_test.cpp
+++ b/packages/admission/test/estimates_test.cpp
@@ -64,17 +64,29 @@
     int repeats = 0;
     for (base::millis now = 0; now < 10000; now += 10) {
         budget.on_request(now);
-        repeats += budget.try_take(now) ? 1 : 0;
+        repeats += budget.try_take(1, now) ? 1 : 0;
     }
     EXPECT_NEAR(repeats, 100, 5);
 }
 
 TEST(retry_budget_test, an_idle_node_repeats_a_single_failure) {
     retry_budget budget(0.1);
-    EXPECT_TRUE(budget.try_take(0));
-    EXPECT_TRUE(budget.try_take(0));
-    EXPECT_FALSE(budget.try_take(0));
-    EXPECT_TRUE(budget.try_take(40000));
+    EXPECT_TRUE(budget.try_take(1, 0));
+    EXPECT_TRUE(budget.try_take(1, 0));
+    EXPECT_FALSE(budget.try_take(1, 0));
+    EXPECT_TRUE(budget.try_take(1, 40000));
+}
+
+// Guards against repeats of slow requests that take several times the server
+// time of the requests that they stand for.
+TEST(retry_budget_test, repeats_of_slow_requests_count_by_their_server_time) {
+    retry_budget budget(0.1);
+    int repeats = 0;
+    for (base::millis now = 0; now < 10000; now += 10) {
+        budget.on_request(now);
+        repeats += budget.try_take(6, now) ? 1 : 0;
+    }
+    EXPECT_NEAR(repeats, 16, 2);
 }
 
 TEST(share_bucket_test, admits_at_its_rate) {
--- a/packages/admission/test/fleet_simulation.hpp
+++ b/packages/admission/test/fleet_simulation.hpp
@@ -231,7 +231,7 @@
             auto& gate = *gates_[r->node];
             gate.on_rejected(name, now_);
             const bool may_repeat =
-                !options_.admission || gate.may_repeat(now_);
+                !options_.admission || gate.may_repeat(1, now_);
             if (r->attempts < max_attempts && may_repeat) {
                 send(r);
             } else {
--- a/packages/entry/src/admission_control.cpp
+++ b/packages/entry/src/admission_control.cpp
@@ -55,9 +55,15 @@
     const auto number = ++last_number_;
 
     auto& s = state_of(request.service);
+    // While there is too little room, a late response takes the place of one
+    // that is in time.
+    const auto deadline =
+        request.latency_target_ms > 0
+            ? std::min(request.deadline, now + request.latency_target_ms)
+            : request.deadline;
     const auto decision =
         s.gate.on_arrival({number, traffic_kind_of(request), request.priority,
-                           request.workspace, request.route, request.deadline},
+                           request.workspace, request.route, deadline},
                           now);
     waiting_request r{request.id, request.kind, request.workspace,
                       std::move(decided)};
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -135,7 +135,9 @@
     /// Tries another server if the retry budget allows it. Servers have done
     /// something for the attempt before.
     void repeat_at_next_server(bool timed_out) {
-        if (admission_ != nullptr && !gate().may_repeat(state_.clock.now())) {
+        const double cost = timed_out ? attempt_timeout_factor : 1;
+        if (admission_ != nullptr &&
+            !gate().may_repeat(cost, state_.clock.now())) {
             log_attempt("no_retry_budget");
             fail(timed_out);
             return;
@@ -149,7 +151,8 @@
                                  base::millis remaining_ms) {
         double expected_ms = mean_response_ms;
         if (admission_ != nullptr) {
-            if (!gate().can_repeat(state_.clock.now())) {
+            if (!gate().can_repeat(attempt_timeout_factor,
+                                   state_.clock.now())) {
                 return remaining_ms;
             }
             const double usual_ms = gate().usual_ms(request_.route);
