--- a/packages/entry/test/admission_control_test.cpp
+++ b/packages/entry/test/admission_control_test.cpp
@@ -32,6 +32,7 @@
 
 TEST_F(admission_test, requests_are_sent_at_once_without_a_shortage) {
     std::vector<std::shared_ptr<request_result>> results;
+    results.reserve(20);
     for (int n = 0; n < 20; ++n) {
         results.push_back(send(n));
     }
@@ -51,6 +52,7 @@
     EXPECT_EQ(harness_.finish_and_check(), "");
     press();
     std::vector<std::shared_ptr<request_result>> results;
+    results.reserve(20);
     for (int n = 0; n < 20; ++n) {
         results.push_back(send(n));
     }
--- a/packages/membership/test/fleet_membership_test.cpp
+++ b/packages/membership/test/fleet_membership_test.cpp
@@ -47,6 +47,27 @@
     }
 }
 
+TEST(fleet_membership_test, nodes_of_a_small_fleet_know_the_demands_of_others) {
+    simulated_fleet fleet(ample_store);
+    fleet.start_nodes(9);
+    fleet.start_servers(30);
+    fleet.run_for(start_ms);
+    EXPECT_DOUBLE_EQ(fleet.node(3).other_demand(), 4);
+    EXPECT_EQ(fleet.node(3).membership().published_levels(), nullptr);
+    fleet.node(1).set_demand(0);
+    constexpr base::millis two_renewals_ms = 1000;
+    constexpr base::millis read_ms = 500;
+    fleet.run_for(two_renewals_ms + read_ms);
+    EXPECT_DOUBLE_EQ(fleet.node(3).other_demand(), 3.5);
+}
+
+TEST_F(fleet_view_test, the_publisher_passes_the_shares_on) {
+    const auto* levels = fleet_.node(1).membership().published_levels();
+    ASSERT_NE(levels, nullptr);
+    EXPECT_DOUBLE_EQ(levels->at("app").demand.callers, nodes * 0.5);
+    EXPECT_EQ(fleet_.node(1).membership().other_demands(), nullptr);
+}
+
 TEST_F(fleet_view_test, nodes_know_the_servers_that_they_use) {
     EXPECT_EQ(fleet_.count_loaded_nodes(), nodes);
     const auto& rows = fleet_.node(1).servers().rows();
--- a/packages/membership/test/membership_simulation.hpp
+++ b/packages/membership/test/membership_simulation.hpp
@@ -45,7 +45,12 @@
               {decode_registration, [] { return base::millis{1}; },
                [](const auto&, base::millis) {},
                [this](const std::string& text) { configuration_ = text; },
-               [] { return base::millis{0}; }}) {
+               [] { return base::millis{0}; },
+               [this] {
+                   return service_demands{
+                       {"app", {{demand_, 0}, 1, 1, demand_, demand_}}};
+               },
+               [this] { return make_levels(); }}) {
         membership_.start();
     }
 
@@ -57,6 +62,23 @@
     fleet_membership& membership() { return membership_; }
     const samplers::sampler_table& servers() const { return servers_; }
 
+    /// Sets what this node wants of the service "app", in slots.
+    void set_demand(double slots) { demand_ = slots; }
+
+    /// What the other nodes want of the service "app", in slots, as far as this
+    /// node knows; -1 if it doesn't.
+    double other_demand() {
+        const auto* others = membership_.other_demands();
+        if (others == nullptr) {
+            return -1;
+        }
+        double sum = 0;
+        for (const auto* demands : *others) {
+            sum += demands->at("app").slots.callers;
+        }
+        return sum;
+    }
+
     /// The configuration that was passed on to this node.
     const std::string& configuration() const { return configuration_; }
 
@@ -83,6 +105,13 @@
     }
 
 private:
+    service_levels make_levels() {
+        admission::share_levels levels;
+        levels.demand.callers = other_demand() + demand_;
+        return {{"app", levels}};
+    }
+
+    double demand_ = 0.5;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     telemetry::event_log log_;
     samplers::sampler_table servers_;
--- a/packages/node/src/public_api.hpp
+++ b/packages/node/src/public_api.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "control_plane.hpp"
-#include "hibiscus/net/http.hpp"
 #include "hibiscus/admission/limits.hpp"
+#include "hibiscus/net/http.hpp"
 
 #include <functional>
 #include <mutex>
