admission: usual times without a bias towards short responses

The usual time followed short responses faster than long ones, so that uneven work counted as little, and full servers as slow ones.

--- a/packages/admission/include/hibiscus/admission/estimates.hpp
+++ b/packages/admission/include/hibiscus/admission/estimates.hpp
@@ -35,8 +35,8 @@
 /// calls wait in the queues of busy servers.
 class usual_time {
 public:
-    /// Adds a response time. `may_have_waited` is true if requests are known to
-    /// wait at servers; then only shorter times count.
+    /// Adds a response time. While `may_have_waited`, since requests are known
+    /// to wait at servers, only the first responses count.
     void add_sample(base::millis ms, bool may_have_waited = false);
 
     /// Returns the usual time in ms, or `fallback` before the first sample.
--- a/packages/admission/src/estimates.cpp
+++ b/packages/admission/src/estimates.cpp
@@ -18,14 +18,14 @@
 /// requests wait at servers now.
 constexpr double level_decay_ms = 500;
 
-/// Gains of the usual time. It follows shorter responses quickly and longer
-/// ones slowly, since those may have waited in a queue.
+/// Gains of the usual time for the first responses, which may have waited, and
+/// later.
 constexpr double first_gain = 0.3;
-constexpr double faster_gain = 0.1;
-constexpr double much_faster = 0.7;
-constexpr double slower_gain = 0.05;
-constexpr double slow_gain = 0.005;
-constexpr int first_samples = 5;
+constexpr double later_gain = 0.06;
+constexpr int first_samples = 6;
+
+/// A single response counts at most as this multiple of the usual time.
+constexpr double max_sample_ratio = 3;
 
 /// Multiple of the usual time from which a response counts as slow.
 constexpr double slow_ratio = 2;
@@ -97,17 +97,14 @@
     if (samples_ == 0) {
         mean_ = sample;
     }
-    if (may_have_waited && sample > mean_) {
-        return;
-    }
-    const bool is_first =
-        sample < (samples_ < first_samples ? 1 : much_faster) * mean_;
-    const double gain = is_first         ? first_gain
-                        : sample < mean_ ? faster_gain
-                        : is_slow(ms)    ? slow_gain
-                                         : slower_gain;
-    mean_ += gain * (sample - mean_);
+    const bool is_first = samples_ < first_samples;
     samples_ = std::min(samples_ + 1, first_samples);
+    if (is_first && sample < mean_) {
+        mean_ += first_gain * (sample - mean_);
+    } else if (!may_have_waited) {
+        mean_ +=
+            later_gain * (std::min(sample, max_sample_ratio * mean_) - mean_);
+    }
 }
 
 bool usual_time::is_slow(base::millis ms) const {
--- a/packages/admission/test/estimates_test.cpp
+++ b/packages/admission/test/estimates_test.cpp
@@ -5,18 +5,26 @@
 namespace hibiscus::admission {
 namespace {
 
-TEST(usual_time_test, waits_in_queues_hardly_change_it) {
+TEST(usual_time_test, waits_in_queues_do_not_change_it) {
     usual_time usual;
     for (int n = 0; n < 20; ++n) {
         usual.add_sample(100);
     }
     for (int n = 0; n < 20; ++n) {
-        usual.add_sample(1000);
+        usual.add_sample(1000, true);
     }
-    EXPECT_LT(usual.value(0), 200);
+    EXPECT_DOUBLE_EQ(usual.value(0), 100);
     EXPECT_TRUE(usual.is_slow(1000));
 }
 
+TEST(usual_time_test, follows_the_mean_of_uneven_responses) {
+    usual_time usual;
+    for (int n = 0; n < 200; ++n) {
+        usual.add_sample(n % 2 == 0 ? 200 : 600);
+    }
+    EXPECT_NEAR(usual.value(0), 400, 40);
+}
+
 TEST(usual_time_test, first_sample_from_a_queue_is_corrected) {
     usual_time usual;
     usual.add_sample(1600);
--- a/packages/admission/test/fleet_simulation.hpp
+++ b/packages/admission/test/fleet_simulation.hpp
@@ -26,6 +26,7 @@
         bool admission = true;
         /// Nodes that don't learn of the others, as a part of all.
         double nodes_with_old_view = 0;
+        unsigned seed = 1;
     };
 
     /// What the callers of a workspace got.
@@ -36,7 +37,7 @@
         int late_rejections = 0;
     };
 
-    explicit fleet_simulation(options o) : options_(o) {
+    explicit fleet_simulation(options o) : options_(o), random_(o.seed) {
         for (int n = 0; n < o.nodes; ++n) {
             gates_.push_back(std::make_unique<admission::service_gate>(
                 admission::gate_settings{}));
@@ -301,7 +302,7 @@
 
     options options_;
     base::millis now_ = 0;
-    std::mt19937 random_{1};
+    std::mt19937 random_;
     std::priority_queue<event> events_;
     std::uint64_t event_count_ = 0;
     std::uint64_t request_count_ = 0;
