--- a/packages/admission/src/service_gate.cpp
+++ b/packages/admission/src/service_gate.cpp
@@ -41,6 +41,9 @@
 /// Mean intervals without a request after which a node wants nothing more.
 constexpr double idle_intervals = 4;
 
+/// Requests come in bursts; a pause within this time, in ms, means nothing.
+constexpr double min_idle_ms = 700;
+
 /// A response may take this multiple of the mean.
 constexpr double response_slack = 1.5;
 
@@ -241,7 +244,9 @@
 double service_gate::demand_of(const lane& l, base::millis now) {
     const auto gap_ms = static_cast<double>(now - l.last_arrival_at);
     const double before = l.arrivals.rate_per_ms(l.last_arrival_at);
-    return gap_ms * before > idle_intervals ? 0 : l.demand.rate_per_ms(now);
+    const bool is_over =
+        gap_ms > min_idle_ms && gap_ms * before > idle_intervals;
+    return is_over ? 0 : l.demand.rate_per_ms(now);
 }
 
 double service_gate::active_workspaces(base::millis now) {
