--- a/packages/entry/src/admission_control.cpp
+++ b/packages/entry/src/admission_control.cpp
@@ -55,15 +55,17 @@
     const auto number = ++last_number_;
 
     auto& s = state_of(request.service);
+    const auto kind = traffic_kind_of(request);
     // While there is too little room, a late response takes the place of one
-    // that is in time.
+    // that is in time. Nobody waits for a single reward call.
     const auto deadline =
-        request.latency_target_ms > 0
+        kind == admission::traffic_kind::callers &&
+                request.latency_target_ms > 0
             ? std::min(request.deadline, now + request.latency_target_ms)
             : request.deadline;
     const auto decision =
-        s.gate.on_arrival({number, traffic_kind_of(request), request.priority,
-                           request.workspace, request.route, deadline},
+        s.gate.on_arrival({number, kind, request.priority, request.workspace,
+                           request.route, deadline},
                           now);
     waiting_request r{request.id, request.kind, request.workspace,
                       std::move(decided)};
