entry: reward calls keep 0.4 of the room; an attempt that is cut early is repeated

A group is complete only with all of its scores, and one score takes a tenth of a lookup.

Attempts that were given a short time while the budget was there, and ended when it was not, left their callers with a 502 (40 given up after about 280 ms).

--- a/packages/entry/include/hibiscus/entry/settings.hpp
+++ b/packages/entry/include/hibiscus/entry/settings.hpp
@@ -77,7 +77,7 @@
     /// service has no room to spare.
     double retry_ratio = 0.1;
     /// The part of a service's room that reward calls keep when callers press.
-    double reward_share = 0.25;
+    double reward_share = 0.4;
     /// Enabled features. Changes take effect when the process restarts.
     base::feature_set features;
 };
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -136,8 +136,10 @@
     /// something for the attempt before.
     void repeat_at_next_server(bool timed_out) {
         const double cost = timed_out ? attempt_timeout_factor : 1;
+        const bool was_cut_early =
+            timed_out && std::exchange(repeat_promised_, false);
         if (admission_ != nullptr &&
-            !gate().may_repeat(cost, state_.clock.now())) {
+            !gate().may_repeat(cost, state_.clock.now()) && !was_cut_early) {
             log_attempt("no_retry_budget");
             fail(timed_out);
             return;
@@ -158,6 +160,7 @@
             const double usual_ms = gate().usual_ms(request_.route);
             expected_ms = usual_ms > 0 ? usual_ms : expected_ms;
         }
+        repeat_promised_ = true;
         return std::min(remaining_ms,
                         std::max(min_attempt_timeout_ms,
                                  static_cast<base::millis>(expected_ms) *
@@ -492,6 +495,8 @@
     admission_control* admission_ = nullptr;
     std::uint64_t admission_number_ = 0;
     bool waiting_for_admission_ = false;
+    /// Whether the current attempt ends early for one at another server.
+    bool repeat_promised_ = false;
     forward_request request_;
     std::function<void(forward_result)> on_done_;
     std::shared_ptr<transport::response_writer> caller_response_;
