--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -170,6 +170,7 @@
     void send_attempt(const samplers::sampler_id& server,
                       base::millis remaining_ms, bool reuse_connection) {
         server_ = server;
+        repeat_promised_ = false;
         attempt_sent_at_ = state_.clock.now();
         head_ = {};
         body_.clear();
