batch, entry: reward calls that wait for admission don't widen their window

Cause: the window of reward calls grows with the waits that it sees, to keep a share of the servers when callers press. With admission, which keeps that share, it counted the wait for admission as a wait at the servers and pressed the callers out. One answer of four times the usual time also shrank it, which calls of unlike length reach without any wait; the mean decides now.

--- a/packages/batch/include/hibiscus/batch/scoring_queue.hpp
+++ b/packages/batch/include/hibiscus/batch/scoring_queue.hpp
@@ -67,6 +67,11 @@
 
     void set_capacity(const samplers::service_name& service, int slots);
 
+    /// Sets whether admission keeps the share of the calls to a service.
+    void set_share_kept(const samplers::service_name& service, bool kept) {
+        services_[service].window.set_share_kept(kept);
+    }
+
     /// Sets the desired response time of the calls, in ms; 0 if there is none.
     void set_target(const samplers::service_name& service, base::millis ms) {
         services_[service].window.set_target(ms);
--- a/packages/batch/include/hibiscus/batch/scoring_window.hpp
+++ b/packages/batch/include/hibiscus/batch/scoring_window.hpp
@@ -17,6 +17,11 @@
     /// doesn't take the waits of a shortage for usual.
     void set_target(base::millis ms) { target_ms_ = static_cast<double>(ms); }
 
+    /// Sets whether admission keeps the share of the calls when requests of
+    /// callers press. Then calls that wait for admission must not widen the
+    /// window as waits at the servers do.
+    void set_share_kept(bool kept) { share_kept_ = kept; }
+
     int size() const;
 
     /// Called when a server has answered a call after `response_ms`.
@@ -42,6 +47,7 @@
 
     double capacity_ = 1;
     double target_ms_ = 0;
+    bool share_kept_ = false;
     double size_ = 0;
     /// The time that calls take while nothing waits at the servers; 0 if
     /// unknown.
--- a/packages/batch/src/scoring_window.cpp
+++ b/packages/batch/src/scoring_window.cpp
@@ -21,12 +21,16 @@
 /// This bounds how many times more.
 constexpr double max_stretch = 32;
 
+/// The same while admission keeps the share: room for calls that differ in
+/// length.
+constexpr double max_kept_stretch = 2;
+
 constexpr double rejection_factor = 0.7;
 constexpr double wait_factor = 0.85;
 
-/// Response times, as multiples of the usual one, up to which the window grows,
-/// and above which it shrinks.
-constexpr double near_usual = 2;
+/// Mean response times, as multiples of the usual one, up to which the window
+/// grows, and above which it shrinks.
+constexpr double near_usual = 3;
 constexpr double waits = 4;
 
 /// The weight of a shorter response time in the usual one, and the factor by
@@ -67,8 +71,9 @@
 }
 
 double scoring_window::floor() const {
+    const double most = share_kept_ ? max_kept_stretch : max_stretch;
     const double stretch =
-        usual_ms_ == 0 ? 1 : std::clamp(mean_ms_ / usual_ms_, 1.0, max_stretch);
+        usual_ms_ == 0 ? 1 : std::clamp(mean_ms_ / usual_ms_, 1.0, most);
     return std::max(min_size, kept_share * capacity_ * stretch);
 }
 
@@ -86,9 +91,9 @@
             deviation_weight * (std::abs(ms - mean_ms_) - deviation_ms_);
         mean_ms_ += mean_weight * (ms - mean_ms_);
     }
-    if (ms > waits * usual_ms_) {
+    if (mean_ms_ > waits * usual_ms_) {
         shrink(wait_factor, now);
-    } else if (ms <= near_usual * usual_ms_ && 2 * in_flight >= size()) {
+    } else if (mean_ms_ <= near_usual * usual_ms_ && 2 * in_flight >= size()) {
         size_ = std::min(std::max(floor(), capacity_),
                          size_ + (has_shrunk_ ? 1 / size_ : 1));
     }
--- a/packages/entry/src/forwarder.hpp
+++ b/packages/entry/src/forwarder.hpp
@@ -102,6 +102,10 @@
     forward_to_caller(forward_request request,
                       std::shared_ptr<transport::response_writer> response);
 
+    /// Returns true if callers and reward calls get shares of a service that is
+    /// short of room.
+    bool keeps_shares() const { return admission_ != nullptr; }
+
 private:
     node_state& state_;
     transport::upstream_client& client_;
--- a/packages/entry/src/job_owner_reports.cpp
+++ b/packages/entry/src/job_owner_reports.cpp
@@ -79,9 +79,8 @@
 
 void job_owner::log_shortage(const batch::step_shortage& shortage,
                              const char* state) {
-    const auto event = std::string("shortage_") + state;
-    state_.counters.count_event(event);
-    state_.log.write("shortage",
+    state_.counters.count_event(std::string("step_shortage_") + state);
+    state_.log.write("step_shortage",
                      {{"state", state},
                       {"service", shortage.service},
                       {"for_ms", state_.clock.now() - shortage.began_at},
--- a/packages/entry/src/reward_caller.cpp
+++ b/packages/entry/src/reward_caller.cpp
@@ -121,6 +121,7 @@
     for (const auto& status : queue_.status(state_.clock.now())) {
         queue_.set_capacity(status.service,
                             state_.samplers.slot_count(status.service));
+        queue_.set_share_kept(status.service, forwarder_.keeps_shares());
     }
     while (const auto taken = queue_.take_next(state_.clock.now())) {
         send(*taken);
