--- a/packages/ctl/src/explain.cpp
+++ b/packages/ctl/src/explain.cpp
@@ -15,8 +15,9 @@
 using nlohmann::json;
 
 /// The events that tell that a service is short of room.
-constexpr std::array<const char*, 4> shortage_events{
-    "shortage", "scoring_lag", "scaling_demand", "scaling_limit"};
+constexpr std::array<const char*, 5> shortage_events{
+    "shortage", "step_shortage", "scoring_lag", "scaling_demand",
+    "scaling_limit"};
 
 /// How long before what is explained a shortage may have begun, in ms.
 constexpr base::millis shortage_lookback_ms = 10000;
