--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -314,6 +314,7 @@
     void on_end(transport::call_outcome outcome) {
         connection_reused_ = call_ && !call_->opened_connection();
         connections_opened_ += connection_reused_ ? 0 : 1;
+        connection_refused_ = call_ && call_->was_refused();
         call_.reset();
         end_attempt();
         if (finished_) {
@@ -541,6 +542,7 @@
                           {"sent", attempts_},
                           {"connections", connections_opened_},
                           {"reused", connection_reused_},
+                          {"refused", connection_refused_},
                           {"may_have_run", may_have_executed_},
                           {"status", head_.status},
                           {"ms", state_.clock.now() - started_at_},
@@ -572,6 +574,8 @@
     int connections_opened_ = 0;
     /// Whether the last attempt reused an idle connection.
     bool connection_reused_ = false;
+    /// Whether no process accepted the connection of the last attempt.
+    bool connection_refused_ = false;
     int failed_attempts_ = 0;
     /// The usage count of the current attempt, if it was counted.
     std::optional<usage_recorder::counted_run> counted_run_;
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -89,6 +89,7 @@
         samplers::sampler_id server;
         batch::job_id job;
         int item_index = 0;
+        batch::item_id request_id;
         int event_count = 0;
         base::millis started_at = 0;
     };
--- a/packages/entry/src/job_owner_runs.cpp
+++ b/packages/entry/src/job_owner_runs.cpp
@@ -29,12 +29,14 @@
                         "run_stopped",
                         {{"job", active->second.job},
                          {"item", active->second.item_index},
+                         {"id", active->second.request_id},
                          {"server", active->second.server},
                          {"events", active->second.event_count},
                          {"status", active->second.status},
                          {"ms", state_.clock.now() - active->second.started_at},
                          {"connections",
                           active->second.call->opened_connection() ? 1 : 0},
+                         {"resent", active->second.call->was_resent()},
                          {"reason", s.reason}});
                     active->second.call->cancel();
                     active_runs_.erase(active);
@@ -51,6 +53,7 @@
     active.server = r.sampler;
     active.job = r.job;
     active.item_index = r.item_index;
+    active.request_id = r.content->id;
     active.started_at = state_.clock.now();
     transport::upstream_call_options options;
     options.connect_timeout_ms = server_connect_timeout_ms;
@@ -141,11 +144,14 @@
     state_.log.write("run_ended",
                      {{"job", active.job},
                       {"item", active.item_index},
+                      {"id", active.request_id},
                       {"server", active.server},
                       {"events", active.event_count},
                       {"status", active.status},
                       {"ms", state_.clock.now() - active.started_at},
                       {"connections", active.call->opened_connection() ? 1 : 0},
+                      {"resent", active.call->was_resent()},
+                      {"refused", active.call->was_refused()},
                       {"how", base::name_of(outcome)},
                       {"outcome", base::name_of(run_outcome)}});
     state_.counters.observe("run", state_.clock.now() - active.started_at);
--- a/packages/transport/include/hibiscus/transport/upstream.hpp
+++ b/packages/transport/include/hibiscus/transport/upstream.hpp
@@ -100,6 +100,13 @@
 
     /// Returns true if the call opened a new connection instead of reusing one.
     virtual bool opened_connection() const = 0;
+
+    /// Returns true if the request was sent a second time because the reused
+    /// connection ended without a response.
+    virtual bool was_resent() const = 0;
+
+    /// Returns true if no process accepts connections at the address.
+    virtual bool was_refused() const = 0;
 };
 
 /// Counters of a client.
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -123,6 +123,10 @@
 
     bool opened_connection() const override { return opened_connection_; }
 
+    bool was_resent() const override { return resent_; }
+
+    bool was_refused() const override { return refused_; }
+
     bool is_done() const { return done_; }
 
     void end_if_started_before(const base::endpoint& address,
@@ -185,6 +189,7 @@
             return;
         }
         if (error) {
+            refused_ = error == asio::error::connection_refused;
             finish(call_outcome::not_sent);
             return;
         }
@@ -312,6 +317,7 @@
     }
 
     void resend() {
+        resent_ = true;
         close();
         buffer_.consume(buffer_.size());
         nothing_received_ = true;
@@ -454,6 +460,8 @@
     base::millis keep_alive_ms_ = default_keep_alive_ms;
     bool is_head_request_;
     bool opened_connection_ = false;
+    bool resent_ = false;
+    bool refused_ = false;
     bool connected_ = false;
     bool request_written_ = false;
     /// Whether no part of the response has been received yet.
--- a/packages/transport/test/upstream_test.cpp
+++ b/packages/transport/test/upstream_test.cpp
@@ -100,6 +100,8 @@
     std::string body;
     int chunks = 0;
     std::optional<call_outcome> outcome;
+    bool resent = false;
+    bool refused = false;
 };
 
 class upstream_test : public testing::Test {
@@ -129,6 +131,8 @@
                                         id.empty() ? "" : "Request-Id");
         io_.restart();
         io_.run_for(std::chrono::seconds(20));
+        result->resent = call->was_resent();
+        result->refused = call->was_refused();
         return *result;
     }
 
@@ -189,12 +193,26 @@
     options.resend_if_stale = true;
     EXPECT_EQ(get(server.address(), "", options).body, "ok");
     const auto second = get(server.address(), "", options);
+    EXPECT_TRUE(second.resent);
     EXPECT_EQ(second.outcome, call_outcome::complete);
     EXPECT_EQ(second.body, "ok");
     EXPECT_EQ(server.requests(), 3);
     EXPECT_EQ(server.connections(), 2);
 }
 
+// Guards against a server that has ended and can't be told from a server that
+// can't be reached.
+TEST_F(upstream_test, a_refused_connection_is_reported) {
+    asio::ip::tcp::acceptor acceptor(
+        io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const base::endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+    acceptor.close();
+    const auto result = get(address);
+    EXPECT_EQ(result.outcome, call_outcome::not_sent);
+    EXPECT_TRUE(result.refused);
+    EXPECT_FALSE(result.resent);
+}
+
 // A new connection that ends is the server's failure.
 TEST_F(upstream_test, a_request_is_resent_once_at_most) {
     const std::string response =
