--- a/testing/entry/fake_backend_server.cpp
+++ b/testing/entry/fake_backend_server.cpp
@@ -1,5 +1,7 @@
 #include "entry/fake_backend_server.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <cstdlib>
@@ -33,11 +35,50 @@
                                          std::string id, int events,
                                          int event_interval_ms)
     : io_(io), id_(std::move(id)), events_(events),
-      event_interval_ms_(event_interval_ms),
-      server_(io, {}, [this](const auto& request, auto writer) {
-          handle(request, writer);
-      }) {
-    address_ = *server_.listen({"127.0.0.1", 0});
+      event_interval_ms_(event_interval_ms), address_{"127.0.0.1", 0} {
+    start();
+}
+
+void fake_backend_server::start() {
+    server_ = std::make_unique<transport::streaming_http_server>(
+        io_, transport::http_server_limits{},
+        [this, process = end_count_](const auto& request, auto writer) {
+            // A connection of a process that has ended.
+            if (process != end_count_) {
+                writer->abort();
+                return;
+            }
+            handle(request, writer);
+        });
+    address_ = *server_->listen(address_);
+}
+
+void fake_backend_server::end_at_request(std::string id, int restart_ms,
+                                         bool changes_id,
+                                         std::function<void()> on_restart) {
+    ending_request_ = std::move(id);
+    restart_ms_ = restart_ms;
+    changes_id_ = changes_id;
+    on_restart_ = std::move(on_restart);
+}
+
+void fake_backend_server::end() {
+    ++end_count_;
+    ++abort_count_;
+    accepted_order_count_ = 0;
+    boost::asio::post(io_, [this] { server_.reset(); });
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        io_, std::chrono::milliseconds(restart_ms_));
+    timer->async_wait([this, timer](auto error) {
+        if (error) {
+            return;
+        }
+        if (changes_id_) {
+            id_ += "'";
+        }
+        start();
+        on_restart_();
+    });
 }
 
 std::string fake_backend_server::expected_text(const std::string& id,
@@ -51,11 +92,15 @@
 
 std::string fake_backend_server::make_registration(const std::string& service,
                                                    bool is_sampler) const {
-    json registration{{"service", service}, {"address", to_string(address_)},
-                      {"zone", "z"},        {"version", "v1"},
-                      {"slots", 4},         {"state", "ready"},
-                      {"coldLeftMs", 0},    {"seq", 1},
-                      {"born", 1}};
+    json registration{{"service", service},
+                      {"address", to_string(address_)},
+                      {"zone", "z"},
+                      {"version", "v1"},
+                      {"slots", 4},
+                      {"state", "ready"},
+                      {"coldLeftMs", 0},
+                      {"seq", 1},
+                      {"born", end_count_ + 1}};
     if (is_sampler) {
         registration["models"] = {
             {{"name", "m"}, {"version", weight_version_}}};
@@ -69,12 +114,16 @@
     const auto expected = header_value(request, "Expect-Instance");
     if (!expected.empty() && expected != id_) {
         writer->send({421, {{"Instance-Id", id_}}, ""});
+    } else if (!id.empty() && id == ending_request_) {
+        end();
+        writer->abort();
     } else if (request.target == "/report") {
         writer->send(
             {200,
              {},
              json{{"seq", accepted_order_count_},
                   {"busy", false},
+                  {"born", end_count_ + 1},
                   {"models", {{{"name", "m"}, {"version", weight_version_}}}}}
                  .dump()});
     } else if (request.target == "/order") {
--- a/testing/entry/fake_backend_server.hpp
+++ b/testing/entry/fake_backend_server.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -54,6 +55,18 @@
     /// keeps their connections open.
     void stop_responding() { not_responding_ = true; }
 
+    /// Makes the process of the server end whenever it receives a request with
+    /// this id: all connections break off and its port refuses new ones. It
+    /// starts again after `restart_ms`, and then calls `on_restart`, under its
+    /// id or, with `changes_id`, under a new one.
+    void end_at_request(std::string id, int restart_ms, bool changes_id,
+                        std::function<void()> on_restart);
+
+    /// Returns how often the process of the server has ended.
+    int end_count() const { return end_count_; }
+
+    const std::string& id() const { return id_; }
+
     /// Returns the text that the server generates for a request: the data of
     /// all events, joined by newlines.
     static std::string expected_text(const std::string& id, int events);
@@ -76,6 +89,8 @@
         response_writer_ptr writer;
     };
 
+    void start();
+    void end();
     void handle(const transport::inbound_request& request,
                 const response_writer_ptr& writer);
     void respond_to_plain_request(const std::string& id,
@@ -95,7 +110,12 @@
     bool not_responding_ = false;
     std::vector<response_writer_ptr> unfinished_responses_;
     std::set<std::string> executed_ids_;
-    transport::streaming_http_server server_;
+    std::string ending_request_;
+    int restart_ms_ = 0;
+    bool changes_id_ = false;
+    std::function<void()> on_restart_;
+    int end_count_ = 0;
+    std::unique_ptr<transport::streaming_http_server> server_;
     base::endpoint address_;
 };
 
