--- /dev/null
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -0,0 +1,181 @@
+#pragma once
+
+#include "hibiscus/base/clock.hpp"
+#include "hibiscus/batch/records.hpp"
+#include "hibiscus/samplers/sampler_table.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hibiscus::batch {
+
+/// Whether a request may be sent to a server.
+enum class send_permission {
+    allowed,
+    /// Not before it is known which servers have ended, or before the losses
+    /// are stored.
+    waits,
+    /// Never again: max_server_ends servers ended while they ran it.
+    quarantined,
+};
+
+/// What is known of a server process whose connection broke off.
+enum class server_verdict { ended, alive, unknown };
+
+/// Judges a server process by its registration, `row`, which is null if there
+/// is none, `lost_ms` after its connection broke off. `renewal_ms` is the
+/// interval at which registrations are renewed.
+server_verdict judge_by_registration(const samplers::sampler_row* row,
+                                     const server_process& process,
+                                     base::millis lost_ms,
+                                     base::millis renewal_ms);
+
+/// Counts, for each request, the server processes that ended while they ran it,
+/// and quarantines a request that keeps ending servers. A request counts under
+/// its own id: over all jobs, and with the stored records over all owners.
+///
+/// A connection that broke off is a loss until it is known whether its server
+/// has ended. A request is sent while it has few losses, whatever their cause;
+/// with max_server_ends losses it waits until they are checked.
+class crash_ledger {
+public:
+    /// Number of server processes that may end under one request.
+    static constexpr int max_server_ends = 3;
+
+    /// `retention_ms` is the time after its last loss for which a request is
+    /// remembered.
+    crash_ledger(base::clock clock, base::millis retention_ms)
+        : clock_(std::move(clock)), retention_ms_(retention_ms) {}
+
+    send_permission permission(const request_key& request) const;
+
+    /// Returns the number of losses of a request, and of its sends that were
+    /// announced by on_sending() and have not ended.
+    int loss_count(const request_key& request) const;
+
+    /// Returns true if the next send of a request has to be stored before it is
+    /// made. A new owner must not miss the last server that may end.
+    bool needs_stored_send(const request_key& request) const {
+        return is_last_send(loss_count(request));
+    }
+
+    /// Returns true if a request with so many losses is quarantined after one
+    /// more.
+    static bool is_last_send(int loss_count) {
+        return loss_count >= max_server_ends - 1;
+    }
+
+    /// Called before a request is sent whose send must be stored first.
+    void on_sending(const request_key& request, const server_process& process);
+
+    /// Returns true if the store holds all losses and announced sends of a
+    /// request.
+    bool is_stored(const request_key& request) const;
+
+    /// Called when the connection to a server that had the request broke off.
+    void on_lost(const request_key& request, const server_process& process);
+
+    /// Called when a send ended otherwise.
+    void on_survived(const request_key& request, const server_process& process);
+
+    /// Called when a request needs no further send.
+    void on_finished(const request_key& request);
+
+    /// Called when a server process is known to have ended.
+    void on_ended(const server_process& process);
+
+    /// Called when a server process was found alive: its losses were broken
+    /// connections only.
+    void on_alive(const server_process& process);
+
+    /// A server process that has to be checked, and when its connection broke
+    /// off.
+    struct due_check {
+        server_process process;
+        base::millis lost_at = 0;
+    };
+
+    /// Returns the server processes of requests that wait for a check. Each is
+    /// returned once in `check_interval_ms`.
+    std::vector<due_check> take_due_checks();
+
+    /// What has to be stored of a request.
+    struct unsaved_row {
+        request_key request;
+        std::uint64_t change = 0;
+        /// The value is empty if the request is to be forgotten.
+        store::record record;
+    };
+
+    /// Returns what is not stored, at most `max_count` rows, first the requests
+    /// that wait for it.
+    std::vector<unsaved_row> unsaved_rows(std::size_t max_count) const;
+
+    /// Returns true if a request waits until its row is stored.
+    bool has_urgent_rows() const;
+
+    void on_saved(const std::vector<unsaved_row>& rows);
+
+    /// Adds the rows that former owners have stored.
+    void restore(const std::map<std::string, loss_record>& stored);
+
+    /// Forgets the requests whose last loss is long ago. Called now and then.
+    void forget_expired();
+
+    void clear() { rows_.clear(); }
+
+    /// Returns the number of requests with losses.
+    std::size_t size() const { return rows_.size(); }
+
+    static constexpr base::millis check_interval_ms = 250;
+
+private:
+    enum class loss_state { sending, suspected, ended };
+
+    struct loss {
+        server_process process;
+        loss_state state = loss_state::suspected;
+        base::millis lost_at = 0;
+    };
+
+    struct request_row {
+        std::vector<loss> losses;
+        base::millis changed_at = 0;
+        /// Numbers of the last change and of the last one in the store; 0 if
+        /// the store has none.
+        std::uint64_t change = 0;
+        std::uint64_t stored_change = 0;
+    };
+
+    static int count(const request_row& row, loss_state state);
+    static bool is_urgent(const request_row& row);
+    void set_loss(const request_key& request, const server_process& process,
+                  loss_state state);
+    void mark_changed(request_row& row);
+    static loss_record make_record(const request_key& request,
+                                   const request_row& row);
+
+    base::clock clock_;
+    base::millis retention_ms_;
+    std::map<request_key, request_row> rows_;
+    std::map<server_process, base::millis> checked_at_;
+    std::uint64_t last_change_ = 0;
+};
+
+} // namespace hibiscus::batch
+
+namespace hibiscus::base {
+
+template <>
+struct enum_names<batch::server_verdict> {
+    static constexpr std::array<enum_name<batch::server_verdict>, 3> table{{
+        {batch::server_verdict::ended, "ended"},
+        {batch::server_verdict::alive, "alive"},
+        {batch::server_verdict::unknown, "unknown"},
+    }};
+};
+
+} // namespace hibiscus::base
--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hibiscus/base/stall_detector.hpp"
+#include "hibiscus/batch/crash_ledger.hpp"
 #include "hibiscus/batch/job_table.hpp"
 #include "hibiscus/batch/run_pace.hpp"
 #include "hibiscus/batch/step_plan.hpp"
@@ -51,6 +52,9 @@
     /// Lower is more urgent.
     int priority = 0;
     base::millis deadline_ms = 0;
+    /// Whether the crash ledger's row of the request must be stored before the
+    /// item is sent.
+    bool store_first = false;
 };
 
 /// Effect: close the connection of a run.
@@ -74,15 +78,31 @@
     /// abandoned; 0 if they may not.
     base::millis target_at = 0;
     base::millis expires_at = 0;
+    /// Number of further servers that may end under the call.
+    int max_lost_servers = crash_ledger::max_server_ends;
 };
 
-using effect = std::variant<start_run, stop_run, start_reward>;
+/// Effect: report that a request is not sent again because servers ended while
+/// they ran it.
+struct report_quarantine {
+    job_id job;
+    int item_index = 0;
+    /// The id of the item's request or of its reward call.
+    std::string request_id;
+    bool is_reward = false;
+};
+
+using effect =
+    std::variant<start_run, stop_run, start_reward, report_quarantine>;
 using effects = std::vector<effect>;
 
 /// How a run ended.
 enum class run_outcome {
     complete,     ///< The stream ended normally.
-    cut,          ///< The connection broke off or fell silent.
+    cut,          ///< The connection broke off after the item was sent.
+    unusable,     ///< No connection could be opened, or the response had an
+                  ///< unexpected status.
+    not_sent,     ///< The item was not sent; says nothing about the server.
     not_run,      ///< The server rejected the item without running it.
     other_server, ///< The address belongs to another server or other weights.
     failed,       ///< The server failed the run; counts as an attempt.
@@ -102,6 +122,8 @@
     int max_failed_responses = 1;
     /// Delay before the call is repeated, in ms.
     base::millis retry_delay_ms = 0;
+    /// The servers whose connections broke off after the call was sent.
+    std::vector<server_process> lost_servers = {};
 };
 using reward_outcome = std::variant<reward_score, reward_failure>;
 
@@ -168,7 +190,8 @@
     /// The interval at which tick() must be called, in ms.
     static constexpr base::millis tick_ms = 25;
 
-    item_scheduler(base::clock clock, samplers::sampler_table& table);
+    item_scheduler(base::clock clock, samplers::sampler_table& table,
+                   crash_ledger& crashes);
 
     /// Adds a job, after a takeover with its saved progress. `items` holds all
     /// items of the job, also the committed ones. `progress` holds the saved
@@ -294,6 +317,8 @@
         running,
         reward_pending,
         reward_in_flight,
+        /// Not sent any more, since servers ended under it or its reward call.
+        quarantined,
         ready,
         committed
     };
@@ -324,6 +349,7 @@
         base::millis last_served_at = 0;
         std::string score;
         item_timeline timeline;
+
         /// True if an earlier job ended without this item. The trainer needs it
         /// whatever other items are complete.
         bool is_resubmitted = false;
@@ -353,6 +379,22 @@
         int event_count = 0;
         /// Tokens reserved for the run in its server's memory.
         std::int64_t reserved_tokens = 0;
+        base::millis server_started_ms = 0;
+        /// Number of losses of the item when the run was placed.
+        int loss_count = 0;
+        /// Whether the server has begun to respond.
+        bool has_response = false;
+    };
+
+    /// The servers by the runs that they have, while any item has losses.
+    struct server_occupancy {
+        std::map<samplers::sampler_id, int> run_counts;
+        /// Servers with an item that has losses.
+        std::set<samplers::sampler_id> suspects;
+        /// Servers that are kept for one item whose next loss may be its last.
+        std::set<samplers::sampler_id> isolated;
+
+        void add(const samplers::sampler_id& server, int loss_count);
     };
 
     struct cached_text {
@@ -390,7 +432,32 @@
     std::optional<samplers::sampler_id>
     choose_server(samplers::run_placement& placement,
                   const samplers::run_requirements& requirements,
-                  const item_row& row) const;
+                  const item_row& row, const server_occupancy& occupancy,
+                  int loss_count) const;
+    std::optional<samplers::sampler_id>
+    choose_isolated_server(samplers::run_placement& placement,
+                           const samplers::run_requirements& requirements,
+                           const item_row& row,
+                           server_occupancy& occupancy) const;
+    void keep_emptiest_server(const samplers::run_requirements& requirements,
+                              server_occupancy& occupancy) const;
+    std::optional<samplers::sampler_id>
+    choose_among(samplers::run_placement& placement,
+                 const samplers::run_requirements& requirements,
+                 const item_row& row,
+                 const std::set<samplers::sampler_id>& except) const;
+    server_occupancy find_occupancy() const;
+    bool may_send(const job_state& job, const item_row& row) const;
+    bool is_last_send(const job_state& job, const item_row& row) const;
+    static request_key request_of(const job_state& job, const item_row& row);
+    static request_key reward_of(const job_state& job, const item_row& row);
+    static server_process process_of(const run_row& run);
+    void quarantine(const job_id& id, int item_index, bool is_reward,
+                    effects& out);
+    bool has_expired(const job_state& job) const;
+    void update_state(const job_id& id, int item_index, effects& out);
+    void settle_waiting(const job_id& id, int item_index, effects& out);
+    void settle_pending_reward(const job_id& id, int item_index, effects& out);
     void move_run(run_number run, const char* reason, effects& out);
     samplers::run_requirements requirements_of(const job_state& job,
                                                const item_row& row) const;
@@ -398,7 +465,7 @@
     void requeue(item_row& row, base::millis delay);
     void request_reward_or_finish(const job_id& id, int item_index,
                                   effects& out);
-    static start_reward make_reward(const job_state& job, int item_index);
+    start_reward make_reward(const job_state& job, int item_index) const;
     bool is_score_too_late(const job_state& job, const item_row& row) const;
     bool is_unscored_text_due(const job_state& job, const item_row& row,
                               int min_events) const;
@@ -413,6 +480,7 @@
 
     base::clock clock_;
     samplers::sampler_table& table_;
+    crash_ledger& crashes_;
     std::map<job_id, job_state> jobs_;
     std::map<run_number, run_row> runs_;
     /// By workspace and item; texts are not shared between workspaces.
@@ -445,9 +513,11 @@
 
 template <>
 struct enum_names<batch::run_outcome> {
-    static constexpr std::array<enum_name<batch::run_outcome>, 6> table{{
+    static constexpr std::array<enum_name<batch::run_outcome>, 8> table{{
         {batch::run_outcome::complete, "complete"},
         {batch::run_outcome::cut, "cut"},
+        {batch::run_outcome::unusable, "unusable"},
+        {batch::run_outcome::not_sent, "not_sent"},
         {batch::run_outcome::not_run, "not_run"},
         {batch::run_outcome::other_server, "other_server"},
         {batch::run_outcome::failed, "failed"},
--- a/packages/batch/include/hibiscus/batch/job_table.hpp
+++ b/packages/batch/include/hibiscus/batch/job_table.hpp
@@ -54,6 +54,10 @@
 
     const std::optional<owner_row>& owner() const { return owner_; }
 
+    /// Returns the records of server processes that ended under a request, by
+    /// the tag of their keys.
+    const std::map<std::string, loss_record>& losses() const { return losses_; }
+
     /// Returns the number of records that were skipped because they could not
     /// be decoded.
     std::uint64_t unreadable_records() const { return unreadable_records_; }
@@ -67,6 +71,7 @@
     base::clock clock_;
     std::map<job_id, job_row> jobs_;
     std::optional<owner_row> owner_;
+    std::map<std::string, loss_record> losses_;
     std::uint64_t unreadable_records_ = 0;
 };
 
--- a/packages/batch/include/hibiscus/batch/records.hpp
+++ b/packages/batch/include/hibiscus/batch/records.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "hibiscus/batch/job.hpp"
+#include "hibiscus/samplers/sampler_table.hpp"
 #include "hibiscus/store/log_store.hpp"
 
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -43,6 +45,44 @@
     std::vector<row> rows;
 };
 
+/// Identifies a request over all jobs and owners.
+struct request_key {
+    std::string workspace;
+    std::string request_id;
+
+    bool operator<(const request_key& other) const {
+        return std::tie(workspace, request_id) <
+               std::tie(other.workspace, other.request_id);
+    }
+};
+
+/// A process of a backend server, which may start again under its id.
+struct server_process {
+    samplers::sampler_id server;
+    /// Start time in ms since the Unix epoch; 0 if not registered.
+    base::millis started_ms = 0;
+
+    bool operator==(const server_process& other) const {
+        return server == other.server && started_ms == other.started_ms;
+    }
+    bool operator<(const server_process& other) const {
+        return std::tie(server, started_ms) <
+               std::tie(other.server, other.started_ms);
+    }
+};
+
+/// The server processes that ended, or may have ended, while they ran a
+/// request.
+struct loss_record {
+    struct row {
+        server_process process;
+        /// Whether the process is known to have ended.
+        bool ended = false;
+    };
+    request_key request;
+    std::vector<row> losses;
+};
+
 /// The kinds of keys in the journal.
 struct owner_key {};
 struct header_key {
@@ -59,11 +99,18 @@
 struct end_key {
     job_id job;
 };
+/// The key of a loss_record.
+struct loss_key {
+    /// A hash of the request_key.
+    std::string tag;
+};
+loss_key make_loss_key(const request_key& request);
 /// Returns the part of keys that tells submissions of workspaces apart; empty
 /// for the empty workspace.
 std::string submitter_tag(const std::string& workspace);
 
-using journal_key = std::variant<owner_key, header_key, commit_key, end_key>;
+using journal_key =
+    std::variant<owner_key, header_key, commit_key, end_key, loss_key>;
 
 /// Converts a journal key to text and back. parse_key() returns nothing for a
 /// text that is no journal key.
@@ -89,12 +136,14 @@
 std::string encode(const owner_record& value);
 std::string encode(const job_header& value);
 std::string encode(const result_commit& value);
+std::string encode(const loss_record& value);
 std::string encode(const std::vector<item>& value);
 std::string encode(const std::vector<item_result>& value);
 std::string encode(const progress_part& value);
 std::optional<owner_record> decode_owner(const std::string& bytes);
 std::optional<job_header> decode_header(const std::string& bytes);
 std::optional<result_commit> decode_commit(const std::string& bytes);
+std::optional<loss_record> decode_losses(const std::string& bytes);
 std::optional<std::vector<item>> decode_items(const std::string& bytes);
 std::optional<std::vector<item_result>>
 decode_results(const std::string& bytes);
--- /dev/null
+++ b/packages/batch/src/crash_ledger.cpp
@@ -0,0 +1,252 @@
+#include "hibiscus/batch/crash_ledger.hpp"
+
+#include <algorithm>
+
+namespace hibiscus::batch {
+
+namespace {
+
+/// The entry of a server that has ended is removed after this number of renewal
+/// intervals. Half an interval more is left for the news of it.
+constexpr base::millis max_missed_renewals = 3;
+
+} // namespace
+
+server_verdict judge_by_registration(const samplers::sampler_row* row,
+                                     const server_process& process,
+                                     base::millis lost_ms,
+                                     base::millis renewal_ms) {
+    if (row == nullptr || row->registered.started_ms != process.started_ms) {
+        return server_verdict::ended;
+    }
+    const bool was_renewed =
+        !row->unlisted &&
+        lost_ms > max_missed_renewals * renewal_ms + renewal_ms / 2;
+    return was_renewed ? server_verdict::alive : server_verdict::unknown;
+}
+
+int crash_ledger::count(const request_row& row, loss_state state) {
+    return static_cast<int>(
+        std::count_if(row.losses.begin(), row.losses.end(),
+                      [state](const loss& l) { return l.state == state; }));
+}
+
+send_permission crash_ledger::permission(const request_key& request) const {
+    if (rows_.empty()) {
+        return send_permission::allowed;
+    }
+    const auto found = rows_.find(request);
+    if (found == rows_.end()) {
+        return send_permission::allowed;
+    }
+    const auto& row = found->second;
+    const int ended = count(row, loss_state::ended);
+    if (ended >= max_server_ends) {
+        return send_permission::quarantined;
+    }
+    const int losses = ended + count(row, loss_state::suspected);
+    const bool is_unstored = row.change != row.stored_change;
+    return losses >= max_server_ends ||
+                   (losses >= max_server_ends - 1 && is_unstored)
+               ? send_permission::waits
+               : send_permission::allowed;
+}
+
+int crash_ledger::loss_count(const request_key& request) const {
+    const auto found = rows_.find(request);
+    return found == rows_.end() ? 0
+                                : static_cast<int>(found->second.losses.size());
+}
+
+bool crash_ledger::is_stored(const request_key& request) const {
+    const auto found = rows_.find(request);
+    return found == rows_.end() ||
+           found->second.change == found->second.stored_change;
+}
+
+void crash_ledger::mark_changed(request_row& row) {
+    row.change = ++last_change_;
+    row.changed_at = clock_.now();
+}
+
+void crash_ledger::set_loss(const request_key& request,
+                            const server_process& process, loss_state state) {
+    auto& row = rows_[request];
+    const auto known =
+        std::find_if(row.losses.begin(), row.losses.end(),
+                     [&](const loss& l) { return l.process == process; });
+    if (known == row.losses.end()) {
+        row.losses.push_back({process, state, clock_.now()});
+    } else if (known->state != loss_state::ended) {
+        known->state = state;
+        known->lost_at = clock_.now();
+    }
+    mark_changed(row);
+}
+
+void crash_ledger::on_sending(const request_key& request,
+                              const server_process& process) {
+    set_loss(request, process, loss_state::sending);
+}
+
+void crash_ledger::on_lost(const request_key& request,
+                           const server_process& process) {
+    set_loss(request, process, loss_state::suspected);
+}
+
+void crash_ledger::on_survived(const request_key& request,
+                               const server_process& process) {
+    const auto found = rows_.find(request);
+    if (found == rows_.end()) {
+        return;
+    }
+    auto& losses = found->second.losses;
+    const auto sent =
+        std::find_if(losses.begin(), losses.end(), [&](const loss& l) {
+            return l.process == process && l.state == loss_state::sending;
+        });
+    if (sent != losses.end()) {
+        losses.erase(sent);
+        mark_changed(found->second);
+    }
+}
+
+void crash_ledger::on_finished(const request_key& request) {
+    const auto found = rows_.find(request);
+    if (found != rows_.end()) {
+        found->second.losses.clear();
+        mark_changed(found->second);
+    }
+}
+
+void crash_ledger::on_ended(const server_process& process) {
+    for (auto& [request, row] : rows_) {
+        for (auto& l : row.losses) {
+            if (l.process == process && l.state == loss_state::suspected) {
+                l.state = loss_state::ended;
+                mark_changed(row);
+            }
+        }
+    }
+}
+
+void crash_ledger::on_alive(const server_process& process) {
+    for (auto& [request, row] : rows_) {
+        const auto end = std::remove_if(
+            row.losses.begin(), row.losses.end(), [&](const loss& l) {
+                return l.process == process && l.state == loss_state::suspected;
+            });
+        if (end != row.losses.end()) {
+            row.losses.erase(end, row.losses.end());
+            mark_changed(row);
+        }
+    }
+}
+
+std::vector<crash_ledger::due_check> crash_ledger::take_due_checks() {
+    const auto now = clock_.now();
+    std::vector<due_check> due;
+    std::map<server_process, base::millis> checked_at;
+    for (const auto& [request, row] : rows_) {
+        if (row.losses.size() < max_server_ends) {
+            continue;
+        }
+        for (const auto& l : row.losses) {
+            if (l.state != loss_state::suspected) {
+                continue;
+            }
+            const auto before = checked_at_.find(l.process);
+            const bool is_due = before == checked_at_.end() ||
+                                now - before->second >= check_interval_ms;
+            if (checked_at.emplace(l.process, is_due ? now : before->second)
+                    .second &&
+                is_due) {
+                due.push_back({l.process, l.lost_at});
+            }
+        }
+    }
+    checked_at_ = std::move(checked_at);
+    return due;
+}
+
+/// Returns true if the request of an unsaved row waits until it is stored.
+bool crash_ledger::is_urgent(const request_row& row) {
+    return row.change != row.stored_change &&
+           row.losses.size() >= max_server_ends - 1;
+}
+
+bool crash_ledger::has_urgent_rows() const {
+    return std::any_of(rows_.begin(), rows_.end(),
+                       [](const auto& row) { return is_urgent(row.second); });
+}
+
+loss_record crash_ledger::make_record(const request_key& request,
+                                      const request_row& row) {
+    loss_record record{request, {}};
+    for (const auto& l : row.losses) {
+        record.losses.push_back({l.process, l.state == loss_state::ended});
+    }
+    return record;
+}
+
+std::vector<crash_ledger::unsaved_row>
+crash_ledger::unsaved_rows(std::size_t max_count) const {
+    std::vector<unsaved_row> unsaved;
+    for (const bool urgent : {true, false}) {
+        for (const auto& [request, row] : rows_) {
+            if (unsaved.size() >= max_count) {
+                return unsaved;
+            }
+            if (row.change == row.stored_change || is_urgent(row) != urgent) {
+                continue;
+            }
+            unsaved.push_back(
+                {request,
+                 row.change,
+                 {format_key(make_loss_key(request)),
+                  row.losses.empty() ? std::string()
+                                     : encode(make_record(request, row))}});
+        }
+    }
+    return unsaved;
+}
+
+void crash_ledger::on_saved(const std::vector<unsaved_row>& rows) {
+    for (const auto& saved : rows) {
+        const auto found = rows_.find(saved.request);
+        if (found == rows_.end()) {
+            continue;
+        }
+        auto& row = found->second;
+        row.stored_change = saved.change;
+        if (row.losses.empty() && row.change == row.stored_change) {
+            rows_.erase(found);
+        }
+    }
+}
+
+void crash_ledger::restore(const std::map<std::string, loss_record>& stored) {
+    for (const auto& [tag, record] : stored) {
+        auto& row = rows_[record.request];
+        row = {};
+        for (const auto& l : record.losses) {
+            row.losses.push_back(
+                {l.process, l.ended ? loss_state::ended : loss_state::suspected,
+                 clock_.now()});
+        }
+        mark_changed(row);
+        row.stored_change = row.change;
+    }
+}
+
+void crash_ledger::forget_expired() {
+    const auto now = clock_.now();
+    for (auto& [request, row] : rows_) {
+        if (!row.losses.empty() && now - row.changed_at > retention_ms_) {
+            row.losses.clear();
+            mark_changed(row);
+        }
+    }
+}
+
+} // namespace hibiscus::batch
--- a/packages/batch/src/item_scheduler.cpp
+++ b/packages/batch/src/item_scheduler.cpp
@@ -41,8 +41,9 @@
 } // namespace
 
 item_scheduler::item_scheduler(base::clock clock,
-                               samplers::sampler_table& table)
-    : clock_(std::move(clock)), table_(table),
+                               samplers::sampler_table& table,
+                               crash_ledger& crashes)
+    : clock_(std::move(clock)), table_(table), crashes_(crashes),
       stall_detector_(tick_ms, late_tick_threshold_ms) {
     stall_detector_.start(clock_.now());
 }
@@ -207,6 +208,10 @@
     }
     table_.on_request_ended(found->second.sampler,
                             found->second.reserved_tokens);
+    if (const auto* row = find_item(found->second)) {
+        crashes_.on_survived(request_of(jobs_.at(found->second.job), *row),
+                             process_of(found->second));
+    }
     out.push_back(stop_run{run, reason});
     runs_.erase(found);
 }
@@ -241,25 +246,72 @@
         move_runs(out);
         place_items(out);
     }
-    const auto now = clock_.now();
-    for (auto& [id, job] : jobs_) {
+    for (const auto& [id, job] : jobs_) {
         for (std::size_t n = 0; n < job.items.size(); ++n) {
-            auto& row = job.items[n];
-            if (row.state == item_state::reward_pending &&
-                now >= row.not_before) {
-                request_reward_or_finish(id, static_cast<int>(n), out);
-            }
-            if (row.state == item_state::waiting &&
-                job.options.item_expiry_ms > 0 &&
-                now - job.first_seen_at > job.options.item_expiry_ms) {
-                row.outcome = item_outcome::errored;
-                row.state = item_state::ready;
-            }
+            update_state(id, static_cast<int>(n), out);
         }
     }
     return out;
 }
 
+void item_scheduler::update_state(const job_id& id, int item_index,
+                                  effects& out) {
+    auto& job = jobs_.at(id);
+    auto& row = job.items[static_cast<std::size_t>(item_index)];
+    if (row.state == item_state::reward_pending) {
+        settle_pending_reward(id, item_index, out);
+    } else if (row.state == item_state::waiting) {
+        settle_waiting(id, item_index, out);
+    } else if (row.state == item_state::quarantined && has_expired(job)) {
+        row.outcome = item_outcome::errored;
+        row.state = item_state::ready;
+    }
+}
+
+bool item_scheduler::has_expired(const job_state& job) const {
+    return job.options.item_expiry_ms > 0 &&
+           clock_.now() - job.first_seen_at > job.options.item_expiry_ms;
+}
+
+void item_scheduler::settle_waiting(const job_id& id, int item_index,
+                                    effects& out) {
+    auto& job = jobs_.at(id);
+    auto& row = job.items[static_cast<std::size_t>(item_index)];
+    if (has_expired(job)) {
+        row.outcome = item_outcome::errored;
+        row.state = item_state::ready;
+    } else if (crashes_.size() > 0 &&
+               crashes_.permission(request_of(job, row)) ==
+                   send_permission::quarantined) {
+        quarantine(id, item_index, false, out);
+    }
+}
+
+request_key item_scheduler::request_of(const job_state& job,
+                                       const item_row& row) {
+    return {job.header.workspace, row.content.id.str()};
+}
+
+request_key item_scheduler::reward_of(const job_state& job,
+                                      const item_row& row) {
+    return {job.header.workspace, row.content.reward->id};
+}
+
+server_process item_scheduler::process_of(const run_row& run) {
+    return {run.sampler, run.server_started_ms};
+}
+
+/// Ends the sends of an item or its reward call. The item is errored only once
+/// it expires: chance may have ended the servers under it.
+void item_scheduler::quarantine(const job_id& id, int item_index,
+                                bool is_reward, effects& out) {
+    auto& row = jobs_.at(id).items[static_cast<std::size_t>(item_index)];
+    row.state = item_state::quarantined;
+    out.push_back(report_quarantine{
+        id, item_index,
+        is_reward ? row.content.reward->id : row.content.id.str(), is_reward});
+}
+
 effects item_scheduler::on_response_started(run_number run,
                                             weight_version version) {
     effects out;
@@ -268,6 +320,7 @@
         return out;
     }
     found->second.version = version;
+    found->second.has_response = true;
     found->second.last_activity_at = clock_.now();
     auto* item = find_item(found->second);
     item->last_served_at = clock_.now();
@@ -335,15 +388,28 @@
     table_.on_request_ended(ended_run.sampler, ended_run.reserved_tokens);
     auto& row = *find_item(ended_run);
     const auto& options = jobs_.at(ended_run.job).options;
+    const auto request = request_of(jobs_.at(ended_run.job), row);
+    if (outcome == run_outcome::cut) {
+        crashes_.on_lost(request, process_of(ended_run));
+    } else {
+        crashes_.on_survived(request, process_of(ended_run));
+    }
     switch (outcome) {
     case run_outcome::complete:
         measure_text(ended_run);
-        request_reward_or_finish(ended_run.job, ended_run.item_index, out);
+        crashes_.on_finished(request);
+        row.state = item_state::reward_pending;
+        row.not_before = clock_.now();
+        settle_pending_reward(ended_run.job, ended_run.item_index, out);
         break;
     case run_outcome::cut:
+    case run_outcome::unusable:
         table_.on_failure(ended_run.sampler);
         requeue(row, retry_delay_ms);
         break;
+    case run_outcome::not_sent:
+        requeue(row, retry_delay_ms);
+        break;
     case run_outcome::not_run:
         table_.block(ended_run.sampler, rejection_block_ms);
         requeue(row, 0);
--- a/packages/batch/src/item_scheduler_moves.cpp
+++ b/packages/batch/src/item_scheduler_moves.cpp
@@ -92,7 +92,14 @@
     }
     for (const auto run : silent) {
         ++counts_.silent_runs;
-        table_.on_failure(runs_.at(run).sampler);
+        const auto& row = runs_.at(run);
+        const auto* item = find_item(row);
+        // Without a response, the server may have ended before the send.
+        if (item != nullptr && row.has_response) {
+            crashes_.on_lost(request_of(jobs_.at(row.job), *item),
+                             process_of(row));
+        }
+        table_.on_failure(row.sampler);
         move_run(run, "silent", out);
     }
 }
--- a/packages/batch/src/item_scheduler_placement.cpp
+++ b/packages/batch/src/item_scheduler_placement.cpp
@@ -44,6 +44,9 @@
 /// The number of these slots is a multiple of this, so that it seldom changes.
 constexpr std::size_t run_slots_unit = 512;
 
+/// How long an item waits for a server of its own, in ms: most runs end sooner.
+constexpr base::millis max_isolation_wait_ms = 2000;
+
 /// How long a peak of open items is remembered, in ms: a few steps.
 constexpr base::millis max_peak_age_ms = 60000;
 
@@ -59,6 +62,7 @@
 
 void item_scheduler::place_items(effects& out) {
     struct candidate {
+        bool shares_servers;
         group_rank rank;
         base::millis target_at;
         bool is_new;
@@ -74,7 +78,7 @@
         for (std::size_t n = 0; n < job.items.size(); ++n) {
             const auto& row = job.items[n];
             if (row.state == item_state::waiting && now >= row.not_before &&
-                !is_score_too_late(job, row)) {
+                !is_score_too_late(job, row) && may_send(job, row)) {
                 const auto rank = rank_of(id, job, n);
                 const auto lead_ms =
                     rank == in_time_rank
@@ -87,33 +91,53 @@
                     lead_ms;
                 const auto negated_length =
                     longest_first ? -row.content.expected_output_tokens : 0;
-                queue.push_back({rank, target_at, !row.is_resubmitted,
-                                 negated_length, &id, static_cast<int>(n)});
+                queue.push_back({!is_last_send(job, row), rank, target_at,
+                                 !row.is_resubmitted, negated_length, &id,
+                                 static_cast<int>(n)});
             }
         }
     }
     std::sort(queue.begin(), queue.end(), [](const auto& a, const auto& b) {
-        return std::tie(a.rank, a.target_at, a.is_new, a.negated_length,
-                        a.item_index) < std::tie(b.rank, b.target_at, b.is_new,
-                                                 b.negated_length,
-                                                 b.item_index);
+        return std::tie(a.shares_servers, a.rank, a.target_at, a.is_new,
+                        a.negated_length, a.item_index) <
+               std::tie(b.shares_servers, b.rank, b.target_at, b.is_new,
+                        b.negated_length, b.item_index);
     });
     samplers::run_placement placement(table_, now);
+    auto occupancy = find_occupancy();
     for (const auto& c : queue) {
         auto& job = jobs_.at(*c.job);
         auto& row = job.items[static_cast<std::size_t>(c.item_index)];
         const auto requirements = requirements_of(job, row);
-        const auto server = choose_server(placement, requirements, row);
+        const auto request = request_of(job, row);
+        const int loss_count = crashes_.loss_count(request);
+        const auto server = crash_ledger::is_last_send(loss_count)
+                                ? choose_isolated_server(
+                                      placement, requirements, row, occupancy)
+                                : choose_server(placement, requirements, row,
+                                                occupancy, loss_count);
         if (!server) {
             // Other jobs may accept older weights, so later candidates may
             // still fit.
             continue;
         }
         const auto run = ++last_run_number_;
-        runs_[run] = {*c.job,  c.item_index,
-                      *server, now,
-                      now,     0,
-                      0,       requirements.expected_tokens};
+        const auto& added =
+            runs_[run] = {*c.job,
+                          c.item_index,
+                          *server,
+                          now,
+                          now,
+                          0,
+                          0,
+                          requirements.expected_tokens,
+                          table_.find(*server)->registered.started_ms,
+                          loss_count};
+        occupancy.add(*server, loss_count);
+        const bool store_first = crashes_.needs_stored_send(request);
+        if (store_first) {
+            crashes_.on_sending(request, process_of(added));
+        }
         table_.on_request_started(*server, requirements.expected_tokens);
         placement.update_server(*server);
         row.state = item_state::running;
@@ -131,29 +155,136 @@
             run, *server, *c.job, c.item_index, job.header.host,
             job.header.workspace, job.header.model, &row.content,
             row.output.last_event, priority_of(job, row),
-            std::max<base::millis>(
-                1000, job.first_seen_at + job.options.item_expiry_ms - now)});
+            std::max<base::millis>(1000, job.first_seen_at +
+                                             job.options.item_expiry_ms - now),
+            store_first});
+    }
+}
+
+void item_scheduler::server_occupancy::add(const samplers::sampler_id& server,
+                                           int loss_count) {
+    ++run_counts[server];
+    if (loss_count > 0) {
+        suspects.insert(server);
+    }
+    if (crash_ledger::is_last_send(loss_count)) {
+        isolated.insert(server);
     }
 }
 
-/// Returns the best server for an item, or nothing. A server at which the item
-/// has failed is used only if no other one is free, and then only after
-/// avoid_failed_servers_until or if no other one could run the item. Otherwise
-/// a server that fails every run, and so frees its slots at once, would be
-/// chosen again and again.
-std::optional<samplers::sampler_id>
-item_scheduler::choose_server(samplers::run_placement& placement,
-                              const samplers::run_requirements& requirements,
-                              const item_row& row) const {
+item_scheduler::server_occupancy item_scheduler::find_occupancy() const {
+    server_occupancy occupancy;
+    if (crashes_.size() > 0) {
+        for (const auto& [number, run] : runs_) {
+            occupancy.add(run.sampler, run.loss_count);
+        }
+    }
+    return occupancy;
+}
+
+bool item_scheduler::may_send(const job_state& job, const item_row& row) const {
+    return crashes_.size() == 0 || crashes_.permission(request_of(job, row)) ==
+                                       send_permission::allowed;
+}
+
+/// Returns true if the item is quarantined after one more loss.
+bool item_scheduler::is_last_send(const job_state& job,
+                                  const item_row& row) const {
+    return crashes_.size() > 0 &&
+           crashes_.needs_stored_send(request_of(job, row));
+}
+
+/// Returns the best server for an item, or nothing. Isolated servers are used
+/// only if there are no others, and items with losses are kept apart while
+/// there is room.
+std::optional<samplers::sampler_id> item_scheduler::choose_server(
+    samplers::run_placement& placement,
+    const samplers::run_requirements& requirements, const item_row& row,
+    const server_occupancy& occupancy, int loss_count) const {
+    std::set<samplers::sampler_id> isolated;
+    if (!occupancy.isolated.empty() &&
+        placement.has_server(requirements, occupancy.isolated)) {
+        isolated = occupancy.isolated;
+    }
+    if (loss_count > 0 && !occupancy.suspects.empty()) {
+        auto apart = isolated;
+        apart.insert(occupancy.suspects.begin(), occupancy.suspects.end());
+        if (auto server = choose_among(placement, requirements, row, apart)) {
+            return server;
+        }
+    }
+    return choose_among(placement, requirements, row, isolated);
+}
+
+/// Returns the best server for an item that is not in `except`, or nothing. A
+/// server at which the item has failed is used only if no other one is free,
+/// and then only after avoid_failed_servers_until or if no other one could run
+/// the item. Otherwise a server that fails every run, and so frees its slots at
+/// once, would be chosen again and again.
+std::optional<samplers::sampler_id> item_scheduler::choose_among(
+    samplers::run_placement& placement,
+    const samplers::run_requirements& requirements, const item_row& row,
+    const std::set<samplers::sampler_id>& except) const {
     if (row.failed_servers.empty()) {
-        return placement.find_best(requirements);
+        return placement.find_best(requirements, except);
     }
-    auto preferred = placement.find_best(requirements, row.failed_servers);
+    auto others = except;
+    others.insert(row.failed_servers.begin(), row.failed_servers.end());
+    auto preferred = placement.find_best(requirements, others);
     const bool should_wait =
         clock_.now() < row.avoid_failed_servers_until &&
         placement.has_server(requirements, row.failed_servers);
     return preferred || should_wait ? preferred
-                                    : placement.find_best(requirements);
+                                    : placement.find_best(requirements, except);
+}
+
+/// Returns a server without other runs for an item whose next loss may be its
+/// last, so that no other item shares that loss. If there is none, keeps one
+/// free for it; after a while, another one has to do.
+std::optional<samplers::sampler_id> item_scheduler::choose_isolated_server(
+    samplers::run_placement& placement,
+    const samplers::run_requirements& requirements, const item_row& row,
+    server_occupancy& occupancy) const {
+    std::set<samplers::sampler_id> occupied;
+    for (const auto& [server, count] : occupancy.run_counts) {
+        occupied.insert(server);
+    }
+    if (auto server = choose_among(placement, requirements, row, occupied)) {
+        return server;
+    }
+    if (clock_.now() - row.last_served_at > max_isolation_wait_ms) {
+        return choose_server(placement, requirements, row, occupancy,
+                             crash_ledger::max_server_ends);
+    }
+    keep_emptiest_server(requirements, occupancy);
+    return std::nullopt;
+}
+
+/// Isolates the server with the fewest runs, unless half of the servers are.
+void item_scheduler::keep_emptiest_server(
+    const samplers::run_requirements& requirements,
+    server_occupancy& occupancy) const {
+    const auto& servers = table_.run_candidates(requirements.service);
+    const samplers::sampler_id* emptiest = nullptr;
+    int fewest_runs = 0;
+    std::size_t isolated_count = 0;
+    for (const auto* entry : servers) {
+        const auto& [id, row] = *entry;
+        const auto found = occupancy.run_counts.find(id);
+        const int runs =
+            found == occupancy.run_counts.end() ? 0 : found->second;
+        if (occupancy.isolated.count(id) != 0) {
+            ++isolated_count;
+        } else if (row.version_of(requirements.model) >=
+                       requirements.min_version &&
+                   (emptiest == nullptr || runs < fewest_runs)) {
+            emptiest = &id;
+            fewest_runs = runs;
+        }
+    }
+    if (emptiest != nullptr && 2 * (isolated_count + 1) <= servers.size()) {
+        occupancy.isolated.insert(*emptiest);
+    }
 }
 
 int item_scheduler::priority_of(const job_state& job,
--- a/packages/batch/src/item_scheduler_scoring.cpp
+++ b/packages/batch/src/item_scheduler_scoring.cpp
@@ -41,6 +41,25 @@
     }
 }
 
+/// Makes the reward call of a finished text again unless servers ended under
+/// it.
+void item_scheduler::settle_pending_reward(const job_id& id, int item_index,
+                                           effects& out) {
+    const auto& job = jobs_.at(id);
+    const auto& row = job.items[static_cast<std::size_t>(item_index)];
+    if (clock_.now() < row.not_before) {
+        return;
+    }
+    const auto permission = row.content.reward
+                                ? crashes_.permission(reward_of(job, row))
+                                : send_permission::allowed;
+    if (permission == send_permission::quarantined) {
+        quarantine(id, item_index, true, out);
+    } else if (permission == send_permission::allowed) {
+        request_reward_or_finish(id, item_index, out);
+    }
+}
+
 effects item_scheduler::on_reward_ended(const job_id& id, int item_index,
                                         const reward_outcome& outcome) {
     const auto job = jobs_.find(id);
@@ -51,33 +70,38 @@
     if (row.state != item_state::reward_in_flight) {
         return {};
     }
-    std::visit(base::overloaded{
-                   [&](const reward_score& success) {
-                       row.score = success.score;
-                       row.state = item_state::ready;
-                       row.timeline.ready_ms =
-                           clock_.now() - job->second.first_seen_at;
-                   },
-                   [&](const reward_failure& failure) {
-                       // Only failed responses count: rejected or lost calls
-                       // say nothing about the text.
-                       row.reward_failures += failure.failed_responses;
-                       if (row.reward_failures >=
-                           failure.max_failed_responses) {
-                           row.outcome = item_outcome::errored;
-                           row.state = item_state::ready;
-                           row.timeline.ready_ms =
-                               clock_.now() - job->second.first_seen_at;
-                           return;
-                       }
-                       row.state = item_state::reward_pending;
-                       row.not_before = clock_.now() + failure.retry_delay_ms;
-                   }},
-               outcome);
+    std::visit(
+        base::overloaded{
+            [&](const reward_score& success) {
+                crashes_.on_finished(reward_of(job->second, row));
+                row.score = success.score;
+                row.state = item_state::ready;
+                row.timeline.ready_ms =
+                    clock_.now() - job->second.first_seen_at;
+            },
+            [&](const reward_failure& failure) {
+                // Only failed responses count: rejected or lost calls
+                // say nothing about the text.
+                row.reward_failures += failure.failed_responses;
+                for (const auto& process : failure.lost_servers) {
+                    crashes_.on_lost(reward_of(job->second, row), process);
+                }
+                if (row.reward_failures >= failure.max_failed_responses) {
+                    row.outcome = item_outcome::errored;
+                    row.state = item_state::ready;
+                    row.timeline.ready_ms =
+                        clock_.now() - job->second.first_seen_at;
+                    return;
+                }
+                row.state = item_state::reward_pending;
+                row.not_before = clock_.now() + failure.retry_delay_ms;
+            }},
+        outcome);
     return {};
 }
 
-start_reward item_scheduler::make_reward(const job_state& job, int item_index) {
+start_reward item_scheduler::make_reward(const job_state& job,
+                                         int item_index) const {
     const auto& row = job.items[static_cast<std::size_t>(item_index)];
     start_reward reward;
     reward.job = job.header.id;
@@ -98,6 +122,9 @@
     reward.expires_at = job.options.item_expiry_ms > 0
                             ? job.first_seen_at + job.options.item_expiry_ms
                             : 0;
+    reward.max_lost_servers =
+        std::max(1, crash_ledger::max_server_ends -
+                        crashes_.loss_count(reward_of(job, row)));
     return reward;
 }
 
--- a/packages/batch/src/item_scheduler_texts.cpp
+++ b/packages/batch/src/item_scheduler_texts.cpp
@@ -64,8 +64,10 @@
     }
     const auto incomplete = incomplete_groups(job);
     for (const auto& row : job.items) {
+        const bool is_partial = row.state == item_state::quarantined &&
+                                row.timeline.text_complete_ms < 0;
         const bool complete = row.state != item_state::running &&
-                              row.state != item_state::waiting;
+                              row.state != item_state::waiting && !is_partial;
         if (row.output.event_count == 0 ||
             incomplete.count(row.content.group) == 0 ||
             row.outcome == item_outcome::errored) {
--- a/packages/batch/src/job_table.cpp
+++ b/packages/batch/src/job_table.cpp
@@ -10,6 +10,7 @@
     return std::visit(
         base::overloaded{
             [](const owner_key&) -> std::optional<job_id> { return {}; },
+            [](const loss_key&) -> std::optional<job_id> { return {}; },
             [](const auto& k) -> std::optional<job_id> { return k.job; }},
         key);
 }
@@ -95,13 +96,21 @@
                 }
                 row.commits[k.position] = std::move(*commit);
             },
-            [&](const end_key& k) { find_or_add(k.job).has_ended = true; }},
+            [&](const end_key& k) { find_or_add(k.job).has_ended = true; },
+            [&](const loss_key& k) {
+                if (auto record = decode_losses(value)) {
+                    losses_[k.tag] = std::move(*record);
+                } else {
+                    ++unreadable_records_;
+                }
+            }},
         key);
 }
 
 void job_table::apply_erasure(const journal_key& key) {
     std::visit(base::overloaded{
                    [&](const owner_key&) { owner_.reset(); },
+                   [&](const loss_key& k) { losses_.erase(k.tag); },
                    [&](const header_key& k) {
                        const auto row = jobs_.find(k.job);
                        if (row == jobs_.end()) {
--- a/packages/batch/src/records.cpp
+++ b/packages/batch/src/records.cpp
@@ -117,6 +117,7 @@
 }
 
 const std::string owner_key_text = "!owner";
+const std::string loss_key_prefix = "!losses/";
 
 } // namespace
 
@@ -131,7 +132,8 @@
             [](const commit_key& k) {
                 return k.job.str() + "/l/" + zero_padded(k.position);
             },
-            [](const end_key& k) { return k.job.str() + "/x"; }},
+            [](const end_key& k) { return k.job.str() + "/x"; },
+            [](const loss_key& k) { return loss_key_prefix + k.tag; }},
         key);
 }
 
@@ -139,6 +141,9 @@
     if (text == owner_key_text) {
         return owner_key{};
     }
+    if (text.compare(0, loss_key_prefix.size(), loss_key_prefix) == 0) {
+        return loss_key{text.substr(loss_key_prefix.size())};
+    }
     const auto parts = split(text);
     if (parts.size() < 2 || parts[0].empty()) {
         return std::nullopt;
@@ -162,6 +167,15 @@
     return std::nullopt;
 }
 
+loss_key make_loss_key(const request_key& request) {
+    char tag[17];
+    std::snprintf(
+        tag, sizeof tag, "%016llx",
+        static_cast<unsigned long long>(base::stable_hash(
+            request.request_id, base::stable_hash(request.workspace))));
+    return {tag};
+}
+
 std::string job_prefix(const job_id& job) {
     return job.str() + separator;
 }
@@ -321,6 +335,32 @@
     });
 }
 
+std::string encode(const loss_record& value) {
+    json losses = json::array();
+    for (const auto& l : value.losses) {
+        losses.push_back(
+            {l.process.server.str(), l.process.started_ms, l.ended});
+    }
+    return base::encode_cbor({{"workspace", value.request.workspace},
+                              {"id", value.request.request_id},
+                              {"losses", std::move(losses)}});
+}
+
+std::optional<loss_record> decode_losses(const std::string& bytes) {
+    return from_cbor<loss_record>(bytes, [](const json& in) {
+        loss_record record;
+        record.request = {in.at("workspace").get<std::string>(),
+                          in.at("id").get<std::string>()};
+        for (const auto& l : in.at("losses")) {
+            record.losses.push_back(
+                {{samplers::sampler_id(l.at(0).get<std::string>()),
+                  l.at(1).get<base::millis>()},
+                 l.at(2).get<bool>()});
+        }
+        return record;
+    });
+}
+
 std::string encode(const std::vector<item_result>& value) {
     json out = json::array();
     for (const auto& r : value) {
--- /dev/null
+++ b/packages/batch/test/crash_ledger_test.cpp
@@ -0,0 +1,163 @@
+#include "hibiscus/batch/crash_ledger.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hibiscus::batch {
+
+namespace {
+
+constexpr base::millis retention_ms = 60000;
+constexpr base::millis renewal_ms = 1200;
+
+class crash_ledger_test : public testing::Test {
+protected:
+    static server_process process(const std::string& id,
+                                  base::millis started_ms = 1) {
+        return {samplers::sampler_id(id), started_ms};
+    }
+
+    void lose(int count) {
+        for (int n = 0; n < count; ++n) {
+            ledger_.on_lost(request_, process("s" + std::to_string(n)));
+        }
+    }
+
+    void store_all() { ledger_.on_saved(ledger_.unsaved_rows(ledger_.size())); }
+
+    /// Passes the rows in the store on to a new owner's ledger.
+    static std::map<std::string, loss_record>
+    read(const std::vector<crash_ledger::unsaved_row>& rows) {
+        std::map<std::string, loss_record> stored;
+        for (const auto& row : rows) {
+            if (const auto record = decode_losses(row.record.value)) {
+                stored[row.record.key] = *record;
+            }
+        }
+        return stored;
+    }
+
+    std::shared_ptr<base::manual_time> time_ =
+        std::make_shared<base::manual_time>();
+    base::clock clock_{time_};
+    crash_ledger ledger_{clock_, retention_ms};
+    const request_key request_{"w", "r"};
+    const request_key other_{"w", "other"};
+};
+
+TEST_F(crash_ledger_test, a_request_is_quarantined_after_three_ends) {
+    lose(3);
+    store_all();
+    EXPECT_EQ(ledger_.permission(request_), send_permission::waits);
+    for (const auto& check : ledger_.take_due_checks()) {
+        ledger_.on_ended(check.process);
+    }
+    EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
+    EXPECT_EQ(ledger_.permission(other_), send_permission::allowed);
+}
+
+// Guards against broken connections that count as ended servers.
+TEST_F(crash_ledger_test, losses_at_living_servers_do_not_count) {
+    lose(3);
+    for (const auto& check : ledger_.take_due_checks()) {
+        ledger_.on_alive(check.process);
+    }
+    EXPECT_EQ(ledger_.loss_count(request_), 0);
+    EXPECT_EQ(ledger_.permission(request_), send_permission::allowed);
+}
+
+TEST_F(crash_ledger_test, one_process_counts_once) {
+    ledger_.on_lost(request_, process("s", 1));
+    ledger_.on_lost(request_, process("s", 1));
+    EXPECT_EQ(ledger_.loss_count(request_), 1);
+    ledger_.on_lost(request_, process("s", 2));
+    EXPECT_EQ(ledger_.loss_count(request_), 2);
+}
+
+// Guards against a third server that ends before the store has the first two.
+TEST_F(crash_ledger_test, the_last_send_waits_for_the_store) {
+    lose(2);
+    EXPECT_EQ(ledger_.permission(request_), send_permission::waits);
+    store_all();
+    EXPECT_EQ(ledger_.permission(request_), send_permission::allowed);
+    EXPECT_TRUE(ledger_.needs_stored_send(request_));
+    ledger_.on_sending(request_, process("last"));
+    EXPECT_FALSE(ledger_.is_stored(request_));
+    store_all();
+    EXPECT_TRUE(ledger_.is_stored(request_));
+}
+
+// Guards against an owner that is killed while the last server ends.
+TEST_F(crash_ledger_test, a_new_owner_checks_the_announced_send) {
+    lose(2);
+    store_all();
+    ledger_.on_sending(request_, process("last"));
+    crash_ledger next(clock_, retention_ms);
+    next.restore(read(ledger_.unsaved_rows(1)));
+    EXPECT_EQ(next.permission(request_), send_permission::waits);
+    for (const auto& check : next.take_due_checks()) {
+        next.on_ended(check.process);
+    }
+    EXPECT_EQ(next.permission(request_), send_permission::quarantined);
+}
+
+TEST_F(crash_ledger_test, a_send_that_survived_is_taken_back) {
+    lose(2);
+    ledger_.on_sending(request_, process("last"));
+    ledger_.on_survived(request_, process("last"));
+    EXPECT_EQ(ledger_.loss_count(request_), 2);
+}
+
+// Guards against losses that are lost with a change during their append.
+TEST_F(crash_ledger_test, a_change_during_an_append_is_not_stored) {
+    lose(1);
+    const auto appended = ledger_.unsaved_rows(1);
+    lose(2);
+    ledger_.on_saved(appended);
+    EXPECT_FALSE(ledger_.is_stored(request_));
+}
+
+TEST_F(crash_ledger_test, a_finished_request_is_erased_from_the_store) {
+    lose(1);
+    store_all();
+    ledger_.on_finished(request_);
+    const auto rows = ledger_.unsaved_rows(1);
+    ASSERT_EQ(rows.size(), 1U);
+    EXPECT_EQ(rows.front().record.value, "");
+    ledger_.on_saved(rows);
+    EXPECT_EQ(ledger_.size(), 0U);
+}
+
+TEST_F(crash_ledger_test, old_losses_are_forgotten) {
+    lose(3);
+    time_->advance(retention_ms + 1);
+    ledger_.forget_expired();
+    EXPECT_EQ(ledger_.permission(request_), send_permission::allowed);
+}
+
+TEST_F(crash_ledger_test, a_process_is_checked_once_in_an_interval) {
+    lose(3);
+    EXPECT_EQ(ledger_.take_due_checks().size(), 3U);
+    EXPECT_TRUE(ledger_.take_due_checks().empty());
+    time_->advance(crash_ledger::check_interval_ms);
+    EXPECT_EQ(ledger_.take_due_checks().size(), 3U);
+}
+
+TEST_F(crash_ledger_test, a_registration_tells_whether_a_process_has_ended) {
+    samplers::sampler_row row;
+    row.registered.started_ms = 1;
+    const auto judge = [&](const samplers::sampler_row* r,
+                           base::millis lost_ms) {
+        return judge_by_registration(r, process("s", 1), lost_ms, renewal_ms);
+    };
+    EXPECT_EQ(judge(nullptr, 0), server_verdict::ended);
+    EXPECT_EQ(judge(&row, 3 * renewal_ms), server_verdict::unknown);
+    EXPECT_EQ(judge(&row, 4 * renewal_ms), server_verdict::alive);
+    row.unlisted = true;
+    EXPECT_EQ(judge(&row, 4 * renewal_ms), server_verdict::unknown);
+    row.registered.started_ms = 2;
+    EXPECT_EQ(judge(&row, 0), server_verdict::ended);
+}
+
+} // namespace
+
+} // namespace hibiscus::batch
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -100,6 +100,13 @@
             fail(true);
             return;
         }
+        if (static_cast<int>(lost_servers_.size()) >=
+            request_.max_lost_servers) {
+            log_attempt("quarantined");
+            state_.counters.count_event("request_quarantined");
+            fail(false);
+            return;
+        }
         const auto server = attempts_ < request_.max_attempts
                                 ? samplers::choose_plain_server(
                                       state_.samplers, request_.service,
@@ -188,6 +195,7 @@
         event_assembler_.discard_partial_event();
         forwarding_stream_ = false;
         const auto* row = state_.samplers.find(server);
+        server_started_ms_ = row->registered.started_ms;
         auto upstream_request = request_.http_request;
         if (!last_event_id_.empty()) {
             adapter::set_resume_position(upstream_request, last_event_id_);
@@ -320,6 +328,7 @@
         if (finished_) {
             return;
         }
+        note_lost_server(outcome);
         const bool is_complete =
             outcome == transport::call_outcome::complete ||
             outcome == transport::call_outcome::closed_without_length;
@@ -334,6 +343,21 @@
         on_response();
     }
 
+    /// Notes that the server may have ended while it had the request. The end
+    /// of an idle connection shows that only if the server then takes no new
+    /// one.
+    void note_lost_server(transport::call_outcome outcome) {
+        const bool is_lost = outcome == transport::call_outcome::broken ||
+                             outcome == transport::call_outcome::idle_timeout ||
+                             (outcome == transport::call_outcome::not_sent &&
+                              connection_went_stale_);
+        connection_went_stale_ =
+            outcome == transport::call_outcome::stale_connection;
+        if (is_lost) {
+            lost_servers_.push_back({server_, server_started_ms_});
+        }
+    }
+
     /// Counts the attempt as a request of its workspace that began to run.
     void count_usage() {
         if (usage_ != nullptr) {
@@ -469,7 +493,7 @@
         }
         count_attempt("answered");
         finish(forwarded_response{head_, std::move(body_), parsed.signature,
-                                  failed_attempts_});
+                                  failed_attempts_, lost_servers_});
     }
 
     void fail(bool timed_out, base::millis retry_after_ms = 0) {
@@ -479,7 +503,8 @@
                                                    state_.clock.now());
         }
         finish(forward_failure{may_have_executed_, timed_out, failed_attempts_,
-                               may_have_executed_ ? 0 : retry_after_ms});
+                               may_have_executed_ ? 0 : retry_after_ms,
+                               lost_servers_});
     }
 
     void finish(forward_result result) {
@@ -534,20 +559,21 @@
     }
 
     void log(const char* event, const std::string& outcome) {
-        state_.log.write(event,
-                         {{"kind", request_.kind},
-                          {"id", request_.id},
-                          {"service", request_.service},
-                          {"server", server_},
-                          {"sent", attempts_},
-                          {"connections", connections_opened_},
-                          {"reused", connection_reused_},
-                          {"refused", connection_refused_},
-                          {"may_have_run", may_have_executed_},
-                          {"status", head_.status},
-                          {"ms", state_.clock.now() - started_at_},
-                          {"left_ms", request_.deadline - state_.clock.now()},
-                          {"outcome", outcome}});
+        state_.log.write(
+            event, {{"kind", request_.kind},
+                    {"id", request_.id},
+                    {"service", request_.service},
+                    {"server", server_},
+                    {"sent", attempts_},
+                    {"connections", connections_opened_},
+                    {"reused", connection_reused_},
+                    {"refused", connection_refused_},
+                    {"lost_servers", static_cast<int>(lost_servers_.size())},
+                    {"may_have_run", may_have_executed_},
+                    {"status", head_.status},
+                    {"ms", state_.clock.now() - started_at_},
+                    {"left_ms", request_.deadline - state_.clock.now()},
+                    {"outcome", outcome}});
     }
 
     node_state& state_;
@@ -565,6 +591,11 @@
     std::shared_ptr<transport::upstream_call> call_;
     std::set<samplers::sampler_id> tried_;
     samplers::sampler_id server_;
+    base::millis server_started_ms_ = 0;
+    /// The servers whose connections broke off after the request was sent.
+    std::vector<batch::server_process> lost_servers_;
+    /// Whether the last attempt used an idle connection that had ended.
+    bool connection_went_stale_ = false;
     transport::response_head head_;
     std::string body_;
     base::millis started_at_;
--- a/packages/entry/src/forwarder.hpp
+++ b/packages/entry/src/forwarder.hpp
@@ -4,12 +4,15 @@
 #include "node_state.hpp"
 #include "usage_recorder.hpp"
 
+#include "hibiscus/batch/crash_ledger.hpp"
 #include "hibiscus/transport/streaming_http_server.hpp"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <set>
 #include <variant>
+#include <vector>
 
 namespace hibiscus::entry {
 
@@ -36,6 +39,9 @@
     bool resumable = false;
     /// Whether a response with a 5xx status is retried at another server.
     bool retry_server_errors = false;
+    /// Number of servers whose connections may break off after the request was
+    /// sent; then no other server is tried, since the request may end them.
+    int max_lost_servers = std::numeric_limits<int>::max();
     /// Deadline for the response, by the clock of the node.
     base::millis deadline = 0;
     /// Target latency of the response, in ms.
@@ -54,6 +60,8 @@
     std::string signature;
     /// Number of servers that responded with status 500, including this one.
     int failed_attempts = 0;
+    /// The servers whose connections broke off before.
+    std::vector<batch::server_process> lost_servers;
 };
 
 /// No server gave a usable response.
@@ -67,6 +75,8 @@
     /// Time after which the request is expected to be admitted, in ms; 0 if
     /// unknown. Set only if no server may have executed the request.
     base::millis retry_after_ms = 0;
+    /// The servers whose connections broke off after the request was sent.
+    std::vector<batch::server_process> lost_servers = {};
 };
 
 using forward_result = std::variant<forwarded_response, forward_failure>;
--- a/packages/entry/src/job_owner.cpp
+++ b/packages/entry/src/job_owner.cpp
@@ -44,7 +44,9 @@
                      store::run_after_function run_after)
     : state_(state), log_store_(log_store), store_router_(router),
       journal_(journal), job_store_(stored_jobs), client_(client),
-      run_after_(std::move(run_after)), scheduler_(state.clock, state.samplers),
+      run_after_(std::move(run_after)),
+      crashes_(state.clock, state.settings.result_retention_ms),
+      scheduler_(state.clock, state.samplers, crashes_),
       reward_caller_(
           state, request_forwarder,
           [this](const auto& job, int item_index, const auto& outcome) {
@@ -155,11 +157,14 @@
             (may_order_now ? 0 : state_.settings.order_lease_ms);
         rollout_.reset();
         state_.samplers.clear_all_loading();
+        crashes_.restore(state_.jobs.losses());
         load_open_jobs();
         return;
     }
     apply_effects(scheduler_.remove_all_jobs());
     reward_caller_.drop_all("owner_changed");
+    crashes_.clear();
+    delayed_runs_.clear();
     progress_keys_.clear();
     loading_jobs_.clear();
 }
@@ -362,7 +367,9 @@
         load_open_jobs();
         update_job_services();
         scheduler_.set_scoring_delays(reward_caller_.job_delays());
+        check_lost_servers();
         apply_effects(scheduler_.tick(may_start_items()));
+        store_losses_if_due();
         reward_caller_.report(scheduler_.withheld_count());
         order_weight_loads();
         renew_if_overdue();
@@ -393,14 +400,12 @@
     case batch::handover_action::wait:
         break;
     case batch::handover_action::release:
-        append_to_journal({make_owner_record(
-                              state_.jobs.owner()->record.fencing_token, true)},
-                          [this](bool done) {
-                              if (!done) {
-                                  handover_.on_record_rejected();
-                              }
-                              advance_handover();
-                          });
+        append_to_journal(make_release_records(), [this](bool done) {
+            if (!done) {
+                handover_.on_record_rejected();
+            }
+            advance_handover();
+        });
         break;
     case batch::handover_action::end:
         finish_handover();
@@ -408,6 +413,17 @@
     }
 }
 
+/// Returns the release of the lease, with the losses that are not stored yet.
+std::vector<store::record> job_owner::make_release_records() {
+    std::vector<store::record> records;
+    for (const auto& row : crashes_.unsaved_rows(crashes_.size())) {
+        records.push_back(row.record);
+    }
+    records.push_back(
+        make_owner_record(state_.jobs.owner()->record.fencing_token, true));
+    return records;
+}
+
 void job_owner::finish_handover() {
     // This process stops acting as the owner even if the release was not
     // recorded in the journal.
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -7,6 +7,7 @@
 
 #include "hibiscus/base/suspend_aware_age.hpp"
 #include "hibiscus/batch/commit_plan.hpp"
+#include "hibiscus/batch/crash_ledger.hpp"
 #include "hibiscus/batch/handover.hpp"
 #include "hibiscus/batch/item_scheduler.hpp"
 #include "hibiscus/batch/owner_lease.hpp"
@@ -80,6 +81,11 @@
                          std::function<void(bool)> done);
 
 private:
+    /// A run whose crash ledger row is not stored yet.
+    struct delayed_run {
+        batch::start_run run;
+        batch::request_key request;
+    };
     struct active_run {
         std::shared_ptr<transport::upstream_call> call;
         transport::event_stream_parser parser;
@@ -87,6 +93,8 @@
         bool not_run = false;
         bool misdirected = false;
         samplers::sampler_id server;
+        /// When the server started, in ms since the Unix epoch.
+        base::millis server_started_ms = 0;
         batch::job_id job;
         int item_index = 0;
         batch::item_id request_id;
@@ -97,6 +105,7 @@
     /// The response of a server. The status is 0 if there was none.
     struct server_response {
         int status = 0;
+        bool refused = false;
         std::string body;
         transport::call_outcome outcome = transport::call_outcome::not_sent;
     };
@@ -120,6 +129,21 @@
                             const batch::job_header& header);
     void apply_effects(const batch::effects& effects);
     void start_run(const batch::start_run& r);
+    void send_run(const batch::start_run& r);
+    void send_delayed_runs();
+    void log_stopped_run(const active_run& active, const char* reason);
+    void log_quarantine(const batch::report_quarantine& report);
+    void note_ended_server(const active_run& active,
+                           batch::run_outcome outcome);
+    void check_lost_servers();
+    void check_lost_server(const batch::crash_ledger::due_check& check);
+    void settle_check(const batch::crash_ledger::due_check& check,
+                      batch::server_verdict verdict, const char* evidence);
+    void request_start_time(const batch::crash_ledger::due_check& check);
+    void on_start_time(const batch::crash_ledger::due_check& check,
+                       const server_response& response);
+    void store_losses_if_due();
+    void append_losses();
     void on_run_ended(batch::run_number run_id,
                       transport::call_outcome outcome);
     void schedule_placement();
@@ -141,6 +165,7 @@
     void log_handover();
     void advance_handover();
     void finish_handover();
+    std::vector<store::record> make_release_records();
     void erase_next_expired_job();
     void on_erase_finished(const batch::job_id& id, bool erased);
     void erase_progress(const batch::job_id& id);
@@ -170,6 +195,7 @@
     const job_store& job_store_;
     transport::upstream_client& client_;
     store::run_after_function run_after_;
+    batch::crash_ledger crashes_;
     batch::item_scheduler scheduler_;
     reward_caller reward_caller_;
     samplers::weight_rollout rollout_;
@@ -177,6 +203,8 @@
     batch::owner_lease lease_;
     std::set<batch::job_id> loading_jobs_;
     std::map<batch::run_number, active_run> active_runs_;
+    std::vector<delayed_run> delayed_runs_;
+    base::millis last_loss_append_at_ = 0;
     std::int64_t renewals_ = 0;
     std::uint64_t last_texts_record_number_ = 0;
     base::node_id previous_owner_;
--- /dev/null
+++ b/packages/entry/src/job_owner_crashes.cpp
@@ -0,0 +1,167 @@
+#include "hibiscus/base/result.hpp"
+#include "job_owner.hpp"
+#include "platform/sampler_calls.hpp"
+
+#include <algorithm>
+
+/// Servers of job_owner that may have ended while they ran a request: checks
+/// them, and stores what is known of them.
+namespace hibiscus::entry {
+
+namespace {
+
+/// Minimum time between two appends of losses that no request waits for, in ms,
+/// and the maximum number of them in one append. Every node reads them.
+constexpr base::millis loss_append_interval_ms = 250;
+constexpr std::size_t max_losses_per_append = 16;
+
+/// Maximum time for which a run waits until its losses are stored, in ms. It
+/// must not look silent.
+constexpr base::millis max_run_delay_ms = 500;
+
+} // namespace
+
+void job_owner::log_quarantine(const batch::report_quarantine& report) {
+    state_.counters.count_event("request_quarantined");
+    state_.log.write("request_quarantined",
+                     {{"job", report.job},
+                      {"item", report.item_index},
+                      {"id", report.request_id},
+                      {"kind", report.is_reward ? "reward" : "item"},
+                      {"servers", batch::crash_ledger::max_server_ends}});
+}
+
+/// Notes what the end of a run says of its server: an address that refuses
+/// connections or belongs to another server shows that the process has ended.
+void job_owner::note_ended_server(const active_run& active,
+                                  batch::run_outcome outcome) {
+    const bool was_refused = active.call && active.call->was_refused();
+    if (was_refused || outcome == batch::run_outcome::other_server) {
+        crashes_.on_ended({active.server, active.server_started_ms});
+    }
+}
+
+void job_owner::check_lost_servers() {
+    crashes_.forget_expired();
+    for (const auto& check : crashes_.take_due_checks()) {
+        check_lost_server(check);
+    }
+}
+
+void job_owner::check_lost_server(const batch::crash_ledger::due_check& check) {
+    const auto lost_ms = state_.clock.now() - check.lost_at;
+    const auto verdict = batch::judge_by_registration(
+        state_.samplers.find(check.process.server), check.process, lost_ms,
+        state_.settings.server_renewal_ms);
+    if (verdict == batch::server_verdict::unknown) {
+        request_start_time(check);
+        return;
+    }
+    settle_check(check, verdict, "registration");
+}
+
+void job_owner::settle_check(const batch::crash_ledger::due_check& check,
+                             batch::server_verdict verdict,
+                             const char* evidence) {
+    if (verdict == batch::server_verdict::ended) {
+        crashes_.on_ended(check.process);
+    } else if (verdict == batch::server_verdict::alive) {
+        crashes_.on_alive(check.process);
+    }
+    state_.log.write("server_checked",
+                     {{"server", check.process.server},
+                      {"evidence", evidence},
+                      {"age_ms", state_.clock.now() - check.lost_at},
+                      {"outcome", base::name_of(verdict)}});
+}
+
+/// Asks a model server when its process has started. Other servers report
+/// nothing of the kind; for them, the registration has to tell.
+void job_owner::request_start_time(
+    const batch::crash_ledger::due_check& check) {
+    const auto* row = state_.samplers.find(check.process.server);
+    if (row->registered.versions.empty()) {
+        return;
+    }
+    auto request = adapter::make_report_request();
+    adapter::set_expected_server(request, check.process.server);
+    call_server(check.process.server, std::move(request),
+                [this, check](const server_response& response) {
+                    on_start_time(check, response);
+                });
+}
+
+void job_owner::on_start_time(const batch::crash_ledger::due_check& check,
+                              const server_response& response) {
+    const auto report = response.status == 200
+                            ? adapter::parse_report(response.body)
+                            : std::nullopt;
+    const bool is_other_process =
+        response.status == adapter::misdirected_status ||
+        (report && report->started_ms != 0 &&
+         report->started_ms != check.process.started_ms);
+    auto verdict = batch::server_verdict::unknown;
+    if (response.refused || is_other_process) {
+        verdict = batch::server_verdict::ended;
+    } else if (report) {
+        verdict = batch::server_verdict::alive;
+    }
+    settle_check(check, verdict, "report");
+}
+
+/// Stores the losses that a request waits for at once, others now and then.
+/// Sends the runs that waited for it.
+void job_owner::store_losses_if_due() {
+    const auto now = state_.clock.now();
+    const bool is_due = crashes_.has_urgent_rows() ||
+                        now - last_loss_append_at_ >= loss_append_interval_ms;
+    if (is_due && !appending_ && fencing_token()) {
+        append_losses();
+    }
+    send_delayed_runs();
+}
+
+void job_owner::append_losses() {
+    auto rows = crashes_.unsaved_rows(max_losses_per_append);
+    if (rows.empty()) {
+        return;
+    }
+    last_loss_append_at_ = state_.clock.now();
+    std::vector<store::record> records;
+    records.reserve(rows.size() + 1);
+    for (const auto& row : rows) {
+        records.push_back(row.record);
+    }
+    append_as_owner(std::move(records),
+                    [this, rows = std::move(rows)](bool done) {
+                        if (done) {
+                            crashes_.on_saved(rows);
+                        }
+                        send_delayed_runs();
+                    });
+}
+
+/// Sends the runs whose losses the store has. Gives up those that can't be sent
+/// soon; their items are placed again once the store has them.
+void job_owner::send_delayed_runs() {
+    const auto now = state_.clock.now();
+    const bool may_start = may_start_items();
+    const auto waiting = std::exchange(delayed_runs_, {});
+    for (const auto& delayed : waiting) {
+        const auto active = active_runs_.find(delayed.run.run);
+        if (active == active_runs_.end()) {
+            continue;
+        }
+        const bool is_stored = crashes_.is_stored(delayed.request);
+        if (is_stored && may_start) {
+            send_run(delayed.run);
+        } else if (is_stored ||
+                   now - active->second.started_at > max_run_delay_ms) {
+            on_run_ended(delayed.run.run, transport::call_outcome::not_sent);
+        } else {
+            delayed_runs_.push_back(delayed);
+        }
+    }
+}
+
+} // namespace hibiscus::entry
--- a/packages/entry/src/job_owner_orders.cpp
+++ b/packages/entry/src/job_owner_orders.cpp
@@ -137,17 +137,19 @@
     events.on_data = [response](std::string_view data) {
         response->body += data;
     };
-    events.on_end = [response,
+    auto call = std::make_shared<std::shared_ptr<transport::upstream_call>>();
+    events.on_end = [response, call,
                      done = std::move(done)](transport::call_outcome outcome) {
         response->outcome = outcome;
+        response->refused = *call && (*call)->was_refused();
         if (outcome != transport::call_outcome::complete &&
             outcome != transport::call_outcome::closed_without_length) {
             response->status = 0;
         }
         done(*response);
     };
-    client_.start(row->registered.address, std::move(request), options,
-                  std::move(events));
+    *call = client_.start(row->registered.address, std::move(request), options,
+                          std::move(events));
 }
 
 } // namespace hibiscus::entry
--- a/packages/entry/src/job_owner_runs.cpp
+++ b/packages/entry/src/job_owner_runs.cpp
@@ -25,36 +25,57 @@
                     if (active == active_runs_.end()) {
                         return;
                     }
-                    state_.log.write(
-                        "run_stopped",
-                        {{"job", active->second.job},
-                         {"item", active->second.item_index},
-                         {"id", active->second.request_id},
-                         {"server", active->second.server},
-                         {"events", active->second.event_count},
-                         {"status", active->second.status},
-                         {"ms", state_.clock.now() - active->second.started_at},
-                         {"connections",
-                          active->second.call->opened_connection() ? 1 : 0},
-                         {"resent", active->second.call->was_resent()},
-                         {"reason", s.reason}});
-                    active->second.call->cancel();
+                    log_stopped_run(active->second, s.reason);
+                    if (active->second.call) {
+                        active->second.call->cancel();
+                    }
                     active_runs_.erase(active);
                 },
-                [&](const batch::start_reward& r) { reward_caller_.add(r); }},
+                [&](const batch::start_reward& r) { reward_caller_.add(r); },
+                [&](const batch::report_quarantine& r) { log_quarantine(r); }},
             e);
     }
     reward_caller_.start_calls();
 }
 
+void job_owner::log_stopped_run(const active_run& active, const char* reason) {
+    const auto* call = active.call.get();
+    state_.log.write(
+        "run_stopped",
+        {{"job", active.job},
+         {"item", active.item_index},
+         {"id", active.request_id},
+         {"server", active.server},
+         {"events", active.event_count},
+         {"status", active.status},
+         {"ms", state_.clock.now() - active.started_at},
+         {"connections", call != nullptr && call->opened_connection() ? 1 : 0},
+         {"resent", call != nullptr && call->was_resent()},
+         {"reason", reason}});
+}
+
 void job_owner::start_run(const batch::start_run& r) {
     const auto* row = state_.samplers.find(r.sampler);
     auto& active = active_runs_[r.run];
     active.server = r.sampler;
+    active.server_started_ms = row->registered.started_ms;
     active.job = r.job;
     active.item_index = r.item_index;
     active.request_id = r.content->id;
     active.started_at = state_.clock.now();
+    if (r.store_first) {
+        delayed_runs_.push_back({r, {r.workspace, r.content->id.str()}});
+    } else {
+        send_run(r);
+    }
+}
+
+void job_owner::send_run(const batch::start_run& r) {
+    const auto* row = state_.samplers.find(r.sampler);
+    if (row == nullptr) {
+        on_run_ended(r.run, transport::call_outcome::not_sent);
+        return;
+    }
     transport::upstream_call_options options;
     options.connect_timeout_ms = server_connect_timeout_ms;
     // The end of an idle connection says nothing about the server.
@@ -101,7 +122,7 @@
                       {"version", row->version_of(r.model)},
                       {"after_event", r.resume_after_event},
                       {"expected_tokens", r.content->expected_output_tokens}});
-    active.call =
+    active_runs_.at(r.run).call =
         client_.start(row->registered.address, adapter::make_run_request(r),
                       options, std::move(events), adapter::request_id_header);
 }
@@ -112,8 +133,14 @@
     // A body without a length may have been cut off between two events when its
     // connection closed. Resuming after the last event shows whether it was
     // complete.
+    if (!active.call) {
+        return batch::run_outcome::not_sent;
+    }
     if (outcome != transport::call_outcome::complete) {
-        return batch::run_outcome::cut;
+        const bool was_sent = outcome != transport::call_outcome::not_sent ||
+                              active.call->was_resent();
+        return was_sent ? batch::run_outcome::cut
+                        : batch::run_outcome::unusable;
     }
     if (active.status == 200) {
         return batch::run_outcome::complete;
@@ -130,7 +157,7 @@
     if (active.status == 500) {
         return batch::run_outcome::failed;
     }
-    return batch::run_outcome::cut;
+    return batch::run_outcome::unusable;
 }
 
 void job_owner::on_run_ended(batch::run_number run_id,
@@ -141,24 +168,28 @@
     }
     const auto run_outcome = classify_run_end(found->second, outcome);
     const auto& active = found->second;
-    state_.log.write("run_ended",
-                     {{"job", active.job},
-                      {"item", active.item_index},
-                      {"id", active.request_id},
-                      {"server", active.server},
-                      {"events", active.event_count},
-                      {"status", active.status},
-                      {"ms", state_.clock.now() - active.started_at},
-                      {"connections", active.call->opened_connection() ? 1 : 0},
-                      {"resent", active.call->was_resent()},
-                      {"refused", active.call->was_refused()},
-                      {"how", base::name_of(outcome)},
-                      {"outcome", base::name_of(run_outcome)}});
+    const auto* call = active.call.get();
+    state_.log.write(
+        "run_ended",
+        {{"job", active.job},
+         {"item", active.item_index},
+         {"id", active.request_id},
+         {"server", active.server},
+         {"events", active.event_count},
+         {"status", active.status},
+         {"ms", state_.clock.now() - active.started_at},
+         {"connections", call != nullptr && call->opened_connection() ? 1 : 0},
+         {"resent", call != nullptr && call->was_resent()},
+         {"refused", call != nullptr && call->was_refused()},
+         {"how", base::name_of(outcome)},
+         {"outcome", base::name_of(run_outcome)}});
     state_.counters.observe("run", state_.clock.now() - active.started_at);
     state_.counters.count_response("run",
                                    std::string(base::name_of(run_outcome)), "");
-    active_runs_.erase(found);
+    const auto ended = active_runs_.extract(found);
     apply_effects(scheduler_.on_run_ended(run_id, run_outcome));
+    note_ended_server(ended.mapped(), run_outcome);
+    store_losses_if_due();
     schedule_placement();
     commit_results();
 }
--- a/packages/entry/src/reward_caller.cpp
+++ b/packages/entry/src/reward_caller.cpp
@@ -46,6 +46,10 @@
     return failure == nullptr ? 0 : failure->retry_after_ms;
 }
 
+std::vector<batch::server_process> lost_servers(const forward_result& result) {
+    return std::visit([](const auto& r) { return r.lost_servers; }, result);
+}
+
 int failed_attempts(const forward_result& result) {
     return std::visit([](const auto& r) { return r.failed_attempts; }, result);
 }
@@ -76,8 +80,8 @@
     call.group_items = reward.group_items;
     call.is_resubmitted = reward.is_resubmitted;
     call.target_at = reward.target_at;
-    queued_[{reward.job, reward.item_index}] = {*reward.call,
-                                                reward.expires_at};
+    queued_[{reward.job, reward.item_index}] = {*reward.call, reward.expires_at,
+                                                reward.max_lost_servers};
     queue_.set_target(call.service, route->latency_target_ms);
     queue_.add(std::move(call), state_.clock.now());
 }
@@ -157,6 +161,7 @@
     request.max_attempts = route->max_attempts;
     request.retryable = true;
     request.retry_server_errors = true;
+    request.max_lost_servers = reward.max_lost_servers;
     request.deadline = now + std::max(min_time_limit_ms, time_limit);
     request.latency_target_ms = route->latency_target_ms;
     request.priority = priority_of(call.job, *route);
@@ -187,7 +192,7 @@
     } else {
         on_done_(call.job, call.item_index,
                  batch::reward_failure{failed_attempts(result), max_attempts,
-                                       delay});
+                                       delay, lost_servers(result)});
     }
 }
 
--- a/packages/entry/src/reward_caller.hpp
+++ b/packages/entry/src/reward_caller.hpp
@@ -52,6 +52,7 @@
     struct queued_reward {
         batch::reward_call call;
         base::millis expires_at = 0;
+        int max_lost_servers = batch::crash_ledger::max_server_ends;
     };
 
     int priority_of(const batch::job_id& id,
