entry: a plain request ends three servers at most

A plain request may be sent to as many servers as its route's attempts say (4 and more on the users' routes), and a server that ended under it counted only as one of them.

The forwarder counts the servers whose connections broke off after the request was sent, also those whose kept connection ended and that then refuse a new one. After three no other server is tried; the caller gets 502, since it has run.

Evidence: entry_crash_test.a_plain_request_ends_three_servers_at_most with five attempts: 5 ends before, 3 now. entry_test: 36 passed, entry_crash_test: 7.

--- a/packages/entry/src/forwarder.hpp
+++ b/packages/entry/src/forwarder.hpp
@@ -8,7 +8,6 @@
 #include "hibiscus/transport/streaming_http_server.hpp"
 
 #include <functional>
-#include <limits>
 #include <memory>
 #include <set>
 #include <variant>
@@ -41,7 +40,7 @@
     bool retry_server_errors = false;
     /// Number of servers whose connections may break off after the request was
     /// sent; then no other server is tried, since the request may end them.
-    int max_lost_servers = std::numeric_limits<int>::max();
+    int max_lost_servers = batch::crash_ledger::max_server_ends;
     /// Deadline for the response, by the clock of the node.
     base::millis deadline = 0;
     /// Target latency of the response, in ms.
--- a/testing/entry/entry_crash_test.cpp
+++ b/testing/entry/entry_crash_test.cpp
@@ -193,6 +193,19 @@
     EXPECT_EQ(server_ends(), max_server_ends);
 }
 
+// Guards against a plain request that is sent to all servers that its route
+// allows while each of them ends.
+TEST_F(entry_crash_test, a_plain_request_ends_three_servers_at_most) {
+    add_plain_servers("p1");
+    end_servers_at("p1");
+    start_nodes();
+    EXPECT_EQ(call("n1", "POST", "/look/x",
+                   {{"Request-Id", "p1"}, {"Deadline-Ms", "2000"}})
+                  .status,
+              502);
+    EXPECT_EQ(server_ends(), max_server_ends);
+}
+
 // Guards against servers whose broken connections count as ended processes.
 TEST_F(entry_crash_test, broken_connections_do_not_end_an_item) {
     start_nodes();
