--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -78,8 +78,9 @@
     /// abandoned; 0 if they may not.
     base::millis target_at = 0;
     base::millis expires_at = 0;
-    /// Number of further servers that may end under the call.
-    int max_lost_servers = crash_ledger::max_server_ends;
+    /// Number of servers whose connections may break off before the call ends
+    /// without a score.
+    int max_lost_servers = 1;
 };
 
 /// Effect: report that a request is not sent again because servers ended while
--- /dev/null
+++ b/packages/batch/src/item_scheduler_isolation.cpp
@@ -0,0 +1,143 @@
+#include "hibiscus/batch/item_scheduler.hpp"
+
+/// Keeps items under which servers have ended apart from the others.
+namespace hibiscus::batch {
+
+namespace {
+
+/// How long an item waits for a server of its own, in ms: most runs end sooner.
+constexpr base::millis max_isolation_wait_ms = 2000;
+
+/// At most this part of a service's servers is isolated.
+constexpr std::size_t isolated_servers_divisor = 2;
+
+} // namespace
+
+void item_scheduler::server_occupancy::add(const samplers::sampler_id& server,
+                                           int loss_count) {
+    ++run_counts[server];
+    if (loss_count > 0) {
+        suspects.insert(server);
+    }
+    if (crash_ledger::is_last_send(loss_count)) {
+        isolated.insert(server);
+    }
+}
+
+item_scheduler::server_occupancy item_scheduler::find_occupancy() const {
+    server_occupancy occupancy;
+    if (crashes_.size() > 0) {
+        for (const auto& [number, run] : runs_) {
+            occupancy.add(run.sampler, run.loss_count);
+        }
+    }
+    return occupancy;
+}
+
+bool item_scheduler::may_send(const job_state& job, const item_row& row) const {
+    return crashes_.size() == 0 || crashes_.permission(request_of(job, row)) ==
+                                       send_permission::allowed;
+}
+
+/// Returns true if the item is quarantined after one more loss.
+bool item_scheduler::is_last_send(const job_state& job,
+                                  const item_row& row) const {
+    return crashes_.size() > 0 &&
+           crashes_.needs_stored_send(request_of(job, row));
+}
+
+/// Returns the best server for an item, or nothing. Isolated servers are used
+/// only if there are no others, and items with losses are kept apart while
+/// there is room.
+std::optional<samplers::sampler_id> item_scheduler::choose_server(
+    samplers::run_placement& placement,
+    const samplers::run_requirements& requirements, const item_row& row,
+    const server_occupancy& occupancy, int loss_count) const {
+    std::set<samplers::sampler_id> isolated;
+    if (!occupancy.isolated.empty() &&
+        placement.has_server(requirements, occupancy.isolated)) {
+        isolated = occupancy.isolated;
+    }
+    if (loss_count > 0 && !occupancy.suspects.empty()) {
+        auto apart = isolated;
+        apart.insert(occupancy.suspects.begin(), occupancy.suspects.end());
+        if (auto server = choose_among(placement, requirements, row, apart)) {
+            return server;
+        }
+    }
+    return choose_among(placement, requirements, row, isolated);
+}
+
+/// Returns the best server for an item that is not in `except`, or nothing. A
+/// server at which the item has failed is used only if no other one is free,
+/// and then only after avoid_failed_servers_until or if no other one could run
+/// the item. Otherwise a server that fails every run, and so frees its slots at
+/// once, would be chosen again and again.
+std::optional<samplers::sampler_id> item_scheduler::choose_among(
+    samplers::run_placement& placement,
+    const samplers::run_requirements& requirements, const item_row& row,
+    const std::set<samplers::sampler_id>& except) const {
+    if (row.failed_servers.empty()) {
+        return placement.find_best(requirements, except);
+    }
+    auto others = except;
+    others.insert(row.failed_servers.begin(), row.failed_servers.end());
+    auto preferred = placement.find_best(requirements, others);
+    const bool should_wait =
+        clock_.now() < row.avoid_failed_servers_until &&
+        placement.has_server(requirements, row.failed_servers);
+    return preferred || should_wait ? preferred
+                                    : placement.find_best(requirements, except);
+}
+
+/// Returns a server without other runs for an item whose next loss may be its
+/// last, so that no other item shares that loss. If there is none, keeps one
+/// free for it; after a while, another one has to do.
+std::optional<samplers::sampler_id> item_scheduler::choose_isolated_server(
+    samplers::run_placement& placement,
+    const samplers::run_requirements& requirements, const item_row& row,
+    server_occupancy& occupancy) const {
+    std::set<samplers::sampler_id> occupied;
+    for (const auto& [server, count] : occupancy.run_counts) {
+        occupied.insert(server);
+    }
+    if (auto server = choose_among(placement, requirements, row, occupied)) {
+        return server;
+    }
+    if (clock_.now() - row.last_served_at > max_isolation_wait_ms) {
+        return choose_server(placement, requirements, row, occupancy,
+                             crash_ledger::max_server_ends);
+    }
+    keep_emptiest_server(requirements, occupancy);
+    return std::nullopt;
+}
+
+/// Isolates the server with the fewest runs, unless enough are isolated.
+void item_scheduler::keep_emptiest_server(
+    const samplers::run_requirements& requirements,
+    server_occupancy& occupancy) const {
+    const auto& servers = table_.run_candidates(requirements.service);
+    const samplers::sampler_id* emptiest = nullptr;
+    int fewest_runs = 0;
+    std::size_t isolated_count = 0;
+    for (const auto* entry : servers) {
+        const auto& [id, row] = *entry;
+        const auto found = occupancy.run_counts.find(id);
+        const int runs =
+            found == occupancy.run_counts.end() ? 0 : found->second;
+        if (occupancy.isolated.count(id) != 0) {
+            ++isolated_count;
+        } else if (row.version_of(requirements.model) >=
+                       requirements.min_version &&
+                   (emptiest == nullptr || runs < fewest_runs)) {
+            emptiest = &id;
+            fewest_runs = runs;
+        }
+    }
+    if (emptiest != nullptr &&
+        isolated_servers_divisor * (isolated_count + 1) <= servers.size()) {
+        occupancy.isolated.insert(*emptiest);
+    }
+}
+
+} // namespace hibiscus::batch
--- a/packages/batch/src/item_scheduler_scoring.cpp
+++ b/packages/batch/src/item_scheduler_scoring.cpp
@@ -122,8 +122,9 @@
     reward.expires_at = job.options.item_expiry_ms > 0
                             ? job.first_seen_at + job.options.item_expiry_ms
                             : 0;
+    // The losses before the last send are stored first.
     reward.max_lost_servers =
-        std::max(1, crash_ledger::max_server_ends -
+        std::max(1, crash_ledger::max_server_ends - 1 -
                         crashes_.loss_count(reward_of(job, row)));
     return reward;
 }
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "hibiscus/base/result.hpp"
 #include "hibiscus/samplers/plain_placement.hpp"
 #include "hibiscus/transport/event_stream.hpp"
+#include "lost_servers.hpp"
 #include "platform/client_api.hpp"
 #include "platform/sampler_calls.hpp"
 
@@ -100,8 +101,7 @@
             fail(true);
             return;
         }
-        if (static_cast<int>(lost_servers_.size()) >=
-            request_.max_lost_servers) {
+        if (lost_servers_.count() >= request_.max_lost_servers) {
             log_attempt("quarantined");
             state_.counters.count_event("request_quarantined");
             fail(false);
@@ -328,7 +328,7 @@
         if (finished_) {
             return;
         }
-        note_lost_server(outcome);
+        lost_servers_.on_attempt_ended({server_, server_started_ms_}, outcome);
         const bool is_complete =
             outcome == transport::call_outcome::complete ||
             outcome == transport::call_outcome::closed_without_length;
@@ -343,21 +343,6 @@
         on_response();
     }
 
-    /// Notes that the server may have ended while it had the request. The end
-    /// of an idle connection shows that only if the server then takes no new
-    /// one.
-    void note_lost_server(transport::call_outcome outcome) {
-        const bool is_lost = outcome == transport::call_outcome::broken ||
-                             outcome == transport::call_outcome::idle_timeout ||
-                             (outcome == transport::call_outcome::not_sent &&
-                              connection_went_stale_);
-        connection_went_stale_ =
-            outcome == transport::call_outcome::stale_connection;
-        if (is_lost) {
-            lost_servers_.push_back({server_, server_started_ms_});
-        }
-    }
-
     /// Counts the attempt as a request of its workspace that began to run.
     void count_usage() {
         if (usage_ != nullptr) {
@@ -493,7 +478,7 @@
         }
         count_attempt("answered");
         finish(forwarded_response{head_, std::move(body_), parsed.signature,
-                                  failed_attempts_, lost_servers_});
+                                  failed_attempts_, lost_servers_.processes()});
     }
 
     void fail(bool timed_out, base::millis retry_after_ms = 0) {
@@ -504,7 +489,7 @@
         }
         finish(forward_failure{may_have_executed_, timed_out, failed_attempts_,
                                may_have_executed_ ? 0 : retry_after_ms,
-                               lost_servers_});
+                               lost_servers_.processes()});
     }
 
     void finish(forward_result result) {
@@ -559,21 +544,21 @@
     }
 
     void log(const char* event, const std::string& outcome) {
-        state_.log.write(
-            event, {{"kind", request_.kind},
-                    {"id", request_.id},
-                    {"service", request_.service},
-                    {"server", server_},
-                    {"sent", attempts_},
-                    {"connections", connections_opened_},
-                    {"reused", connection_reused_},
-                    {"refused", connection_refused_},
-                    {"lost_servers", static_cast<int>(lost_servers_.size())},
-                    {"may_have_run", may_have_executed_},
-                    {"status", head_.status},
-                    {"ms", state_.clock.now() - started_at_},
-                    {"left_ms", request_.deadline - state_.clock.now()},
-                    {"outcome", outcome}});
+        state_.log.write(event,
+                         {{"kind", request_.kind},
+                          {"id", request_.id},
+                          {"service", request_.service},
+                          {"server", server_},
+                          {"sent", attempts_},
+                          {"connections", connections_opened_},
+                          {"reused", connection_reused_},
+                          {"refused", connection_refused_},
+                          {"lost_servers", lost_servers_.count()},
+                          {"may_have_run", may_have_executed_},
+                          {"status", head_.status},
+                          {"ms", state_.clock.now() - started_at_},
+                          {"left_ms", request_.deadline - state_.clock.now()},
+                          {"outcome", outcome}});
     }
 
     node_state& state_;
@@ -592,10 +577,7 @@
     std::set<samplers::sampler_id> tried_;
     samplers::sampler_id server_;
     base::millis server_started_ms_ = 0;
-    /// The servers whose connections broke off after the request was sent.
-    std::vector<batch::server_process> lost_servers_;
-    /// Whether the last attempt used an idle connection that had ended.
-    bool connection_went_stale_ = false;
+    lost_servers lost_servers_;
     transport::response_head head_;
     std::string body_;
     base::millis started_at_;
