entry: losses are not judged before the registrations are read

Read from the code: an owner that starts with stored losses, before it has read which servers are registered, would take each of them for ended.

--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -117,6 +117,7 @@
     /// Returns true if a request waits until its row is stored.
     bool has_urgent_rows() const;
 
+    /// Called when the store has these rows.
     void on_saved(const std::vector<unsaved_row>& rows);
 
     /// Adds the rows that former owners have stored.
@@ -130,10 +131,15 @@
     /// Returns the number of requests with losses.
     std::size_t size() const { return rows_.size(); }
 
+    /// Interval between two checks of a server process, in ms.
     static constexpr base::millis check_interval_ms = 250;
 
 private:
-    enum class loss_state { sending, suspected, ended };
+    enum class loss_state {
+        sending,   ///< Announced; the send has not ended.
+        suspected, ///< The connection broke off.
+        ended,     ///< The process is known to have ended.
+    };
 
     struct loss {
         server_process process;
--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -350,7 +350,6 @@
         base::millis last_served_at = 0;
         std::string score;
         item_timeline timeline;
-
         /// True if an earlier job ended without this item. The trainer needs it
         /// whatever other items are complete.
         bool is_resubmitted = false;
@@ -380,6 +379,7 @@
         int event_count = 0;
         /// Tokens reserved for the run in its server's memory.
         std::int64_t reserved_tokens = 0;
+        /// Start time of the server in ms since the Unix epoch.
         base::millis server_started_ms = 0;
         /// Number of losses of the item when the run was placed.
         int loss_count = 0;
--- a/packages/entry/src/job_owner_crashes.cpp
+++ b/packages/entry/src/job_owner_crashes.cpp
@@ -43,6 +43,10 @@
 
 void job_owner::check_lost_servers() {
     crashes_.forget_expired();
+    // Before the registrations are read, every server would look ended.
+    if (state_.samplers.rows().empty()) {
+        return;
+    }
     for (const auto& check : crashes_.take_due_checks()) {
         check_lost_server(check);
     }
--- a/testing/entry/entry_crash_test.cpp
+++ b/testing/entry/entry_crash_test.cpp
@@ -19,7 +19,8 @@
 /// How long a server is down after it has ended, in ms.
 constexpr int restart_ms = 150;
 
-/// Two nodes before servers that end whenever they receive a certain request.
+/// Two nodes that use servers which end whenever they receive a certain
+/// request.
 class entry_crash_test : public ::testing::Test, protected entry_harness {
 protected:
     void start_nodes() {
