--- a/testing/entry/entry_crash_test.cpp
+++ b/testing/entry/entry_crash_test.cpp
@@ -212,7 +212,6 @@
     start_nodes();
     ASSERT_EQ(submit("n1", "job1", "i").status, 202);
     boost::asio::steady_timer timer(io_);
-    int aborts = 0;
     std::function<void()> abort_all = [&] {
         timer.expires_after(std::chrono::milliseconds(60));
         timer.async_wait([&](const auto& error) {
@@ -220,9 +219,7 @@
                 for (auto& server : samplers_) {
                     server->abort_streams();
                 }
-                if (++aborts < 2 * max_server_ends) {
-                    abort_all();
-                }
+                abort_all();
             }
         });
     };
