--- a/review/stand_in/world.hpp
+++ b/review/stand_in/world.hpp
@@ -39,11 +39,10 @@
         if (!record_ || !std::filesystem::exists(program_)) {
             throw cannot_run("no program or no record");
         }
-        char name[] = "/tmp/review-XXXXXX";
-        if (mkdtemp(name) == nullptr) {
+        folder_ = std::filesystem::temp_directory_path() / "review-XXXXXX";
+        if (mkdtemp(folder_.data()) == nullptr) {
             throw cannot_run("no temporary folder");
         }
-        folder_ = name;
         started_at_ = clock_.now();
         const char* trouble = std::getenv("TROUBLE"); // NOLINT
         has_trouble_ = trouble == nullptr || std::string(trouble) != "0";
