--- a/review/stand_in/world.hpp
+++ b/review/stand_in/world.hpp
@@ -5,6 +5,7 @@
 #include "sampler.hpp"
 #include "support/process.hpp"
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -127,6 +128,26 @@
         return *nodes_.at(name);
     }
 
+    /// Kills a node for good.
+    void kill_node(const std::string& name) {
+        note("kills " + name);
+        nodes_.at(name)->signal(SIGKILL);
+        nodes_.at(name)->wait_for_exit(5000);
+        nodes_.erase(name);
+    }
+
+    /// Returns the address at which a node takes requests of clients.
+    std::string front_address(const std::string& node) const {
+        return "127.0.0.1:" + std::to_string(ports_.at(node).front());
+    }
+
+    /// Returns the node that runs the batch jobs according to the store.
+    std::string owner() const {
+        const auto record = json::from_cbor(
+            store_.newest_value("keyed.journal", "!owner"), true, false);
+        return record.is_object() ? record.at("node").get<std::string>() : "";
+    }
+
     /// Sends a request on a new connection.
     std::shared_ptr<answer>
     send(const std::string& node, const std::string& method,
