--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -104,8 +104,20 @@
     int event_count = 0;
 };
 
-using effect = std::variant<start_run, stop_run, start_reward,
-                            report_quarantine, report_cleared_losses>;
+/// Effect: report that the connection of a server that had a request broke off.
+struct report_loss {
+    job_id job;
+    int item_index = 0;
+    std::string request_id;
+    bool is_reward = false;
+    server_loss loss;
+    /// Number of losses of the request that count, this one included.
+    int loss_count = 0;
+};
+
+using effect =
+    std::variant<start_run, stop_run, start_reward, report_quarantine,
+                 report_cleared_losses, report_loss>;
 using effects = std::vector<effect>;
 
 /// How a run ended.
@@ -477,14 +489,16 @@
     server_loss loss_of(const run_row& run, const item_row& row) const;
     void clear_losses(run_row& run, const job_state& job, const item_row& row,
                       effects& out);
+    void add_loss(const job_id& id, int item_index, bool is_reward,
+                  const server_loss& lost, effects& out);
     void quarantine(const job_id& id, int item_index, bool is_reward,
                     effects& out);
     bool has_expired(const job_state& job) const;
     void update_state(const job_id& id, int item_index, effects& out);
     void settle_waiting(const job_id& id, int item_index, effects& out);
     void settle_pending_reward(const job_id& id, int item_index, effects& out);
-    void count_reward_failure(const job_state& job, item_row& row,
-                              const reward_failure& failure);
+    void count_reward_failure(const job_id& id, int item_index,
+                              const reward_failure& failure, effects& out);
     void repeat_reward(item_row& row, base::millis delay_ms);
     void move_run(run_number run, const char* reason, effects& out);
     samplers::run_requirements requirements_of(const job_state& job,
--- a/packages/batch/src/item_scheduler.cpp
+++ b/packages/batch/src/item_scheduler.cpp
@@ -400,7 +400,8 @@
     const auto& options = jobs_.at(ended_run.job).options;
     const auto request = request_of(jobs_.at(ended_run.job), row);
     if (outcome == run_outcome::cut) {
-        crashes_.on_lost(request, loss_of(ended_run, row));
+        add_loss(ended_run.job, ended_run.item_index, false,
+                 loss_of(ended_run, row), out);
     } else {
         crashes_.on_survived(request, process_of(ended_run));
     }
--- a/packages/batch/src/item_scheduler_isolation.cpp
+++ b/packages/batch/src/item_scheduler_isolation.cpp
@@ -61,6 +61,17 @@
             row.output.event_count, clock_.now() - run.sent_at};
 }
 
+/// Counts a loss of an item or of its reward call.
+void item_scheduler::add_loss(const job_id& id, int item_index, bool is_reward,
+                              const server_loss& lost, effects& out) {
+    const auto& job = jobs_.at(id);
+    const auto& row = job.items[static_cast<std::size_t>(item_index)];
+    const auto request = is_reward ? reward_of(job, row) : request_of(job, row);
+    crashes_.on_lost(request, lost);
+    out.push_back(report_loss{id, item_index, request.request_id, is_reward,
+                              lost, crashes_.loss_count(request)});
+}
+
 /// Clears the losses of an item whose run has gone past the points of its text
 /// at which servers ended.
 void item_scheduler::clear_losses(run_row& run, const job_state& job,
--- a/packages/batch/src/item_scheduler_moves.cpp
+++ b/packages/batch/src/item_scheduler_moves.cpp
@@ -96,8 +96,7 @@
         const auto* item = find_item(row);
         // Without a response, the server may have ended before the send.
         if (item != nullptr && row.has_response) {
-            crashes_.on_lost(request_of(jobs_.at(row.job), *item),
-                             loss_of(row, *item));
+            add_loss(row.job, row.item_index, false, loss_of(row, *item), out);
         }
         table_.on_failure(row.sampler);
         move_run(run, "silent", out);
--- a/packages/batch/src/item_scheduler_scoring.cpp
+++ b/packages/batch/src/item_scheduler_scoring.cpp
@@ -70,6 +70,7 @@
     if (row.state != item_state::reward_in_flight) {
         return {};
     }
+    effects out;
     std::visit(
         base::overloaded{[&](const reward_score& success) {
                              crashes_.on_finished(reward_of(job->second, row));
@@ -79,22 +80,25 @@
                                  clock_.now() - job->second.first_seen_at;
                          },
                          [&](const reward_failure& failure) {
-                             count_reward_failure(job->second, row, failure);
+                             count_reward_failure(id, item_index, failure, out);
                          },
                          [&](const reward_not_sent& not_sent) {
                              repeat_reward(row, not_sent.retry_delay_ms);
                          }},
         outcome);
-    return {};
+    return out;
 }
 
 /// Ends the item as errored after too many failed responses. Only these count:
 /// rejected or lost calls say nothing about the text.
-void item_scheduler::count_reward_failure(const job_state& job, item_row& row,
-                                          const reward_failure& failure) {
+void item_scheduler::count_reward_failure(const job_id& id, int item_index,
+                                          const reward_failure& failure,
+                                          effects& out) {
     for (const auto& lost : failure.lost_servers) {
-        crashes_.on_lost(reward_of(job, row), lost);
+        add_loss(id, item_index, true, lost, out);
     }
+    auto& job = jobs_.at(id);
+    auto& row = job.items[static_cast<std::size_t>(item_index)];
     row.reward_failures += failure.failed_responses;
     if (failure.failed_responses > 0 &&
         row.reward_failures >= failure.max_failed_responses) {
--- a/packages/batch/test/wait_simulation.hpp
+++ b/packages/batch/test/wait_simulation.hpp
@@ -309,6 +309,7 @@
                            [&](const start_reward&) {},
                            [&](const report_quarantine&) {},
                            [&](const report_cleared_losses&) {},
+                           [&](const report_loss&) {},
                        },
                        e);
         }
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -134,6 +134,7 @@
     void log_stopped_run(const active_run& active, const char* reason);
     void log_quarantine(const batch::report_quarantine& report);
     void log_cleared_losses(const batch::report_cleared_losses& report);
+    void log_loss(const batch::report_loss& report);
     void note_ended_server(const active_run& active,
                            batch::run_outcome outcome);
     void check_lost_servers();
--- a/packages/entry/src/job_owner_crashes.cpp
+++ b/packages/entry/src/job_owner_crashes.cpp
@@ -40,6 +40,21 @@
                                         {"events", report.event_count}});
 }
 
+void job_owner::log_loss(const batch::report_loss& report) {
+    const auto& loss = report.loss;
+    state_.counters.count_event("server_lost");
+    state_.log.write("server_lost",
+                     {{"job", report.job},
+                      {"item", report.item_index},
+                      {"id", report.request_id},
+                      {"kind", report.is_reward ? "reward" : "item"},
+                      {"server", loss.process.server},
+                      {"started", loss.process.started_ms},
+                      {"run_ms", loss.run_ms},
+                      {"events", loss.text_events},
+                      {"losses", report.loss_count}});
+}
+
 /// Notes what the end of a run says of its server: an address that refuses
 /// connections or belongs to another server shows that the process has ended.
 void job_owner::note_ended_server(const active_run& active,
--- a/packages/entry/src/job_owner_runs.cpp
+++ b/packages/entry/src/job_owner_runs.cpp
@@ -35,7 +35,8 @@
                 [&](const batch::report_quarantine& r) { log_quarantine(r); },
                 [&](const batch::report_cleared_losses& r) {
                     log_cleared_losses(r);
-                }},
+                },
+                [&](const batch::report_loss& r) { log_loss(r); }},
             e);
     }
     reward_caller_.start_calls();
