--- a/testing/entry/entry_crash_test.cpp
+++ b/testing/entry/entry_crash_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <functional>
+#include <random>
 
 namespace hibiscus::testing {
 
@@ -22,6 +23,17 @@
 /// How long a server is down after it has ended, in ms.
 constexpr int restart_ms = 150;
 
+/// How long a server that starts again at once is down, in ms.
+constexpr int short_restart_ms = 5;
+
+/// What servers do after they have ended.
+struct restart_options {
+    bool changes_id = false;
+    int down_ms = restart_ms;
+    /// Time from the start to the registration, in ms.
+    int registration_delay_ms = 0;
+};
+
 /// Two nodes that use servers which end whenever they receive a certain
 /// request.
 class entry_crash_test : public ::testing::Test, protected entry_harness {
@@ -39,13 +51,13 @@
         ASSERT_TRUE(run_until([&] { return !job_owner().empty(); }));
     }
 
-    /// Makes the servers of a service end at a request. With `changes_id`, they
-    /// start again under new ids.
-    void end_servers_at(const std::string& request, bool changes_id = false) {
+    /// Makes the servers of all services end at a request.
+    void end_servers_at(const std::string& request,
+                        const restart_options& options = {}) {
         for (auto& server : samplers_) {
-            end_server_at(*server, "llm", request, changes_id);
+            end_server_at(*server, "llm", request, options);
         }
-        end_server_at(lookup_server_, "app", request, changes_id);
+        end_server_at(lookup_server_, "app", request, options);
     }
 
     /// Makes the servers of items end before they send an event for which
@@ -90,7 +102,7 @@
                 io_, "app-" + std::to_string(n), events_per_run,
                 event_interval_ms));
             auto& server = *plain_servers_.back();
-            end_server_at(server, "app", ending_request, false);
+            end_server_at(server, "app", ending_request, {});
             store_.put("keyed.servers", server.id(),
                        server.make_registration("app", false));
         }
@@ -145,17 +157,30 @@
 
 private:
     void end_server_at(fake_backend_server& server, const std::string& service,
-                       const std::string& request, bool changes_id) {
+                       const std::string& request,
+                       const restart_options& options) {
         server.end_at_request(
-            request, restart_ms, changes_id,
-            [this, &server, service, before = server.id()]() mutable {
+            request, options.down_ms, options.changes_id,
+            [this, &server, service, before = server.id(),
+             delay_ms = options.registration_delay_ms]() mutable {
                 if (server.id() != before) {
                     store_.put("keyed.servers", before, "");
                     before = server.id();
                 }
+                register_later(server, service, delay_ms);
+            });
+    }
+
+    void register_later(fake_backend_server& server, const std::string& service,
+                        int delay_ms) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(
+            io_, std::chrono::milliseconds(delay_ms));
+        timer->async_wait([this, &server, service, timer](const auto& error) {
+            if (!error) {
                 store_.put("keyed.servers", server.id(),
                            server.make_registration(service, service == "llm"));
-            });
+            }
+        });
     }
 
     std::vector<std::unique_ptr<fake_backend_server>> plain_servers_;
@@ -186,6 +211,44 @@
     EXPECT_EQ(server_ends(), max_server_ends);
 }
 
+// Guards against an item that ends servers for as long as its text grows.
+TEST_F(entry_crash_test, an_item_that_ends_servers_after_its_start_ends_three) {
+    constexpr int events_before_end = 8;
+    add_samplers();
+    start_nodes();
+    end_servers_at("");
+    end_samplers_before_event([](const auto& id, int /*event*/, int sent) {
+        return id == "i5" && sent == events_before_end;
+    });
+    ASSERT_EQ(submit("n1", "job1", "i").status, 202);
+    EXPECT_TRUE(wait_for_others("n2", "job1", "i5"));
+    EXPECT_TRUE(finish_another_job("n1"));
+    EXPECT_EQ(server_ends(), max_server_ends);
+}
+
+// Guards against an item that is excused by servers which end without it.
+TEST_F(entry_crash_test, an_item_that_ends_servers_beside_chance_ends_three) {
+    constexpr int ending_event = 40;
+    constexpr int ends_by_chance = 30;
+    constexpr double chance_per_event = 0.02;
+    add_samplers();
+    start_nodes();
+    end_servers_at("");
+    std::mt19937 random(1);
+    std::bernoulli_distribution is_chance_end(chance_per_event);
+    int chance_ends = 0;
+    end_samplers_before_event([&](const auto& id, int event, int /*sent*/) {
+        const bool ends_now =
+            id != "i5" && chance_ends < ends_by_chance && is_chance_end(random);
+        chance_ends += ends_now ? 1 : 0;
+        return ends_now || (id == "i5" && event == ending_event);
+    });
+    ASSERT_EQ(submit("n1", "job1", "i").status, 202);
+    EXPECT_TRUE(wait_for_others("n2", "job1", "i5"));
+    EXPECT_TRUE(finish_another_job("n1"));
+    EXPECT_LE(server_ends() - chance_ends, max_server_ends);
+}
+
 // Guards against items that are held back since chance ended servers under
 // them.
 TEST_F(entry_crash_test, items_that_lose_servers_by_chance_complete) {
@@ -211,7 +274,9 @@
 // Guards against ends that don't count if the servers return under other ids.
 TEST_F(entry_crash_test, servers_that_return_under_new_ids_count_as_ended) {
     start_nodes();
-    end_servers_at("i5", true);
+    restart_options options;
+    options.changes_id = true;
+    end_servers_at("i5", options);
     ASSERT_EQ(submit("n1", "job1", "i").status, 202);
     EXPECT_TRUE(wait_for_others("n2", "job1", "i5"));
     EXPECT_TRUE(finish_another_job("n1"));
@@ -228,6 +293,19 @@
     EXPECT_EQ(server_ends(), max_server_ends);
 }
 
+// Guards against a process that is taken for the one before it.
+TEST_F(entry_crash_test, servers_that_register_late_count_as_ended) {
+    start_nodes();
+    restart_options options;
+    options.down_ms = short_restart_ms;
+    options.registration_delay_ms = 500;
+    end_servers_at("si5", options);
+    ASSERT_EQ(submit("n1", "job1", "i").status, 202);
+    EXPECT_TRUE(wait_for_others("n2", "job1", "i5"));
+    EXPECT_TRUE(finish_another_job("n1"));
+    EXPECT_EQ(server_ends(), max_server_ends);
+}
+
 // Guards against a count that ends with its owner.
 TEST_F(entry_crash_test, a_killed_owner_does_not_take_the_count_along) {
     start_nodes();
