batch: each send to a server whose end is not known counts

A server that ended, started again and got the request before its new registration was read counted once: a loss at a process that was only suspected replaced the loss before. A reward call whose servers are back after 5 ms and register after 500 ms ended four. A later send to such a process may have run in another one, so it is a loss of its own until the check: a process that is alive clears all losses at it, one that has ended counts for each.

--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -240,6 +240,8 @@
                        const check_times& checked_before,
                        std::vector<due_check>& due);
     static bool is_urgent(const request_row& row);
+    static bool is_same_loss(const loss& known, const server_loss& lost,
+                             base::millis now);
     void set_loss(const request_key& request, const server_loss& lost,
                   loss_state state);
     void mark_changed(request_row& row);
--- a/packages/batch/src/crash_ledger.cpp
+++ b/packages/batch/src/crash_ledger.cpp
@@ -79,15 +79,25 @@
     row.changed_at = clock_.now();
 }
 
+/// Returns true if `known` is about the same process as a loss that is noticed
+/// at `now`. A request that was sent after a loss may have run in a process
+/// that had started since then and was not registered yet.
+bool crash_ledger::is_same_loss(const loss& known, const server_loss& lost,
+                                base::millis now) {
+    return known.process == lost.process &&
+           (known.state == loss_state::sending ||
+            (known.state == loss_state::suspected &&
+             now - lost.run_ms <= known.lost_at));
+}
+
 void crash_ledger::set_loss(const request_key& request, const server_loss& lost,
                             loss_state state) {
     auto& row = rows_[request];
     const loss added{lost.process, state, clock_.now(), lost.text_events,
                      lost.run_ms};
-    // A process that has ended was replaced by one that is not registered yet.
     const auto known =
         std::find_if(row.losses.begin(), row.losses.end(), [&](const loss& l) {
-            return l.process == lost.process && l.state != loss_state::ended;
+            return is_same_loss(l, lost, clock_.now());
         });
     if (known == row.losses.end()) {
         row.losses.push_back(added);
--- a/packages/batch/src/crash_ledger_chance.cpp
+++ b/packages/batch/src/crash_ledger_chance.cpp
@@ -126,11 +126,13 @@
         if (!needs_checks(row)) {
             continue;
         }
-        for (const auto& l : row.losses) {
-            if (l.state == loss_state::suspected) {
-                add_due_check(l.process, l.lost_at, checked_before, due);
-            }
-        }
+        // The last loss at a process decides when its registration is old.
+        std::for_each(
+            row.losses.rbegin(), row.losses.rend(), [&](const loss& l) {
+                if (l.state == loss_state::suspected) {
+                    add_due_check(l.process, l.lost_at, checked_before, due);
+                }
+            });
         const auto span = span_of(row);
         for (const auto& [process, lost] : processes_) {
             if (!lost.ended && span.contains(lost.lost_at)) {
--- a/packages/batch/test/crash_ledger_test.cpp
+++ b/packages/batch/test/crash_ledger_test.cpp
@@ -248,6 +248,32 @@
     EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
 }
 
+// Guards against a process that is not registered yet and is taken for the one
+// before it.
+TEST_F(crash_ledger_test, each_send_to_a_suspected_process_counts) {
+    for (int n = 1; n <= crash_ledger::max_server_ends; ++n) {
+        time_->advance(100);
+        ledger_.on_lost(request_, make_loss(process("s"), 0, 50));
+        EXPECT_EQ(ledger_.loss_count(request_), n);
+    }
+    store_all();
+    EXPECT_EQ(ledger_.permission(request_), send_permission::waits);
+    ledger_.on_ended(process("s"));
+    EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
+}
+
+// Guards against a path that breaks again and again and counts as ended
+// processes.
+TEST_F(crash_ledger_test, a_living_process_clears_all_losses_at_it) {
+    for (int n = 1; n <= crash_ledger::max_server_ends; ++n) {
+        time_->advance(100);
+        ledger_.on_lost(request_, make_loss(process("s"), 0, 50));
+    }
+    ledger_.on_alive(process("s"));
+    store_all();
+    EXPECT_EQ(ledger_.permission(request_), send_permission::allowed);
+}
+
 // Guards against a third server that ends before the store has the first two.
 TEST_F(crash_ledger_test, the_last_send_waits_for_the_store) {
     lose(2);
