batch: a loss is cleared only by a run that has outlived it

A loss no longer counted once the text had gone on by four events, and a request that ends its server some time after each start always goes on: its losses never added up to three.

A run now clears a loss if it has gone past it in the text, and has lasted a quarter longer than the lost run in time and in events. Requests that end their servers at one event of the text, at one event of a run or at one time of a run clear none: three ends. Ends at a random time do clear losses, so only one cleared loss doesn't count: four ends at most, whatever owner or job. How far a lost run had come is stored with the loss.

Tests replaced, since they contradict the rule: an_item_that_goes_on_at_each_server_ completes asked that an item whose servers end 17 events after each of five starts goes on; nothing tells it from a request that ends its servers after 17 events, which may end three. In its place: three sets of lengths in which one run outlives another complete, and one length stops at three. an_item_that_ends_servers_at_once_stops (3 events) is one of the lengths; ends_count_for_more allowed 5 and more, three now. items_that_lose_servers_by_chance_complete had ends 20 events after each start, now 12, 20 and 20; the number of ends and what has to complete are the same.

--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -31,10 +31,8 @@
     /// get requests.
     samplers::service_name service = {};
     int server_count = 0;
-    /// Number of events that the text of the request has.
-    int text_events = 0;
-    /// How long the server had the request, in ms.
-    base::millis run_ms = 0;
+    /// How far the run had come.
+    run_progress progress = {};
 };
 
 /// What is known of a server process whose connection broke off.
@@ -58,9 +56,9 @@
 ///
 /// Servers also end for other reasons than what they run. Two things speak for
 /// a request:
-/// - A request that ends its servers fails at the same point each time. So a
-///   loss is cleared once a later run has taken the text far enough past the
-///   point of that loss.
+/// - A request that ends its servers fails at the same point each time, of its
+///   text or of its runs. So a loss is cleared once a later run has gone far
+///   enough past it in both. At most one loss is cleared without counting.
 /// - Chance explains the losses if servers of the service end often enough
 ///   without the request. Then it is not quarantined.
 class crash_ledger {
@@ -69,6 +67,15 @@
     /// goes on.
     static constexpr int max_server_ends = 3;
 
+    /// Number of losses of a request that don't count once they are cleared. A
+    /// request whose servers end at a random time of its runs clears losses,
+    /// too.
+    static constexpr int max_uncounted_losses = 1;
+
+    /// A run clears a loss if it has lasted longer than the lost one by this
+    /// part, in time and in events.
+    static constexpr int clearing_divisor = 4;
+
     /// Number of events by which a run has to go past the point of a loss to
     /// clear it. With more than max_server_ends losses, as many again for each
     /// further one.
@@ -88,10 +95,15 @@
     /// announced by on_sending() and have not ended.
     int loss_count(const request_key& request) const;
 
+    /// Returns the number of losses and announced sends that decide whether a
+    /// request is quarantined: loss_count(), and the cleared losses beyond
+    /// max_uncounted_losses.
+    int counted_losses(const request_key& request) const;
+
     /// Returns true if the next send of a request has to be stored before it is
     /// made. A new owner must not miss the last server that may end.
     bool needs_stored_send(const request_key& request) const {
-        return is_last_send(loss_count(request));
+        return is_last_send(counted_losses(request));
     }
 
     /// Returns true if a request with so many losses is quarantined after one
@@ -110,11 +122,9 @@
     /// Called when the connection to a server that had the request broke off.
     void on_lost(const request_key& request, const server_loss& lost);
 
-    /// Called when a run that has received `run_events` events has brought the
-    /// text of the request to `text_events` events. Returns the number of
-    /// losses that this clears.
-    int on_progress(const request_key& request, int text_events,
-                    int run_events);
+    /// Called when a run has received an event. Returns the number of losses
+    /// that this clears.
+    int on_progress(const request_key& request, const run_progress& progress);
 
     /// Called when a send ended otherwise.
     void on_survived(const request_key& request, const server_process& process);
@@ -185,9 +195,8 @@
         server_process process;
         loss_state state = loss_state::suspected;
         base::millis lost_at = 0;
-        /// Number of events that the text had.
-        int text_events = 0;
-        base::millis run_ms = 0;
+        /// How far the run had come.
+        run_progress progress;
     };
 
     /// A server process whose connections broke off while it had requests.
@@ -226,6 +235,9 @@
 
     static int count(const request_row& row, loss_state state);
     static int count_losses(const request_row& row);
+    static int cleared_losses_that_count(const request_row& row);
+    static bool is_outlived(const loss& l, const run_progress& progress,
+                            int required_events);
     static bool has_loss(const request_row& row, const server_process& process);
     static time_span span_of(const request_row& row);
     send_permission permission(const request_row& row) const;
--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -93,8 +93,8 @@
     bool is_reward = false;
 };
 
-/// Effect: report that losses of a request no longer count, since a run has
-/// gone past the points of its text at which servers ended.
+/// Effect: report that losses of a request were cleared, since a run has gone
+/// past them.
 struct report_cleared_losses {
     job_id job;
     int item_index = 0;
@@ -414,7 +414,7 @@
         std::int64_t reserved_tokens = 0;
         /// Start time of the server in ms since the Unix epoch.
         base::millis server_started_ms = 0;
-        /// Number of losses of the item, this run not included.
+        /// Number of losses of the item that count, this run not included.
         int loss_count = 0;
         /// Whether the server has begun to respond.
         bool has_response = false;
@@ -487,6 +487,7 @@
     static request_key reward_of(const job_state& job, const item_row& row);
     static server_process process_of(const run_row& run);
     server_loss loss_of(const run_row& run, const item_row& row) const;
+    run_progress progress_of(const run_row& run, const item_row& row) const;
     void clear_losses(run_row& run, const job_state& job, const item_row& row,
                       effects& out);
     void add_loss(const job_id& id, int item_index, bool is_reward,
--- a/packages/batch/include/hibiscus/batch/records.hpp
+++ b/packages/batch/include/hibiscus/batch/records.hpp
@@ -71,6 +71,16 @@
     }
 };
 
+/// How far a run has come.
+struct run_progress {
+    /// Number of events of the text of the request.
+    int text_events = 0;
+    /// Number of events that the run has received, and how long the server has
+    /// had the request, in ms.
+    int run_events = 0;
+    base::millis run_ms = 0;
+};
+
 /// The server processes that ended, or may have ended, while they ran a
 /// request.
 struct loss_record {
@@ -78,8 +88,7 @@
         server_process process;
         /// Whether the process is known to have ended.
         bool ended = false;
-        /// Number of events that the text of the request had.
-        int text_events = 0;
+        run_progress progress;
     };
     request_key request;
     std::vector<row> losses;
--- a/packages/batch/src/crash_ledger.cpp
+++ b/packages/batch/src/crash_ledger.cpp
@@ -37,6 +37,10 @@
            count(row, loss_state::sending);
 }
 
+int crash_ledger::cleared_losses_that_count(const request_row& row) {
+    return std::max(0, row.cleared_losses - max_uncounted_losses);
+}
+
 send_permission crash_ledger::permission(const request_key& request) const {
     if (rows_.empty()) {
         return send_permission::allowed;
@@ -47,9 +51,10 @@
 }
 
 send_permission crash_ledger::permission(const request_row& row) const {
-    const int losses = count_losses(row);
+    const int cleared = cleared_losses_that_count(row);
+    const int losses = count_losses(row) + cleared;
     const bool is_unstored = row.change != row.stored_change;
-    if (count(row, loss_state::ended) >= max_server_ends) {
+    if (count(row, loss_state::ended) + cleared >= max_server_ends) {
         if (!is_chance(row)) {
             return may_become_chance(row) ? send_permission::waits
                                           : send_permission::quarantined;
@@ -57,9 +62,8 @@
     } else if (losses >= max_server_ends) {
         return send_permission::waits;
     }
-    return losses >= max_server_ends - 1 && is_unstored
-               ? send_permission::waits
-               : send_permission::allowed;
+    return is_last_send(losses) && is_unstored ? send_permission::waits
+                                               : send_permission::allowed;
 }
 
 int crash_ledger::loss_count(const request_key& request) const {
@@ -68,6 +72,14 @@
                                 : static_cast<int>(found->second.losses.size());
 }
 
+int crash_ledger::counted_losses(const request_key& request) const {
+    const auto found = rows_.find(request);
+    return found == rows_.end()
+               ? 0
+               : static_cast<int>(found->second.losses.size()) +
+                     cleared_losses_that_count(found->second);
+}
+
 bool crash_ledger::is_stored(const request_key& request) const {
     const auto found = rows_.find(request);
     return found == rows_.end() ||
@@ -87,14 +99,13 @@
     return known.process == lost.process &&
            (known.state == loss_state::sending ||
             (known.state == loss_state::suspected &&
-             now - lost.run_ms <= known.lost_at));
+             now - lost.progress.run_ms <= known.lost_at));
 }
 
 void crash_ledger::set_loss(const request_key& request, const server_loss& lost,
                             loss_state state) {
     auto& row = rows_[request];
-    const loss added{lost.process, state, clock_.now(), lost.text_events,
-                     lost.run_ms};
+    const loss added{lost.process, state, clock_.now(), lost.progress};
     const auto known =
         std::find_if(row.losses.begin(), row.losses.end(), [&](const loss& l) {
             return is_same_loss(l, lost, clock_.now());
@@ -120,22 +131,31 @@
         process_row{lost.service, lost.server_count, clock_.now(), false});
 }
 
-int crash_ledger::on_progress(const request_key& request, int text_events,
-                              int run_events) {
+/// Returns true if a run has gone past a loss: in the text, and in the time and
+/// the events since the start of the run.
+bool crash_ledger::is_outlived(const loss& l, const run_progress& progress,
+                               int required_events) {
+    const auto& lost = l.progress;
+    const int more_events =
+        std::max(required_events, lost.run_events / clearing_divisor);
+    return progress.text_events - lost.text_events >= required_events &&
+           progress.run_events - lost.run_events >= more_events &&
+           progress.run_ms >= lost.run_ms + lost.run_ms / clearing_divisor;
+}
+
+int crash_ledger::on_progress(const request_key& request,
+                              const run_progress& progress) {
     const auto found = rows_.find(request);
     if (found == rows_.end()) {
         return 0;
     }
     auto& row = found->second;
-    const int losses = row.cleared_losses + count_losses(row);
-    const int required = required_events(losses);
-    if (run_events < required) {
-        return 0;
-    }
+    const int required =
+        required_events(row.cleared_losses + count_losses(row));
     const auto end = std::remove_if(
         row.losses.begin(), row.losses.end(), [&](const loss& l) {
             return l.state != loss_state::sending &&
-                   text_events - l.text_events >= required;
+                   is_outlived(l, progress, required);
         });
     const auto cleared = static_cast<int>(row.losses.end() - end);
     if (cleared > 0) {
@@ -206,7 +226,8 @@
 /// Returns true if the request of an unsaved row waits until it is stored.
 bool crash_ledger::is_urgent(const request_row& row) {
     return row.change != row.stored_change &&
-           row.losses.size() >= max_server_ends - 1;
+           is_last_send(static_cast<int>(row.losses.size()) +
+                        cleared_losses_that_count(row));
 }
 
 bool crash_ledger::has_urgent_rows() const {
@@ -219,7 +240,7 @@
     loss_record record{request, {}, row.cleared_losses};
     for (const auto& l : row.losses) {
         record.losses.push_back(
-            {l.process, l.state == loss_state::ended, l.text_events});
+            {l.process, l.state == loss_state::ended, l.progress});
     }
     return record;
 }
@@ -268,7 +289,7 @@
         for (const auto& l : record.losses) {
             row.losses.push_back(
                 {l.process, l.ended ? loss_state::ended : loss_state::suspected,
-                 clock_.now(), l.text_events, 0});
+                 clock_.now(), l.progress});
         }
         mark_changed(row);
         row.stored_change = row.change;
--- a/packages/batch/src/crash_ledger_chance.cpp
+++ b/packages/batch/src/crash_ledger_chance.cpp
@@ -44,7 +44,7 @@
     std::set<int> positions;
     for (const auto& l : row.losses) {
         if (l.state != loss_state::sending) {
-            positions.insert(l.text_events);
+            positions.insert(l.progress.text_events);
         }
     }
     const int losses = count_losses(row);
@@ -89,7 +89,7 @@
     }
     base::millis run_ms = 0;
     for (const auto& l : row.losses) {
-        run_ms += l.run_ms;
+        run_ms += l.progress.run_ms;
     }
     const double expected_losses =
         static_cast<double>(other_ends) * static_cast<double>(run_ms) /
@@ -115,7 +115,9 @@
 }
 
 bool crash_ledger::needs_checks(const request_row& row) const {
-    return row.losses.size() >= max_server_ends &&
+    const auto counted =
+        static_cast<int>(row.losses.size()) + cleared_losses_that_count(row);
+    return counted >= max_server_ends &&
            (count(row, loss_state::suspected) > 0 || may_become_chance(row));
 }
 
--- a/packages/batch/src/item_scheduler_isolation.cpp
+++ b/packages/batch/src/item_scheduler_isolation.cpp
@@ -58,7 +58,13 @@
     const auto& service = jobs_.at(run.job).options.service;
     return {process_of(run), service,
             static_cast<int>(table_.run_candidates(service).size()),
-            row.output.event_count, clock_.now() - run.sent_at};
+            progress_of(run, row)};
+}
+
+run_progress item_scheduler::progress_of(const run_row& run,
+                                         const item_row& row) const {
+    return {row.output.event_count, run.event_count,
+            clock_.now() - run.sent_at};
 }
 
 /// Counts a loss of an item or of its reward call.
@@ -69,19 +75,19 @@
     const auto request = is_reward ? reward_of(job, row) : request_of(job, row);
     crashes_.on_lost(request, lost);
     out.push_back(report_loss{id, item_index, request.request_id, is_reward,
-                              lost, crashes_.loss_count(request)});
+                              lost, crashes_.counted_losses(request)});
 }
 
-/// Clears the losses of an item whose run has gone past the points of its text
-/// at which servers ended.
+/// Clears the losses of an item whose run has gone past them.
 void item_scheduler::clear_losses(run_row& run, const job_state& job,
                                   const item_row& row, effects& out) {
-    const int cleared = crashes_.on_progress(
-        request_of(job, row), row.output.event_count, run.event_count);
+    const auto request = request_of(job, row);
+    const int counted = crashes_.counted_losses(request);
+    const int cleared = crashes_.on_progress(request, progress_of(run, row));
     if (cleared == 0) {
         return;
     }
-    run.loss_count -= cleared;
+    run.loss_count -= counted - crashes_.counted_losses(request);
     out.push_back(report_cleared_losses{run.job, run.item_index,
                                         row.content.id.str(), cleared,
                                         row.output.event_count});
--- a/packages/batch/src/item_scheduler_placement.cpp
+++ b/packages/batch/src/item_scheduler_placement.cpp
@@ -107,7 +107,7 @@
         auto& row = job.items[static_cast<std::size_t>(c.item_index)];
         const auto requirements = requirements_of(job, row);
         const auto request = request_of(job, row);
-        const int loss_count = crashes_.loss_count(request);
+        const int loss_count = crashes_.counted_losses(request);
         const auto server = crash_ledger::is_last_send(loss_count)
                                 ? choose_isolated_server(
                                       placement, requirements, row, occupancy)
--- a/packages/batch/src/item_scheduler_scoring.cpp
+++ b/packages/batch/src/item_scheduler_scoring.cpp
@@ -140,7 +140,7 @@
     // The losses before the last send are stored first.
     reward.max_lost_servers =
         std::max(1, crash_ledger::max_server_ends - 1 -
-                        crashes_.loss_count(reward_of(job, row)));
+                        crashes_.counted_losses(reward_of(job, row)));
     return reward;
 }
 
--- a/packages/batch/src/records.cpp
+++ b/packages/batch/src/records.cpp
@@ -26,8 +26,15 @@
 /// framing.
 constexpr std::size_t max_record_overhead_bytes = 512;
 
-/// The field of a stored loss that records of earlier versions don't have.
-constexpr std::size_t loss_events_field = 3;
+/// The first of the fields of a stored loss that tell how far its run had come.
+/// Records of earlier versions have none of them, or only the first.
+constexpr std::size_t loss_progress_field = 3;
+
+/// Returns a field of a stored loss, or 0 if the record does not have it.
+template <class T>
+T loss_field(const json& loss, std::size_t field) {
+    return field < loss.size() ? loss.at(field).get<T>() : T{};
+}
 
 std::string zero_padded(int number) {
     char text[16];
@@ -342,7 +349,8 @@
     json losses = json::array();
     for (const auto& l : value.losses) {
         losses.push_back({l.process.server.str(), l.process.started_ms, l.ended,
-                          l.text_events});
+                          l.progress.text_events, l.progress.run_events,
+                          l.progress.run_ms});
     }
     return base::encode_cbor({{"workspace", value.request.workspace},
                               {"id", value.request.request_id},
@@ -361,9 +369,9 @@
                 {{samplers::sampler_id(l.at(0).get<std::string>()),
                   l.at(1).get<base::millis>()},
                  l.at(2).get<bool>(),
-                 l.size() > loss_events_field
-                     ? l.at(loss_events_field).get<int>()
-                     : 0});
+                 {loss_field<int>(l, loss_progress_field),
+                  loss_field<int>(l, loss_progress_field + 1),
+                  loss_field<base::millis>(l, loss_progress_field + 2)}});
         }
         return record;
     });
--- a/packages/batch/test/crash_ledger_test.cpp
+++ b/packages/batch/test/crash_ledger_test.cpp
@@ -21,8 +21,10 @@
 
     static server_loss make_loss(const server_process& lost,
                                  int text_events = 0, base::millis run_ms = 0) {
-        return {lost, samplers::service_name("engines"), server_count,
-                text_events, run_ms};
+        return {lost,
+                samplers::service_name("engines"),
+                server_count,
+                {text_events, 0, run_ms}};
     }
 
     void lose(int count) {
@@ -89,7 +91,7 @@
     lose_at({10, 20, 30});
     store_all();
     EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
-    EXPECT_EQ(ledger_.on_progress(request_, 32, 12), 2);
+    EXPECT_EQ(ledger_.on_progress(request_, {32, 12}), 2);
     EXPECT_EQ(ledger_.loss_count(request_), 1);
     store_all();
     EXPECT_EQ(ledger_.permission(request_), send_permission::allowed);
@@ -101,15 +103,16 @@
     for (int n = 1; n <= crash_ledger::max_server_ends; ++n) {
         position += 10;
         lose_at({position});
-        EXPECT_EQ(ledger_.on_progress(request_, position + events, events - 1),
-                  0);
-        EXPECT_EQ(ledger_.on_progress(request_, position + events, events), 1);
+        EXPECT_EQ(
+            ledger_.on_progress(request_, {position + events, events - 1}), 0);
+        EXPECT_EQ(ledger_.on_progress(request_, {position + events, events}),
+                  1);
     }
     position += 10;
     lose_at({position});
-    EXPECT_EQ(ledger_.on_progress(request_, position + events, events), 0);
-    EXPECT_EQ(ledger_.on_progress(request_, position + 2 * events, 2 * events),
-              1);
+    EXPECT_EQ(ledger_.on_progress(request_, {position + events, events}), 0);
+    EXPECT_EQ(
+        ledger_.on_progress(request_, {position + 2 * events, 2 * events}), 1);
 }
 
 // Guards against a run that clears its own announced send.
@@ -117,7 +120,7 @@
     lose(2);
     store_all();
     ledger_.on_sending(request_, process("last"));
-    EXPECT_EQ(ledger_.on_progress(request_, 100, 100), 2);
+    EXPECT_EQ(ledger_.on_progress(request_, {100, 100}), 2);
     EXPECT_EQ(ledger_.loss_count(request_), 1);
 }
 
@@ -125,12 +128,12 @@
 TEST_F(crash_ledger_test, cleared_losses_pass_on_to_a_new_owner) {
     constexpr int events = crash_ledger::clearing_events;
     lose_at({10, 11, 12});
-    EXPECT_EQ(ledger_.on_progress(request_, 20, 8), 3);
+    EXPECT_EQ(ledger_.on_progress(request_, {20, 8}), 3);
     lose_at({30});
     crash_ledger next(clock_, retention_ms);
     next.restore(read(ledger_.unsaved_rows(1)));
-    EXPECT_EQ(next.on_progress(request_, 30 + events, events), 0);
-    EXPECT_EQ(next.on_progress(request_, 30 + 2 * events, 2 * events), 1);
+    EXPECT_EQ(next.on_progress(request_, {30 + events, events}), 0);
+    EXPECT_EQ(next.on_progress(request_, {30 + 2 * events, 2 * events}), 1);
     next.on_finished(request_);
     next.on_saved(next.unsaved_rows(1));
     EXPECT_EQ(next.size(), 0U);
--- a/packages/batch/test/item_scheduler_crash_test.cpp
+++ b/packages/batch/test/item_scheduler_crash_test.cpp
@@ -1,8 +1,11 @@
 #include "item_scheduler_fixture.hpp"
 
+#include <functional>
 #include <map>
+#include <random>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace hibiscus::batch {
 
@@ -100,20 +103,34 @@
         add_job(1, false);
     }
 
-    /// Ends the server of each run after `events` events of the run, or when
-    /// the text has `text_events` events, `max_ends` times at most. Returns how
-    /// many servers ended.
-    int run_item(int events, int text_events, int max_ends) {
+    /// Ends the server of each run after as many events of the run as
+    /// `run_length` returns, or when the text has `text_events` events. Returns
+    /// how many servers ended.
+    int run_item(const std::function<int()>& run_length, int text_events) {
         int ends = 0;
         for (int n = 0; n < 100; ++n) {
             for (const auto& r : of_type<start_run>(tick_for(100))) {
-                ends += receive_events(r, events, text_events, ends < max_ends);
+                ends += receive_events(r, run_length(), text_events);
             }
             crashes_.on_saved(crashes_.unsaved_rows(crashes_.size()));
         }
         return ends;
     }
 
+    /// The same with these lengths; the run after them does not end its server.
+    int run_item_with_lengths(const std::vector<int>& lengths) {
+        std::size_t runs = 0;
+        return run_item(
+            [&] { return runs < lengths.size() ? lengths[runs++] : never; },
+            never);
+    }
+
+    /// Replaces the item by one of another workspace: no text, no losses.
+    void replace_item() {
+        scheduler_.remove_job(job_);
+        add_job(1, false, 1, "j", 0, "w" + std::to_string(++workspaces_));
+    }
+
     bool has_succeeded() const {
         const auto ready = scheduler_.ready_results(1000000);
         return ready.size() == 1 &&
@@ -122,16 +139,19 @@
 
     static constexpr int all_events = 171;
     static constexpr int never = all_events + 1;
+    static constexpr base::millis event_interval_ms = 8;
 
 private:
+    int workspaces_ = 0;
+
     /// Returns true if the server of the run ended.
-    bool receive_events(const start_run& r, int events, int text_events,
-                        bool may_end) {
+    bool receive_events(const start_run& r, int events, int text_events) {
         scheduler_.on_response_started(r.run, 1);
         int number =
             r.resume_after_event.empty() ? 0 : std::stoi(r.resume_after_event);
         for (int n = 0; number < all_events; ++n) {
-            if (may_end && (n >= events || number >= text_events)) {
+            time_->advance(event_interval_ms);
+            if (n >= events || number >= text_events) {
                 scheduler_.on_run_ended(r.run, run_outcome::cut);
                 crashes_.on_ended({r.sampler, 0});
                 return true;
@@ -145,33 +165,46 @@
 
 // Guards against items that are held back since chance ended servers under
 // them.
-TEST_F(ending_servers_test, an_item_that_goes_on_at_each_server_completes) {
-    EXPECT_EQ(run_item(17, never, 5), 5);
-    EXPECT_TRUE(has_succeeded());
+TEST_F(ending_servers_test, an_item_whose_run_outlives_a_loss_is_sent_on) {
+    for (const auto& lengths :
+         {std::vector<int>{18, 27, 27}, {5, 60, 3}, {40, 10, 50}}) {
+        EXPECT_EQ(run_item_with_lengths(lengths),
+                  static_cast<int>(lengths.size()));
+        EXPECT_TRUE(has_succeeded());
+        replace_item();
+    }
 }
 
 // Guards against an item whose text up to the end of its servers speaks for it.
 TEST_F(ending_servers_test, an_item_that_ends_servers_at_one_event_stops) {
-    EXPECT_EQ(run_item(never, 40, never), crash_ledger::max_server_ends);
+    EXPECT_EQ(run_item([] { return never; }, 40),
+              crash_ledger::max_server_ends);
     EXPECT_FALSE(has_succeeded());
 }
 
-// Guards against a count that a few events begin anew.
-TEST_F(ending_servers_test, an_item_that_ends_servers_at_once_stops) {
-    EXPECT_EQ(run_item(3, never, never), crash_ledger::max_server_ends);
-    EXPECT_FALSE(has_succeeded());
+// Guards against a count that the events before each end begin anew.
+TEST_F(ending_servers_test, an_item_that_ends_servers_after_its_start_stops) {
+    for (const int events : {0, 3, 4, 8, 16, 24, 50}) {
+        SCOPED_TRACE(events);
+        EXPECT_EQ(run_item([events] { return events; }, never),
+                  crash_ledger::max_server_ends);
+        EXPECT_FALSE(has_succeeded());
+        replace_item();
+    }
 }
 
-// Guards against an item that ends servers for as long as its text grows.
-TEST_F(ending_servers_test, ends_count_for_more_the_more_there_were) {
-    for (const int events : {4, 8, 16}) {
-        SCOPED_TRACE(events);
-        const int ends = run_item(events, never, never);
-        EXPECT_LE(ends, 2 * crash_ledger::max_server_ends - 1 +
-                            events / crash_ledger::clearing_events);
-        scheduler_.remove_job(job_);
-        crashes_.clear();
-        add_job(1, false);
+// Guards against an item that ends servers at a random time of its runs for as
+// long as its text grows.
+TEST_F(ending_servers_test, ends_at_random_times_have_a_bound) {
+    constexpr int seeds = 200;
+    for (int seed = 0; seed < seeds; ++seed) {
+        SCOPED_TRACE(seed);
+        std::mt19937 random(static_cast<unsigned>(seed));
+        std::uniform_int_distribution<int> run_length(0, all_events / 4);
+        EXPECT_LE(run_item([&] { return run_length(random); }, never),
+                  crash_ledger::max_server_ends +
+                      crash_ledger::max_uncounted_losses);
+        replace_item();
     }
 }
 
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -325,8 +325,7 @@
         return {{server_, server_started_ms_},
                 request_.service,
                 static_cast<int>(servers.size()),
-                0,
-                state_.clock.now() - attempt_sent_at_};
+                {0, 0, state_.clock.now() - attempt_sent_at_}};
     }
 
     void on_end(transport::call_outcome outcome) {
--- a/packages/entry/src/job_owner_crashes.cpp
+++ b/packages/entry/src/job_owner_crashes.cpp
@@ -50,8 +50,9 @@
                       {"kind", report.is_reward ? "reward" : "item"},
                       {"server", loss.process.server},
                       {"started", loss.process.started_ms},
-                      {"run_ms", loss.run_ms},
-                      {"events", loss.text_events},
+                      {"run_ms", loss.progress.run_ms},
+                      {"run_events", loss.progress.run_events},
+                      {"events", loss.progress.text_events},
                       {"losses", report.loss_count}});
 }
 
--- a/testing/entry/entry_crash_test.cpp
+++ b/testing/entry/entry_crash_test.cpp
@@ -252,15 +252,16 @@
 // Guards against items that are held back since chance ended servers under
 // them.
 TEST_F(entry_crash_test, items_that_lose_servers_by_chance_complete) {
-    constexpr int events_between_ends = 20;
-    constexpr int ends_by_chance = 3;
+    const std::vector<int> events_before_ends{12, 20, 20};
+    const int ends_by_chance = static_cast<int>(events_before_ends.size());
     add_samplers();
     start_nodes();
     end_servers_at("i5");
     int ends = 0;
     end_samplers_before_event([&](const auto& id, int /*event*/, int sent) {
         const bool ends_now =
-            id == "i3" && sent == events_between_ends && ends < ends_by_chance;
+            id == "i3" && ends < ends_by_chance &&
+            sent == events_before_ends[static_cast<std::size_t>(ends)];
         ends += ends_now ? 1 : 0;
         return ends_now;
     });
