batch: a free end must be of the same service

The demand that one end is free of requests with three losses took the end of any service. While scorers end, two items that end their servers at the same moments excused each other.

a_free_end_of_another_service_does_not_count: both requests were allowed before, both are quarantined now. The comparison with other ends is a small class of its own.

--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -279,6 +279,8 @@
     compare_with_chance(const request_row& row,
                         const std::set<server_process>& blamed) const;
     chance_evidence compare_with_chance(const request_row& row) const;
+    bool has_clean_end(const request_row& row,
+                       const std::set<server_process>& doubtful) const;
     bool is_chance(const request_row& row) const;
     bool is_suspect_being_sent(const request_row& row) const;
     bool may_become_chance(const request_row& row) const;
--- a/packages/batch/src/crash_ledger_chance.cpp
+++ b/packages/batch/src/crash_ledger_chance.cpp
@@ -31,47 +31,80 @@
 /// the assumption that it ends its servers as by chance. Few requests do.
 constexpr double quarantine_ratio = 1000;
 
-/// Returns how many of the sorted times are in [begin, end].
-double count_between(const std::vector<base::millis>& times, base::millis begin,
-                     base::millis end) {
-    return static_cast<double>(
-        std::upper_bound(times.begin(), times.end(), end) -
-        std::lower_bound(times.begin(), times.end(), begin));
-}
+/// When servers of a service ended without a request, compared with the time
+/// span of its losses.
+class end_history {
+public:
+    /// `times` is sorted.
+    end_history(std::vector<base::millis> times, base::millis span_begin,
+                base::millis span_end)
+        : times_(std::move(times)), span_begin_(span_begin),
+          span_end_(span_end) {}
 
-/// Returns the rate of the sorted times in [begin, end], per ms.
-double end_rate(const std::vector<base::millis>& times, base::millis begin,
-                base::millis end) {
-    return count_between(times, begin, end) / static_cast<double>(end - begin);
-}
+    /// Returns the probability that one of `server_count` servers ends by
+    /// chance while it has a request for `run_ms` up to `lost_at`.
+    double end_probability(base::millis run_ms, base::millis lost_at,
+                           int server_count) const {
+        const double rate = std::max(
+            {rate_between(span_begin_, span_end_),
+             rate_between(span_begin_ - history_ms, span_end_),
+             rate_between(lost_at - run_ms - nearby_ms, lost_at + nearby_ms)});
+        return 1 - std::exp(-rate * static_cast<double>(run_ms) / server_count);
+    }
+
+    /// Returns how many times as likely the time of a loss is if the request
+    /// ended its server as if it shared its cause with the ends of others.
+    double time_ratio(base::millis lost_at) const {
+        return count_near(lost_at) > 0
+                   ? std::min(1.0,
+                              accident_probability() / same_cause_probability())
+                   : 1;
+    }
+
+private:
+    double count_between(base::millis begin, base::millis end) const {
+        return static_cast<double>(
+            std::upper_bound(times_.begin(), times_.end(), end) -
+            std::lower_bound(times_.begin(), times_.end(), begin));
+    }
 
-/// Returns the probability that a time in [begin, end] is that of one of the
-/// sorted times by accident.
-double accident_probability(const std::vector<base::millis>& times,
-                            base::millis begin, base::millis end) {
-    int moments = 0;
-    base::millis last = begin - coincidence_ms - 1;
-    for (const auto time : times) {
-        if (time >= begin && time - last > coincidence_ms) {
-            ++moments;
-            last = time;
+    double count_near(base::millis time) const {
+        return count_between(time - coincidence_ms, time + coincidence_ms);
+    }
+
+    /// Returns the number of ends per ms.
+    double rate_between(base::millis begin, base::millis end) const {
+        return count_between(begin, end) / static_cast<double>(end - begin);
+    }
+
+    /// Returns the probability that a time in the span is that of an end.
+    double accident_probability() const {
+        int moments = 0;
+        base::millis last = span_begin_ - coincidence_ms - 1;
+        for (const auto time : times_) {
+            if (time >= span_begin_ && time - last > coincidence_ms) {
+                ++moments;
+                last = time;
+            }
         }
+        return 1 - std::exp(-2.0 * coincidence_ms * moments /
+                            static_cast<double>(span_end_ - span_begin_));
     }
-    return 1 - std::exp(-2.0 * coincidence_ms * moments /
-                        static_cast<double>(end - begin));
-}
 
-/// Returns the probability that a server that ends by chance ends at the same
-/// time as another one.
-double same_cause_probability(const std::vector<base::millis>& times) {
-    const auto coincident =
-        std::count_if(times.begin(), times.end(), [&](base::millis time) {
-            return count_between(times, time - coincidence_ms,
-                                 time + coincidence_ms) > 1;
-        });
-    return static_cast<double>(coincident + 1) /
-           static_cast<double>(times.size() + 2);
-}
+    /// Returns the probability that a server ends at the time of another one.
+    double same_cause_probability() const {
+        const auto coincident =
+            std::count_if(times_.begin(), times_.end(), [&](base::millis time) {
+                return count_near(time) > 1;
+            });
+        return static_cast<double>(coincident + 1) /
+               static_cast<double>(times_.size() + 2);
+    }
+
+    std::vector<base::millis> times_;
+    base::millis span_begin_;
+    base::millis span_end_;
+};
 
 } // namespace
 
@@ -162,31 +195,20 @@
         return evidence;
     }
     const auto& process = processes_.at(known->process);
-    const auto times = find_other_ends(row, process.service, blamed);
+    auto times = find_other_ends(row, process.service, blamed);
     evidence.other_ends = static_cast<int>(times.size());
     if (evidence.other_ends < max_server_ends) {
         return evidence;
     }
     const auto span = span_of(row);
-    const double usual_rate =
-        std::max(end_rate(times, span.begin, span.end),
-                 end_rate(times, span.begin - history_ms, span.end));
-    const double accident = accident_probability(times, span.begin, span.end);
-    const double same_cause = same_cause_probability(times);
+    const end_history history(std::move(times), span.begin, span.end);
     evidence.ratio = 1;
     for (const auto& l : row.losses) {
-        if (l.state == loss_state::sending) {
-            continue;
-        }
-        const auto run_ms = std::max<base::millis>(1, l.progress.run_ms);
-        const double rate =
-            std::max(usual_rate, end_rate(times, l.lost_at - run_ms - nearby_ms,
-                                          l.lost_at + nearby_ms));
-        evidence.ratio /= 1 - std::exp(-rate * static_cast<double>(run_ms) /
-                                       process.server_count);
-        if (count_between(times, l.lost_at - coincidence_ms,
-                          l.lost_at + coincidence_ms) > 0) {
-            evidence.ratio *= std::min(1.0, accident / same_cause);
+        if (l.state != loss_state::sending) {
+            const auto run_ms = std::max<base::millis>(1, l.progress.run_ms);
+            evidence.ratio *= history.time_ratio(l.lost_at) /
+                              history.end_probability(run_ms, l.lost_at,
+                                                      process.server_count);
         }
     }
     return evidence;
@@ -206,18 +228,28 @@
                 compare_with_chance(other, {}).ratio >= quarantine_ratio);
     });
     auto evidence = compare_with_chance(row, blamed);
-    const auto doubtful = find_lost_by_others(row, has_many_losses);
-    const bool has_clean_end =
-        std::any_of(processes_.begin(), processes_.end(), [&](const auto& p) {
-            return p.second.ended && span_of(row).contains(p.second.lost_at) &&
-                   !has_loss(row, p.first) && doubtful.count(p.first) == 0;
-        });
-    if (!has_clean_end) {
+    if (!has_clean_end(row, find_lost_by_others(row, has_many_losses))) {
         evidence.ratio = std::numeric_limits<double>::infinity();
     }
     return evidence;
 }
 
+/// Returns true if a server ended without a request in its time span, and is
+/// not in `doubtful`.
+bool crash_ledger::has_clean_end(
+    const request_row& row, const std::set<server_process>& doubtful) const {
+    return std::any_of(
+        row.losses.begin(), row.losses.end(), [&](const loss& l) {
+            const auto found = processes_.find(l.process);
+            if (found == processes_.end()) {
+                return false;
+            }
+            const auto times =
+                find_other_ends(row, found->second.service, doubtful);
+            return !times.empty() && times.back() >= span_of(row).begin;
+        });
+}
+
 /// Returns true if chance explains the losses of a request.
 bool crash_ledger::is_chance(const request_row& row) const {
     return compare_with_chance(row).ratio < quarantine_ratio;
--- a/packages/batch/test/crash_ledger_test.cpp
+++ b/packages/batch/test/crash_ledger_test.cpp
@@ -209,6 +209,26 @@
     EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
 }
 
+// Guards against requests that excuse each other while another service is in
+// trouble.
+TEST_F(crash_chance_test, a_free_end_of_another_service_does_not_count) {
+    for (int n = 0; n < crash_ledger::max_server_ends; ++n) {
+        auto lost = make_loss(process("o" + std::to_string(n)));
+        lost.service = samplers::service_name("app");
+        ledger_.on_lost({"w", lost.process.server.str()}, lost);
+        for (const auto& request : {request_, other_}) {
+            ledger_.on_lost(request, make_loss(process(request.request_id +
+                                                       std::to_string(n)),
+                                               n, 300));
+        }
+        time_->advance(400);
+    }
+    store_all();
+    settle();
+    EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
+    EXPECT_EQ(ledger_.permission(other_), send_permission::quarantined);
+}
+
 // Guards against one long run that makes room for short ones.
 TEST_F(crash_chance_test,
        a_request_that_ends_servers_at_one_event_is_no_chance) {
