batch: servers in virtual time need not register as they start

items_that_end_servers_end_three_at_most had been narrowed: a server that ended because of an item renewed its registration as it started, since one that ended again before it had registered counted once.

--- a/packages/batch/test/wait_simulation.hpp
+++ b/packages/batch/test/wait_simulation.hpp
@@ -476,12 +476,11 @@
         }
     }
 
-    /// Ends the servers of items that do so, for a while. They register when
-    /// they start again.
+    /// Ends the servers of items that do so, for a while.
     void end_servers() {
         for (auto& [id, s] : servers_) {
             if (!s.alive && s.ended_by_item && now() >= s.restart_at) {
-                s.ended_by_item = s.renewals_lost = false;
+                s.ended_by_item = false;
                 restart(s);
             }
             for (const auto run : std::set<run_number>(s.runs)) {
