--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -122,6 +122,7 @@
     /// max_uncounted_losses.
     int counted_losses(const request_key& request) const;
 
+    /// Returns what is known of a request, for logs.
     loss_summary summarize(const request_key& request) const;
 
     /// Returns true if the next send of a request has to be stored before it is
