known red: requests under which servers fall silent end more than three

Servers that end without a sign before they respond are not counted. Two tests with real nodes: servers of ours fall silent for 1.5 s when they get one item, or its reward call.

--- a/testing/entry/entry_crash_test.cpp
+++ b/testing/entry/entry_crash_test.cpp
@@ -23,6 +23,9 @@
 /// How long a server is down after it has ended, in ms.
 constexpr int restart_ms = 150;
 
+/// How long a server that ends silently is down, in ms.
+constexpr int silent_ms = 1500;
+
 /// How long a server that starts again at once is down, in ms.
 constexpr int short_restart_ms = 5;
 
@@ -69,6 +72,14 @@
         }
     }
 
+    /// Makes all servers end without a sign.
+    void end_servers_silently() {
+        for (auto& server : samplers_) {
+            server->end_silently();
+        }
+        lookup_server_.end_silently();
+    }
+
     int server_ends() const {
         int ends = lookup_server_.end_count();
         for (const auto& server : samplers_) {
@@ -108,6 +119,11 @@
         }
     }
 
+    bool is_quarantined(const std::string& request) const {
+        return has_logged("n1", {"request_quarantined", request}) ||
+               has_logged("n2", {"request_quarantined", request});
+    }
+
     std::string other_node(const std::string& name) const {
         return name == "n1" ? "n2" : "n1";
     }
@@ -243,11 +259,6 @@
         ASSERT_EQ(submit("n1", "job1", "i").status, 202);
     }
 
-    bool is_quarantined(const std::string& request) const {
-        return has_logged("n1", {"request_quarantined", request}) ||
-               has_logged("n2", {"request_quarantined", request});
-    }
-
     int chance_ends_ = 0;
 
 private:
@@ -333,6 +344,35 @@
     EXPECT_EQ(server_ends(), max_server_ends);
 }
 
+// Guards against an item that is sent on after servers fell silent under it.
+TEST_F(entry_crash_test, an_item_silences_three_servers_at_most) {
+    add_samplers();
+    start_nodes();
+    restart_options options;
+    options.down_ms = silent_ms;
+    end_servers_at("i5", options);
+    end_servers_silently();
+    ASSERT_EQ(submit("n1", "job1", "i").status, 202);
+    EXPECT_TRUE(wait_for_others("n2", "job1", "i5"));
+    EXPECT_TRUE(run_until([&] { return is_quarantined("\"i5\""); }));
+    EXPECT_TRUE(finish_another_job("n1"));
+    EXPECT_EQ(server_ends(), max_server_ends);
+}
+
+// Guards against a reward call that is repeated after servers fell silent.
+TEST_F(entry_crash_test, a_reward_call_silences_three_servers_at_most) {
+    start_nodes();
+    restart_options options;
+    options.down_ms = silent_ms;
+    end_servers_at("si5", options);
+    end_servers_silently();
+    ASSERT_EQ(submit("n1", "job1", "i").status, 202);
+    EXPECT_TRUE(wait_for_others("n2", "job1", "i5"));
+    EXPECT_TRUE(run_until([&] { return is_quarantined("\"si5\""); }));
+    EXPECT_TRUE(finish_another_job("n1"));
+    EXPECT_EQ(server_ends(), max_server_ends);
+}
+
 // Guards against a count that ends with its owner.
 TEST_F(entry_crash_test, a_killed_owner_does_not_take_the_count_along) {
     start_nodes();
--- a/testing/entry/fake_backend_server.cpp
+++ b/testing/entry/fake_backend_server.cpp
@@ -45,7 +45,7 @@
         [this, process = end_count_](const auto& request, auto writer) {
             // A connection of a process that has ended.
             if (process != end_count_) {
-                writer->abort();
+                break_off(writer);
                 return;
             }
             handle(request, writer);
@@ -66,7 +66,9 @@
     ++end_count_;
     ++abort_count_;
     accepted_order_count_ = 0;
-    boost::asio::post(io_, [this] { server_.reset(); });
+    if (!ends_silently_) {
+        boost::asio::post(io_, [this] { server_.reset(); });
+    }
     auto timer = std::make_shared<boost::asio::steady_timer>(
         io_, std::chrono::milliseconds(restart_ms_));
     timer->async_wait([this, timer](auto error) {
@@ -76,11 +78,24 @@
         if (changes_id_) {
             id_ += "'";
         }
+        if (server_) {
+            server_->close();
+            silent_servers_.push_back(std::move(server_));
+        }
         start();
         on_restart_();
     });
 }
 
+/// Ends a response of a process that has ended.
+void fake_backend_server::break_off(const response_writer_ptr& writer) {
+    if (ends_silently_) {
+        unfinished_responses_.push_back(writer);
+    } else {
+        writer->abort();
+    }
+}
+
 std::string fake_backend_server::expected_text(const std::string& id,
                                                int events) {
     std::string text;
@@ -116,7 +131,7 @@
         writer->send({421, {{"Instance-Id", id_}}, ""});
     } else if (!id.empty() && id == ending_request_) {
         end();
-        writer->abort();
+        break_off(writer);
     } else if (request.target == "/report") {
         writer->send(
             {200,
@@ -191,6 +206,10 @@
         should_end_(s.id, event_number, event_number - s.first_event)) {
         end();
     }
+    if (s.abort_count != abort_count_ && ends_silently_) {
+        break_off(s.writer);
+        return;
+    }
     if (s.abort_count != abort_count_) {
         s.writer->write("id: " + std::to_string(event_number) +
                         "\ndata: half of ");
--- a/testing/entry/fake_backend_server.hpp
+++ b/testing/entry/fake_backend_server.hpp
@@ -79,6 +79,10 @@
         should_end_ = std::move(should_end);
     }
 
+    /// Makes the process end without a sign: its connections stay open, nothing
+    /// is sent on them, and new ones get no response until it starts again.
+    void end_silently() { ends_silently_ = true; }
+
     /// Returns how often the process of the server has ended.
     int end_count() const { return end_count_; }
 
@@ -109,6 +113,7 @@
 
     void start();
     void end();
+    void break_off(const response_writer_ptr& writer);
     void handle(const transport::inbound_request& request,
                 const response_writer_ptr& writer);
     void respond_to_plain_request(const std::string& id, int status,
@@ -135,7 +140,11 @@
     std::function<int(const std::string&)> choose_status_;
     std::function<bool(const std::string&, int, int)> should_end_;
     int end_count_ = 0;
+    bool ends_silently_ = false;
     std::unique_ptr<transport::streaming_http_server> server_;
+    /// Processes that have ended silently.
+    std::vector<std::unique_ptr<transport::streaming_http_server>>
+        silent_servers_;
     base::endpoint address_;
 };
 
