batch, entry: a server that falls silent under a request counts

Cause: a silent run counted only if its server had begun to respond, and a timed-out attempt of a reward call or plain request never. A server that ends without a sign as soon as it gets a request was left after 0.9 s and the request was sent on; nothing was counted.

A silent server is told from a slow one by the other requests that it has: a run or attempt without a response is a loss only if the server has sent nothing to any of them either. It may have ended before the send.

--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,15 +26,28 @@
     quarantined,
 };
 
-/// A server process whose connection broke off while it had a request.
+/// A server process that may have ended while it had a request: its connection
+/// broke off, or nothing came from it any more.
 struct server_loss {
     server_process process;
     /// The service of the server, and the number of servers of the service that
     /// get requests.
     samplers::service_name service = {};
     int server_count = 0;
-    /// How far the run had come.
+    /// How far the run had come when something last came from the server.
     run_progress progress = {};
+    /// Time from then until the loss was noticed, in ms.
+    base::millis silence_ms = 0;
+    /// Set if the server fell silent without a response to the request: when
+    /// something last came from it, to whatever request. It may have ended
+    /// before the request was sent.
+    std::optional<base::millis> silent_since = {};
+
+    /// Takes the last `ms` of the run for silence.
+    void exclude_silence(base::millis ms) {
+        silence_ms = std::min(ms, progress.run_ms);
+        progress.run_ms -= silence_ms;
+    }
 };
 
 /// What is known of a server process whose connection broke off.
@@ -144,8 +158,10 @@
     /// request.
     bool is_stored(const request_key& request) const;
 
-    /// Called when the connection to a server that had the request broke off.
-    void on_lost(const request_key& request, const server_loss& lost);
+    /// Called when a server that had the request may have ended. Returns false
+    /// if this is no loss of the request: the server had fallen silent before
+    /// the request was sent.
+    bool on_lost(const request_key& request, const server_loss& lost);
 
     /// Called when a run has received an event. Returns the number of losses
     /// that this clears.
@@ -164,17 +180,20 @@
     /// connections only.
     void on_alive(const server_process& process);
 
-    /// A server process that has to be checked, and when its connection broke
-    /// off.
-    struct due_check {
+    /// A server process and when its loss was noticed.
+    struct lost_process {
         server_process process;
         base::millis lost_at = 0;
     };
 
+    /// Returns the server processes that may have ended, each with its first
+    /// loss.
+    std::vector<lost_process> lost_processes() const;
+
     /// Returns the server processes to check: those of requests that wait for
     /// it and, as these are compared with them, those that were lost at about
     /// the same time. Each is returned once in `check_interval_ms`.
-    std::vector<due_check> take_due_checks();
+    std::vector<lost_process> take_due_checks();
 
     /// What has to be stored of a request.
     struct unsaved_row {
@@ -219,6 +238,8 @@
     struct loss {
         server_process process;
         loss_state state = loss_state::suspected;
+        base::millis sent_at = 0;
+        /// When the loss was noticed.
         base::millis lost_at = 0;
         /// How far the run had come.
         run_progress progress;
@@ -290,10 +311,11 @@
     using check_times = std::map<server_process, base::millis>;
     void add_due_check(const server_process& process, base::millis lost_at,
                        const check_times& checked_before,
-                       std::vector<due_check>& due);
+                       std::vector<lost_process>& due);
     static bool is_urgent(const request_row& row);
-    static bool is_same_loss(const loss& known, const server_loss& lost,
-                             base::millis now);
+    base::millis sent_at(const server_loss& lost) const;
+    static bool is_same_loss(const loss& known, const loss& lost);
+    bool had_fallen_silent(const server_loss& lost) const;
     void set_loss(const request_key& request, const server_loss& lost,
                   loss_state state);
     void mark_changed(request_row& row);
--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -105,13 +105,15 @@
     int event_count = 0;
 };
 
-/// Effect: report that the connection of a server that had a request broke off.
+/// Effect: report that a server that had a request may have ended.
 struct report_loss {
     job_id job;
     int item_index = 0;
     std::string request_id;
     bool is_reward = false;
     server_loss loss;
+    /// Whether it is a loss of the request, as crash_ledger::on_lost() says.
+    bool counts = true;
     /// Number of losses of the request that count, this one included.
     int loss_count = 0;
 };
@@ -426,6 +428,9 @@
         std::map<samplers::sampler_id, int> run_counts;
         /// Servers with an item that has losses.
         std::set<samplers::sampler_id> suspects;
+        /// Servers that may have ended: nothing has come from them since a
+        /// request was lost there.
+        std::set<samplers::sampler_id> doubtful;
         /// Servers that are kept for one item whose next loss may be its last.
         std::set<samplers::sampler_id> isolated;
 
@@ -459,6 +464,7 @@
     void move_runs(effects& out);
     bool is_silent(const run_row& run,
                    samplers::run_placement& placement) const;
+    void add_silent_loss(const run_row& run, const item_row& row, effects& out);
     void move_silent_runs(effects& out);
     void move_slow_runs(effects& out);
     void move_long_runs(effects& out);
--- a/packages/batch/src/crash_ledger.cpp
+++ b/packages/batch/src/crash_ledger.cpp
@@ -110,25 +110,29 @@
     row.changed_at = clock_.now();
 }
 
-/// Returns true if `known` is about the same process as a loss that is noticed
-/// at `now`. A request that was sent after a loss may have run in a process
-/// that had started since then and was not registered yet.
-bool crash_ledger::is_same_loss(const loss& known, const server_loss& lost,
-                                base::millis now) {
+/// Returns when the request of a loss that is noticed now was sent.
+base::millis crash_ledger::sent_at(const server_loss& lost) const {
+    return clock_.now() - lost.silence_ms - lost.progress.run_ms;
+}
+
+/// Returns true if `known` is about the same process as `lost`. A request that
+/// was sent after a loss may have run in a process that had started since then
+/// and was not registered yet.
+bool crash_ledger::is_same_loss(const loss& known, const loss& lost) {
     return known.process == lost.process &&
            (known.state == loss_state::sending ||
             (known.state == loss_state::suspected &&
-             now - lost.progress.run_ms <= known.lost_at));
+             lost.sent_at <= known.lost_at));
 }
 
 void crash_ledger::set_loss(const request_key& request, const server_loss& lost,
                             loss_state state) {
     auto& row = rows_[request];
-    const loss added{lost.process, state, clock_.now(), lost.progress};
+    const loss added{lost.process, state, sent_at(lost), clock_.now(),
+                     lost.progress};
     const auto known =
-        std::find_if(row.losses.begin(), row.losses.end(), [&](const loss& l) {
-            return is_same_loss(l, lost, clock_.now());
-        });
+        std::find_if(row.losses.begin(), row.losses.end(),
+                     [&](const loss& l) { return is_same_loss(l, added); });
     if (known == row.losses.end()) {
         row.losses.push_back(added);
     } else if (state != loss_state::sending) {
@@ -142,12 +146,36 @@
     set_loss(request, {process}, loss_state::sending);
 }
 
-void crash_ledger::on_lost(const request_key& request,
+/// Returns true if a server had been lost by a request before this one was
+/// sent, and nothing has come from it since.
+bool crash_ledger::had_fallen_silent(const server_loss& lost) const {
+    const auto known = processes_.find(lost.process);
+    if (!lost.silent_since || known == processes_.end()) {
+        return false;
+    }
+    return known->second.lost_at <= sent_at(lost) &&
+           *lost.silent_since <= known->second.lost_at;
+}
+
+std::vector<crash_ledger::lost_process> crash_ledger::lost_processes() const {
+    std::vector<lost_process> lost;
+    lost.reserve(processes_.size());
+    for (const auto& [process, row] : processes_) {
+        lost.push_back({process, row.lost_at});
+    }
+    return lost;
+}
+
+bool crash_ledger::on_lost(const request_key& request,
                            const server_loss& lost) {
+    if (had_fallen_silent(lost)) {
+        return false;
+    }
     set_loss(request, lost, loss_state::suspected);
     processes_.try_emplace(
         lost.process,
         process_row{lost.service, lost.server_count, clock_.now(), false});
+    return true;
 }
 
 /// Returns true if a run has gone past a loss: in the text, and in the time and
@@ -311,7 +339,7 @@
         for (const auto& l : record.losses) {
             row.losses.push_back(
                 {l.process, l.ended ? loss_state::ended : loss_state::suspected,
-                 clock_.now(), l.progress});
+                 clock_.now() - l.progress.run_ms, clock_.now(), l.progress});
         }
         mark_changed(row);
         row.stored_change = row.change;
--- a/packages/batch/src/crash_ledger_chance.cpp
+++ b/packages/batch/src/crash_ledger_chance.cpp
@@ -120,8 +120,7 @@
     bool is_first = true;
     for (const auto& l : row.losses) {
         if (l.state != loss_state::sending) {
-            const auto sent_at = l.lost_at - l.progress.run_ms;
-            span.begin = is_first ? sent_at : std::min(span.begin, sent_at);
+            span.begin = is_first ? l.sent_at : std::min(span.begin, l.sent_at);
             span.end = is_first ? l.lost_at : std::max(span.end, l.lost_at);
             is_first = false;
         }
@@ -284,8 +283,8 @@
            (count(row, loss_state::suspected) > 0 || may_become_chance(row));
 }
 
-std::vector<crash_ledger::due_check> crash_ledger::take_due_checks() {
-    std::vector<due_check> due;
+std::vector<crash_ledger::lost_process> crash_ledger::take_due_checks() {
+    std::vector<lost_process> due;
     const auto checked_before = std::exchange(checked_at_, {});
     for (const auto& [request, row] : rows_) {
         if (!needs_checks(row)) {
@@ -312,7 +311,7 @@
 void crash_ledger::add_due_check(const server_process& process,
                                  base::millis lost_at,
                                  const check_times& checked_before,
-                                 std::vector<due_check>& due) {
+                                 std::vector<lost_process>& due) {
     const auto now = clock_.now();
     const auto before = checked_before.find(process);
     const bool is_due = before == checked_before.end() ||
--- a/packages/batch/src/item_scheduler_isolation.cpp
+++ b/packages/batch/src/item_scheduler_isolation.cpp
@@ -28,6 +28,14 @@
         for (const auto& [number, run] : runs_) {
             occupancy.add(run.sampler, run.loss_count);
         }
+        for (const auto& lost : crashes_.lost_processes()) {
+            const auto* server = table_.find(lost.process.server);
+            if (server != nullptr &&
+                server->registered.started_ms == lost.process.started_ms &&
+                server->last_event_at <= lost.lost_at) {
+                occupancy.doubtful.insert(lost.process.server);
+            }
+        }
     }
     return occupancy;
 }
@@ -54,9 +62,14 @@
 server_loss item_scheduler::loss_of(const run_row& run,
                                     const item_row& row) const {
     const auto& service = jobs_.at(run.job).options.service;
-    return {process_of(run), service,
-            static_cast<int>(table_.run_candidates(service).size()),
-            progress_of(run, row)};
+    server_loss lost{process_of(run), service,
+                     static_cast<int>(table_.run_candidates(service).size()),
+                     progress_of(run, row)};
+    const auto silence = clock_.now() - run.last_activity_at;
+    if (run.has_response && silence > min_silence_ms) {
+        lost.exclude_silence(silence);
+    }
+    return lost;
 }
 
 run_progress item_scheduler::progress_of(const run_row& run,
@@ -65,15 +78,15 @@
             clock_.now() - run.sent_at};
 }
 
-/// Counts a loss of an item or of its reward call.
+/// Counts a loss of an item or of its reward call, if it is one.
 void item_scheduler::add_loss(const job_id& id, int item_index, bool is_reward,
                               const server_loss& lost, effects& out) {
     const auto& job = jobs_.at(id);
     const auto& row = job.items[static_cast<std::size_t>(item_index)];
     const auto request = is_reward ? reward_of(job, row) : request_of(job, row);
-    crashes_.on_lost(request, lost);
+    const bool counts = crashes_.on_lost(request, lost);
     out.push_back(report_loss{id, item_index, request.request_id, is_reward,
-                              lost, crashes_.counted_losses(request)});
+                              lost, counts, crashes_.counted_losses(request)});
 }
 
 /// Clears the losses of an item whose run has gone past them.
@@ -103,9 +116,10 @@
         placement.has_server(requirements, occupancy.isolated)) {
         isolated = occupancy.isolated;
     }
-    if (loss_count > 0 && !occupancy.suspects.empty()) {
+    if (loss_count > 0) {
         auto apart = isolated;
         apart.insert(occupancy.suspects.begin(), occupancy.suspects.end());
+        apart.insert(occupancy.doubtful.begin(), occupancy.doubtful.end());
         if (auto server = choose_among(placement, requirements, row, apart)) {
             return server;
         }
@@ -142,7 +156,7 @@
     samplers::run_placement& placement,
     const samplers::run_requirements& requirements, const item_row& row,
     server_occupancy& occupancy) const {
-    std::set<samplers::sampler_id> occupied;
+    auto occupied = occupancy.doubtful;
     for (const auto& [server, count] : occupancy.run_counts) {
         occupied.insert(server);
     }
@@ -172,7 +186,8 @@
             found == occupancy.run_counts.end() ? 0 : found->second;
         if (occupancy.isolated.count(id) != 0) {
             ++isolated_count;
-        } else if (row.version_of(requirements.model) >=
+        } else if (occupancy.doubtful.count(id) == 0 &&
+                   row.version_of(requirements.model) >=
                        requirements.min_version &&
                    (emptiest == nullptr || runs < fewest_runs)) {
             emptiest = &id;
--- a/packages/batch/src/item_scheduler_limits.hpp
+++ b/packages/batch/src/item_scheduler_limits.hpp
@@ -13,4 +13,7 @@
 /// ms: most runs end sooner.
 constexpr base::millis max_isolation_wait_ms = 2000;
 
+/// A server that has sent nothing for less than this, in ms, is not silent.
+constexpr base::millis min_silence_ms = 300;
+
 } // namespace hibiscus::batch
--- a/packages/batch/src/item_scheduler_moves.cpp
+++ b/packages/batch/src/item_scheduler_moves.cpp
@@ -21,7 +21,6 @@
 /// process that its ticks don't show would otherwise make all servers look
 /// silent.
 constexpr double silence_factor = 20;
-constexpr base::millis min_silence_ms = 300;
 
 /// Maximum number of runs that leave slow or draining servers in one tick. If
 /// all moved at once, they would compete for the same few free slots.
@@ -82,6 +81,25 @@
                silence_factor * placement.event_interval(run.sampler);
 }
 
+/// Counts a silent run as a loss unless only the run is silent: its server
+/// still sends events of others.
+void item_scheduler::add_silent_loss(const run_row& run, const item_row& row,
+                                     effects& out) {
+    auto lost = loss_of(run, row);
+    if (!run.has_response) {
+        const auto* server = table_.find(run.sampler);
+        lost.silent_since = server == nullptr ? 0 : server->last_event_at;
+        const bool has_restarted =
+            server == nullptr ||
+            server->registered.started_ms != run.server_started_ms;
+        if (!has_restarted &&
+            clock_.now() - *lost.silent_since <= min_silence_ms) {
+            return;
+        }
+    }
+    add_loss(run.job, run.item_index, false, lost, out);
+}
+
 void item_scheduler::move_silent_runs(effects& out) {
     std::vector<run_number> silent;
     samplers::run_placement placement(table_, clock_.now());
@@ -94,9 +112,8 @@
         ++counts_.silent_runs;
         const auto& row = runs_.at(run);
         const auto* item = find_item(row);
-        // Without a response, the server may have ended before the send.
-        if (item != nullptr && row.has_response) {
-            add_loss(row.job, row.item_index, false, loss_of(row, *item), out);
+        if (item != nullptr) {
+            add_silent_loss(row, *item, out);
         }
         table_.on_failure(row.sampler);
         move_run(run, "silent", out);
--- a/packages/batch/test/crash_ledger_test.cpp
+++ b/packages/batch/test/crash_ledger_test.cpp
@@ -86,6 +86,20 @@
     EXPECT_EQ(ledger_.permission(request_), send_permission::allowed);
 }
 
+// Guards against requests that are blamed for servers which were silent before.
+TEST_F(crash_ledger_test, a_send_to_a_silent_server_is_no_loss) {
+    time_->advance(100);
+    auto lost = make_loss(process("s"), 0, 50);
+    lost.silent_since = 40;
+    EXPECT_TRUE(ledger_.on_lost(other_, lost));
+    time_->advance(900);
+    lost.progress.run_ms = 800;
+    EXPECT_FALSE(ledger_.on_lost(request_, lost));
+    EXPECT_EQ(ledger_.loss_count(request_), 0);
+    lost.silent_since = 150;
+    EXPECT_TRUE(ledger_.on_lost(request_, lost));
+}
+
 // Guards against requests that are held back since chance ended their servers.
 TEST_F(crash_ledger_test, progress_past_the_point_of_a_loss_clears_it) {
     lose_at({10, 20, 30});
--- a/packages/batch/test/wait_simulation.hpp
+++ b/packages/batch/test/wait_simulation.hpp
@@ -43,6 +43,8 @@
         base::millis last_renewed_at = 0;
         std::set<run_number> runs;
         bool ended_by_item = false;
+        /// Has ended without a sign: new connections get no response either.
+        bool is_silent = false;
         base::millis restart_at = 0;
 
         bool is_serving() const { return alive && !frozen; }
@@ -86,6 +88,7 @@
         count_end(s);
         reset_connections(s);
         s.alive = true;
+        s.is_silent = false;
         s.loading_model.clear();
         ++s.registration.started_ms;
         s.next_renewal_at = now();
@@ -123,6 +126,13 @@
         end_delay_ms_ = delay_ms;
     }
 
+    /// From now on, these servers give no sign of their end, and start again
+    /// after `down_ms`.
+    void end_servers_silently(base::millis down_ms) {
+        ends_silently_ = true;
+        down_ms_ = down_ms;
+    }
+
     /// Returns the highest number of servers that one of these items has ended.
     int most_ends_by_item() const {
         int most = 0;
@@ -330,10 +340,11 @@
                         now() + event_interval_ms,
                         skipped_events + 1,
                         now()};
+        if (s.frozen || s.is_silent) {
+            return;
+        }
         if (!s.alive) {
             defer([this, run = r.run] { end_run(run, run_outcome::unusable); });
-        } else if (s.frozen) {
-            return;
         } else if (s.rejects_runs || s.loading_model == r.model ||
                    s.runs.size() >= slots) {
             defer([this, run = r.run] { end_run(run, run_outcome::not_run); });
@@ -490,8 +501,9 @@
                     now() - found->second.started_at >= end_delay_ms_) {
                     ++ends_by_item_[found->second.start.content->id];
                     s.ended_by_item = true;
-                    s.restart_at = now() + restart_ms;
-                    crash(s, false);
+                    s.is_silent = ends_silently_;
+                    s.restart_at = now() + down_ms_;
+                    crash(s, ends_silently_);
                 }
             }
         }
@@ -533,7 +545,8 @@
                                                  now() - check.lost_at,
                                                  renewal_interval_ms);
             const auto& s = servers_.at(id);
-            if (verdict == server_verdict::unknown && !s.frozen) {
+            if (verdict == server_verdict::unknown && !s.frozen &&
+                !s.is_silent) {
                 verdict = s.alive && s.registration.started_ms ==
                                          check.process.started_ms
                               ? server_verdict::alive
@@ -631,6 +644,8 @@
     std::map<item_id, server_end_row> server_ends_;
     int ending_items_ = 0;
     base::millis end_delay_ms_ = 0;
+    bool ends_silently_ = false;
+    base::millis down_ms_ = restart_ms;
     std::map<item_id, int> ends_by_item_;
     base::millis longest_wait_ = 0;
     std::int64_t owner_epoch_ = 1;
--- a/packages/batch/test/waiting_fuzz_test.cpp
+++ b/packages/batch/test/waiting_fuzz_test.cpp
@@ -21,6 +21,8 @@
 
 /// After this time all servers are listed.
 constexpr base::millis start_ms = 1500;
+/// How long a server that falls silent is down, in ms.
+constexpr base::millis silent_ms = 1500;
 
 /// Time until every server is known to be healthy after the last fault, in ms:
 /// its entry is renewed, and its backoff after failures is over.
@@ -165,6 +167,43 @@
     });
 }
 
+// Guards against items under which servers fall silent, beside random faults.
+TEST(waiting_fuzz_test, items_that_silence_servers_silence_three_at_most) {
+    testing::fuzz("silences", runs_per_test, [](const auto& commands) {
+        wait_simulation simulation(server_count);
+        simulation.end_servers_at_first_items();
+        simulation.end_servers_silently(silent_ms);
+        auto violation =
+            apply_commands(simulation, commands, server_command_kinds);
+        const int ends = simulation.most_ends_by_item();
+        return violation.empty() && ends > crash_ledger::max_server_ends
+                   ? "an item silenced " + std::to_string(ends) + " servers"
+                   : violation;
+    });
+}
+
+// Guards against items that are sent on after servers fell silent under them.
+TEST(waiting_fuzz_test, several_items_that_silence_servers_silence_three_each) {
+    constexpr int many_servers = 11;
+    constexpr int items = 24;
+    for (const int ending_items : {1, 2, 3, 4}) {
+        for (const base::millis delay_ms : {0, 100, 300, 700, 1000}) {
+            for (const base::millis down_ms : {500, 1500, 5000}) {
+                wait_simulation simulation(many_servers);
+                simulation.end_servers_at_first_items(delay_ms, ending_items);
+                simulation.end_servers_silently(down_ms);
+                simulation.run(start_ms);
+                simulation.submit_job(0, items);
+                simulation.run(fault_free_ms);
+                EXPECT_LE(simulation.most_ends_by_item(),
+                          crash_ledger::max_server_ends)
+                    << ending_items << " items, " << delay_ms << " ms, "
+                    << down_ms << " ms";
+            }
+        }
+    }
+}
+
 // Guards against items that end servers and excuse each other.
 TEST(waiting_fuzz_test, several_items_that_end_servers_end_three_each) {
     constexpr int many_servers = 11;
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -319,13 +319,35 @@
         }
     }
 
-    batch::server_loss describe_attempt() const {
+    /// Returns when the server last responded to any request, if it has fallen
+    /// silent: it has not responded in the second half of the attempt, or has
+    /// started again.
+    std::optional<base::millis> silent_since() const {
+        const auto* row = state_.samplers.find(server_);
+        if (row == nullptr ||
+            row->registered.started_ms != server_started_ms_) {
+            return 0;
+        }
+        const auto attempt_ms = state_.clock.now() - attempt_sent_at_;
+        const bool is_silent =
+            head_.status == 0 && attempt_ms >= min_attempt_timeout_ms &&
+            row->last_response_at < attempt_sent_at_ + attempt_ms / 2;
+        return is_silent ? std::optional(row->last_response_at) : std::nullopt;
+    }
+
+    batch::server_loss describe_attempt(transport::call_outcome outcome) const {
+        const auto now = state_.clock.now();
         const auto& servers = state_.samplers.request_candidates(
             request_.service, state_.settings.zone);
-        return {{server_, server_started_ms_},
-                request_.service,
-                static_cast<int>(servers.size()),
-                {0, 0, state_.clock.now() - attempt_sent_at_}};
+        batch::server_loss attempt{{server_, server_started_ms_},
+                                   request_.service,
+                                   static_cast<int>(servers.size()),
+                                   {0, 0, now - attempt_sent_at_}};
+        if (outcome == transport::call_outcome::total_timeout) {
+            attempt.silent_since = silent_since();
+            attempt.exclude_silence(now - attempt.silent_since.value_or(now));
+        }
+        return attempt;
     }
 
     void on_end(transport::call_outcome outcome) {
@@ -337,7 +359,7 @@
         if (finished_) {
             return;
         }
-        lost_servers_.on_attempt_ended(describe_attempt(), outcome);
+        lost_servers_.on_attempt_ended(describe_attempt(outcome), outcome);
         const bool is_complete =
             outcome == transport::call_outcome::complete ||
             outcome == transport::call_outcome::closed_without_length;
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -138,11 +138,11 @@
     void note_ended_server(const active_run& active,
                            batch::run_outcome outcome);
     void check_lost_servers();
-    void check_lost_server(const batch::crash_ledger::due_check& check);
-    void settle_check(const batch::crash_ledger::due_check& check,
+    void check_lost_server(const batch::crash_ledger::lost_process& check);
+    void settle_check(const batch::crash_ledger::lost_process& check,
                       batch::server_verdict verdict, const char* evidence);
-    void request_start_time(const batch::crash_ledger::due_check& check);
-    void on_start_time(const batch::crash_ledger::due_check& check,
+    void request_start_time(const batch::crash_ledger::lost_process& check);
+    void on_start_time(const batch::crash_ledger::lost_process& check,
                        const server_response& response);
     void store_losses_if_due();
     void append_losses();
--- a/packages/entry/src/job_owner_crashes.cpp
+++ b/packages/entry/src/job_owner_crashes.cpp
@@ -61,6 +61,8 @@
                       {"run_ms", loss.progress.run_ms},
                       {"run_events", loss.progress.run_events},
                       {"events", loss.progress.text_events},
+                      {"silent", loss.silent_since.has_value()},
+                      {"counts", report.counts},
                       {"losses", report.loss_count}});
 }
 
@@ -85,7 +87,8 @@
     }
 }
 
-void job_owner::check_lost_server(const batch::crash_ledger::due_check& check) {
+void job_owner::check_lost_server(
+    const batch::crash_ledger::lost_process& check) {
     const auto lost_ms = state_.clock.now() - check.lost_at;
     const auto verdict = batch::judge_by_registration(
         state_.samplers.find(check.process.server), check.process, lost_ms,
@@ -97,7 +100,7 @@
     settle_check(check, verdict, "registration");
 }
 
-void job_owner::settle_check(const batch::crash_ledger::due_check& check,
+void job_owner::settle_check(const batch::crash_ledger::lost_process& check,
                              batch::server_verdict verdict,
                              const char* evidence) {
     if (verdict == batch::server_verdict::ended) {
@@ -115,7 +118,7 @@
 /// Asks a model server when its process has started. Other servers report
 /// nothing of the kind; for them, the registration has to tell.
 void job_owner::request_start_time(
-    const batch::crash_ledger::due_check& check) {
+    const batch::crash_ledger::lost_process& check) {
     const auto* row = state_.samplers.find(check.process.server);
     if (row->registered.versions.empty()) {
         return;
@@ -128,7 +131,7 @@
                 });
 }
 
-void job_owner::on_start_time(const batch::crash_ledger::due_check& check,
+void job_owner::on_start_time(const batch::crash_ledger::lost_process& check,
                               const server_response& response) {
     const auto report = response.status == 200
                             ? adapter::parse_report(response.body)
--- a/packages/entry/src/lost_servers.hpp
+++ b/packages/entry/src/lost_servers.hpp
@@ -11,7 +11,8 @@
 /// The servers that may have ended while they had a request.
 class lost_servers {
 public:
-    /// Called when an attempt at a server has ended.
+    /// Called when an attempt at a server has ended. `attempt.silent_since` is
+    /// set if it has timed out and the server is silent.
     void on_attempt_ended(const batch::server_loss& attempt,
                           transport::call_outcome outcome) {
         // The end of an idle connection shows that its server has ended only if
@@ -22,6 +23,7 @@
         const bool is_lost =
             outcome == transport::call_outcome::broken ||
             outcome == transport::call_outcome::idle_timeout ||
+            attempt.silent_since.has_value() ||
             (outcome == transport::call_outcome::not_sent && was_stale);
         if (is_lost) {
             losses_.push_back(attempt);
