batch: a server that a last send may end is no evidence for others

The ends of a request with two, whose last send is under way, counted as such; the wait for its outcome ended before a silent server is noticed.

An announced send counts, and the wait is longer than the time in which silence is noticed. It also holds before a request is quarantined: the other one may turn out to be harmless.

--- a/packages/batch/src/crash_ledger_chance.cpp
+++ b/packages/batch/src/crash_ledger_chance.cpp
@@ -15,6 +15,10 @@
 /// servers, in ms.
 constexpr base::millis max_news_wait_ms = 500;
 
+/// How long after its last loss it may wait for the outcome of another last
+/// send, in ms. A silent server is noticed in this time.
+constexpr base::millis max_suspect_wait_ms = 1200;
+
 /// The end of a server is noticed up to this time earlier or later than that of
 /// another one with the same cause, in ms.
 constexpr base::millis coincidence_ms = 25;
@@ -215,7 +219,8 @@
 
 /// Compares chance with the other explanation as above. Other requests may have
 /// caused the ends, too: those whose losses chance does not explain. And there
-/// must be an end that no request with many losses may have caused.
+/// must be an end that no request with many losses, its last send included, may
+/// have caused.
 chance_evidence
 crash_ledger::compare_with_chance(const request_row& row) const {
     const auto has_many_losses = [](const request_row& other) {
@@ -226,8 +231,12 @@
                (has_many_losses(other) &&
                 compare_with_chance(other, {}).ratio >= quarantine_ratio);
     });
+    const auto doubtful =
+        find_lost_by_others(row, [](const request_row& other) {
+            return other.losses.size() >= max_server_ends;
+        });
     auto evidence = compare_with_chance(row, blamed);
-    if (!has_clean_end(row, find_lost_by_others(row, has_many_losses))) {
+    if (!has_clean_end(row, doubtful)) {
         evidence.ratio = std::numeric_limits<double>::infinity();
     }
     return evidence;
@@ -257,7 +266,7 @@
 /// Returns true if another request that may end its servers is being sent. It
 /// may turn out to explain the other ends.
 bool crash_ledger::is_suspect_being_sent(const request_row& row) const {
-    return clock_.now() < span_of(row).end + max_news_wait_ms &&
+    return clock_.now() < span_of(row).end + max_suspect_wait_ms &&
            std::any_of(rows_.begin(), rows_.end(), [&](const auto& other) {
                return &other.second != &row &&
                       count(other.second, loss_state::sending) > 0;
