entry: losses of a reward call count as soon as they are known

Cause: the servers that a reward call lost were reported when the call had ended. A job that ends meanwhile drops its calls, and a killed owner takes them along; a later job with the item began with none of them.

The forwarder reports each loss at once, and the owner counts and stores it. A cancelled attempt whose server had responded to nothing since it was sent counts, too, if the call has lost a server before.

The two tests of item_scheduler that reported losses with the end of a call report them one by one; what they ask is unchanged.

--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -149,8 +149,6 @@
     int max_failed_responses;
     /// Delay before the call is repeated, in ms.
     base::millis retry_delay_ms = 0;
-    /// The servers whose connections broke off after the call was sent.
-    std::vector<server_loss> lost_servers = {};
 };
 /// The call was not sent to any server. Says nothing about earlier calls.
 struct reward_not_sent {
@@ -288,6 +286,10 @@
     effects on_run_ended(run_number run, run_outcome outcome);
     effects on_reward_ended(const job_id& id, int item_index,
                             const reward_outcome& outcome);
+    /// Called when a server that had the reward call may have ended, before the
+    /// call ends.
+    effects on_reward_server_lost(const job_id& id, int item_index,
+                                  const server_loss& lost);
 
     /// Sets the time until a new reward call of a job would be answered, in ms,
     /// for the jobs whose calls are queued. Items of these jobs that would be
@@ -507,8 +509,8 @@
     void settle_pending_reward(const job_id& id, int item_index, effects& out);
     bool has_to_wait_for_reward(const job_state& job,
                                 const item_row& row) const;
-    void count_reward_failure(const job_id& id, int item_index,
-                              const reward_failure& failure, effects& out);
+    void count_reward_failure(const job_state& job, item_row& row,
+                              const reward_failure& failure);
     void repeat_reward(item_row& row, base::millis delay_ms);
     void move_run(run_number run, const char* reason, effects& out);
     samplers::run_requirements requirements_of(const job_state& job,
--- a/packages/batch/src/item_scheduler_scoring.cpp
+++ b/packages/batch/src/item_scheduler_scoring.cpp
@@ -102,7 +102,7 @@
                                  clock_.now() - job->second.first_seen_at;
                          },
                          [&](const reward_failure& failure) {
-                             count_reward_failure(id, item_index, failure, out);
+                             count_reward_failure(job->second, row, failure);
                          },
                          [&](const reward_not_sent& not_sent) {
                              repeat_reward(row, not_sent.retry_delay_ms);
@@ -111,16 +111,19 @@
     return out;
 }
 
-/// Ends the item as errored after too many failed responses. Only these count:
-/// rejected or lost calls say nothing about the text.
-void item_scheduler::count_reward_failure(const job_id& id, int item_index,
-                                          const reward_failure& failure,
-                                          effects& out) {
-    for (const auto& lost : failure.lost_servers) {
+effects item_scheduler::on_reward_server_lost(const job_id& id, int item_index,
+                                              const server_loss& lost) {
+    effects out;
+    if (jobs_.count(id) != 0) {
         add_loss(id, item_index, true, lost, out);
     }
-    auto& job = jobs_.at(id);
-    auto& row = job.items[static_cast<std::size_t>(item_index)];
+    return out;
+}
+
+/// Ends the item as errored after too many failed responses. Only these count:
+/// rejected or lost calls say nothing about the text.
+void item_scheduler::count_reward_failure(const job_state& job, item_row& row,
+                                          const reward_failure& failure) {
     row.reward_failures += failure.failed_responses;
     if (failure.failed_responses > 0 &&
         row.reward_failures >= failure.max_failed_responses) {
--- a/packages/batch/test/item_scheduler_crash_test.cpp
+++ b/packages/batch/test/item_scheduler_crash_test.cpp
@@ -81,11 +81,11 @@
 TEST_F(item_scheduler_test, a_reward_call_stops_after_three_servers_ended) {
     add_job(1);
     complete_run(of_type<start_run>(scheduler_.tick(true)).front());
-    reward_failure failure{0, 4};
     for (const auto* id : {"x", "y", "z"}) {
-        failure.lost_servers = {{{samplers::sampler_id(id), 1}}};
-        scheduler_.on_reward_ended(job_, 0, failure);
-        crashes_.on_ended(failure.lost_servers.front().process);
+        const server_process lost{samplers::sampler_id(id), 1};
+        scheduler_.on_reward_server_lost(job_, 0, {lost});
+        scheduler_.on_reward_ended(job_, 0, reward_failure{0, 4});
+        crashes_.on_ended(lost);
         crashes_.on_saved(crashes_.unsaved_rows(crashes_.size()));
         const auto calls = of_type<start_reward>(tick_for(100));
         EXPECT_EQ(calls.size(), std::string(id) == "z" ? 0U : 1U);
@@ -101,10 +101,11 @@
         complete_run(r);
     }
     for (const int index : {0, 1}) {
-        reward_failure failure{0, 4};
-        failure.lost_servers = {{{samplers::sampler_id("x"), 1}},
-                                {{samplers::sampler_id("y"), 1}}};
-        scheduler_.on_reward_ended(job_, index, failure);
+        for (const auto* id : {"x", "y"}) {
+            scheduler_.on_reward_server_lost(job_, index,
+                                             {{samplers::sampler_id(id), 1}});
+        }
+        scheduler_.on_reward_ended(job_, index, reward_failure{0, 4});
     }
     crashes_.on_saved(crashes_.unsaved_rows(crashes_.size()));
     const auto first = of_type<start_reward>(tick_for(100));
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -59,6 +59,7 @@
         : state_(state), client_(client), usage_(usage),
           request_(std::move(request)), on_done_(std::move(done)),
           caller_response_(std::move(response)),
+          lost_servers_(request_.on_server_lost),
           started_at_(state.clock.now()) {
         if (!request_.streaming) {
             admission_ = admission;
@@ -134,6 +135,9 @@
         if (call_) {
             call_->cancel();
             call_.reset();
+            if (!has_server_responded()) {
+                lost_servers_.on_attempt_cancelled(describe_attempt());
+            }
             end_attempt();
         }
     }
@@ -335,15 +339,28 @@
         return is_silent ? std::optional(row->last_response_at) : std::nullopt;
     }
 
-    batch::server_loss describe_attempt(transport::call_outcome outcome) const {
+    /// Returns true if the server has responded to any request since the
+    /// attempt was sent.
+    bool has_server_responded() const {
+        const auto* row = state_.samplers.find(server_);
+        return head_.status != 0 ||
+               (row != nullptr && row->last_response_at > attempt_sent_at_);
+    }
+
+    batch::server_loss describe_attempt() const {
         const auto now = state_.clock.now();
         const auto& servers = state_.samplers.request_candidates(
             request_.service, state_.settings.zone);
-        batch::server_loss attempt{{server_, server_started_ms_},
-                                   request_.service,
-                                   static_cast<int>(servers.size()),
-                                   {0, 0, now - attempt_sent_at_}};
+        return {{server_, server_started_ms_},
+                request_.service,
+                static_cast<int>(servers.size()),
+                {0, 0, now - attempt_sent_at_}};
+    }
+
+    batch::server_loss describe_attempt(transport::call_outcome outcome) const {
+        auto attempt = describe_attempt();
         if (outcome == transport::call_outcome::total_timeout) {
+            const auto now = state_.clock.now();
             attempt.silent_since = silent_since();
             attempt.exclude_silence(now - attempt.silent_since.value_or(now));
         }
@@ -509,7 +526,7 @@
         }
         count_attempt("answered");
         finish(forwarded_response{head_, std::move(body_), parsed.signature,
-                                  failed_attempts_, lost_servers_.losses()});
+                                  failed_attempts_});
     }
 
     void fail(bool timed_out, base::millis retry_after_ms = 0) {
@@ -519,8 +536,7 @@
                                                    state_.clock.now());
         }
         finish(forward_failure{may_have_executed_, timed_out, failed_attempts_,
-                               may_have_executed_ ? 0 : retry_after_ms,
-                               lost_servers_.losses()});
+                               may_have_executed_ ? 0 : retry_after_ms});
     }
 
     void finish(forward_result result) {
--- a/packages/entry/src/forwarder.hpp
+++ b/packages/entry/src/forwarder.hpp
@@ -11,7 +11,6 @@
 #include <memory>
 #include <set>
 #include <variant>
-#include <vector>
 
 namespace hibiscus::entry {
 
@@ -38,9 +37,12 @@
     bool resumable = false;
     /// Whether a response with a 5xx status is retried at another server.
     bool retry_server_errors = false;
-    /// Number of servers whose connections may break off after the request was
-    /// sent; then no other server is tried, since the request may end them.
+    /// Number of servers that may be lost after the request was sent; then no
+    /// other server is tried, since the request may end them.
     int max_lost_servers = batch::crash_ledger::max_server_ends;
+    /// Called for each server that may have ended while it had the request.
+    /// May be empty.
+    std::function<void(const batch::server_loss&)> on_server_lost;
     /// Deadline for the response, by the clock of the node.
     base::millis deadline = 0;
     /// Target latency of the response, in ms.
@@ -59,8 +61,6 @@
     std::string signature;
     /// Number of servers that responded with status 500, including this one.
     int failed_attempts = 0;
-    /// The servers whose connections broke off before.
-    std::vector<batch::server_loss> lost_servers;
 };
 
 /// No server gave a usable response.
@@ -74,8 +74,6 @@
     /// Time after which the request is expected to be admitted, in ms; 0 if
     /// unknown. Set only if no server may have executed the request.
     base::millis retry_after_ms = 0;
-    /// The servers whose connections broke off after the request was sent.
-    std::vector<batch::server_loss> lost_servers = {};
 };
 
 using forward_result = std::variant<forwarded_response, forward_failure>;
--- a/packages/entry/src/job_owner.cpp
+++ b/packages/entry/src/job_owner.cpp
@@ -53,6 +53,10 @@
               apply_effects(
                   scheduler_.on_reward_ended(job, item_index, outcome));
               commit_results();
+          },
+          [this](const auto& job, int item_index, const auto& lost) {
+              apply_effects(
+                  scheduler_.on_reward_server_lost(job, item_index, lost));
           }),
       rollout_(state.clock),
       incarnation_(std::to_string(state.random_engine()) + "-" +
--- a/packages/entry/src/reward_caller.cpp
+++ b/packages/entry/src/reward_caller.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <vector>
 
 namespace hibiscus::entry {
 
@@ -46,10 +45,6 @@
     return failure == nullptr ? 0 : failure->retry_after_ms;
 }
 
-std::vector<batch::server_loss> lost_servers(const forward_result& result) {
-    return std::visit([](const auto& r) { return r.lost_servers; }, result);
-}
-
 int failed_attempts(const forward_result& result) {
     return std::visit([](const auto& r) { return r.failed_attempts; }, result);
 }
@@ -57,8 +52,9 @@
 } // namespace
 
 reward_caller::reward_caller(node_state& state, forwarder& request_forwarder,
-                             done_function done)
-    : state_(state), forwarder_(request_forwarder), on_done_(std::move(done)) {}
+                             done_function done, lost_function lost)
+    : state_(state), forwarder_(request_forwarder), on_done_(std::move(done)),
+      on_lost_(std::move(lost)) {}
 
 void reward_caller::add(const batch::start_reward& reward) {
     const auto* route =
@@ -165,6 +161,10 @@
     request.retryable = true;
     request.retry_server_errors = true;
     request.max_lost_servers = reward.max_lost_servers;
+    request.on_server_lost = [this, job = call.job,
+                              item = call.item_index](const auto& lost) {
+        on_lost_(job, item, lost);
+    };
     request.deadline = now + std::max(min_time_limit_ms, time_limit);
     request.latency_target_ms = route->latency_target_ms;
     request.priority = priority_of(call.job, *route);
@@ -195,7 +195,7 @@
     } else {
         on_done_(call.job, call.item_index,
                  batch::reward_failure{failed_attempts(result), max_attempts,
-                                       delay, lost_servers(result)});
+                                       delay});
     }
 }
 
--- a/packages/entry/src/reward_caller.hpp
+++ b/packages/entry/src/reward_caller.hpp
@@ -20,9 +20,13 @@
     using done_function = std::function<void(const batch::job_id&, int,
                                              const batch::reward_outcome&)>;
 
-    /// Calls `done` with the outcome of each call that is not dropped.
+    using lost_function = std::function<void(const batch::job_id&, int,
+                                             const batch::server_loss&)>;
+
+    /// Calls `done` with the outcome of each call that is not dropped, and
+    /// `lost` for each server that may have ended while it had a call.
     reward_caller(node_state& state, forwarder& request_forwarder,
-                  done_function done);
+                  done_function done, lost_function lost);
 
     /// Queues a call. It is sent by start_calls().
     void add(const batch::start_reward& reward);
@@ -66,6 +70,7 @@
     node_state& state_;
     forwarder& forwarder_;
     done_function on_done_;
+    lost_function on_lost_;
     batch::scoring_queue queue_;
     std::map<item_key, queued_reward> queued_;
     std::map<batch::scoring_number, std::shared_ptr<active_forward>> active_;
--- a/testing/entry/entry_crash_test.cpp
+++ b/testing/entry/entry_crash_test.cpp
@@ -77,6 +77,9 @@
         for (auto& server : samplers_) {
             server->end_silently();
         }
+        for (auto& server : plain_servers_) {
+            server->end_silently();
+        }
         lookup_server_.end_silently();
     }
 
@@ -373,6 +376,24 @@
     EXPECT_EQ(server_ends(), max_server_ends);
 }
 
+// Guards against losses of a reward call that end with its job.
+TEST_F(entry_crash_test, a_reward_call_keeps_its_losses_when_its_job_ends) {
+    add_plain_servers("si5");
+    start_nodes();
+    restart_options options;
+    options.down_ms = silent_ms;
+    end_servers_at("si5", options);
+    end_servers_silently();
+    ASSERT_EQ(submit("n1", "job1", "i").status, 202);
+    ASSERT_TRUE(run_until([&] { return server_ends() >= 2; }));
+    EXPECT_EQ(call("n2", "DELETE", "/lots/job1").status, 200);
+    ASSERT_EQ(submit("n1", "job2", "i").status, 202);
+    EXPECT_TRUE(wait_for_others("n2", "job2", "i5"));
+    EXPECT_TRUE(run_until([&] { return is_quarantined("\"si5\""); }));
+    EXPECT_TRUE(finish_another_job("n1"));
+    EXPECT_EQ(server_ends(), max_server_ends);
+}
+
 // Guards against a count that ends with its owner.
 TEST_F(entry_crash_test, a_killed_owner_does_not_take_the_count_along) {
     start_nodes();
