batch: ends under an announced send speak for others again

Cause: in a storm some last send is always under way, so the ends of servers under it no longer spoke for the others.

Only the longer wait for the outcome of such a send stays. In virtual time one of the two settings with four silencing items stays at three ends, the other one has four again: the items have silenced all servers by then.

--- a/packages/batch/src/crash_ledger.cpp
+++ b/packages/batch/src/crash_ledger.cpp
@@ -63,9 +63,8 @@
             return send_permission::quarantined;
         }
         if (!is_chance(row)) {
-            return may_become_chance(row) || is_suspect_being_sent(row)
-                       ? send_permission::waits
-                       : send_permission::quarantined;
+            return may_become_chance(row) ? send_permission::waits
+                                          : send_permission::quarantined;
         }
         if (is_suspect_being_sent(row)) {
             return send_permission::waits;
--- a/packages/batch/src/crash_ledger_chance.cpp
+++ b/packages/batch/src/crash_ledger_chance.cpp
@@ -219,8 +219,7 @@
 
 /// Compares chance with the other explanation as above. Other requests may have
 /// caused the ends, too: those whose losses chance does not explain. And there
-/// must be an end that no request with many losses, its last send included, may
-/// have caused.
+/// must be an end that no request with many losses may have caused.
 chance_evidence
 crash_ledger::compare_with_chance(const request_row& row) const {
     const auto has_many_losses = [](const request_row& other) {
@@ -231,12 +230,8 @@
                (has_many_losses(other) &&
                 compare_with_chance(other, {}).ratio >= quarantine_ratio);
     });
-    const auto doubtful =
-        find_lost_by_others(row, [](const request_row& other) {
-            return other.losses.size() >= max_server_ends;
-        });
     auto evidence = compare_with_chance(row, blamed);
-    if (!has_clean_end(row, doubtful)) {
+    if (!has_clean_end(row, find_lost_by_others(row, has_many_losses))) {
         evidence.ratio = std::numeric_limits<double>::infinity();
     }
     return evidence;
