batch, entry: an idle connection that ends at an active server is a loss

Cause: a run that was sent twice counted twice. A process that ends may close its connections before its listener, so one end looked like two; an idle connection often ends since the server ended long before; and requests with losses opened a connection each.

Now a request is sent once more over a new connection only if the server had not been active just before: something came from it 0.3 s ago or later. At an active server the end of an idle connection is a loss, and nothing is sent twice. Reward calls use idle connections only to active servers; only a last send always opens one. A 421 after an idle connection ended is no loss, but the item gets a new connection next time.

--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -42,9 +42,6 @@
     /// something last came from it, to whatever request. It may have ended
     /// before the request was sent.
     std::optional<base::millis> silent_since = {};
-    /// Number of times that the request was sent to the server. Each may have
-    /// ended a process of it.
-    int send_count = 1;
 
     /// Takes the last `ms` of the run for silence.
     void exclude_silence(base::millis ms) {
--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -55,9 +55,13 @@
     /// Whether the crash ledger's row of the request must be stored before the
     /// item is sent.
     bool store_first = false;
-    /// Whether an idle connection may be used. Its end would not tell whether
+    /// Whether an idle connection may be used. Its end does not tell whether
     /// the server has run the item.
     bool reuse_connection = true;
+    /// Whether the item is sent once more if an idle connection ends. Not if
+    /// the server was active a moment ago: then it may have ended under the
+    /// item.
+    bool resend_if_stale = true;
 };
 
 /// Effect: close the connection of a run.
@@ -84,7 +88,7 @@
     /// Number of servers whose connections may break off before the call ends
     /// without a score.
     int max_lost_servers = 1;
-    /// As for start_run.
+    /// Whether an idle connection may be used, as for start_run.
     bool reuse_connection = true;
 };
 
@@ -132,12 +136,12 @@
 enum class run_outcome {
     complete,     ///< The stream ended normally.
     cut,          ///< The connection broke off after the item was sent.
-    cut_twice,    ///< So did an idle connection before it.
     unusable,     ///< No connection could be opened, or the response had an
                   ///< unexpected status.
     not_sent,     ///< The item was not sent; says nothing about the server.
     not_run,      ///< The server rejected the item without running it.
     other_server, ///< The address belongs to another server or other weights.
+    replaced,     ///< The same, after an idle connection had ended.
     failed,       ///< The server failed the run; counts as an attempt.
     impossible,   ///< No server can ever run the item.
 };
@@ -387,6 +391,9 @@
         std::set<samplers::sampler_id> failed_servers;
         base::millis avoid_failed_servers_until = 0;
         int reward_failures = 0;
+        /// Set once it was unclear whether a server had ended before or after
+        /// the item was sent to it.
+        bool needs_new_connection = false;
         base::millis not_before = 0;
         /// When a server last worked on the item; initially when its job was
         /// added.
@@ -578,11 +585,11 @@
     static constexpr std::array<enum_name<batch::run_outcome>, 9> table{{
         {batch::run_outcome::complete, "complete"},
         {batch::run_outcome::cut, "cut"},
-        {batch::run_outcome::cut_twice, "cut_twice"},
         {batch::run_outcome::unusable, "unusable"},
         {batch::run_outcome::not_sent, "not_sent"},
         {batch::run_outcome::not_run, "not_run"},
         {batch::run_outcome::other_server, "other_server"},
+        {batch::run_outcome::replaced, "replaced"},
         {batch::run_outcome::failed, "failed"},
         {batch::run_outcome::impossible, "impossible"},
     }};
--- a/packages/batch/src/crash_ledger.cpp
+++ b/packages/batch/src/crash_ledger.cpp
@@ -138,8 +138,6 @@
     } else if (state != loss_state::sending) {
         *known = added;
     }
-    row.losses.insert(row.losses.end(),
-                      static_cast<std::size_t>(lost.send_count - 1), added);
     mark_changed(row);
 }
 
--- a/packages/batch/src/item_scheduler.cpp
+++ b/packages/batch/src/item_scheduler.cpp
@@ -400,10 +400,9 @@
     auto& row = *find_item(ended_run);
     const auto& options = jobs_.at(ended_run.job).options;
     const auto request = request_of(jobs_.at(ended_run.job), row);
-    if (outcome == run_outcome::cut || outcome == run_outcome::cut_twice) {
-        auto lost = loss_of(ended_run, row);
-        lost.send_count = outcome == run_outcome::cut_twice ? 2 : 1;
-        add_loss(ended_run.job, ended_run.item_index, false, lost, out);
+    if (outcome == run_outcome::cut) {
+        add_loss(ended_run.job, ended_run.item_index, false,
+                 loss_of(ended_run, row), out);
     } else {
         crashes_.on_survived(request, process_of(ended_run));
     }
@@ -416,7 +415,6 @@
         settle_pending_reward(ended_run.job, ended_run.item_index, out);
         break;
     case run_outcome::cut:
-    case run_outcome::cut_twice:
     case run_outcome::unusable:
         table_.on_failure(ended_run.sampler);
         requeue(row, retry_delay_ms);
@@ -428,6 +426,9 @@
         table_.block(ended_run.sampler, rejection_block_ms);
         requeue(row, 0);
         break;
+    case run_outcome::replaced:
+        row.needs_new_connection = true;
+        [[fallthrough]];
     case run_outcome::other_server:
         table_.block(ended_run.sampler, other_server_block_ms);
         requeue(row, 0);
--- a/packages/batch/src/item_scheduler_placement.cpp
+++ b/packages/batch/src/item_scheduler_placement.cpp
@@ -1,4 +1,5 @@
 #include "hibiscus/batch/item_scheduler.hpp"
+#include "item_scheduler_limits.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -118,19 +119,20 @@
             // still fit.
             continue;
         }
+        const auto& chosen = *table_.find(*server);
+        const bool was_active = now - chosen.last_event_at <= min_silence_ms;
         const auto run = ++last_run_number_;
-        const auto& added =
-            runs_[run] = {*c.job,
-                          c.item_index,
-                          *server,
-                          now,
-                          now,
-                          now,
-                          0,
-                          0,
-                          requirements.expected_tokens,
-                          table_.find(*server)->registered.started_ms,
-                          loss_count};
+        const auto& added = runs_[run] = {*c.job,
+                                          c.item_index,
+                                          *server,
+                                          now,
+                                          now,
+                                          now,
+                                          0,
+                                          0,
+                                          requirements.expected_tokens,
+                                          chosen.registered.started_ms,
+                                          loss_count};
         occupancy.add(*server, loss_count);
         const bool store_first = crashes_.needs_stored_send(request);
         if (store_first) {
@@ -155,7 +157,8 @@
             row.output.last_event, priority_of(job, row),
             std::max<base::millis>(1000, job.first_seen_at +
                                              job.options.item_expiry_ms - now),
-            store_first, loss_count == 0});
+            store_first, !store_first && !row.needs_new_connection,
+            !was_active});
     }
 }
 
--- a/packages/batch/src/item_scheduler_scoring.cpp
+++ b/packages/batch/src/item_scheduler_scoring.cpp
@@ -166,7 +166,7 @@
     // The losses before the last send are stored first.
     reward.max_lost_servers =
         std::max(1, crash_ledger::max_server_ends - 1 - loss_count);
-    reward.reuse_connection = loss_count == 0;
+    reward.reuse_connection = !crash_ledger::is_last_send(loss_count);
     return reward;
 }
 
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -20,6 +20,11 @@
 /// Timeout of an attempt as a multiple of the mean response time of the server.
 constexpr base::millis attempt_timeout_factor = 6;
 
+/// A server that has responded to no request for longer than this, in ms, may
+/// have ended meanwhile. A request that counts lost servers then needs a new
+/// connection, whose end leaves no doubt.
+constexpr base::millis max_active_gap_ms = 300;
+
 /// Timeout for opening a connection, in ms. Within a region a connection opens
 /// within 4 ms.
 constexpr base::millis connect_timeout_ms = 200;
@@ -120,8 +125,7 @@
         tried_.insert(*server);
         ++attempts_;
         send_attempt(*server, remaining_ms,
-                     request_.retryable && request_.reuse_connection &&
-                         lost_servers_.count() == 0);
+                     request_.retryable && request_.reuse_connection);
     }
 
     void cancel() override {
@@ -202,6 +206,8 @@
         forwarding_stream_ = false;
         const auto* row = state_.samplers.find(server);
         server_started_ms_ = row->registered.started_ms;
+        was_server_active_ =
+            attempt_sent_at_ - row->last_response_at <= max_active_gap_ms;
         auto upstream_request = request_.http_request;
         if (!last_event_id_.empty()) {
             adapter::set_resume_position(upstream_request, last_event_id_);
@@ -218,7 +224,9 @@
         if (request_.resumable && attempts_ < request_.max_attempts) {
             options.idle_timeout_ms = stream_idle_timeout_ms;
         }
-        options.reuse_connection = reuse_connection;
+        options.reuse_connection =
+            reuse_connection &&
+            (!request_.on_server_lost || was_server_active_);
         transport::upstream_callbacks events;
         events.on_head = [self = shared_from_this()](const auto& h) {
             self->on_head(h);
@@ -378,9 +386,7 @@
         if (finished_) {
             return;
         }
-        lost_servers_.on_attempt_ended(
-            describe_attempt(outcome), outcome,
-            adapter::parse_response_head(head_).misdirected);
+        lost_servers_.on_attempt_ended(describe_attempt(outcome), outcome);
         const bool is_complete =
             outcome == transport::call_outcome::complete ||
             outcome == transport::call_outcome::closed_without_length;
@@ -470,7 +476,8 @@
             outcome == transport::call_outcome::stale_connection) {
             revert_usage();
         }
-        if (outcome == transport::call_outcome::stale_connection) {
+        if (outcome == transport::call_outcome::stale_connection &&
+            !request_.on_server_lost) {
             retry_same_server();
             return;
         }
@@ -628,6 +635,8 @@
     std::set<samplers::sampler_id> tried_;
     samplers::sampler_id server_;
     base::millis server_started_ms_ = 0;
+    /// Whether the server had just responded when the attempt was sent.
+    bool was_server_active_ = false;
     lost_servers lost_servers_;
     transport::response_head head_;
     std::string body_;
--- a/packages/entry/src/job_owner_runs.cpp
+++ b/packages/entry/src/job_owner_runs.cpp
@@ -82,8 +82,7 @@
     }
     transport::upstream_call_options options;
     options.connect_timeout_ms = server_connect_timeout_ms;
-    // The end of an idle connection says nothing about the server.
-    options.resend_if_stale = true;
+    options.resend_if_stale = r.resend_if_stale;
     options.reuse_connection = r.reuse_connection;
     transport::upstream_callbacks events;
     const auto run_id = r.run;
@@ -141,10 +140,6 @@
     if (!active.call) {
         return batch::run_outcome::not_sent;
     }
-    if (outcome == transport::call_outcome::broken && active.status == 0 &&
-        active.call->was_resent()) {
-        return batch::run_outcome::cut_twice;
-    }
     if (outcome != transport::call_outcome::complete) {
         const bool was_sent = outcome != transport::call_outcome::not_sent ||
                               active.call->was_resent();
@@ -155,8 +150,7 @@
         return batch::run_outcome::complete;
     }
     if (active.misdirected) {
-        // The process to which the item was sent first is gone.
-        return active.call->was_resent() ? batch::run_outcome::cut
+        return active.call->was_resent() ? batch::run_outcome::replaced
                                          : batch::run_outcome::other_server;
     }
     if (active.not_run) {
--- a/packages/entry/src/lost_servers.hpp
+++ b/packages/entry/src/lost_servers.hpp
@@ -18,26 +18,21 @@
         : on_lost_(std::move(on_lost)) {}
 
     /// Called when an attempt at a server has ended. `attempt.silent_since` is
-    /// set if it has timed out and the server is silent. `is_misdirected` tells
-    /// whether another server has responded.
-    void on_attempt_ended(batch::server_loss attempt,
-                          transport::call_outcome outcome,
-                          bool is_misdirected) {
-        // The end of an idle connection shows that its server has ended only if
-        // the server then takes no new one, or ends that as well.
-        const bool was_stale =
-            std::exchange(connection_went_stale_,
-                          outcome == transport::call_outcome::stale_connection);
+    /// set if it has timed out and the server is silent.
+    void on_attempt_ended(const batch::server_loss& attempt,
+                          transport::call_outcome outcome) {
+        // If the losses are reported, idle connections are used only to servers
+        // that were active. Otherwise the end of one shows that its server has
+        // ended only if the server then takes no new one.
+        const bool is_stale =
+            outcome == transport::call_outcome::stale_connection;
+        const bool was_stale = std::exchange(connection_went_stale_, is_stale);
         const bool is_lost =
             outcome == transport::call_outcome::broken ||
             outcome == transport::call_outcome::idle_timeout ||
-            attempt.silent_since.has_value() ||
-            ((outcome == transport::call_outcome::not_sent || is_misdirected) &&
-             was_stale);
+            attempt.silent_since.has_value() || (is_stale && on_lost_) ||
+            (outcome == transport::call_outcome::not_sent && was_stale);
         if (is_lost) {
-            const bool was_cut_twice =
-                was_stale && outcome == transport::call_outcome::broken;
-            attempt.send_count = was_cut_twice ? 2 : 1;
             add(attempt);
         }
     }
@@ -54,7 +49,7 @@
 
 private:
     void add(const batch::server_loss& lost) {
-        count_ += lost.send_count;
+        ++count_;
         if (on_lost_) {
             on_lost_(lost);
         }
