--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -106,7 +106,7 @@
     /// Number of losses of a request that don't count once they are cleared. A
     /// request whose servers end at a random time of its runs clears losses,
     /// too.
-    static constexpr int max_uncounted_losses = 2;
+    static constexpr int max_uncounted_losses = 1;
 
     /// A run clears a loss if it has lasted longer than the lost one by this
     /// part, in time and in events.
