--- a/testing/entry/entry_crash_test.cpp
+++ b/testing/entry/entry_crash_test.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <functional>
 #include <random>
+#include <tuple>
 
 namespace hibiscus::testing {
 
@@ -331,12 +332,12 @@
 // Guards against ends that are taken for stale connections since the server is
 // back at once.
 TEST_P(immediate_restart_test, a_request_ends_three_servers_at_most) {
-    const auto& [request, changes_id] = GetParam();
+    const auto request = std::get<std::string>(GetParam());
     start_nodes();
     ASSERT_TRUE(finish_another_job("n1"));
     restart_options options;
     options.down_ms = 0;
-    options.changes_id = changes_id;
+    options.changes_id = std::get<bool>(GetParam());
     end_servers_at(request, options);
     ASSERT_EQ(submit("n1", "job1", "i").status, 202);
     EXPECT_TRUE(wait_for_others("n2", "job1", "i5"));
