testing: a fake sampler drops a request when its connection closes

PROTOCOL.md: "A sampler drops the request when the connection closes." The fake went on and ended its server by events of a run that nobody read any more: with runs that the owner stops on purpose, the second run of i5 lost its server 11 ms after its start, as the first one, stopped after 4 events, reached its eighth. No check changes.

--- a/testing/entry/fake_backend_server.cpp
+++ b/testing/entry/fake_backend_server.cpp
@@ -168,8 +168,11 @@
                   {"Weight-Versions", std::to_string(weight_version_)}});
         const int first_event =
             std::atoi(header_value(request, "Last-Event-Id").c_str()) + 1;
-        send_events({id, first_event, abort_count_, weight_version_, writer},
-                    first_event);
+        const stream started{id, first_event, abort_count_, weight_version_,
+                             writer};
+        writer->on_disconnect(
+            [is_dropped = started.is_dropped] { *is_dropped = true; });
+        send_events(started, first_event);
     }
 }
 
@@ -202,6 +205,9 @@
 }
 
 void fake_backend_server::send_events(stream s, int event_number) {
+    if (*s.is_dropped) {
+        return;
+    }
     if (s.abort_count == abort_count_ && should_end_ &&
         should_end_(s.id, event_number, event_number - s.first_event)) {
         end();
--- a/testing/entry/fake_backend_server.hpp
+++ b/testing/entry/fake_backend_server.hpp
@@ -109,6 +109,8 @@
         /// The weight version that was last announced to the reader.
         std::int64_t announced_version = 0;
         response_writer_ptr writer;
+        /// Set once the connection has closed.
+        std::shared_ptr<bool> is_dropped = std::make_shared<bool>(false);
     };
 
     void start();
