samplers: a log of the server processes that registrations show to have ended

A server that crashes without a run, or whose items go on at once, left no trace, though its next registration has another start time. The log has them on every node, so that a new job owner knows them too. Servers that were draining, or that return as the same process, are left out.

--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -4,6 +4,7 @@
 #include "hibiscus/base/endpoint.hpp"
 #include "hibiscus/base/features.hpp"
 #include "hibiscus/base/ids.hpp"
+#include "hibiscus/samplers/server_end_log.hpp"
 
 #include <cstdint>
 #include <map>
@@ -15,10 +16,6 @@
 /// observed of them. It holds samplers and all other backend servers.
 namespace hibiscus::samplers {
 
-/// Identifies one backend server of any service.
-using sampler_id = base::id<struct sampler_tag>;
-using service_name = base::id<struct service_name_tag>;
-
 /// The registry entry of a backend server.
 struct registration {
     service_name service;
@@ -56,6 +53,8 @@
     /// unknown.
     double event_interval_ms = 0;
     base::millis last_event_at = 0;
+    /// When its entry was last written, as seen by this process.
+    base::millis registered_at = 0;
     /// Running mean of the response time of plain requests, in ms; 0 if
     /// unknown.
     double mean_response_ms = 0;
@@ -85,7 +84,8 @@
     /// equal servers.
     explicit sampler_table(base::clock clock, std::uint64_t salt = 0,
                            base::feature_set features = {})
-        : clock_(std::move(clock)), salt_(salt), features_(features) {}
+        : clock_(std::move(clock)), salt_(salt), features_(features),
+          ends_(clock_) {}
 
     /// Returns true if placement decisions may use `feature`.
     bool is_enabled(base::feature feature) const {
@@ -138,6 +138,10 @@
     /// not draining.
     int slot_count(const service_name& service) const;
 
+    /// Returns the server processes that have ended, as far as registrations
+    /// show it.
+    const server_end_log& ends() const { return ends_; }
+
     sampler_row* find(const sampler_id& id);
     const std::map<sampler_id, sampler_row>& rows() const { return rows_; }
 
@@ -199,6 +203,7 @@
         std::map<base::zone_id, entry_list> request_candidates;
     };
 
+    static server_end end_of(const row_map::value_type& row);
     row_map::iterator erase(row_map::iterator row);
     service_index& index_of(const service_name& service) const;
     void update_index() const;
@@ -207,6 +212,7 @@
     std::uint64_t salt_;
     base::feature_set features_;
     row_map rows_;
+    server_end_log ends_;
     /// By server; erased when the last request ends.
     std::map<sampler_id, removed_usage> removed_usage_;
     std::map<service_name, std::int64_t> memory_tokens_;
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -53,6 +53,12 @@
     }
     const bool is_new_process = row.registered.started_ms != r.started_ms ||
                                 !(row.registered.address == r.address);
+    if (inserted) {
+        ends_.on_added(id, r.started_ms);
+    } else if (row.registered.started_ms != r.started_ms &&
+               !row.registered.draining) {
+        ends_.on_replaced(end_of(*entry));
+    }
     if (is_new_process) {
         const auto in_flight_count = row.in_flight;
         const auto tokens = row.reserved_tokens;
@@ -66,6 +72,7 @@
                       row.registered.slots != r.slots ||
                       row.registered.draining != r.draining;
     row.unlisted = false;
+    row.registered_at = clock_.now();
     row.registered = std::move(r);
     row.rank = base::stable_hash(id.str());
     row.known_versions = row.registered.versions;
@@ -85,11 +92,19 @@
     }
 }
 
+server_end sampler_table::end_of(const row_map::value_type& row) {
+    const auto& [id, r] = row;
+    return {id, r.registered.started_ms, r.registered.service, r.registered_at};
+}
+
 /// Removes a row but keeps its usage: requests may continue at a server whose
 /// entry is gone, and it may be listed again before they end.
 sampler_table::row_map::iterator sampler_table::erase(row_map::iterator row) {
     const auto& r = row->second;
     index_outdated_ = true;
+    if (!r.registered.draining) {
+        ends_.on_removed(end_of(*row));
+    }
     if (r.in_flight > 0) {
         removed_usage_[row->first] = {r.in_flight, r.reserved_tokens};
     }
