--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -3,6 +3,7 @@
 #include "hibiscus/base/clock.hpp"
 #include "hibiscus/batch/records.hpp"
 #include "hibiscus/samplers/sampler_table.hpp"
+#include "hibiscus/samplers/server_end_log.hpp"
 
 #include <algorithm>
 #include <array>
@@ -73,9 +74,17 @@
 struct loss_summary {
     int losses = 0;
     int cleared_losses = 0;
+    /// How many of them a request explains that ends its servers at one point.
+    int agreeing_losses = 0;
     chance_evidence chance;
 };
 
+/// How far a run may go before it is stopped.
+struct run_limit {
+    int events = 0;
+    base::millis ms = 0;
+};
+
 /// Counts, for each request, the server processes that ended while they ran it,
 /// and quarantines a request that keeps ending servers. A request counts under
 /// its own id: over all jobs, and with the stored records over all owners.
@@ -84,15 +93,22 @@
 /// has ended. A request is sent while it has few losses, whatever their cause;
 /// with max_server_ends losses it waits until they are checked.
 ///
-/// Servers also end for other reasons than what they run. Two things speak for
-/// a request:
-/// - A request that ends its servers fails at the same point each time, of its
-///   text or of its runs. So a loss is cleared once a later run has gone far
-///   enough past it in both. At most max_uncounted_losses are cleared without
-///   counting.
+/// Servers also end for other reasons than what they run. Three things speak
+/// for a request:
+/// - A request that ends its servers fails at the same point each time: of its
+///   text, or so many events or so long after the start of a run. No run goes
+///   past that point. So a loss that an earlier or a later run has gone past
+///   does not agree with it. A request is sent on while fewer than
+///   max_server_ends losses agree with one point and all but
+///   max_uncounted_losses of its losses are fewer, too.
+/// - A later run that has gone past a loss in all three clears it. A request
+///   whose losses are all cleared is sent on.
 /// - Chance explains the losses if servers of the service end often enough
 ///   without the request, in the time of its runs or at the same moments. Then
 ///   it is sent on until max_ends_by_chance servers have ended.
+///
+/// If the losses agree with a point after the start of a run, but the text has
+/// gone on, the request is sent on in runs that stop well before that point.
 class crash_ledger {
 public:
     /// Number of server processes that may end under a request before its text
@@ -112,6 +128,13 @@
     /// part, in time and in events.
     static constexpr int clearing_divisor = 4;
 
+    /// A run whose end is expected at a point is stopped after this part of the
+    /// way.
+    static constexpr int limit_divisor = 2;
+
+    /// A limited run has to get so many events at least.
+    static constexpr int min_limited_events = 2;
+
     /// Number of events by which a run has to go past the point of a loss to
     /// clear it. With more than max_server_ends losses, as many again for each
     /// further one.
@@ -122,11 +145,20 @@
 
     /// `retention_ms` is the time after its last loss for which a request is
     /// remembered.
-    crash_ledger(base::clock clock, base::millis retention_ms)
-        : clock_(std::move(clock)), retention_ms_(retention_ms) {}
+    /// `ends` has the ends of servers that their registrations show, if given.
+    crash_ledger(base::clock clock, base::millis retention_ms,
+                 const samplers::server_end_log* ends = nullptr)
+        : clock_(std::move(clock)), retention_ms_(retention_ms), ends_(ends) {}
 
     send_permission permission(const request_key& request) const;
 
+    /// Returns how far the next run of a request may go, or nothing if it has
+    /// no limit.
+    std::optional<run_limit> limit_of(const request_key& request) const;
+
+    /// Returns a number that grows with what is known of the ends of servers.
+    std::uint64_t evidence_number() const { return process_changes_; }
+
     /// Returns the number of losses of a request, and of its sends that were
     /// announced by on_sending() and have not ended.
     int loss_count(const request_key& request) const;
@@ -241,16 +273,30 @@
         base::millis sent_at = 0;
         /// When the loss was noticed.
         base::millis lost_at = 0;
-        /// How far the run had come.
+        /// How far the run had come. Not known of a send that a former owner
+        /// has announced.
         run_progress progress;
+        bool is_progress_known = true;
     };
 
-    /// A server process whose connections broke off while it had requests.
+    /// A server process whose connections broke off while it had requests, or
+    /// whose end its next registration has shown.
     struct process_row {
         samplers::service_name service;
         int server_count = 0;
         base::millis lost_at = 0;
         bool ended = false;
+        /// Whether a request has noticed the end, so that the time is exact.
+        bool is_noticed = false;
+    };
+
+    /// Ends of servers without a request.
+    struct other_ends {
+        std::vector<base::millis> times;
+        /// Those of them that are exact.
+        std::vector<base::millis> noticed_times;
+        /// The time of the last one, or of the last loss if that is later.
+        base::millis known_until = 0;
     };
 
     /// From the first lost run of a request to its last loss, and a while more.
@@ -266,8 +312,9 @@
     struct request_row {
         std::vector<loss> losses;
         int cleared_losses = 0;
-        /// Their processes; those of former owners are not known.
         std::set<server_process> cleared_processes;
+        /// The farthest that any run has come, in each respect.
+        run_progress farthest;
         base::millis changed_at = 0;
         /// Numbers of the last change and of the last one in the store; 0 if
         /// the store has none.
@@ -279,12 +326,32 @@
             losses.clear();
             cleared_losses = 0;
             cleared_processes.clear();
+            farthest = {};
         }
     };
 
     static int count(const request_row& row, loss_state state);
     static int count_losses(const request_row& row);
     static int cleared_losses_that_count(const request_row& row);
+    enum class loss_filter { ended, ended_or_suspected };
+    /// How many losses of a request agree with one point at which it may end
+    /// its servers.
+    struct agreement {
+        int in_text = 0;
+        int in_events = 0;
+        int in_time = 0;
+        /// Number of all losses, cleared ones included.
+        int losses = 0;
+
+        int most() const { return std::max({in_text, in_events, in_time}); }
+    };
+    static bool agrees_in_text(const request_row& row, const loss& l);
+    static bool agrees_in_events(const request_row& row, const loss& l);
+    static bool agrees_in_time(const request_row& row, const loss& l);
+    static agreement find_agreement(const request_row& row, loss_filter filter);
+    static int losses_against(const request_row& row, loss_filter filter);
+    static std::optional<run_limit> safe_limit(const request_row& row);
+    static void note_progress(request_row& row, const run_progress& progress);
     static bool is_outlived(const loss& l, const run_progress& progress,
                             int required_events);
     static bool has_loss(const request_row& row, const server_process& process);
@@ -293,14 +360,15 @@
     template <class Predicate>
     std::set<server_process> find_lost_by_others(const request_row& row,
                                                  Predicate has_part) const;
-    std::vector<base::millis>
-    find_other_ends(const request_row& row,
-                    const samplers::service_name& service,
-                    const std::set<server_process>& except) const;
+    other_ends find_other_ends(const request_row& row,
+                               const samplers::service_name& service,
+                               const std::set<server_process>& except) const;
     chance_evidence
     compare_with_chance(const request_row& row,
                         const std::set<server_process>& blamed) const;
     chance_evidence compare_with_chance(const request_row& row) const;
+    static base::millis agreeing_part(base::millis run_ms);
+    static double max_ratio(const request_row& row);
     bool has_clean_end(const request_row& row,
                        const std::set<server_process>& doubtful) const;
     bool is_chance(const request_row& row) const;
@@ -308,6 +376,7 @@
     bool may_become_chance(const request_row& row) const;
     static bool is_stuck(const request_row& row);
     bool needs_checks(const request_row& row) const;
+    void add_registered_ends();
     using check_times = std::map<server_process, base::millis>;
     void add_due_check(const server_process& process, base::millis lost_at,
                        const check_times& checked_before,
@@ -319,11 +388,16 @@
     void set_loss(const request_key& request, const server_loss& lost,
                   loss_state state);
     void mark_changed(request_row& row);
-    static loss_record make_record(const request_key& request,
-                                   const request_row& row);
+    loss_record make_record(const request_key& request,
+                            const request_row& row) const;
 
     base::clock clock_;
     base::millis retention_ms_;
+    const samplers::server_end_log* ends_;
+    /// Number of registered ends that processes_ has.
+    std::uint64_t registered_ends_ = 0;
+    /// Number of changes of processes_.
+    std::uint64_t process_changes_ = 0;
     std::map<request_key, request_row> rows_;
     std::map<server_process, process_row> processes_;
     check_times checked_at_;
--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include "hibiscus/base/stall_detector.hpp"
 #include "hibiscus/batch/crash_ledger.hpp"
+#include "hibiscus/batch/effects.hpp"
 #include "hibiscus/batch/job_table.hpp"
 #include "hibiscus/batch/run_pace.hpp"
 #include "hibiscus/batch/step_plan.hpp"
@@ -20,9 +21,6 @@
 
 namespace hibiscus::batch {
 
-/// Identifies a run: one send of an item to one server.
-using run_number = std::uint64_t;
-
 /// Settings from the route of a job that apply to its items.
 struct job_options {
     samplers::service_name service;
@@ -35,103 +33,6 @@
     int priority = 0;
 };
 
-/// Effect: send an item to a server.
-struct start_run {
-    run_number run = 0;
-    samplers::sampler_id sampler;
-    job_id job;
-    int item_index = 0;
-    std::string host;
-    /// The workspace of the job; may be empty.
-    std::string workspace;
-    std::string model;
-    const item* content = nullptr;
-    /// Id of the event after which the server resumes the text; empty to start
-    /// at the first event.
-    std::string resume_after_event;
-    /// Lower is more urgent.
-    int priority = 0;
-    base::millis deadline_ms = 0;
-    /// Whether the crash ledger's row of the request must be stored before the
-    /// item is sent.
-    bool store_first = false;
-    /// Whether an idle connection may be used. Its end does not tell whether
-    /// the server has run the item.
-    bool reuse_connection = true;
-    /// Whether the item is sent once more if an idle connection ends. Not if
-    /// the server was active a moment ago: then it may have ended under the
-    /// item.
-    bool resend_if_stale = true;
-};
-
-/// Effect: close the connection of a run.
-struct stop_run {
-    run_number run = 0;
-    const char* reason = "";
-};
-
-/// Effect: make the reward call for a complete text.
-struct start_reward {
-    job_id job;
-    int item_index = 0;
-    const reward_call* call = nullptr;
-    std::string group;
-    /// Items of the group that have no result yet, this one included, and all
-    /// of its items.
-    int unscored_items = 1;
-    int group_items = 1;
-    bool is_resubmitted = false;
-    /// The target time of the job, and the time at which its items may be
-    /// abandoned; 0 if they may not.
-    base::millis target_at = 0;
-    base::millis expires_at = 0;
-    /// Number of servers whose connections may break off before the call ends
-    /// without a score.
-    int max_lost_servers = 1;
-    /// Whether an idle connection may be used, as for start_run.
-    bool reuse_connection = true;
-};
-
-/// Effect: report that a request is not sent again because servers ended while
-/// they ran it.
-struct report_quarantine {
-    job_id job;
-    int item_index = 0;
-    /// The id of the item's request or of its reward call.
-    std::string request_id;
-    bool is_reward = false;
-    loss_summary evidence;
-};
-
-/// Effect: report that losses of a request were cleared, since a run has gone
-/// past them.
-struct report_cleared_losses {
-    job_id job;
-    int item_index = 0;
-    std::string request_id;
-    int cleared_losses = 0;
-    /// Number of events of the text.
-    int event_count = 0;
-};
-
-/// Effect: report that a server that had a request may have ended.
-struct report_loss {
-    job_id job;
-    int item_index = 0;
-    std::string request_id;
-    bool is_reward = false;
-    server_loss loss;
-    /// Whether it is a loss of the request, as crash_ledger::on_lost() says.
-    bool counts = true;
-    /// Number of losses of the request that count, this one included.
-    int loss_count = 0;
-};
-
-using effect =
-    std::variant<start_run, stop_run, start_reward, report_quarantine,
-                 report_cleared_losses, report_loss>;
-using effects = std::vector<effect>;
-
 /// How a run ended.
 enum class run_outcome {
     complete,     ///< The stream ended normally.
@@ -394,6 +295,11 @@
         /// Set once it was unclear whether a server had ended before or after
         /// the item was sent to it.
         bool needs_new_connection = false;
+        /// The state to which a quarantined item returns.
+        item_state state_before = item_state::waiting;
+        /// Number of runs that reached their limit before any event came, since
+        /// the last one with an event.
+        int fruitless_runs = 0;
         base::millis not_before = 0;
         /// When a server last worked on the item; initially when its job was
         /// added.
@@ -436,6 +342,9 @@
         int loss_count = 0;
         /// Whether the server has begun to respond.
         bool has_response = false;
+        /// Whether the item has been sent, and how far the run may go.
+        bool is_sent = true;
+        std::optional<run_limit> limit = {};
     };
 
     /// The servers by the runs that they have, while any item has losses.
@@ -493,7 +402,7 @@
     std::optional<samplers::sampler_id>
     choose_isolated_server(samplers::run_placement& placement,
                            const samplers::run_requirements& requirements,
-                           const item_row& row,
+                           const item_row& row, bool is_limited,
                            server_occupancy& occupancy) const;
     void keep_emptiest_server(const samplers::run_requirements& requirements,
                               server_occupancy& occupancy) const;
@@ -516,6 +425,15 @@
                   const server_loss& lost, effects& out);
     void quarantine(const job_id& id, int item_index, bool is_reward,
                     effects& out);
+    suspected_request describe(const job_id& id, int item_index,
+                               bool is_reward) const;
+    void release_if_excused(const job_id& id, int item_index, effects& out);
+    std::optional<run_limit> limit_of(const job_state& job,
+                                      const item_row& row) const;
+    bool has_fruitless_runs(const job_state& job, const item_row& row) const;
+    bool has_reached_limit(const run_row& run) const;
+    void stop_limited_run(run_number run, effects& out);
+    void stop_limited_runs(effects& out);
     bool has_expired(const job_state& job) const;
     void update_state(const job_id& id, int item_index, effects& out);
     void settle_waiting(const job_id& id, int item_index, effects& out);
@@ -570,6 +488,9 @@
     std::map<samplers::service_name, run_pace> paces_;
     base::millis planned_at_ = 0;
     run_number last_run_number_ = 0;
+    /// What was known of the ends of servers at the last tick.
+    std::uint64_t evidence_number_ = 0;
+    bool has_new_evidence_ = false;
     /// The earliest time of the next move of long runs to faster servers.
     base::millis next_long_move_at_ = 0;
     base::stall_detector stall_detector_;
--- a/packages/batch/include/hibiscus/batch/records.hpp
+++ b/packages/batch/include/hibiscus/batch/records.hpp
@@ -89,11 +89,21 @@
         /// Whether the process is known to have ended.
         bool ended = false;
         run_progress progress;
+        /// False for an announced send that has not ended.
+        bool is_progress_known = true;
+        /// The service of the server, and how many servers it had; 0 if that is
+        /// not known.
+        samplers::service_name service = {};
+        int server_count = 0;
     };
     request_key request;
     std::vector<row> losses;
-    /// Number of further losses that no longer count.
+    /// Number of further losses that a later run has gone past, and their
+    /// processes.
     int cleared_losses = 0;
+    std::vector<server_process> cleared_processes = {};
+    /// The farthest that any run has come, in each respect.
+    run_progress farthest = {};
 };
 
 /// The kinds of keys in the journal.
--- a/packages/batch/src/crash_ledger.cpp
+++ b/packages/batch/src/crash_ledger.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace hibiscus::batch {
 
@@ -44,6 +45,85 @@
                : std::max(0, row.cleared_losses - max_uncounted_losses);
 }
 
+/// Return true if no run has gone past a loss: in the text, or in the events or
+/// the time since the start of a run.
+bool crash_ledger::agrees_in_text(const request_row& row, const loss& l) {
+    return !l.is_progress_known ||
+           row.farthest.text_events - l.progress.text_events < clearing_events;
+}
+
+bool crash_ledger::agrees_in_events(const request_row& row, const loss& l) {
+    const int lost = l.progress.run_events;
+    return !l.is_progress_known ||
+           row.farthest.run_events - lost <
+               std::max(clearing_events, lost / clearing_divisor);
+}
+
+bool crash_ledger::agrees_in_time(const request_row& row, const loss& l) {
+    const auto lost = l.progress.run_ms;
+    return !l.is_progress_known ||
+           row.farthest.run_ms - lost <
+               std::max<base::millis>(1, lost / clearing_divisor);
+}
+
+crash_ledger::agreement crash_ledger::find_agreement(const request_row& row,
+                                                     loss_filter filter) {
+    agreement found;
+    for (const auto& l : row.losses) {
+        if (l.state == loss_state::ended ||
+            (l.state == loss_state::suspected &&
+             filter == loss_filter::ended_or_suspected)) {
+            ++found.losses;
+            found.in_text += agrees_in_text(row, l) ? 1 : 0;
+            found.in_events += agrees_in_events(row, l) ? 1 : 0;
+            found.in_time += agrees_in_time(row, l) ? 1 : 0;
+        }
+    }
+    found.losses += found.losses == 0 ? 0 : row.cleared_losses;
+    return found;
+}
+
+/// Returns the number of losses that decide whether a request is quarantined:
+/// those that agree with one point, or all but max_uncounted_losses.
+int crash_ledger::losses_against(const request_row& row, loss_filter filter) {
+    const auto found = find_agreement(row, filter);
+    return std::max(found.most(), found.losses - max_uncounted_losses);
+}
+
+/// Returns how far a run may go that stays well before each point with which
+/// the losses of a request agree. There is no such limit if that point may be
+/// in its text, if servers also ended at other points, or if its runs were too
+/// short.
+std::optional<run_limit> crash_ledger::safe_limit(const request_row& row) {
+    const auto found = find_agreement(row, loss_filter::ended_or_suspected);
+    if (found.in_text >= max_server_ends || found.losses > max_server_ends) {
+        return std::nullopt;
+    }
+    std::optional<run_limit> limit;
+    for (const auto& l : row.losses) {
+        if (l.state == loss_state::sending) {
+            continue;
+        }
+        if (!l.is_progress_known) {
+            return std::nullopt;
+        }
+        const run_limit half{l.progress.run_events / limit_divisor,
+                             l.progress.run_ms / limit_divisor};
+        limit = limit ? run_limit{std::min(limit->events, half.events),
+                                  std::min(limit->ms, half.ms)}
+                      : half;
+    }
+    return limit && limit->events >= min_limited_events ? limit : std::nullopt;
+}
+
+void crash_ledger::note_progress(request_row& row,
+                                 const run_progress& progress) {
+    auto& farthest = row.farthest;
+    farthest.text_events = std::max(farthest.text_events, progress.text_events);
+    farthest.run_events = std::max(farthest.run_events, progress.run_events);
+    farthest.run_ms = std::max(farthest.run_ms, progress.run_ms);
+}
+
 send_permission crash_ledger::permission(const request_key& request) const {
     if (rows_.empty()) {
         return send_permission::allowed;
@@ -54,10 +134,14 @@
 }
 
 send_permission crash_ledger::permission(const request_row& row) const {
-    const int cleared = cleared_losses_that_count(row);
-    const int losses = count_losses(row) + cleared;
     const bool is_unstored = row.change != row.stored_change;
-    if (count(row, loss_state::ended) + cleared >= max_server_ends) {
+    const int losses = count_losses(row) + cleared_losses_that_count(row);
+    const bool has_too_many =
+        losses_against(row, loss_filter::ended_or_suspected) >= max_server_ends;
+    if (has_too_many && !safe_limit(row)) {
+        if (losses_against(row, loss_filter::ended) < max_server_ends) {
+            return send_permission::waits;
+        }
         if (count(row, loss_state::ended) + row.cleared_losses >=
             max_ends_by_chance) {
             return send_permission::quarantined;
@@ -69,13 +153,21 @@
         if (is_suspect_being_sent(row)) {
             return send_permission::waits;
         }
-    } else if (losses >= max_server_ends) {
-        return send_permission::waits;
     }
     return is_last_send(losses) && is_unstored ? send_permission::waits
                                                : send_permission::allowed;
 }
 
+std::optional<run_limit>
+crash_ledger::limit_of(const request_key& request) const {
+    const auto found = rows_.find(request);
+    const bool has_too_many =
+        found != rows_.end() &&
+        losses_against(found->second, loss_filter::ended_or_suspected) >=
+            max_server_ends;
+    return has_too_many ? safe_limit(found->second) : std::nullopt;
+}
+
 int crash_ledger::loss_count(const request_key& request) const {
     const auto found = rows_.find(request);
     return found == rows_.end() ? 0
@@ -96,6 +188,9 @@
                ? loss_summary{}
                : loss_summary{count_losses(found->second),
                               found->second.cleared_losses,
+                              find_agreement(found->second,
+                                             loss_filter::ended_or_suspected)
+                                  .most(),
                               compare_with_chance(found->second)};
 }
 
@@ -138,6 +233,7 @@
     } else if (state != loss_state::sending) {
         *known = added;
     }
+    note_progress(row, lost.progress);
     mark_changed(row);
 }
 
@@ -172,9 +268,12 @@
         return false;
     }
     set_loss(request, lost, loss_state::suspected);
-    processes_.try_emplace(
-        lost.process,
-        process_row{lost.service, lost.server_count, clock_.now(), false});
+    auto& process = processes_[lost.process];
+    if (!process.is_noticed) {
+        process = {lost.service, lost.server_count, clock_.now(), process.ended,
+                   true};
+        ++process_changes_;
+    }
     return true;
 }
 
@@ -197,6 +296,7 @@
         return 0;
     }
     auto& row = found->second;
+    note_progress(row, progress);
     const int required =
         required_events(row.cleared_losses + count_losses(row));
     const auto end = std::stable_partition(
@@ -243,8 +343,8 @@
 
 void crash_ledger::on_ended(const server_process& process) {
     const auto lost = processes_.find(process);
-    if (lost != processes_.end()) {
-        lost->second.ended = true;
+    if (lost != processes_.end() && !std::exchange(lost->second.ended, true)) {
+        ++process_changes_;
     }
     for (auto& [request, row] : rows_) {
         for (auto& l : row.losses) {
@@ -260,6 +360,7 @@
     const auto lost = processes_.find(process);
     if (lost != processes_.end() && !lost->second.ended) {
         processes_.erase(lost);
+        ++process_changes_;
     }
     for (auto& [request, row] : rows_) {
         const auto end = std::remove_if(
@@ -286,11 +387,21 @@
 }
 
 loss_record crash_ledger::make_record(const request_key& request,
-                                      const request_row& row) {
-    loss_record record{request, {}, row.cleared_losses};
+                                      const request_row& row) const {
+    loss_record record{
+        request,
+        {},
+        row.cleared_losses,
+        {row.cleared_processes.begin(), row.cleared_processes.end()},
+        row.farthest};
     for (const auto& l : row.losses) {
+        const auto process = processes_.find(l.process);
+        const auto lost =
+            process == processes_.end() ? process_row{} : process->second;
         record.losses.push_back(
-            {l.process, l.state == loss_state::ended, l.progress});
+            {l.process, l.state == loss_state::ended, l.progress,
+             l.is_progress_known && l.state != loss_state::sending,
+             lost.service, lost.server_count});
     }
     return record;
 }
@@ -336,10 +447,20 @@
         auto& row = rows_[record.request];
         row = {};
         row.cleared_losses = record.cleared_losses;
+        row.cleared_processes = {record.cleared_processes.begin(),
+                                 record.cleared_processes.end()};
+        row.farthest = record.farthest;
         for (const auto& l : record.losses) {
             row.losses.push_back(
                 {l.process, l.ended ? loss_state::ended : loss_state::suspected,
-                 clock_.now() - l.progress.run_ms, clock_.now(), l.progress});
+                 clock_.now() - l.progress.run_ms, clock_.now(), l.progress,
+                 l.is_progress_known});
+            note_progress(row, l.progress);
+            if (l.server_count > 0) {
+                processes_.try_emplace(
+                    l.process, process_row{l.service, l.server_count,
+                                           clock_.now(), l.ended, false});
+            }
         }
         mark_changed(row);
         row.stored_change = row.change;
@@ -364,6 +485,7 @@
 void crash_ledger::clear() {
     rows_.clear();
     processes_.clear();
+    registered_ends_ = 0;
 }
 
 } // namespace hibiscus::batch
--- a/packages/batch/src/crash_ledger_chance.cpp
+++ b/packages/batch/src/crash_ledger_chance.cpp
@@ -31,29 +31,42 @@
 /// the first lost run of a request, in ms.
 constexpr base::millis history_ms = 10000;
 
+/// How long after the last loss of a request ends of other servers are still
+/// compared with it, in ms. It is at no server then.
+constexpr base::millis aftermath_ms = 3000;
+
 /// A request is quarantined if its losses are this many times as likely under
-/// the assumption that it ends its servers as by chance. Few requests do.
-constexpr double quarantine_ratio = 1000;
+/// the assumption that it ends its servers as by chance. Few requests do, and
+/// few of these at different points of their runs.
+constexpr double quarantine_ratio = 1e3;
+constexpr double different_points_ratio = 1e6;
 
 /// When servers of a service ended without a request, compared with the time
 /// span of its losses.
 class end_history {
 public:
-    /// `times` is sorted.
-    end_history(std::vector<base::millis> times, base::millis span_begin,
-                base::millis span_end)
-        : times_(std::move(times)), span_begin_(span_begin),
-          span_end_(span_end) {}
+    /// `times` and `noticed_times` are sorted; the latter are those of `times`
+    /// that are exact. `known_until` is the time of the last one, if it came
+    /// after the span.
+    end_history(std::vector<base::millis> times,
+                std::vector<base::millis> noticed_times,
+                base::millis span_begin, base::millis span_end,
+                base::millis known_until)
+        : times_(std::move(times)), noticed_times_(std::move(noticed_times)),
+          span_begin_(span_begin), span_end_(span_end),
+          known_until_(known_until) {}
 
     /// Returns the probability that one of `server_count` servers ends by
-    /// chance while it has a request for `run_ms` up to `lost_at`.
-    double end_probability(base::millis run_ms, base::millis lost_at,
-                           int server_count) const {
+    /// chance in `exposed_ms` of a run of `run_ms` up to `lost_at`.
+    double end_probability(base::millis exposed_ms, base::millis run_ms,
+                           base::millis lost_at, int server_count) const {
         const double rate = std::max(
             {rate_between(span_begin_, span_end_),
+             rate_between(span_begin_, known_until_),
              rate_between(span_begin_ - history_ms, span_end_),
              rate_between(lost_at - run_ms - nearby_ms, lost_at + nearby_ms)});
-        return 1 - std::exp(-rate * static_cast<double>(run_ms) / server_count);
+        return 1 -
+               std::exp(-rate * static_cast<double>(exposed_ms) / server_count);
     }
 
     /// Returns how many times as likely the time of a loss is if the request
@@ -66,27 +79,31 @@
     }
 
 private:
-    double count_between(base::millis begin, base::millis end) const {
+    static double count_between(const std::vector<base::millis>& times,
+                                base::millis begin, base::millis end) {
         return static_cast<double>(
-            std::upper_bound(times_.begin(), times_.end(), end) -
-            std::lower_bound(times_.begin(), times_.end(), begin));
+            std::upper_bound(times.begin(), times.end(), end) -
+            std::lower_bound(times.begin(), times.end(), begin));
     }
 
     double count_near(base::millis time) const {
-        return count_between(time - coincidence_ms, time + coincidence_ms);
+        return count_between(noticed_times_, time - coincidence_ms,
+                             time + coincidence_ms);
     }
 
     /// Returns the number of ends per ms.
     double rate_between(base::millis begin, base::millis end) const {
-        return count_between(begin, end) / static_cast<double>(end - begin);
+        return count_between(times_, begin, end) /
+               static_cast<double>(end - begin);
     }
 
     /// Returns the probability that a time in the span is that of an end.
     double accident_probability() const {
         int moments = 0;
         base::millis last = span_begin_ - coincidence_ms - 1;
-        for (const auto time : times_) {
-            if (time >= span_begin_ && time - last > coincidence_ms) {
+        for (const auto time : noticed_times_) {
+            if (time >= span_begin_ && time <= span_end_ &&
+                time - last > coincidence_ms) {
                 ++moments;
                 last = time;
             }
@@ -97,17 +114,18 @@
 
     /// Returns the probability that a server ends at the time of another one.
     double same_cause_probability() const {
-        const auto coincident =
-            std::count_if(times_.begin(), times_.end(), [&](base::millis time) {
-                return count_near(time) > 1;
-            });
+        const auto coincident = std::count_if(
+            noticed_times_.begin(), noticed_times_.end(),
+            [&](base::millis time) { return count_near(time) > 1; });
         return static_cast<double>(coincident + 1) /
-               static_cast<double>(times_.size() + 2);
+               static_cast<double>(noticed_times_.size() + 2);
     }
 
     std::vector<base::millis> times_;
+    std::vector<base::millis> noticed_times_;
     base::millis span_begin_;
     base::millis span_end_;
+    base::millis known_until_;
 };
 
 } // namespace
@@ -161,24 +179,44 @@
     return lost;
 }
 
-/// Returns the times at which servers ended without a request, sorted, up to
-/// its last loss. The processes in `except` are left out.
-std::vector<base::millis>
+/// Returns the ends of servers without a request, up to a while after its last
+/// loss. The processes in `except` are left out.
+crash_ledger::other_ends
 crash_ledger::find_other_ends(const request_row& row,
                               const samplers::service_name& service,
                               const std::set<server_process>& except) const {
     const auto span = span_of(row);
-    std::vector<base::millis> times;
+    other_ends found;
     for (const auto& [process, lost] : processes_) {
         if (lost.ended && lost.service == service &&
             lost.lost_at >= span.begin - history_ms &&
-            lost.lost_at <= span.end && !has_loss(row, process) &&
-            except.count(process) == 0) {
-            times.push_back(lost.lost_at);
+            lost.lost_at <= span.end + aftermath_ms &&
+            !has_loss(row, process) && except.count(process) == 0) {
+            found.times.push_back(lost.lost_at);
+            if (lost.is_noticed) {
+                found.noticed_times.push_back(lost.lost_at);
+            }
         }
     }
-    std::sort(times.begin(), times.end());
-    return times;
+    std::sort(found.times.begin(), found.times.end());
+    std::sort(found.noticed_times.begin(), found.noticed_times.end());
+    found.known_until =
+        std::max(span.end, found.times.empty() ? 0 : found.times.back());
+    return found;
+}
+
+/// Returns the part of a run of `run_ms` in which the end of its server agrees
+/// with that of another run.
+base::millis crash_ledger::agreeing_part(base::millis run_ms) {
+    return std::max<base::millis>(1, 2 * run_ms / clearing_divisor);
+}
+
+/// Returns from which ratio on chance does not explain the losses of a request.
+double crash_ledger::max_ratio(const request_row& row) {
+    return find_agreement(row, loss_filter::ended_or_suspected).most() <
+                   max_server_ends
+               ? different_points_ratio
+               : quarantine_ratio;
 }
 
 /// Compares two explanations of the losses of a request by the ends of servers
@@ -198,21 +236,29 @@
         return evidence;
     }
     const auto& process = processes_.at(known->process);
-    auto times = find_other_ends(row, process.service, blamed);
-    evidence.other_ends = static_cast<int>(times.size());
+    auto ends = find_other_ends(row, process.service, blamed);
+    evidence.other_ends = static_cast<int>(ends.times.size());
     if (evidence.other_ends < max_server_ends) {
         return evidence;
     }
     const auto span = span_of(row);
-    const end_history history(std::move(times), span.begin, span.end);
+    const end_history history(std::move(ends.times),
+                              std::move(ends.noticed_times), span.begin,
+                              span.end, ends.known_until);
     evidence.ratio = 1;
+    bool others_agree = false;
     for (const auto& l : row.losses) {
-        if (l.state != loss_state::sending) {
-            const auto run_ms = std::max<base::millis>(1, l.progress.run_ms);
-            evidence.ratio *= history.time_ratio(l.lost_at) /
-                              history.end_probability(run_ms, l.lost_at,
-                                                      process.server_count);
+        if (l.state == loss_state::sending) {
+            continue;
         }
+        const auto run_ms = std::max<base::millis>(1, l.progress.run_ms);
+        const bool agrees = agrees_in_time(row, l);
+        const auto exposed_ms =
+            agrees && others_agree ? agreeing_part(run_ms) : run_ms;
+        others_agree = others_agree || agrees;
+        evidence.ratio *= history.time_ratio(l.lost_at) /
+                          history.end_probability(exposed_ms, run_ms, l.lost_at,
+                                                  process.server_count);
     }
     return evidence;
 }
@@ -228,7 +274,7 @@
     const auto blamed = find_lost_by_others(row, [&](const request_row& other) {
         return is_stuck(other) ||
                (has_many_losses(other) &&
-                compare_with_chance(other, {}).ratio >= quarantine_ratio);
+                compare_with_chance(other, {}).ratio >= max_ratio(other));
     });
     auto evidence = compare_with_chance(row, blamed);
     if (!has_clean_end(row, find_lost_by_others(row, has_many_losses))) {
@@ -248,14 +294,14 @@
                 return false;
             }
             const auto times =
-                find_other_ends(row, found->second.service, doubtful);
+                find_other_ends(row, found->second.service, doubtful).times;
             return !times.empty() && times.back() >= span_of(row).begin;
         });
 }
 
 /// Returns true if chance explains the losses of a request.
 bool crash_ledger::is_chance(const request_row& row) const {
-    return compare_with_chance(row).ratio < quarantine_ratio;
+    return compare_with_chance(row).ratio < max_ratio(row);
 }
 
 /// Returns true if another request that may end its servers is being sent. It
@@ -287,7 +333,30 @@
            (count(row, loss_state::suspected) > 0 || may_become_chance(row));
 }
 
+/// Takes in the ends that registrations have shown since the last call.
+void crash_ledger::add_registered_ends() {
+    if (ends_ == nullptr) {
+        return;
+    }
+    const auto& ends = ends_->ends();
+    const auto count = std::min<std::uint64_t>(
+        ends.size(), ends_->change_count() - registered_ends_);
+    registered_ends_ = ends_->change_count();
+    for (auto end = ends.end() - static_cast<std::ptrdiff_t>(count);
+         end != ends.end(); ++end) {
+        const server_process process{end->server, end->started_ms};
+        const bool is_new =
+            processes_
+                .try_emplace(process, process_row{end->service, 0,
+                                                  end->ended_at, true, false})
+                .second;
+        process_changes_ += is_new ? 1 : 0;
+        on_ended(process);
+    }
+}
+
 std::vector<crash_ledger::lost_process> crash_ledger::take_due_checks() {
+    add_registered_ends();
     std::vector<lost_process> due;
     const auto checked_before = std::exchange(checked_at_, {});
     for (const auto& [request, row] : rows_) {
--- a/packages/batch/src/item_scheduler.cpp
+++ b/packages/batch/src/item_scheduler.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace hibiscus::batch {
 
@@ -243,6 +244,10 @@
     // otherwise start items of jobs that ended long ago.
     auto out = remove_expired_speculative_jobs();
     update_run_slots();
+    has_new_evidence_ =
+        std::exchange(evidence_number_, crashes_.evidence_number()) !=
+        evidence_number_;
+    stop_limited_runs(out);
     if (may_start_runs) {
         move_runs(out);
         place_items(out);
@@ -266,6 +271,8 @@
     } else if (row.state == item_state::quarantined && has_expired(job)) {
         row.outcome = item_outcome::errored;
         row.state = item_state::ready;
+    } else if (row.state == item_state::quarantined && has_new_evidence_) {
+        release_if_excused(id, item_index, out);
     }
 }
 
@@ -282,8 +289,9 @@
         row.outcome = item_outcome::errored;
         row.state = item_state::ready;
     } else if (crashes_.size() > 0 &&
-               crashes_.permission(request_of(job, row)) ==
-                   send_permission::quarantined) {
+               (crashes_.permission(request_of(job, row)) ==
+                    send_permission::quarantined ||
+                has_fruitless_runs(job, row))) {
         quarantine(id, item_index, false, out);
     }
 }
@@ -306,12 +314,18 @@
 /// it expires: chance may have ended the servers under it.
 void item_scheduler::quarantine(const job_id& id, int item_index,
                                 bool is_reward, effects& out) {
-    const auto& job = jobs_.at(id);
     auto& row = jobs_.at(id).items[static_cast<std::size_t>(item_index)];
-    row.state = item_state::quarantined;
+    row.state_before = std::exchange(row.state, item_state::quarantined);
+    out.push_back(report_quarantine{describe(id, item_index, is_reward)});
+}
+
+suspected_request item_scheduler::describe(const job_id& id, int item_index,
+                                           bool is_reward) const {
+    const auto& job = jobs_.at(id);
+    const auto& row = job.items[static_cast<std::size_t>(item_index)];
     const auto request = is_reward ? reward_of(job, row) : request_of(job, row);
-    out.push_back(report_quarantine{id, item_index, request.request_id,
-                                    is_reward, crashes_.summarize(request)});
+    return {id, item_index, request.request_id, is_reward,
+            crashes_.summarize(request)};
 }
 
 effects item_scheduler::on_response_started(run_number run,
@@ -382,9 +396,13 @@
     row.output.last_event = id;
     ++row.output.event_count;
     add_version(row.output.versions, current.version);
+    row.fruitless_runs = 0;
     if (current.loss_count > 0) {
         clear_losses(current, job, row, out);
     }
+    if (has_reached_limit(current)) {
+        stop_limited_run(run, out);
+    }
     return out;
 }
 
--- a/packages/batch/src/item_scheduler_isolation.cpp
+++ b/packages/batch/src/item_scheduler_isolation.cpp
@@ -9,6 +9,10 @@
 /// At most this part of a service's servers is isolated.
 constexpr std::size_t isolated_servers_divisor = 2;
 
+/// After this many runs in a row that reached their limit before any event
+/// came, an item is not sent again.
+constexpr int max_fruitless_runs = 3;
+
 } // namespace
 
 void item_scheduler::server_occupancy::add(const samplers::sampler_id& server,
@@ -41,8 +45,66 @@
 }
 
 bool item_scheduler::may_send(const job_state& job, const item_row& row) const {
-    return crashes_.size() == 0 || crashes_.permission(request_of(job, row)) ==
-                                       send_permission::allowed;
+    return crashes_.size() == 0 || (crashes_.permission(request_of(job, row)) ==
+                                        send_permission::allowed &&
+                                    !has_fruitless_runs(job, row));
+}
+
+std::optional<run_limit> item_scheduler::limit_of(const job_state& job,
+                                                  const item_row& row) const {
+    return crashes_.size() == 0 ? std::nullopt
+                                : crashes_.limit_of(request_of(job, row));
+}
+
+/// Returns true if runs of the item have to stop before they get any event.
+bool item_scheduler::has_fruitless_runs(const job_state& job,
+                                        const item_row& row) const {
+    return row.fruitless_runs >= max_fruitless_runs && limit_of(job, row);
+}
+
+bool item_scheduler::has_reached_limit(const run_row& run) const {
+    return run.limit && run.is_sent &&
+           (run.event_count >= run.limit->events ||
+            clock_.now() - run.sent_at >= run.limit->ms);
+}
+
+/// Stops a run before the point at which its server may end. The item goes on
+/// in another run.
+void item_scheduler::stop_limited_run(run_number run, effects& out) {
+    const auto row = runs_.at(run);
+    cancel_run(run, "limit_reached", out);
+    if (auto* item = find_item(row)) {
+        item->fruitless_runs += row.event_count == 0 ? 1 : 0;
+        requeue(*item, 0);
+    }
+}
+
+void item_scheduler::stop_limited_runs(effects& out) {
+    std::vector<run_number> reached;
+    for (const auto& [run, row] : runs_) {
+        if (has_reached_limit(row)) {
+            reached.push_back(run);
+        }
+    }
+    for (const auto run : reached) {
+        stop_limited_run(run, out);
+    }
+}
+
+/// Lets a quarantined item or its reward call go on if the ends of other
+/// servers speak for it by now.
+void item_scheduler::release_if_excused(const job_id& id, int item_index,
+                                        effects& out) {
+    const auto& job = jobs_.at(id);
+    auto& row = jobs_.at(id).items[static_cast<std::size_t>(item_index)];
+    const bool is_reward = row.state_before == item_state::reward_pending;
+    const auto request = is_reward ? reward_of(job, row) : request_of(job, row);
+    if (crashes_.permission(request) == send_permission::quarantined ||
+        (!is_reward && has_fruitless_runs(job, row))) {
+        return;
+    }
+    row.state = row.state_before;
+    out.push_back(report_release{describe(id, item_index, is_reward)});
 }
 
 /// Returns true if the item is quarantined after one more loss.
@@ -56,6 +118,7 @@
     const auto found = runs_.find(run);
     if (found != runs_.end()) {
         found->second.sent_at = clock_.now();
+        found->second.is_sent = true;
     }
 }
 
@@ -151,11 +214,12 @@
 
 /// Returns a server without other runs for an item whose next loss may be its
 /// last, so that no other item shares that loss. If there is none, keeps one
-/// free for it; after a while, another one has to do.
+/// free for it; after a while, another one has to do. A limited run is not
+/// expected to end its server and doesn't wait.
 std::optional<samplers::sampler_id> item_scheduler::choose_isolated_server(
     samplers::run_placement& placement,
     const samplers::run_requirements& requirements, const item_row& row,
-    server_occupancy& occupancy) const {
+    bool is_limited, server_occupancy& occupancy) const {
     auto occupied = occupancy.doubtful;
     for (const auto& [server, count] : occupancy.run_counts) {
         occupied.insert(server);
@@ -163,7 +227,8 @@
     if (auto server = choose_among(placement, requirements, row, occupied)) {
         return server;
     }
-    if (clock_.now() - row.last_served_at > max_isolation_wait_ms) {
+    if (is_limited ||
+        clock_.now() - row.last_served_at > max_isolation_wait_ms) {
         return choose_server(placement, requirements, row, occupancy,
                              crash_ledger::max_server_ends);
     }
--- a/packages/batch/src/item_scheduler_placement.cpp
+++ b/packages/batch/src/item_scheduler_placement.cpp
@@ -109,11 +109,13 @@
         const auto requirements = requirements_of(job, row);
         const auto request = request_of(job, row);
         const int loss_count = crashes_.counted_losses(request);
-        const auto server = crash_ledger::is_last_send(loss_count)
-                                ? choose_isolated_server(
-                                      placement, requirements, row, occupancy)
-                                : choose_server(placement, requirements, row,
-                                                occupancy, loss_count);
+        const auto limit = limit_of(job, row);
+        const auto server =
+            crash_ledger::is_last_send(loss_count)
+                ? choose_isolated_server(placement, requirements, row,
+                                         limit.has_value(), occupancy)
+                : choose_server(placement, requirements, row, occupancy,
+                                loss_count);
         if (!server) {
             // Other jobs may accept older weights, so later candidates may
             // still fit.
@@ -122,19 +124,21 @@
         const auto& chosen = *table_.find(*server);
         const bool was_active = now - chosen.last_event_at <= min_silence_ms;
         const auto run = ++last_run_number_;
-        const auto& added = runs_[run] = {*c.job,
-                                          c.item_index,
-                                          *server,
-                                          now,
-                                          now,
-                                          now,
-                                          0,
-                                          0,
-                                          requirements.expected_tokens,
-                                          chosen.registered.started_ms,
-                                          loss_count};
+        auto& added = runs_[run] = {*c.job,
+                                    c.item_index,
+                                    *server,
+                                    now,
+                                    now,
+                                    now,
+                                    0,
+                                    0,
+                                    requirements.expected_tokens,
+                                    chosen.registered.started_ms,
+                                    loss_count};
         occupancy.add(*server, loss_count);
         const bool store_first = crashes_.needs_stored_send(request);
+        added.limit = limit;
+        added.is_sent = !store_first;
         if (store_first) {
             crashes_.on_sending(request, process_of(added));
         }
@@ -157,8 +161,8 @@
             row.output.last_event, priority_of(job, row),
             std::max<base::millis>(1000, job.first_seen_at +
                                              job.options.item_expiry_ms - now),
-            store_first, !store_first && !row.needs_new_connection,
-            !was_active});
+            store_first, !store_first && !row.needs_new_connection, !was_active,
+            limit});
     }
 }
 
--- a/packages/batch/src/records.cpp
+++ b/packages/batch/src/records.cpp
@@ -30,10 +30,26 @@
 /// Records of earlier versions have none of them, or only the first.
 constexpr std::size_t loss_progress_field = 3;
 
+/// The field of a stored loss that tells whether these are known.
+constexpr std::size_t loss_progress_known_field = 6;
+
+/// The fields with the service of the server and its number of servers.
+constexpr std::size_t loss_service_field = 7;
+
 /// Returns a field of a stored loss, or 0 if the record does not have it.
 template <class T>
-T loss_field(const json& loss, std::size_t field) {
-    return field < loss.size() ? loss.at(field).get<T>() : T{};
+T loss_field(const json& loss, std::size_t field, T absent = {}) {
+    return field < loss.size() ? loss.at(field).get<T>() : absent;
+}
+
+json to_json(const run_progress& progress) {
+    return {progress.text_events, progress.run_events, progress.run_ms};
+}
+
+/// Reads the progress that begins at a field, as far as it is stored.
+run_progress read_progress(const json& in, std::size_t field) {
+    return {loss_field<int>(in, field), loss_field<int>(in, field + 1),
+            loss_field<base::millis>(in, field + 2)};
 }
 
 std::string zero_padded(int number) {
@@ -350,12 +366,19 @@
     for (const auto& l : value.losses) {
         losses.push_back({l.process.server.str(), l.process.started_ms, l.ended,
                           l.progress.text_events, l.progress.run_events,
-                          l.progress.run_ms});
+                          l.progress.run_ms, l.is_progress_known,
+                          l.service.str(), l.server_count});
+    }
+    json cleared = json::array();
+    for (const auto& p : value.cleared_processes) {
+        cleared.push_back({p.server.str(), p.started_ms});
     }
     return base::encode_cbor({{"workspace", value.request.workspace},
                               {"id", value.request.request_id},
                               {"losses", std::move(losses)},
-                              {"cleared", value.cleared_losses}});
+                              {"cleared", value.cleared_losses},
+                              {"cleared_at", std::move(cleared)},
+                              {"farthest", to_json(value.farthest)}});
 }
 
 std::optional<loss_record> decode_losses(const std::string& bytes) {
@@ -369,10 +392,18 @@
                 {{samplers::sampler_id(l.at(0).get<std::string>()),
                   l.at(1).get<base::millis>()},
                  l.at(2).get<bool>(),
-                 {loss_field<int>(l, loss_progress_field),
-                  loss_field<int>(l, loss_progress_field + 1),
-                  loss_field<base::millis>(l, loss_progress_field + 2)}});
+                 read_progress(l, loss_progress_field),
+                 loss_field(l, loss_progress_known_field, true),
+                 samplers::service_name(
+                     loss_field<std::string>(l, loss_service_field)),
+                 loss_field<int>(l, loss_service_field + 1)});
+        }
+        for (const auto& p : in.value("cleared_at", json::array())) {
+            record.cleared_processes.push_back(
+                {samplers::sampler_id(p.at(0).get<std::string>()),
+                 p.at(1).get<base::millis>()});
         }
+        record.farthest = read_progress(in.value("farthest", json::array()), 0);
         return record;
     });
 }
--- a/packages/batch/test/crash_ledger_test.cpp
+++ b/packages/batch/test/crash_ledger_test.cpp
@@ -167,6 +167,94 @@
     EXPECT_EQ(next.size(), 0U);
 }
 
+/// Ends servers under a request, each after a run of its own.
+class agreeing_losses_test : public crash_ledger_test {
+protected:
+    static constexpr int event_interval_ms = 40;
+
+    /// Ends a server after each of these run lengths, in ms.
+    void lose_after(const std::vector<base::millis>& run_lengths) {
+        for (const auto run_ms : run_lengths) {
+            const auto events = static_cast<int>(run_ms / event_interval_ms);
+            text_events_ += events;
+            time_->advance(run_ms);
+            auto lost = make_loss(process("s" + std::to_string(++losses_)),
+                                  text_events_, run_ms);
+            lost.progress.run_events = events;
+            ledger_.on_lost(request_, lost);
+            ledger_.on_ended(lost.process);
+        }
+        store_all();
+    }
+
+    int text_events_ = 0;
+    int losses_ = 0;
+};
+
+// Guards against requests that are held back since their longest run came
+// first.
+TEST_F(agreeing_losses_test, a_long_run_speaks_against_shorter_ones) {
+    lose_after({3242, 375, 268});
+    EXPECT_EQ(ledger_.permission(request_), send_permission::allowed);
+    EXPECT_FALSE(ledger_.limit_of(request_));
+}
+
+// Guards against requests that end their servers at random times without end.
+TEST_F(agreeing_losses_test, four_losses_that_do_not_agree_quarantine) {
+    lose_after({3242, 375, 1500, 800});
+    EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
+}
+
+// Guards against requests that are held back though their text goes on.
+TEST_F(agreeing_losses_test, runs_of_equal_lengths_limit_the_next_one) {
+    lose_after({700, 800, 700});
+    EXPECT_EQ(ledger_.permission(request_), send_permission::allowed);
+    const auto limit = ledger_.limit_of(request_);
+    ASSERT_TRUE(limit);
+    EXPECT_EQ(limit->ms, 350);
+    EXPECT_EQ(limit->events, 8);
+}
+
+// Guards against requests that end servers in short runs, too.
+TEST_F(agreeing_losses_test, a_loss_in_a_limited_run_quarantines) {
+    lose_after({700, 700, 700, 200});
+    EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
+    EXPECT_FALSE(ledger_.limit_of(request_));
+}
+
+TEST_F(agreeing_losses_test, short_runs_of_equal_lengths_quarantine) {
+    lose_after({80, 80, 80});
+    EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
+}
+
+// Guards against a request that ends its servers at one event after a takeover.
+TEST_F(agreeing_losses_test, an_announced_send_agrees_with_all_losses) {
+    lose_after({700, 1400});
+    ledger_.on_sending(request_, process("last"));
+    crash_ledger next(clock_, retention_ms);
+    next.restore(read(ledger_.unsaved_rows(1)));
+    next.on_ended(process("last"));
+    next.on_saved(next.unsaved_rows(1));
+    EXPECT_EQ(next.summarize(request_).agreeing_losses, 2);
+    next.on_lost(request_, make_loss(process("s9"), text_events_, 700));
+    next.on_ended(process("s9"));
+    EXPECT_EQ(next.permission(request_), send_permission::quarantined);
+}
+
+// Guards against a new owner to which a long run is not known.
+TEST_F(agreeing_losses_test, the_longest_run_passes_on_to_a_new_owner) {
+    lose_after({700, 700});
+    time_->advance(2000);
+    ledger_.on_progress(request_, {text_events_, 50, 2000});
+    lose_after({700});
+    ledger_.on_sending(request_, process("last"));
+    ledger_.on_survived(request_, process("last"));
+    crash_ledger next(clock_, retention_ms);
+    next.restore(read(ledger_.unsaved_rows(1)));
+    EXPECT_EQ(next.summarize(request_).agreeing_losses,
+              ledger_.summarize(request_).agreeing_losses);
+}
+
 /// Ends servers with and without a request. The request has three losses,
 /// 400 ms apart.
 class crash_chance_test : public crash_ledger_test {
@@ -319,6 +407,74 @@
     EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
 }
 
+/// Ends servers that run nothing: only their registrations show it.
+class registered_ends_test : public crash_chance_test {
+protected:
+    static samplers::registration make_registration(std::int64_t started_ms) {
+        samplers::registration r;
+        r.service = samplers::service_name("engines");
+        r.address = {"127.0.0.1", 1};
+        r.started_ms = started_ms;
+        return r;
+    }
+
+    void restart_servers(int count, bool draining = false) {
+        for (int n = 0; n < count; ++n) {
+            const samplers::sampler_id id("r" + std::to_string(n));
+            auto former = make_registration(started_ms_);
+            former.draining = draining;
+            table_.put(id, former);
+            table_.put(id, make_registration(started_ms_ + 1));
+        }
+        ++started_ms_;
+        watching_.take_due_checks();
+    }
+
+    void lose_three(crash_ledger& ledger) {
+        for (int n = 0; n < crash_ledger::max_server_ends; ++n) {
+            const auto lost = process("s" + std::to_string(n));
+            time_->advance(400);
+            ledger.on_lost(request_, make_loss(lost, n, 300));
+            ledger.on_ended(lost);
+        }
+        ledger.on_saved(ledger.unsaved_rows(1));
+    }
+
+    samplers::sampler_table table_{clock_};
+    crash_ledger watching_{clock_, retention_ms, &table_.ends()};
+    std::int64_t started_ms_ = 1;
+};
+
+// Guards against requests that are held back since nobody counts the ends of
+// idle servers.
+TEST_F(registered_ends_test, ends_of_idle_servers_speak_for_a_request) {
+    lose_three(watching_);
+    EXPECT_EQ(watching_.permission(request_), send_permission::quarantined);
+    const auto before = watching_.evidence_number();
+    restart_servers(8);
+    EXPECT_GT(watching_.evidence_number(), before);
+    EXPECT_EQ(watching_.permission(request_), send_permission::allowed);
+}
+
+TEST_F(registered_ends_test, servers_that_drained_are_no_evidence) {
+    lose_three(watching_);
+    restart_servers(8, true);
+    EXPECT_EQ(watching_.permission(request_), send_permission::quarantined);
+}
+
+// Guards against a new owner that knows no ends of other servers.
+TEST_F(registered_ends_test, a_new_owner_knows_the_ends_before) {
+    crash_ledger former(clock_, retention_ms);
+    lose_three(former);
+    restart_servers(8);
+    former.on_sending(request_, process("s9"));
+    former.on_survived(request_, process("s9"));
+    crash_ledger next(clock_, retention_ms, &table_.ends());
+    next.restore(read(former.unsaved_rows(1)));
+    next.take_due_checks();
+    EXPECT_EQ(next.permission(request_), send_permission::allowed);
+}
+
 TEST_F(crash_ledger_test, one_process_counts_once) {
     ledger_.on_lost(request_, make_loss(process("s", 1)));
     ledger_.on_lost(request_, make_loss(process("s", 1)));
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -132,7 +132,8 @@
     void send_run(const batch::start_run& r);
     void send_delayed_runs();
     void log_stopped_run(const active_run& active, const char* reason);
-    void log_quarantine(const batch::report_quarantine& report);
+    void log_suspected(const char* event,
+                       const batch::suspected_request& request);
     void log_cleared_losses(const batch::report_cleared_losses& report);
     void log_loss(const batch::report_loss& report);
     void note_ended_server(const active_run& active);
--- a/packages/entry/src/job_owner_crashes.cpp
+++ b/packages/entry/src/job_owner_crashes.cpp
@@ -24,19 +24,21 @@
 
 } // namespace
 
-void job_owner::log_quarantine(const batch::report_quarantine& report) {
-    state_.counters.count_event("request_quarantined");
+void job_owner::log_suspected(const char* event,
+                              const batch::suspected_request& request) {
+    const auto& evidence = request.evidence;
+    state_.counters.count_event(event);
     state_.log.write(
-        "request_quarantined",
-        {{"job", report.job},
-         {"item", report.item_index},
-         {"id", report.request_id},
-         {"kind", report.is_reward ? "reward" : "item"},
-         {"losses", report.evidence.losses},
-         {"cleared", report.evidence.cleared_losses},
-         {"other_ends", report.evidence.chance.other_ends},
-         {"ratio", static_cast<std::int64_t>(std::min(
-                       report.evidence.chance.ratio, max_logged_ratio))}});
+        event, {{"job", request.job},
+                {"item", request.item_index},
+                {"id", request.request_id},
+                {"kind", request.is_reward ? "reward" : "item"},
+                {"losses", evidence.losses},
+                {"cleared", evidence.cleared_losses},
+                {"agreeing", evidence.agreeing_losses},
+                {"other_ends", evidence.chance.other_ends},
+                {"ratio", static_cast<std::int64_t>(std::min(
+                              evidence.chance.ratio, max_logged_ratio))}});
 }
 
 void job_owner::log_cleared_losses(const batch::report_cleared_losses& report) {
--- a/packages/entry/src/job_owner_runs.cpp
+++ b/packages/entry/src/job_owner_runs.cpp
@@ -32,7 +32,12 @@
                     active_runs_.erase(active);
                 },
                 [&](const batch::start_reward& r) { reward_caller_.add(r); },
-                [&](const batch::report_quarantine& r) { log_quarantine(r); },
+                [&](const batch::report_quarantine& r) {
+                    log_suspected("request_quarantined", r.request);
+                },
+                [&](const batch::report_release& r) {
+                    log_suspected("request_released", r.request);
+                },
                 [&](const batch::report_cleared_losses& r) {
                     log_cleared_losses(r);
                 },
@@ -125,7 +130,9 @@
                       {"running_there", row->in_flight},
                       {"version", row->version_of(r.model)},
                       {"after_event", r.resume_after_event},
-                      {"expected_tokens", r.content->expected_output_tokens}});
+                      {"expected_tokens", r.content->expected_output_tokens},
+                      {"limit_events", r.limit ? r.limit->events : 0},
+                      {"limit_ms", r.limit ? r.limit->ms : 0}});
     active_runs_.at(r.run).call =
         client_.start(row->registered.address, adapter::make_run_request(r),
                       options, std::move(events), adapter::request_id_header);
--- a/testing/entry/entry_crash_test.cpp
+++ b/testing/entry/entry_crash_test.cpp
@@ -246,6 +246,23 @@
     EXPECT_EQ(server_ends(), max_server_ends);
 }
 
+// Guards against an item that is held back since chance ended three servers
+// after runs of equal lengths.
+TEST_F(entry_crash_test, a_text_goes_on_in_runs_that_end_before_the_losses) {
+    constexpr int events_before_end = 24;
+    add_samplers();
+    start_nodes();
+    end_servers_at("");
+    end_samplers_before_event([](const auto& id, int /*event*/, int sent) {
+        return id == "i5" && sent == events_before_end;
+    });
+    ASSERT_EQ(submit("n1", "job1", "i").status, 202);
+    EXPECT_TRUE(wait_for_others("n2", "job1", "i5"));
+    EXPECT_TRUE(run_until(
+        [&] { return read_states("n2", "job1")["i5"] == "succeeded"; }));
+    EXPECT_EQ(server_ends(), max_server_ends);
+}
+
 /// Item i5 ends its servers at one event of its text, and many servers end
 /// under other items by chance.
 class entry_storm_test : public entry_crash_test {
