base, platform: deeply nested input ends no node, numbers have a range

A node that started later never became ready.

Cause: the JSON library takes a stack frame for each level when it decodes CBOR, copies or writes a value. 100,000 levels of CBOR, or a header value of 100,000 levels that is written back as text, exhaust the stack.

Now base::parse_json() and parse_cbor() refuse more than 32 levels, and all that comes from the store, servers, clients and operators is read by them; wire uses them in place of its own. A job that is nested too deeply gets 400, a record is skipped as one that can't be read.

Numbers: slots, seq, born and versions were converted whatever their size, which is undefined for 1e300, and two servers with 2^31 - 1 slots overflow the sum. They have a range now; an entry beyond it is skipped.

--- a/packages/base/include/hibiscus/base/cbor.hpp
+++ b/packages/base/include/hibiscus/base/cbor.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "hibiscus/base/bounded_json.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <optional>
@@ -15,14 +17,13 @@
 }
 
 /// Decodes a CBOR value with `decode`, which returns an optional. Returns
-/// std::nullopt if the bytes are not CBOR, or if a field is missing or of
-/// another type.
+/// std::nullopt if the bytes are not CBOR or nested too deeply, or if a field
+/// is missing or of another type.
 template <class Decode>
 auto decode_cbor(const std::string& bytes, const Decode& decode)
     -> decltype(decode(nlohmann::json())) {
     try {
-        // Throws for a size that can't be allocated even without exceptions.
-        const auto value = nlohmann::json::from_cbor(bytes, true, false);
+        const auto value = parse_cbor(bytes);
         if (value.is_discarded()) {
             return std::nullopt;
         }
--- a/packages/document/src/parse.cpp
+++ b/packages/document/src/parse.cpp
@@ -1,5 +1,7 @@
 #include "hibiscus/document/parse.hpp"
 
+#include "hibiscus/base/bounded_json.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -320,7 +322,7 @@
 } // namespace
 
 base::result<document, parse_errors> parse(std::string_view text) {
-    const json root = json::parse(text, nullptr, false);
+    const json root = base::parse_json(text);
     if (root.is_discarded()) {
         return parse_errors{{parse_error_kind::not_json, "", "JSON"}};
     }
--- a/packages/membership/src/records.cpp
+++ b/packages/membership/src/records.cpp
@@ -1,5 +1,6 @@
 #include "hibiscus/membership/records.hpp"
 
+#include "hibiscus/base/bounded_json.hpp"
 #include "hibiscus/base/cbor.hpp"
 
 #include <nlohmann/json.hpp>
@@ -267,7 +268,8 @@
                 samplers::service_name(in.at(service_field).get<std::string>());
             r.address = *address;
             r.zone = base::zone_id(in.at(zone_field).get<std::string>());
-            r.slots = in.at(slots_field).get<int>();
+            r.slots =
+                base::to_integer(in.at(slots_field), 0, samplers::max_slots);
             r.draining = in.at(draining_field).get<bool>();
             r.spot = in.at(spot_field).get<bool>();
             r.started_ms = in.at(started_field).get<std::int64_t>();
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -16,6 +16,10 @@
 /// observed of them. It holds samplers and all other backend servers.
 namespace hibiscus::samplers {
 
+/// The most slots that a registration may name. The sum over a large fleet has
+/// to fit an int.
+constexpr int max_slots = 100000;
+
 /// The registry entry of a backend server.
 struct registration {
     service_name service;
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -1,5 +1,6 @@
 #include "hibiscus/wire/codec.hpp"
 
+#include "hibiscus/base/bounded_json.hpp"
 #include "mapping.hpp"
 
 #include <array>
@@ -11,55 +12,6 @@
 
 using nlohmann::json;
 
-constexpr int max_depth = 32;
-
-/// A callback of json::parse that rejects input nested deeper than max_depth.
-class json_text_depth_checker {
-public:
-    /// Called for each parse event. Returns false to discard the value.
-    bool operator()(int depth, json::parse_event_t event, json& parsed) {
-        (void)event;
-        (void)parsed;
-        too_deep_ = too_deep_ || depth > max_depth;
-        return !too_deep_;
-    }
-
-    /// Returns true if the input was nested too deeply.
-    bool too_deep() const { return too_deep_; }
-
-private:
-    bool too_deep_ = false;
-};
-
-/// A SAX handler that stops parsing at input nested deeper than max_depth.
-class cbor_depth_checker : public json::json_sax_t {
-public:
-    bool null() override { return true; }
-    bool boolean(bool) override { return true; }
-    bool number_integer(std::int64_t) override { return true; }
-    bool number_unsigned(std::uint64_t) override { return true; }
-    bool number_float(double, const std::string&) override { return true; }
-    bool string(std::string&) override { return true; }
-    bool binary(json::binary_t&) override { return true; }
-    bool start_object(std::size_t) override { return ++depth_ <= max_depth; }
-    bool key(std::string&) override { return true; }
-    bool end_object() override { return end_level(); }
-    bool start_array(std::size_t) override { return ++depth_ <= max_depth; }
-    bool end_array() override { return end_level(); }
-    bool parse_error(std::size_t, const std::string&,
-                     const json::exception&) override {
-        return false;
-    }
-
-private:
-    bool end_level() {
-        --depth_;
-        return true;
-    }
-
-    int depth_ = 0;
-};
-
 /// Runs `decode` and converts exceptions of the JSON library to a decode_error.
 template <class T, class F>
 base::result<T, decode_error> catch_json_errors(F decode) {
@@ -196,11 +148,10 @@
 template <class T>
 base::result<T, decode_error> from_json(std::string_view text) {
     return catch_json_errors<T>([&]() -> base::result<T, decode_error> {
-        json_text_depth_checker depth_checker;
-        const json j = json::parse(text, std::ref(depth_checker));
-        if (depth_checker.too_deep()) {
+        if (base::is_nested_too_deeply(text)) {
             return decode_error{"nested too deeply"};
         }
+        const json j = json::parse(text);
         return j.get<T>();
     });
 }
@@ -216,12 +167,10 @@
 base::result<peer_message, decode_error> from_cbor(std::string_view bytes) {
     using result = base::result<peer_message, decode_error>;
     return catch_json_errors<peer_message>([&]() -> result {
-        cbor_depth_checker depth_checker;
-        if (!json::sax_parse(bytes.begin(), bytes.end(), &depth_checker,
-                             json::input_format_t::cbor)) {
+        const json j = base::parse_cbor(bytes);
+        if (j.is_discarded()) {
             return decode_error{"invalid CBOR, or nested too deeply"};
         }
-        const json j = json::from_cbor(bytes.begin(), bytes.end());
         if (j.at("v").get<int>() != peer_protocol_version) {
             return decode_error{"unsupported version of the peer protocol"};
         }
