transport, entry: tests of responses that stop in their heads

A report of other operators: a sampler that stops in the middle of its head and closes, and clients that get a 200 with an empty or short body. The other daemon's client has such a test (an_answer_that_is_cut_is_no_answer). Runs of items and reward calls use the same client; with real nodes they were not tried.

--- a/packages/entry/test/faulty_server.hpp
+++ b/packages/entry/test/faulty_server.hpp
@@ -45,10 +45,12 @@
     rejects,
     rejects_after_run,
     is_wrong_server,
+    closes_in_head,
+    resets_in_head,
 };
 
 constexpr int server_behavior_count =
-    static_cast<int>(server_behavior::is_wrong_server) + 1;
+    static_cast<int>(server_behavior::resets_in_head) + 1;
 
 /// Returns true if a stream must be complete when the server behaves like this.
 inline bool must_complete_stream(server_behavior behavior) {
@@ -288,6 +290,14 @@
             send(c, response.substr(0, cut_offset),
                  [this, c] { reset_later(c); });
             return true;
+        case server_behavior::closes_in_head:
+            send(c, response.substr(0, cut_in_head(s, head_end)),
+                 [c] { close(c); });
+            return true;
+        case server_behavior::resets_in_head:
+            send(c, response.substr(0, cut_in_head(s, head_end)),
+                 [this, c] { reset_later(c); });
+            return true;
         case server_behavior::truncates_response:
             send(c, response.substr(0, cut_offset), [c] { close(c); });
             return true;
@@ -323,6 +333,15 @@
         return true;
     }
 
+    /// Returns how many bytes of a head are sent: another number each time.
+    static std::size_t cut_in_head(const observed_request& s,
+                                   std::size_t head_bytes) {
+        constexpr std::size_t stride = 29;
+        return 1 + (s.body.size() +
+                    stride * static_cast<std::size_t>(s.send_count)) %
+                       (head_bytes - 1);
+    }
+
     static std::string encode_chunked(const std::string& body) {
         std::string encoded;
         constexpr std::size_t chunk_bytes = 16;
--- a/packages/transport/test/upstream_test.cpp
+++ b/packages/transport/test/upstream_test.cpp
@@ -294,6 +294,31 @@
     EXPECT_EQ(get(server.address()).outcome, call_outcome::broken);
 }
 
+// Guards against responses that stop in their heads and look complete.
+TEST_F(upstream_test, a_response_that_stops_in_its_head_is_broken) {
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string large_field =
+        "X-Large: " + std::string(4000, 'x') + "\r\n";
+    for (const auto& fields :
+         {std::string("Content-Length: 0\r\n"),
+          std::string("Content-Length: 5\r\nConnection: close\r\n"),
+          std::string("Transfer-Encoding: chunked\r\n"),
+          std::string("Content-Type: text/plain\r\n"),
+          large_field + "Content-Length: 0\r\n"}) {
+        const auto head = status + fields + "\r\n";
+        const auto step = 1 + head.size() / 100;
+        for (std::size_t n = 1; n < head.size(); n += step) {
+            scripted_server server(io_, {{head.substr(0, n), true}});
+            const auto result = get(server.address());
+            EXPECT_EQ(result.outcome, call_outcome::broken) << n << " " << head;
+            EXPECT_EQ(result.status, 0);
+            EXPECT_EQ(result.body, "");
+        }
+        scripted_server server(io_, {{head.substr(0, head.size() - 1), true}});
+        EXPECT_EQ(get(server.address()).outcome, call_outcome::broken);
+    }
+}
+
 TEST_F(upstream_test, a_refused_connection_is_not_sent) {
     base::endpoint unused_address;
     {
