--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -23,7 +23,8 @@
     /// Not before it is known which servers have ended, or before the losses
     /// are stored.
     waits,
-    /// Never again: max_server_ends servers ended while they ran it.
+    /// Not unless ends of other servers explain its losses: max_server_ends
+    /// servers ended while they ran it.
     quarantined,
 };
 
@@ -99,8 +100,8 @@
 ///   text, or so many events or so long after the start of a run. No run goes
 ///   past that point. So a loss that an earlier or a later run has gone past
 ///   does not agree with it. A request is sent on while fewer than
-///   max_server_ends losses agree with one point and all but
-///   max_uncounted_losses of its losses are fewer, too.
+///   max_server_ends losses agree with one point and it has no more than
+///   max_server_ends losses in all.
 /// - A later run that has gone past a loss in all three clears it. A request
 ///   whose losses are all cleared is sent on.
 /// - Chance explains the losses if servers of the service end often enough
@@ -119,17 +120,17 @@
     /// cause, cleared losses included.
     static constexpr int max_ends_by_chance = 10;
 
-    /// Number of losses of a request that don't count once they are cleared. A
-    /// request whose servers end at a random time of its runs clears losses,
-    /// too.
+    /// Number of losses of a request that don't count if they are cleared, or
+    /// if they don't agree with the others. The losses of a request whose
+    /// servers end at a random time of its runs do so, too.
     static constexpr int max_uncounted_losses = 1;
 
-    /// A run clears a loss if it has lasted longer than the lost one by this
-    /// part, in time and in events.
+    /// A run has gone past a loss if it has lasted longer than the lost one by
+    /// this part, in time and in events.
     static constexpr int clearing_divisor = 4;
 
-    /// A run whose end is expected at a point is stopped after this part of the
-    /// way.
+    /// A limited run is stopped after this part of the events and the time of
+    /// the shortest lost run.
     static constexpr int limit_divisor = 2;
 
     /// A limited run has to get so many events at least.
@@ -313,7 +314,8 @@
         std::vector<loss> losses;
         int cleared_losses = 0;
         std::set<server_process> cleared_processes;
-        /// The farthest that any run has come, in each respect.
+        /// The farthest that any run has come: in the text, and in the events
+        /// and the time since its start.
         run_progress farthest;
         base::millis changed_at = 0;
         /// Numbers of the last change and of the last one in the store; 0 if
