entry, batch: the end of a server counts once for a reward call

What callers saw: a reward call with nothing wrong in it was held back after its server had ended twice, so its item was never listed (LOST); and one that ends its servers was held back after two ends.

Cause: a reward call whose idle connection ended is lost there, and was sent to the same server again at once. That attempt counted as well if its connection was refused (a rule for plain requests, whose stale connection doesn't count), if it used a second idle connection to the same process, or if the process that ended still accepted it. A refused connection of another server counted, too.

Evidence: the logs of failed runs have two server_lost lines of one call within 2 ms, and request_quarantined with three losses after two ends.

Why it works: a refused connection counts only where the stale one did not; idle connections are not used to a server with a failure since its last response; and a call that was lost at a server is repeated there only by its job owner, later.

--- a/packages/batch/src/item_scheduler_placement.cpp
+++ b/packages/batch/src/item_scheduler_placement.cpp
@@ -123,6 +123,7 @@
         }
         const auto& chosen = *table_.find(*server);
         const bool was_active = now - chosen.last_event_at <= min_silence_ms;
+        const bool may_reuse = chosen.may_reuse_connections();
         const auto run = ++last_run_number_;
         auto& added = runs_[run] = {*c.job,
                                     c.item_index,
@@ -161,8 +162,8 @@
             row.output.last_event, priority_of(job, row),
             std::max<base::millis>(1000, job.first_seen_at +
                                              job.options.item_expiry_ms - now),
-            store_first, !store_first && !row.needs_new_connection, !was_active,
-            limit});
+            store_first, !store_first && !row.needs_new_connection && may_reuse,
+            !was_active, limit});
     }
 }
 
--- a/packages/batch/test/item_scheduler_crash_test.cpp
+++ b/packages/batch/test/item_scheduler_crash_test.cpp
@@ -35,6 +35,25 @@
     EXPECT_EQ(ready[0].result.outcome, item_outcome::errored);
 }
 
+// Guards against an end that counts again for an item whose run then uses an
+// idle connection to the process that has ended.
+TEST_F(item_scheduler_test, a_run_after_a_loss_opens_a_connection) {
+    std::map<samplers::sampler_id, bool> may_reuse;
+    const auto starts = start_four_runs();
+    for (const auto& r : starts) {
+        EXPECT_TRUE(r.reuse_connection);
+        may_reuse[r.sampler] = true;
+    }
+    scheduler_.on_run_ended(starts.front().run, run_outcome::cut);
+    may_reuse[starts.front().sampler] = false;
+    add_job(8);
+    for (const auto& r : of_type<start_run>(tick_for(400))) {
+        EXPECT_EQ(r.reuse_connection, may_reuse[r.sampler]);
+        scheduler_.on_response_started(r.run, 1);
+        scheduler_.on_event(r.run, "1", "e", {});
+    }
+}
+
 // Guards against items that are held back because an item beside them ends
 // servers.
 TEST_F(item_scheduler_test, items_beside_one_that_ends_servers_complete) {
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -118,7 +118,7 @@
                                       state_.samplers, request_.service,
                                       state_.settings.zone, tried_, now)
                                 : std::nullopt;
-        if (!server) {
+        if (!server || lost_servers_.should_avoid(*server)) {
             fail(false);
             return;
         }
@@ -226,7 +226,8 @@
         }
         options.reuse_connection =
             reuse_connection &&
-            (!request_.on_server_lost || was_server_active_);
+            (!request_.on_server_lost ||
+             (was_server_active_ && row->may_reuse_connections()));
         transport::upstream_callbacks events;
         events.on_head = [self = shared_from_this()](const auto& h) {
             self->on_head(h);
--- a/packages/entry/src/lost_servers.hpp
+++ b/packages/entry/src/lost_servers.hpp
@@ -4,6 +4,8 @@
 #include "hibiscus/transport/upstream.hpp"
 
 #include <functional>
+#include <optional>
+#include <set>
 #include <utility>
 
 namespace hibiscus::entry {
@@ -26,12 +28,14 @@
         // ended only if the server then takes no new one.
         const bool is_stale =
             outcome == transport::call_outcome::stale_connection;
-        const bool was_stale = std::exchange(connection_went_stale_, is_stale);
+        const bool was_stale_there = stale_at_ == attempt.process;
+        stale_at_ = is_stale && !on_lost_ ? std::optional(attempt.process)
+                                          : std::nullopt;
         const bool is_lost =
             outcome == transport::call_outcome::broken ||
             outcome == transport::call_outcome::idle_timeout ||
             attempt.silent_since.has_value() || (is_stale && on_lost_) ||
-            (outcome == transport::call_outcome::not_sent && was_stale);
+            (outcome == transport::call_outcome::not_sent && was_stale_there);
         if (is_lost) {
             add(attempt);
         }
@@ -47,18 +51,29 @@
 
     int count() const { return count_; }
 
+    /// Returns true if the next attempt should not be made at `server` now: it
+    /// was lost there, and losses are reported. A process that ends may still
+    /// accept connections, and its end would count twice.
+    bool should_avoid(const samplers::sampler_id& server) const {
+        return reported_.count(server) != 0;
+    }
+
 private:
     void add(const batch::server_loss& lost) {
         ++count_;
         if (on_lost_) {
+            reported_.insert(lost.process.server);
             on_lost_(lost);
         }
     }
 
     lost_function on_lost_;
     int count_ = 0;
-    /// Whether the last attempt used an idle connection that had ended.
-    bool connection_went_stale_ = false;
+    /// Servers at which the request was lost, if losses are reported.
+    std::set<samplers::sampler_id> reported_;
+    /// Where the last attempt used an idle connection that had ended, if that
+    /// was not counted.
+    std::optional<batch::server_process> stale_at_;
 };
 
 } // namespace hibiscus::entry
--- a/packages/entry/test/forwarder_harness.hpp
+++ b/packages/entry/test/forwarder_harness.hpp
@@ -175,6 +175,35 @@
             std::move(f), std::make_shared<disconnected_response_writer>());
     }
 
+    /// Sends a reward call to a service and returns at how many servers it was
+    /// lost, once it has ended.
+    int count_losses_of_reward_call(int service,
+                                    std::vector<server_behavior> plan) {
+        const std::string id = "reward";
+        observed_[id].planned_behaviors = std::move(plan);
+        entry::forward_request f;
+        f.id = id;
+        f.kind = "reward";
+        f.http_request.method = "POST";
+        f.http_request.target = "/" + id;
+        f.http_request.fields = {{"Host", "h"}, {"Request-Id", id}};
+        f.service = samplers::service_name(make_service_name(service));
+        f.max_attempts = servers_per_service;
+        f.retryable = true;
+        f.deadline = state_.clock.now() + plain_deadline_ms;
+        int losses = 0;
+        f.on_server_lost = [&losses](const auto&) { ++losses; };
+        bool has_ended = false;
+        const auto call = forwarder_->send(
+            std::move(f), [&has_ended](const auto&) { has_ended = true; });
+        const base::clock clock;
+        const auto deadline = clock.now() + max_wait_ms;
+        while (!has_ended && clock.now() < deadline) {
+            run_for(std::chrono::milliseconds(1));
+        }
+        return has_ended ? losses : -1;
+    }
+
     void remove_server(int n) { state_.samplers.remove(sampler_id_at(n)); }
 
     void put_server(int n, bool draining) {
--- a/packages/entry/test/forwarder_test.cpp
+++ b/packages/entry/test/forwarder_test.cpp
@@ -56,6 +56,22 @@
         200);
 }
 
+// Guards against one end of a server that counts once for each idle connection.
+TEST_F(forwarder_test, a_reward_call_loses_a_server_once) {
+    for (const int other : {2, 4}) {
+        harness_.remove_server(other);
+    }
+    for (const int caller : {0, 1}) {
+        harness_.send_request(idempotent_route, caller,
+                              {server_behavior::resets_idle_connection}, 20);
+    }
+    EXPECT_EQ(harness_.finish_and_check(), "");
+    EXPECT_EQ(harness_.count_losses_of_reward_call(
+                  0, {server_behavior::responds, server_behavior::responds,
+                      server_behavior::responds}),
+              1);
+}
+
 // Guards against metrics that do not tell the outcomes of attempts apart.
 TEST_F(forwarder_test, attempts_are_counted_by_outcome_and_connection) {
     send_request(single_attempt_route,
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -77,6 +77,11 @@
     /// because it was unreachable.
     bool unlisted = false;
 
+    /// Returns true if idle connections to the server are probably open: it
+    /// has responded since the last failure there. Those to a process that has
+    /// ended would fail one after the other.
+    bool may_reuse_connections() const { return consecutive_failures == 0; }
+
     /// Returns the known version of `model`, or 0.
     std::int64_t version_of(const std::string& model) const;
 };
--- a/packages/transport/include/hibiscus/transport/streaming_http_server.hpp
+++ b/packages/transport/include/hibiscus/transport/streaming_http_server.hpp
@@ -168,6 +168,10 @@
     /// Returns true once close() was called and all connections are closed.
     bool is_closed() const;
 
+    /// Closes all connections at once, whatever their requests, as the end of
+    /// the process would.
+    void abort_connections();
+
     /// Sends an empty response with `status` to all requests in flight in place
     /// of their handlers. If a response has already started, closes the
     /// connection instead.
--- a/packages/transport/src/server_session.hpp
+++ b/packages/transport/src/server_session.hpp
@@ -63,6 +63,9 @@
     /// Closes the connection if its caller reads too slowly.
     void close_slow_reader() { close(abort_cause::write_timeout); }
 
+    /// Closes the connection at once.
+    void abort_connection() { close(abort_cause::server_shutdown); }
+
     /// The number of the connection in `server_state::buffers`.
     peer_buffers::connection_id id() const { return id_; }
 
--- a/packages/transport/src/streaming_http_server.cpp
+++ b/packages/transport/src/streaming_http_server.cpp
@@ -283,6 +283,10 @@
     impl_->close();
 }
 
+void streaming_http_server::abort_connections() {
+    impl_->for_each_session([](server_session& s) { s.abort_connection(); });
+}
+
 bool streaming_http_server::is_closed() const {
     return impl_->is_closed();
 }
--- a/testing/entry/fake_backend_server.cpp
+++ b/testing/entry/fake_backend_server.cpp
@@ -67,7 +67,10 @@
     ++abort_count_;
     accepted_order_count_ = 0;
     if (!ends_silently_) {
-        boost::asio::post(io_, [this] { server_.reset(); });
+        boost::asio::post(io_, [this] {
+            server_->abort_connections();
+            server_.reset();
+        });
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(
         io_, std::chrono::milliseconds(restart_ms_));
