--- a/packages/samplers/include/hibiscus/samplers/server_end_log.hpp
+++ b/packages/samplers/include/hibiscus/samplers/server_end_log.hpp
@@ -41,9 +41,6 @@
 
     const std::vector<server_end>& ends() const { return ends_; }
 
-    /// Returns true if the process has ended.
-    bool has_ended(const sampler_id& server, std::int64_t started_ms) const;
-
     /// Returns how often an end was added.
     std::uint64_t change_count() const { return change_count_; }
 
--- a/packages/samplers/src/server_end_log.cpp
+++ b/packages/samplers/src/server_end_log.cpp
@@ -54,11 +54,4 @@
     }
 }
 
-bool server_end_log::has_ended(const sampler_id& server,
-                               std::int64_t started_ms) const {
-    return std::any_of(ends_.begin(), ends_.end(), [&](const server_end& end) {
-        return end.started_ms == started_ms && end.server == server;
-    });
-}
-
 } // namespace hibiscus::samplers
