samplers, batch, platform: servers that warm up get the runs that they tolerate

Cause: the operator's rate for such servers (coldPerS) and the time that a server still warms up (coldLeftMs) were not read. A server got as many runs as it has slots, and a new one for each that ended.

Why it works: the job owner, which places all runs, counts its starts at each server in the last second. A server known to warm up gets its rate; others get the bound, as they may have begun to warm up since their last registration.

--- a/packages/entry/include/hibiscus/entry/settings.hpp
+++ b/packages/entry/include/hibiscus/entry/settings.hpp
@@ -67,6 +67,11 @@
     /// `revocation_deadline_ms` rejects all API keys.
     bool strict_revocation = false;
     base::millis revocation_deadline_ms = 5000;
+    /// A server that warms up must not get more requests in a second than it
+    /// tolerates times `warm_up_overage`, and `warm_up_slack` more. 0 if there
+    /// is no such bound.
+    double warm_up_overage = 0;
+    double warm_up_slack = 0;
     /// Not set if there are no duties.
     std::optional<duty_settings> duties;
     /// Length of the windows for which usage is reported, and the time from the
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -263,6 +263,8 @@
         current.configuration_deadline_ms = updated->configuration_deadline_ms;
         current.strict_revocation = updated->strict_revocation;
         current.revocation_deadline_ms = updated->revocation_deadline_ms;
+        current.warm_up_overage = updated->warm_up_overage;
+        current.warm_up_slack = updated->warm_up_slack;
         if (current.duties && updated->duties) {
             current.duties = updated->duties;
         }
@@ -533,6 +535,7 @@
             state_.samplers.set_memory_tokens(samplers::service_name(s.name),
                                               s.kv_capacity_tokens);
         }
+        state_.samplers.set_start_limits(make_limits(next.warming_services));
         std::set<samplers::service_name> services;
         for (const auto& route : next.routes) {
             if (route.kind == gateway::route_kind::batch) {
@@ -546,6 +549,18 @@
         state_.configuration = std::move(next);
     }
 
+    std::map<samplers::service_name, samplers::start_limits>
+    make_limits(const std::vector<gateway::warming_service>& services) const {
+        std::map<samplers::service_name, samplers::start_limits> limits;
+        for (const auto& s : services) {
+            limits[samplers::service_name(s.name)] =
+                samplers::make_start_limits({s.requests_per_s,
+                                             state_.settings.warm_up_overage,
+                                             state_.settings.warm_up_slack});
+        }
+        return limits;
+    }
+
     void on_journal_changed(const std::vector<store::change>& changes) {
         std::set<batch::job_id> jobs;
         for (const auto& c : changes) {
--- a/packages/entry/src/job_owner_reports.cpp
+++ b/packages/entry/src/job_owner_reports.cpp
@@ -100,6 +100,7 @@
                                     {"open", s.available},
                                     {"full", s.full},
                                     {"blocked", s.blocked},
+                                    {"start_limited", s.start_limited},
                                     {"loading", s.loading},
                                     {"old_weights", s.old_weights},
                                     {"unlisted", s.unlisted},
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -13,6 +13,7 @@
 constexpr long max_usage_seconds = 3600;
 constexpr double max_calls_per_s = 1e7;
 constexpr double max_mb_per_s = 1e6;
+constexpr double max_overage = 1000;
 constexpr double bytes_per_mb = 1e6;
 
 constexpr const char* usage_reporting_duty = "usage_reporting";
@@ -54,6 +55,8 @@
                   max_duration_ms);
         m.flag("strict_revocation", s.strict_revocation);
         m.integer("revoke_ms", s.revocation_deadline_ms, 100, max_duration_ms);
+        m.decimal("warm_up_overage", s.warm_up_overage, 0, max_overage);
+        m.decimal("warm_up_slack", s.warm_up_slack, 0, max_calls_per_s);
         base::millis usage_window_s = s.usage_window_ms / 1000;
         base::millis usage_late_s = s.usage_due_ms / 1000;
         m.integer("usage_window_s", usage_window_s, 1, max_usage_seconds);
--- a/packages/gateway/include/hibiscus/gateway/configuration.hpp
+++ b/packages/gateway/include/hibiscus/gateway/configuration.hpp
@@ -70,6 +70,13 @@
     std::int64_t kv_capacity_tokens = 0;
 };
 
+/// A service whose servers tolerate few requests while they warm up.
+struct warming_service {
+    std::string name;
+    /// Requests per second that such a server tolerates.
+    double requests_per_s = 0;
+};
+
 /// A service whose number of servers this system decides on.
 struct scaled_service {
     std::string name;
@@ -94,6 +101,7 @@
     std::int64_t version = 0;
     std::vector<route> routes;
     std::vector<sampler_service> sampler_services;
+    std::vector<warming_service> warming_services;
     std::vector<scaled_service> scaled_services;
     request_limits limits;
     /// Empty if the configuration defines no workspaces; requests then need no
--- a/packages/samplers/include/hibiscus/samplers/run_placement.hpp
+++ b/packages/samplers/include/hibiscus/samplers/run_placement.hpp
@@ -25,7 +25,7 @@
 
 /// The servers of a service, counted by whether they can take a run. Each
 /// server counts once, under the first that applies of draining, unlisted,
-/// full, blocked, loading and old_weights, or else as available.
+/// full, blocked, start_limited, loading and old_weights, or else as available.
 struct server_counts {
     int available = 0;
     int full = 0;
@@ -34,13 +34,16 @@
     int unlisted = 0;
     /// Backing off after failures or a rejection.
     int blocked = 0;
+    /// As many runs as its start limit allows have been started in the last
+    /// second.
+    int start_limited = 0;
     int loading = 0;
     int old_weights = 0;
 
     /// Returns how many servers have a free slot, including those that are
-    /// blocked, loading or have old weights.
+    /// blocked, limited, loading or have old weights.
     int with_free_slots() const {
-        return available + blocked + loading + old_weights;
+        return available + blocked + start_limited + loading + old_weights;
     }
 };
 
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -5,11 +5,13 @@
 #include "hibiscus/base/features.hpp"
 #include "hibiscus/base/ids.hpp"
 #include "hibiscus/samplers/server_end_log.hpp"
+#include "hibiscus/samplers/start_limits.hpp"
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// The table of backend servers: what they register and what this process has
@@ -36,6 +38,8 @@
     /// The number of this entry among those that the process has written; 0 if
     /// not registered.
     std::int64_t sequence = 0;
+    /// How much longer the server warms up, in ms.
+    base::millis warm_up_ms = 0;
 };
 
 /// What is known of one backend server.
@@ -45,6 +49,10 @@
     /// they are expected to hold in its memory when they end.
     int in_flight = 0;
     std::int64_t reserved_tokens = 0;
+    /// The server warms up until this time.
+    base::millis warming_up_until = 0;
+    /// When this process has sent it requests.
+    start_window starts;
     /// Until this time the server gets no runs, and plain requests only if all
     /// servers are blocked.
     base::millis blocked_until = 0;
@@ -159,6 +167,16 @@
     void on_request_started(const sampler_id& id, std::int64_t tokens = 0);
     void on_request_ended(const sampler_id& id, std::int64_t tokens = 0);
 
+    /// Sets the limits of the services whose servers have any. They hold for
+    /// runs; other requests only count.
+    void set_start_limits(std::map<service_name, start_limits> limits) {
+        start_limits_ = std::move(limits);
+    }
+
+    /// Returns how many runs may be started at a server now, whatever its
+    /// slots.
+    int startable_runs(const sampler_row& row, base::millis now) const;
+
     /// Sets the memory size of each server of a service, in tokens.
     void set_memory_tokens(const service_name& service, std::int64_t tokens);
 
@@ -225,6 +243,7 @@
     /// By server; erased when the last request ends.
     std::map<sampler_id, removed_usage> removed_usage_;
     std::map<service_name, std::int64_t> memory_tokens_;
+    std::map<service_name, start_limits> start_limits_;
     /// Limits set by set_run_slots().
     std::map<service_name, std::size_t> run_slots_;
     /// Derived from rows_ when it is needed.
--- a/packages/samplers/src/run_placement.cpp
+++ b/packages/samplers/src/run_placement.cpp
@@ -128,6 +128,7 @@
     const auto& [service, model, min_version] = key;
     return is_usable(row, service, now_) &&
            row.in_flight < row.registered.slots &&
+           table_.startable_runs(row, now_) > 0 &&
            !is_loading(table_, row, model, now_) &&
            row.version_of(model) >= min_version;
 }
@@ -167,7 +168,8 @@
         return;
     }
     const ranked_server server{base_cost(key, row), &id, &row,
-                               row.registered.slots - row.in_flight};
+                               std::min(row.registered.slots - row.in_flight,
+                                        table_.startable_runs(row, now_))};
     server_ranking.servers.insert(server);
     server_ranking.by_row.emplace(&row, server);
     server_ranking.free_slots += server.free_slots;
@@ -288,6 +290,8 @@
             ++counts.full;
         } else if (now_ < row.blocked_until) {
             ++counts.blocked;
+        } else if (table_.startable_runs(row, now_) == 0) {
+            ++counts.start_limited;
         } else if (is_loading(table_, row, needs.model, now_)) {
             ++counts.loading;
         } else if (row.version_of(needs.model) < needs.min_version) {
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -62,9 +62,11 @@
     if (is_new_process) {
         const auto in_flight_count = row.in_flight;
         const auto tokens = row.reserved_tokens;
+        auto starts = std::move(row.starts);
         row = sampler_row();
         row.in_flight = in_flight_count;
         row.reserved_tokens = tokens;
+        row.starts = std::move(starts);
     }
     index_outdated_ = index_outdated_ || inserted || row.unlisted ||
                       row.registered.service != r.service ||
@@ -73,6 +75,7 @@
                       row.registered.draining != r.draining;
     row.unlisted = false;
     row.registered_at = clock_.now();
+    row.warming_up_until = row.registered_at + r.warm_up_ms;
     row.registered = std::move(r);
     row.rank = base::stable_hash(id.str());
     row.known_versions = row.registered.versions;
@@ -240,6 +243,9 @@
     if (auto* row = find(id)) {
         ++row->in_flight;
         row->reserved_tokens += tokens;
+        if (start_limits_.count(row->registered.service) != 0) {
+            row->starts.add(clock_.now());
+        }
     }
 }
 
@@ -260,6 +266,22 @@
     }
 }
 
+int sampler_table::startable_runs(const sampler_row& row,
+                                  base::millis now) const {
+    constexpr int unlimited = std::numeric_limits<int>::max();
+    const auto found = start_limits_.find(row.registered.service);
+    if (found == start_limits_.end()) {
+        return unlimited;
+    }
+    const auto& limits = found->second;
+    if (now >= row.warming_up_until && !limits.usual) {
+        return unlimited;
+    }
+    const int limit =
+        now < row.warming_up_until ? limits.warming_up : *limits.usual;
+    return std::max(0, limit - row.starts.count(now));
+}
+
 void sampler_table::set_memory_tokens(const service_name& service,
                                       std::int64_t tokens) {
     memory_tokens_[service] = tokens;
--- a/testing/entry/fake_backend_server.cpp
+++ b/testing/entry/fake_backend_server.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 
@@ -90,6 +91,22 @@
     });
 }
 
+void fake_backend_server::add_run(const std::string& id) {
+    ++run_count_;
+    run_times_.push_back(std::chrono::steady_clock::now());
+    executed_ids_.insert(id);
+}
+
+int fake_backend_server::most_runs_per_second() const {
+    std::ptrdiff_t most = 0;
+    for (auto first = run_times_.begin(); first != run_times_.end(); ++first) {
+        const auto last = std::upper_bound(first, run_times_.end(),
+                                           *first + std::chrono::seconds(1));
+        most = std::max(most, last - first);
+    }
+    return static_cast<int>(most);
+}
+
 /// Ends a response of a process that has ended.
 void fake_backend_server::break_off(const response_writer_ptr& writer) {
     if (ends_silently_) {
@@ -116,7 +133,7 @@
                       {"version", "v1"},
                       {"slots", 4},
                       {"state", "ready"},
-                      {"coldLeftMs", 0},
+                      {"coldLeftMs", warm_up_ms_},
                       {"seq", 1},
                       {"born", end_count_ + 1}};
     if (is_sampler) {
@@ -159,12 +176,10 @@
                 {503, {{"Request-Id", id}, {"Not-Executed", "1"}}, ""});
             return;
         }
-        ++run_count_;
-        executed_ids_.insert(id);
+        add_run(id);
         respond_to_plain_request(id, status, writer);
     } else {
-        ++run_count_;
-        executed_ids_.insert(id);
+        add_run(id);
         writer->send_head(
             200, {{"Request-Id", id},
                   {"Response-Stamp", "of-" + id},
--- a/testing/entry/fake_backend_server.hpp
+++ b/testing/entry/fake_backend_server.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,6 +30,13 @@
     /// Returns how many requests the server has executed, streams included.
     int run_count() const { return run_count_; }
 
+    /// Returns how many requests the server has executed at most within any
+    /// second.
+    int most_runs_per_second() const;
+
+    /// Sets how much longer the server warms up, as its next registration says.
+    void set_warm_up_ms(int ms) { warm_up_ms_ = ms; }
+
     /// Returns the ids of the requests that the server has executed.
     const std::set<std::string>& executed_ids() const { return executed_ids_; }
 
@@ -115,6 +123,7 @@
 
     void start();
     void end();
+    void add_run(const std::string& id);
     void break_off(const response_writer_ptr& writer);
     void handle(const transport::inbound_request& request,
                 const response_writer_ptr& writer);
@@ -130,6 +139,8 @@
     std::int64_t weight_version_ = 1;
     std::int64_t accepted_order_count_ = 0;
     int run_count_ = 0;
+    std::vector<std::chrono::steady_clock::time_point> run_times_;
+    int warm_up_ms_ = 0;
     int abort_count_ = 0;
     bool aborting_responses_ = false;
     bool not_responding_ = false;
