batch, entry: sends that were given up count if their servers end

Cause: the count is of connections that broke. A send whose connection the sender closed first (time-out, limited run, move, end of a job) left no trace; later sends to the silent process did not count, as another request had found it silent before; and a check that a process had outlived one loss cleared a later one there.

The ledger now remembers such a send until its process has outlived it, and counts it if the process ends before. A request waits while such sends could raise it to three losses. Reward calls are not sent to a server that is silent until something comes from it. A check clears the losses up to its own. server_lost_late is the line that was missing.

Tests changed: item_scheduler_crash_test renews the registrations of its servers, as servers do, since a limited run now waits for a sign of life; what it asks is unchanged.

--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -1,18 +1,22 @@
 #pragma once
 
 #include "hibiscus/base/clock.hpp"
+#include "hibiscus/batch/abandoned_sends.hpp"
 #include "hibiscus/batch/records.hpp"
+#include "hibiscus/batch/server_loss.hpp"
 #include "hibiscus/samplers/sampler_table.hpp"
 #include "hibiscus/samplers/server_end_log.hpp"
 
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hibiscus::batch {
@@ -28,30 +32,6 @@
     quarantined,
 };
 
-/// A server process that may have ended while it had a request: its connection
-/// broke off, or nothing came from it any more.
-struct server_loss {
-    server_process process;
-    /// The service of the server, and the number of servers of the service that
-    /// get requests.
-    samplers::service_name service = {};
-    int server_count = 0;
-    /// How far the run had come when something last came from the server.
-    run_progress progress = {};
-    /// Time from then until the loss was noticed, in ms.
-    base::millis silence_ms = 0;
-    /// Set if the server fell silent without a response to the request: when
-    /// something last came from it, to whatever request. It may have ended
-    /// before the request was sent.
-    std::optional<base::millis> silent_since = {};
-
-    /// Takes the last `ms` of the run for silence.
-    void exclude_silence(base::millis ms) {
-        silence_ms = std::min(ms, progress.run_ms);
-        progress.run_ms -= silence_ms;
-    }
-};
-
 /// What is known of a server process whose connection broke off.
 enum class server_verdict { ended, alive, unknown };
 
@@ -94,6 +74,10 @@
 /// has ended. A request is sent while it has few losses, whatever their cause;
 /// with max_server_ends losses it waits until they are checked.
 ///
+/// A send whose sender closed the connection is a loss if the server process
+/// ends before it has outlived the send. A request with so many sends of that
+/// kind that it could have max_server_ends losses waits until they are settled.
+///
 /// Servers also end for other reasons than what they run. Three things speak
 /// for a request:
 /// - A request that ends its servers fails at the same point each time: of its
@@ -149,7 +133,8 @@
     /// `ends` has the ends of servers that their registrations show, if given.
     crash_ledger(base::clock clock, base::millis retention_ms,
                  const samplers::server_end_log* ends = nullptr)
-        : clock_(std::move(clock)), retention_ms_(retention_ms), ends_(ends) {}
+        : clock_(std::move(clock)), retention_ms_(retention_ms), ends_(ends),
+          abandoned_(clock_) {}
 
     send_permission permission(const request_key& request) const;
 
@@ -196,6 +181,29 @@
     /// the request was sent.
     bool on_lost(const request_key& request, const server_loss& lost);
 
+    /// Called when the sender has closed the connection of a request that the
+    /// server may still run, or that it may have ended under unnoticed.
+    void on_abandoned(const request_key& request, const server_loss& last_seen);
+
+    /// Looks which servers have outlived the sends that were abandoned there.
+    /// Called often.
+    void settle_abandoned(const samplers::sampler_table& servers);
+
+    /// An abandoned send that turned out to be a loss.
+    struct late_loss {
+        request_key request;
+        server_process process;
+        /// Time since the send was abandoned, in ms.
+        base::millis age_ms = 0;
+        /// Number of losses of the request that count, this one included.
+        int loss_count = 0;
+    };
+
+    /// Returns those that were found since the last call, for logs.
+    std::vector<late_loss> take_late_losses() {
+        return std::exchange(late_losses_, {});
+    }
+
     /// Called when a run has received an event. Returns the number of losses
     /// that this clears.
     int on_progress(const request_key& request, const run_progress& progress);
@@ -209,9 +217,13 @@
     /// Called when a server process is known to have ended.
     void on_ended(const server_process& process);
 
-    /// Called when a server process was found alive: its losses were broken
-    /// connections only.
-    void on_alive(const server_process& process);
+    /// Called when a server process turned out to have outlived all that
+    /// happened up to `time`: its losses until then were broken connections
+    /// only.
+    void on_alive(const server_process& process, base::millis time);
+    void on_alive(const server_process& process) {
+        on_alive(process, clock_.now());
+    }
 
     /// A server process and when its loss was noticed.
     struct lost_process {
@@ -258,6 +270,9 @@
     /// Returns the number of requests with losses.
     std::size_t size() const { return rows_.size(); }
 
+    /// Returns true if no request has losses or abandoned sends.
+    bool is_empty() const { return rows_.empty() && abandoned_.empty(); }
+
     /// Interval between two checks of a server process, in ms.
     static constexpr base::millis check_interval_ms = 250;
 
@@ -278,6 +293,8 @@
         /// has announced.
         run_progress progress;
         bool is_progress_known = true;
+        /// Whether the send had been abandoned before the server ended.
+        bool is_late = false;
     };
 
     /// A server process whose connections broke off while it had requests, or
@@ -289,6 +306,8 @@
         bool ended = false;
         /// Whether a request has noticed the end, so that the time is exact.
         bool is_noticed = false;
+        /// When a connection last broke off there, if one did.
+        std::optional<base::millis> broke_at = {};
     };
 
     /// Ends of servers without a request.
@@ -317,6 +336,9 @@
         /// The farthest that any run has come: in the text, and in the events
         /// and the time since its start.
         run_progress farthest;
+        /// Whether a server has outlived a limited run since the last loss, so
+        /// that these end no servers.
+        bool is_limit_confirmed = false;
         base::millis changed_at = 0;
         /// Numbers of the last change and of the last one in the store; 0 if
         /// the store has none.
@@ -359,9 +381,21 @@
     static bool has_loss(const request_row& row, const server_process& process);
     static time_span span_of(const request_row& row);
     send_permission permission(const request_row& row) const;
+    bool has_unsettled_sends(const request_key& request) const;
+    base::millis answerable_ms(const request_key& request,
+                               base::millis sent_at) const;
+    bool had_broken_off(const server_process& process, base::millis time) const;
+    bool has_loss_of(const request_key& request, const server_process& process,
+                     base::millis sent_at) const;
+    void count_abandoned(const server_process& process);
+    void on_sign_of_life(const server_process& process, base::millis time);
+    void add_checks_of_abandoned(
+        const std::map<server_process, base::millis>& checked_before,
+        std::vector<lost_process>& due);
     template <class Predicate>
-    std::set<server_process> find_lost_by_others(const request_row& row,
-                                                 Predicate has_part) const;
+    std::set<server_process>
+    find_lost_by_others(const request_row& row, Predicate has_part,
+                        const std::function<bool(const loss&)>& counts) const;
     other_ends find_other_ends(const request_row& row,
                                const samplers::service_name& service,
                                const std::set<server_process>& except) const;
@@ -404,6 +438,8 @@
     std::map<server_process, process_row> processes_;
     check_times checked_at_;
     std::uint64_t last_change_ = 0;
+    abandoned_sends abandoned_;
+    std::vector<late_loss> late_losses_;
 };
 
 } // namespace hibiscus::batch
--- a/packages/batch/include/hibiscus/batch/effects.hpp
+++ b/packages/batch/include/hibiscus/batch/effects.hpp
@@ -121,9 +121,15 @@
     int loss_count = 0;
 };
 
+/// Effect: report that a server has ended under a send that was abandoned.
+struct report_late_loss {
+    crash_ledger::late_loss loss;
+};
+
 using effect =
     std::variant<start_run, stop_run, start_reward, report_quarantine,
-                 report_release, report_cleared_losses, report_loss>;
+                 report_release, report_cleared_losses, report_loss,
+                 report_late_loss>;
 using effects = std::vector<effect>;
 
 } // namespace hibiscus::batch
--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -201,6 +201,13 @@
     /// call ends.
     effects on_reward_server_lost(const job_id& id, int item_index,
                                   const server_loss& lost);
+    /// Called when a reward call, or an attempt of it, was given up while a
+    /// server had it that may end under it.
+    void on_reward_abandoned(const job_id& id, int item_index,
+                             const server_loss& last_seen);
+
+    /// Returns true if a reward call in flight may be sent to another server.
+    bool may_repeat_reward(const job_id& id, int item_index) const;
 
     /// Sets the time until a new reward call of a job would be answered, in ms,
     /// for the jobs whose calls are queued. Items of these jobs that would be
@@ -345,6 +352,8 @@
         /// Whether the item has been sent, and how far the run may go.
         bool is_sent = true;
         std::optional<run_limit> limit = {};
+        /// For how long nothing had come from the server before, in ms.
+        base::millis quiet_ms = 0;
     };
 
     /// The servers by the runs that they have, while any item has losses.
@@ -421,6 +430,7 @@
     run_progress progress_of(const run_row& run, const item_row& row) const;
     void clear_losses(run_row& run, const job_state& job, const item_row& row,
                       effects& out);
+    void abandon_run(const run_row& run);
     void add_loss(const job_id& id, int item_index, bool is_reward,
                   const server_loss& lost, effects& out);
     void quarantine(const job_id& id, int item_index, bool is_reward,
--- a/packages/batch/src/crash_ledger.cpp
+++ b/packages/batch/src/crash_ledger.cpp
@@ -125,12 +125,15 @@
 }
 
 send_permission crash_ledger::permission(const request_key& request) const {
-    if (rows_.empty()) {
+    if (is_empty()) {
         return send_permission::allowed;
     }
     const auto found = rows_.find(request);
-    return found == rows_.end() ? send_permission::allowed
-                                : permission(found->second);
+    const auto by_losses = found == rows_.end() ? send_permission::allowed
+                                                : permission(found->second);
+    return by_losses == send_permission::allowed && has_unsettled_sends(request)
+               ? send_permission::waits
+               : by_losses;
 }
 
 send_permission crash_ledger::permission(const request_row& row) const {
@@ -268,12 +271,17 @@
         return false;
     }
     set_loss(request, lost, loss_state::suspected);
+    rows_.at(request).is_limit_confirmed = false;
+    abandoned_.erase(request, lost.process);
     auto& process = processes_[lost.process];
     if (!process.is_noticed) {
         process = {lost.service, lost.server_count, clock_.now(), process.ended,
-                   true};
+                   true,         process.broke_at};
         ++process_changes_;
     }
+    if (!lost.silent_since && lost.silence_ms == 0) {
+        process.broke_at = clock_.now();
+    }
     return true;
 }
 
@@ -334,6 +342,7 @@
 }
 
 void crash_ledger::on_finished(const request_key& request) {
+    abandoned_.erase(request);
     const auto found = rows_.find(request);
     if (found != rows_.end()) {
         found->second.clear();
@@ -354,24 +363,31 @@
             }
         }
     }
+    count_abandoned(process);
 }
 
-void crash_ledger::on_alive(const server_process& process) {
-    const auto lost = processes_.find(process);
-    if (lost != processes_.end() && !lost->second.ended) {
-        processes_.erase(lost);
-        ++process_changes_;
-    }
+void crash_ledger::on_alive(const server_process& process, base::millis time) {
+    on_sign_of_life(process, time);
+    bool has_later_loss = false;
     for (auto& [request, row] : rows_) {
         const auto end = std::remove_if(
             row.losses.begin(), row.losses.end(), [&](const loss& l) {
-                return l.process == process && l.state == loss_state::suspected;
+                const bool is_suspected =
+                    l.process == process && l.state == loss_state::suspected;
+                has_later_loss =
+                    has_later_loss || (is_suspected && l.lost_at > time);
+                return is_suspected && l.lost_at <= time;
             });
         if (end != row.losses.end()) {
             row.losses.erase(end, row.losses.end());
             mark_changed(row);
         }
     }
+    const auto lost = processes_.find(process);
+    if (lost != processes_.end() && !lost->second.ended && !has_later_loss) {
+        processes_.erase(lost);
+        ++process_changes_;
+    }
 }
 
 /// Returns true if the request of an unsaved row waits until it is stored.
@@ -468,6 +484,7 @@
 }
 
 void crash_ledger::forget_expired() {
+    abandoned_.forget_expired();
     const auto now = clock_.now();
     for (auto& [request, row] : rows_) {
         if (!row.is_empty() && now - row.changed_at > retention_ms_) {
@@ -485,6 +502,8 @@
 void crash_ledger::clear() {
     rows_.clear();
     processes_.clear();
+    abandoned_.clear();
+    late_losses_.clear();
     registered_ends_ = 0;
 }
 
--- a/packages/batch/src/crash_ledger_chance.cpp
+++ b/packages/batch/src/crash_ledger_chance.cpp
@@ -41,6 +41,10 @@
 constexpr double quarantine_ratio = 1e3;
 constexpr double different_points_ratio = 1e6;
 
+/// The probability that a server ends under a request whose connection has
+/// closed, if the request ends its servers: most servers drop it then.
+constexpr double late_end_probability = 0.1;
+
 /// When servers of a service ended without a request, compared with the time
 /// span of its losses.
 class end_history {
@@ -162,17 +166,19 @@
     return count_losses(row) > 1 && positions.size() == 1;
 }
 
-/// Returns the server processes that had a request for which `has_part` is
-/// true, `row` left out.
+/// Returns the server processes at which requests for which `has_part` is true
+/// had losses for which `counts` is true, `row` left out.
 template <class Predicate>
-std::set<server_process>
-crash_ledger::find_lost_by_others(const request_row& row,
-                                  Predicate has_part) const {
+std::set<server_process> crash_ledger::find_lost_by_others(
+    const request_row& row, Predicate has_part,
+    const std::function<bool(const loss&)>& counts) const {
     std::set<server_process> lost;
     for (const auto& [request, other] : rows_) {
         if (&other != &row && has_part(other)) {
             for (const auto& l : other.losses) {
-                lost.insert(l.process);
+                if (counts(l)) {
+                    lost.insert(l.process);
+                }
             }
         }
     }
@@ -256,7 +262,8 @@
         const auto exposed_ms =
             agrees && others_agree ? agreeing_part(run_ms) : run_ms;
         others_agree = others_agree || agrees;
-        evidence.ratio *= history.time_ratio(l.lost_at) /
+        evidence.ratio *= (l.is_late ? late_end_probability : 1) *
+                          history.time_ratio(l.lost_at) /
                           history.end_probability(exposed_ms, run_ms, l.lost_at,
                                                   process.server_count);
     }
@@ -271,13 +278,18 @@
     const auto has_many_losses = [](const request_row& other) {
         return count_losses(other) >= max_server_ends;
     };
-    const auto blamed = find_lost_by_others(row, [&](const request_row& other) {
-        return is_stuck(other) ||
-               (has_many_losses(other) &&
-                compare_with_chance(other, {}).ratio >= max_ratio(other));
-    });
+    const auto blamed = find_lost_by_others(
+        row,
+        [&](const request_row& other) {
+            return is_stuck(other) ||
+                   (has_many_losses(other) &&
+                    compare_with_chance(other, {}).ratio >= max_ratio(other));
+        },
+        [](const loss& /*l*/) { return true; });
     auto evidence = compare_with_chance(row, blamed);
-    if (!has_clean_end(row, find_lost_by_others(row, has_many_losses))) {
+    const auto doubtful = find_lost_by_others(
+        row, has_many_losses, [](const loss& l) { return !l.is_late; });
+    if (!has_clean_end(row, doubtful)) {
         evidence.ratio = std::numeric_limits<double>::infinity();
     }
     return evidence;
@@ -377,6 +389,7 @@
             }
         }
     }
+    add_checks_of_abandoned(checked_before, due);
     return due;
 }
 
--- a/packages/batch/src/item_scheduler.cpp
+++ b/packages/batch/src/item_scheduler.cpp
@@ -184,14 +184,14 @@
 
 void item_scheduler::commit_item(const job_id& id, job_state& job,
                                  int item_index, effects& out) {
+    job.items[static_cast<std::size_t>(item_index)].state =
+        item_state::committed;
     for (const auto& [run, row] : runs_) {
         if (row.job == id && row.item_index == item_index) {
             cancel_run(run, "listed", out);
             break;
         }
     }
-    auto& row = job.items[static_cast<std::size_t>(item_index)];
-    row.state = item_state::committed;
 }
 
 item_scheduler::item_row* item_scheduler::find_item(const run_row& run) {
@@ -210,10 +210,7 @@
     }
     table_.on_request_ended(found->second.sampler,
                             found->second.reserved_tokens);
-    if (const auto* row = find_item(found->second)) {
-        crashes_.on_survived(request_of(jobs_.at(found->second.job), *row),
-                             process_of(found->second));
-    }
+    abandon_run(found->second);
     out.push_back(stop_run{run, reason});
     runs_.erase(found);
 }
@@ -247,6 +244,10 @@
     has_new_evidence_ =
         std::exchange(evidence_number_, crashes_.evidence_number()) !=
         evidence_number_;
+    crashes_.settle_abandoned(table_);
+    for (const auto& late : crashes_.take_late_losses()) {
+        out.push_back(report_late_loss{late});
+    }
     stop_limited_runs(out);
     if (may_start_runs) {
         move_runs(out);
@@ -288,7 +289,7 @@
     if (has_expired(job)) {
         row.outcome = item_outcome::errored;
         row.state = item_state::ready;
-    } else if (crashes_.size() > 0 &&
+    } else if (!crashes_.is_empty() &&
                (crashes_.permission(request_of(job, row)) ==
                     send_permission::quarantined ||
                 has_fruitless_runs(job, row))) {
--- a/packages/batch/src/item_scheduler_isolation.cpp
+++ b/packages/batch/src/item_scheduler_isolation.cpp
@@ -45,9 +45,9 @@
 }
 
 bool item_scheduler::may_send(const job_state& job, const item_row& row) const {
-    return crashes_.size() == 0 || (crashes_.permission(request_of(job, row)) ==
-                                        send_permission::allowed &&
-                                    !has_fruitless_runs(job, row));
+    return crashes_.is_empty() || (crashes_.permission(request_of(job, row)) ==
+                                       send_permission::allowed &&
+                                   !has_fruitless_runs(job, row));
 }
 
 std::optional<run_limit> item_scheduler::limit_of(const job_state& job,
@@ -128,6 +128,7 @@
     server_loss lost{process_of(run), service,
                      static_cast<int>(table_.run_candidates(service).size()),
                      progress_of(run, row)};
+    lost.quiet_ms = run.quiet_ms;
     const auto silence = clock_.now() - run.last_activity_at;
     if (run.has_response && silence > min_silence_ms) {
         lost.exclude_silence(silence);
@@ -141,6 +142,20 @@
             clock_.now() - run.sent_at};
 }
 
+/// Called when a run is stopped. Its server may still end under the item, or
+/// have ended unnoticed.
+void item_scheduler::abandon_run(const run_row& run) {
+    const auto* row = find_item(run);
+    if (row == nullptr) {
+        return;
+    }
+    const auto request = request_of(jobs_.at(run.job), *row);
+    crashes_.on_survived(request, process_of(run));
+    if (run.is_sent && row->state != item_state::committed) {
+        crashes_.on_abandoned(request, loss_of(run, *row));
+    }
+}
+
 /// Counts a loss of an item or of its reward call, if it is one.
 void item_scheduler::add_loss(const job_id& id, int item_index, bool is_reward,
                               const server_loss& lost, effects& out) {
--- a/packages/batch/src/item_scheduler_placement.cpp
+++ b/packages/batch/src/item_scheduler_placement.cpp
@@ -139,6 +139,7 @@
         occupancy.add(*server, loss_count);
         const bool store_first = crashes_.needs_stored_send(request);
         added.limit = limit;
+        added.quiet_ms = now - chosen.last_sign_at();
         added.is_sent = !store_first;
         if (store_first) {
             crashes_.on_sending(request, process_of(added));
--- a/packages/batch/src/item_scheduler_scoring.cpp
+++ b/packages/batch/src/item_scheduler_scoring.cpp
@@ -120,6 +120,25 @@
     return out;
 }
 
+void item_scheduler::on_reward_abandoned(const job_id& id, int item_index,
+                                         const server_loss& last_seen) {
+    const auto job = jobs_.find(id);
+    if (job != jobs_.end()) {
+        const auto& row =
+            job->second.items[static_cast<std::size_t>(item_index)];
+        crashes_.on_abandoned(reward_of(job->second, row), last_seen);
+    }
+}
+
+bool item_scheduler::may_repeat_reward(const job_id& id, int item_index) const {
+    const auto job = jobs_.find(id);
+    return job != jobs_.end() &&
+           crashes_.permission(reward_of(
+               job->second,
+               job->second.items[static_cast<std::size_t>(item_index)])) ==
+               send_permission::allowed;
+}
+
 /// Ends the item as errored after too many failed responses. Only these count:
 /// rejected or lost calls say nothing about the text.
 void item_scheduler::count_reward_failure(const job_state& job, item_row& row,
--- a/packages/batch/test/item_scheduler_crash_test.cpp
+++ b/packages/batch/test/item_scheduler_crash_test.cpp
@@ -185,6 +185,7 @@
     add_job(1);
     int runs = 0;
     for (int n = 0; n < 400; ++n) {
+        renew_registrations();
         for (const auto& r : of_type<start_run>(tick_for(tick_ms))) {
             scheduler_.on_run_sent(r.run);
             scheduler_.on_response_started(r.run, 1);
@@ -221,6 +222,7 @@
     int run_item(const std::function<int()>& run_length, int text_events) {
         int ends = 0;
         for (int n = 0; n < 100; ++n) {
+            renew_registrations();
             for (const auto& r : of_type<start_run>(tick_for(100))) {
                 ends += receive_events(r, run_length(), text_events);
             }
--- a/packages/batch/test/item_scheduler_fixture.hpp
+++ b/packages/batch/test/item_scheduler_fixture.hpp
@@ -33,6 +33,14 @@
         table_.put(samplers::sampler_id(id), r);
     }
 
+    /// Renews the registrations of all servers, as servers do from time to
+    /// time.
+    void renew_registrations() {
+        for (const auto& [id, row] : table_.rows()) {
+            table_.put(id, samplers::registration(row.registered));
+        }
+    }
+
     void add_job(int items, bool reward = true, weight_version min_version = 1,
                  const std::string& id = "j", int priority = 0,
                  const std::string& workspace = "",
--- a/packages/batch/test/loss_shapes_test.cpp
+++ b/packages/batch/test/loss_shapes_test.cpp
@@ -23,6 +23,11 @@
 constexpr int max_ends = 3;
 constexpr int max_random_ends = 4;
 
+/// Servers that may end under an item that ends them after its connection has
+/// closed, too: one of them, for each job owner, in a run that is stopped
+/// before.
+constexpr int max_ends_of_closed_runs = 4;
+
 /// Time after which the loss of a silent server is known and stored.
 constexpr base::millis notice_ms = 1500;
 
@@ -196,6 +201,54 @@
     }
 }
 
+/// Returns the number of servers that an item ends `ms` after they got it.
+int count_delayed_ends(base::millis ms, bool also_if_closed, bool silent,
+                       bool owner_changes) {
+    loss_simulation simulation;
+    if (silent) {
+        simulation.crash_silently();
+    }
+    simulation.crash_after(ms, also_if_closed);
+    for (base::millis t = 0; t < long_time_ms; t += loss_simulation::down_ms) {
+        const int before = simulation.crash_count();
+        simulation.run(loss_simulation::down_ms);
+        if (owner_changes && before < 2 && simulation.crash_count() >= 2) {
+            simulation.run(notice_ms);
+            simulation.change_owner();
+        }
+    }
+    return simulation.crash_count();
+}
+
+// Guards against items that end servers after their runs were stopped.
+TEST(loss_shapes_test, an_item_that_ends_servers_after_a_while_ends_few) {
+    for (const bool also_if_closed : {false, true}) {
+        for (const bool silent : {false, true}) {
+            for (const bool owner_changes : {false, true}) {
+                std::string counts;
+                for (const base::millis ms :
+                     {20, 60, 100, 200, 300, 400, 700, 1000, 2000}) {
+                    const int ends = count_delayed_ends(ms, also_if_closed,
+                                                        silent, owner_changes);
+                    const int limit =
+                        also_if_closed
+                            ? max_ends_of_closed_runs + (owner_changes ? 1 : 0)
+                            : max_ends;
+                    EXPECT_LE(ends, limit)
+                        << ms << " ms" << (silent ? ", silent" : "")
+                        << (owner_changes ? ", owner changes" : "");
+                    counts += " " + std::to_string(ends);
+                }
+                std::printf("ends after a while%s%s%s:%s\n",
+                            also_if_closed ? ", if closed" : "",
+                            silent ? ", silent" : "",
+                            owner_changes ? ", owner changes" : "",
+                            counts.c_str());
+            }
+        }
+    }
+}
+
 /// Servers crash by chance at this interval, as many each time.
 constexpr base::millis storm_interval_ms = 400;
 constexpr int storm_crashes = 2;
--- a/packages/batch/test/loss_simulation.hpp
+++ b/packages/batch/test/loss_simulation.hpp
@@ -56,6 +56,14 @@
         crashes_watched_ = std::move(crashes);
     }
 
+    /// Crashes the server of the watched item `ms` after the server got it; if
+    /// the run has ended by then, only with `also_if_closed`, and not if the
+    /// item is done.
+    void crash_after(base::millis ms, bool also_if_closed) {
+        crash_delay_ms_ = ms;
+        crashes_if_closed_ = also_if_closed;
+    }
+
     /// From now on, crashed servers close no connection.
     void crash_silently() { silent_ = true; }
 
@@ -106,6 +114,7 @@
             start_servers();
             end_cut_runs();
             crash_watched();
+            crash_delayed();
             send_events();
             check_servers();
             if (clock_.now() % item_scheduler::tick_ms == 0) {
@@ -149,6 +158,13 @@
         base::millis longest = 0;
     };
 
+    /// A crash that a run of the watched item brings about.
+    struct delayed_crash {
+        run_number run = 0;
+        samplers::sampler_id server;
+        base::millis started_ms = 0;
+    };
+
     struct simulated_run {
         samplers::sampler_id server;
         int item_index = 0;
@@ -242,6 +258,11 @@
         }
         if (r.item_index == watched_item) {
             added.number = ++run_count_;
+            if (crash_delay_ms_ > 0) {
+                delayed_crashes_.emplace(
+                    now + crash_delay_ms_,
+                    delayed_crash{r.run, r.sampler, s.started_ms});
+            }
         }
         s.runs.insert(r.run);
         owner_->scheduler.on_response_started(r.run, 1);
@@ -321,6 +342,22 @@
         }
     }
 
+    void crash_delayed() {
+        while (!delayed_crashes_.empty() &&
+               delayed_crashes_.begin()->first <= clock_.now()) {
+            const auto due = delayed_crashes_.begin()->second;
+            delayed_crashes_.erase(delayed_crashes_.begin());
+            const auto& s = servers_.at(due.server);
+            const bool is_up = s.up && s.started_ms == due.started_ms;
+            const bool is_open = s.runs.count(due.run) != 0;
+            if (is_up && done_.count(watched_item) == 0 &&
+                (is_open || crashes_if_closed_)) {
+                ++crash_count_;
+                crash(due.server);
+            }
+        }
+    }
+
     void send_events() {
         std::vector<run_number> due;
         for (const auto& [run, r] : runs_) {
@@ -364,7 +401,10 @@
             if (verdict == server_verdict::ended) {
                 crashes.on_ended(check.process);
             } else if (verdict == server_verdict::alive) {
-                crashes.on_alive(check.process);
+                const bool responds =
+                    s.up && s.started_ms == check.process.started_ms;
+                crashes.on_alive(check.process,
+                                 responds ? clock_.now() : check.lost_at);
             }
         }
     }
@@ -420,6 +460,9 @@
     std::map<run_number, simulated_run> runs_;
     std::multimap<base::millis, std::pair<run_number, run_outcome>> cuts_;
     std::function<bool(const watched_run&)> crashes_watched_;
+    base::millis crash_delay_ms_ = 0;
+    bool crashes_if_closed_ = false;
+    std::multimap<base::millis, delayed_crash> delayed_crashes_;
     std::map<std::string, std::string> stored_losses_;
     std::map<int, std::vector<progress_part>> saved_;
     std::vector<item> items_;
--- a/packages/batch/test/wait_simulation.hpp
+++ b/packages/batch/test/wait_simulation.hpp
@@ -326,6 +326,7 @@
                            [&](const report_release&) {},
                            [&](const report_cleared_losses&) {},
                            [&](const report_loss&) {},
+                           [&](const report_late_loss&) {},
                        },
                        e);
         }
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -64,7 +64,7 @@
         : state_(state), client_(client), usage_(usage),
           request_(std::move(request)), on_done_(std::move(done)),
           caller_response_(std::move(response)),
-          lost_servers_(request_.on_server_lost),
+          lost_servers_(request_.on_server_lost, request_.on_abandoned),
           started_at_(state.clock.now()) {
         if (!request_.streaming) {
             admission_ = admission;
@@ -113,12 +113,18 @@
             fail(false);
             return;
         }
+        if (attempts_ > 0 && request_.may_repeat && !request_.may_repeat()) {
+            log_attempt("withheld");
+            fail(false);
+            return;
+        }
         const auto server = attempts_ < request_.max_attempts
                                 ? samplers::choose_plain_server(
                                       state_.samplers, request_.service,
                                       state_.settings.zone, tried_, now)
                                 : std::nullopt;
-        if (!server || lost_servers_.should_avoid(*server)) {
+        if (!server || lost_servers_.should_avoid(*server) ||
+            has_to_wait_for(*server)) {
             fail(false);
             return;
         }
@@ -141,9 +147,8 @@
         if (call_) {
             call_->cancel();
             call_.reset();
-            if (!has_server_responded()) {
-                lost_servers_.on_attempt_cancelled(describe_attempt());
-            }
+            lost_servers_.on_attempt_cancelled(describe_attempt(),
+                                               has_server_responded());
             end_attempt();
         }
     }
@@ -153,6 +158,17 @@
         return admission_->gate(request_.service);
     }
 
+    /// Returns true if a request that counts lost servers should not be sent to
+    /// a server before something comes from it: whether it ended before or
+    /// under the request could not be told.
+    bool has_to_wait_for(const samplers::sampler_id& server) const {
+        const auto* row = state_.samplers.find(server);
+        const auto renewal_ms = state_.settings.server_renewal_ms;
+        return request_.on_server_lost && row != nullptr && row->is_silent() &&
+               state_.clock.now() - row->silence_noticed_at <
+                   renewal_ms + renewal_ms / 2;
+    }
+
     void end_attempt() {
         state_.samplers.on_request_ended(server_);
         if (admission_ != nullptr) {
@@ -206,6 +222,7 @@
         forwarding_stream_ = false;
         const auto* row = state_.samplers.find(server);
         server_started_ms_ = row->registered.started_ms;
+        server_quiet_ms_ = attempt_sent_at_ - row->last_sign_at();
         was_server_active_ =
             attempt_sent_at_ - row->last_response_at <= max_active_gap_ms;
         auto upstream_request = request_.http_request;
@@ -347,7 +364,15 @@
         const bool is_silent =
             head_.status == 0 && attempt_ms >= min_attempt_timeout_ms &&
             row->last_response_at < attempt_sent_at_ + attempt_ms / 2;
-        return is_silent ? std::optional(row->last_response_at) : std::nullopt;
+        return is_silent ? std::optional(row->last_sign_at()) : std::nullopt;
+    }
+
+    void note_silence(const batch::server_loss& attempt) {
+        const auto* row = state_.samplers.find(server_);
+        if (attempt.silent_since && request_.on_server_lost && row != nullptr &&
+            row->registered.started_ms == server_started_ms_) {
+            state_.samplers.on_silence(server_);
+        }
     }
 
     /// Returns true if the server has responded to any request since the
@@ -362,10 +387,12 @@
         const auto now = state_.clock.now();
         const auto& servers = state_.samplers.request_candidates(
             request_.service, state_.settings.zone);
-        return {{server_, server_started_ms_},
-                request_.service,
-                static_cast<int>(servers.size()),
-                {0, 0, now - attempt_sent_at_}};
+        batch::server_loss attempt{{server_, server_started_ms_},
+                                   request_.service,
+                                   static_cast<int>(servers.size()),
+                                   {0, 0, now - attempt_sent_at_}};
+        attempt.quiet_ms = server_quiet_ms_;
+        return attempt;
     }
 
     batch::server_loss describe_attempt(transport::call_outcome outcome) const {
@@ -387,7 +414,9 @@
         if (finished_) {
             return;
         }
-        lost_servers_.on_attempt_ended(describe_attempt(outcome), outcome);
+        const auto attempt = describe_attempt(outcome);
+        note_silence(attempt);
+        lost_servers_.on_attempt_ended(attempt, outcome);
         const bool is_complete =
             outcome == transport::call_outcome::complete ||
             outcome == transport::call_outcome::closed_without_length;
@@ -636,6 +665,8 @@
     std::set<samplers::sampler_id> tried_;
     samplers::sampler_id server_;
     base::millis server_started_ms_ = 0;
+    /// For how long nothing had come from the server before the attempt, in ms.
+    base::millis server_quiet_ms_ = 0;
     /// Whether the server had just responded when the attempt was sent.
     bool was_server_active_ = false;
     lost_servers lost_servers_;
--- a/packages/entry/src/forwarder.hpp
+++ b/packages/entry/src/forwarder.hpp
@@ -46,6 +46,11 @@
     /// Called for each server that may have ended while it had the request.
     /// May be empty.
     std::function<void(const batch::server_loss&)> on_server_lost;
+    /// Called for each attempt that was given up while a server had it that may
+    /// end under it later. May be empty.
+    std::function<void(const batch::server_loss&)> on_abandoned;
+    /// Asked before an attempt is repeated at another server. May be empty.
+    std::function<bool()> may_repeat;
     /// Deadline for the response, by the clock of the node.
     base::millis deadline = 0;
     /// Target latency of the response, in ms.
--- a/packages/entry/src/job_owner.cpp
+++ b/packages/entry/src/job_owner.cpp
@@ -58,6 +58,12 @@
           [this](const auto& job, int item_index, const auto& lost) {
               apply_effects(
                   scheduler_.on_reward_server_lost(job, item_index, lost));
+          },
+          [this](const auto& job, int item_index, const auto& last_seen) {
+              scheduler_.on_reward_abandoned(job, item_index, last_seen);
+          },
+          [this](const auto& job, int item_index) {
+              return scheduler_.may_repeat_reward(job, item_index);
           }),
       rollout_(state.clock),
       incarnation_(std::to_string(state.random_engine()) + "-" +
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -136,11 +136,13 @@
                        const batch::suspected_request& request);
     void log_cleared_losses(const batch::report_cleared_losses& report);
     void log_loss(const batch::report_loss& report);
+    void log_late_loss(const batch::crash_ledger::late_loss& loss);
     void note_ended_server(const active_run& active);
     void check_lost_servers();
     void check_lost_server(const batch::crash_ledger::lost_process& check);
     void settle_check(const batch::crash_ledger::lost_process& check,
-                      batch::server_verdict verdict, const char* evidence);
+                      batch::server_verdict verdict, const char* evidence,
+                      base::millis alive_until);
     void request_start_time(const batch::crash_ledger::lost_process& check);
     void on_start_time(const batch::crash_ledger::lost_process& check,
                        const server_response& response);
--- a/packages/entry/src/job_owner_crashes.cpp
+++ b/packages/entry/src/job_owner_crashes.cpp
@@ -68,6 +68,15 @@
                       {"losses", report.loss_count}});
 }
 
+void job_owner::log_late_loss(const batch::crash_ledger::late_loss& loss) {
+    state_.counters.count_event("server_lost_late");
+    state_.log.write("server_lost_late", {{"id", loss.request.request_id},
+                                          {"server", loss.process.server},
+                                          {"started", loss.process.started_ms},
+                                          {"age_ms", loss.age_ms},
+                                          {"losses", loss.loss_count}});
+}
+
 /// Notes what the end of a run says of its server: an address that refuses
 /// connections or belongs to another server shows that the process has ended.
 void job_owner::note_ended_server(const active_run& active) {
@@ -98,16 +107,16 @@
         request_start_time(check);
         return;
     }
-    settle_check(check, verdict, "registration");
+    settle_check(check, verdict, "registration", check.lost_at);
 }
 
 void job_owner::settle_check(const batch::crash_ledger::lost_process& check,
                              batch::server_verdict verdict,
-                             const char* evidence) {
+                             const char* evidence, base::millis alive_until) {
     if (verdict == batch::server_verdict::ended) {
         crashes_.on_ended(check.process);
     } else if (verdict == batch::server_verdict::alive) {
-        crashes_.on_alive(check.process);
+        crashes_.on_alive(check.process, alive_until);
     }
     state_.log.write("server_checked",
                      {{"server", check.process.server},
@@ -147,7 +156,7 @@
     } else if (report) {
         verdict = batch::server_verdict::alive;
     }
-    settle_check(check, verdict, "report");
+    settle_check(check, verdict, "report", state_.clock.now());
 }
 
 /// Stores the losses that a request waits for at once, others now and then.
--- a/packages/entry/src/job_owner_runs.cpp
+++ b/packages/entry/src/job_owner_runs.cpp
@@ -41,7 +41,10 @@
                 [&](const batch::report_cleared_losses& r) {
                     log_cleared_losses(r);
                 },
-                [&](const batch::report_loss& r) { log_loss(r); }},
+                [&](const batch::report_loss& r) { log_loss(r); },
+                [&](const batch::report_late_loss& r) {
+                    log_late_loss(r.loss);
+                }},
             e);
     }
     reward_caller_.start_calls();
@@ -55,6 +58,7 @@
          {"item", active.item_index},
          {"id", active.request_id},
          {"server", active.server},
+         {"started", active.server_started_ms},
          {"events", active.event_count},
          {"status", active.status},
          {"ms", state_.clock.now() - active.started_at},
--- a/packages/entry/src/lost_servers.hpp
+++ b/packages/entry/src/lost_servers.hpp
@@ -16,8 +16,12 @@
     /// Called for each of them, as soon as it is known. May be empty.
     using lost_function = std::function<void(const batch::server_loss&)>;
 
-    explicit lost_servers(lost_function on_lost)
-        : on_lost_(std::move(on_lost)) {}
+    /// `on_abandoned` is called for each server at which the request was given
+    /// up and that may end under it later. May be empty.
+    explicit lost_servers(lost_function on_lost,
+                          lost_function on_abandoned = {})
+        : on_lost_(std::move(on_lost)), on_abandoned_(std::move(on_abandoned)) {
+    }
 
     /// Called when an attempt at a server has ended. `attempt.silent_since` is
     /// set if it has timed out and the server is silent.
@@ -38,14 +42,20 @@
             (outcome == transport::call_outcome::not_sent && was_stale_there);
         if (is_lost) {
             add(attempt);
+        } else if (outcome == transport::call_outcome::total_timeout) {
+            abandon(attempt);
         }
     }
 
-    /// Called when an attempt was cancelled before its server had responded.
-    /// After the loss of another server, this one may have ended as well.
-    void on_attempt_cancelled(const batch::server_loss& attempt) {
-        if (count_ > 0) {
+    /// Called when an attempt was cancelled. `has_responded` is true if the
+    /// server has responded to any request since. Otherwise, after the loss of
+    /// another server, this one may have ended as well.
+    void on_attempt_cancelled(const batch::server_loss& attempt,
+                              bool has_responded) {
+        if (count_ > 0 && !has_responded) {
             add(attempt);
+        } else {
+            abandon(attempt);
         }
     }
 
@@ -67,7 +77,14 @@
         }
     }
 
+    void abandon(const batch::server_loss& last_seen) {
+        if (on_abandoned_) {
+            on_abandoned_(last_seen);
+        }
+    }
+
     lost_function on_lost_;
+    lost_function on_abandoned_;
     int count_ = 0;
     /// Servers at which the request was lost, if losses are reported.
     std::set<samplers::sampler_id> reported_;
--- a/packages/entry/src/reward_caller.cpp
+++ b/packages/entry/src/reward_caller.cpp
@@ -52,9 +52,12 @@
 } // namespace
 
 reward_caller::reward_caller(node_state& state, forwarder& request_forwarder,
-                             done_function done, lost_function lost)
+                             done_function done, lost_function lost,
+                             lost_function abandoned,
+                             permission_function may_repeat)
     : state_(state), forwarder_(request_forwarder), on_done_(std::move(done)),
-      on_lost_(std::move(lost)) {}
+      on_lost_(std::move(lost)), on_abandoned_(std::move(abandoned)),
+      may_repeat_(std::move(may_repeat)) {}
 
 void reward_caller::add(const batch::start_reward& reward) {
     const auto* route =
@@ -167,6 +170,13 @@
                               item = call.item_index](const auto& lost) {
         on_lost_(job, item, lost);
     };
+    request.on_abandoned = [this, job = call.job,
+                            item = call.item_index](const auto& last_seen) {
+        on_abandoned_(job, item, last_seen);
+    };
+    request.may_repeat = [this, job = call.job, item = call.item_index] {
+        return may_repeat_(job, item);
+    };
     request.deadline = now + std::max(min_time_limit_ms, time_limit);
     request.latency_target_ms = route->latency_target_ms;
     request.priority = priority_of(call.job, *route);
--- a/packages/entry/src/reward_caller.hpp
+++ b/packages/entry/src/reward_caller.hpp
@@ -23,10 +23,15 @@
     using lost_function = std::function<void(const batch::job_id&, int,
                                              const batch::server_loss&)>;
 
-    /// Calls `done` with the outcome of each call that is not dropped, and
-    /// `lost` for each server that may have ended while it had a call.
+    using permission_function = std::function<bool(const batch::job_id&, int)>;
+
+    /// Calls `done` with the outcome of each call that is not dropped, `lost`
+    /// for each server that may have ended while it had a call, and `abandoned`
+    /// for each one that may end under an attempt that was given up. An attempt
+    /// is repeated if `may_repeat` returns true.
     reward_caller(node_state& state, forwarder& request_forwarder,
-                  done_function done, lost_function lost);
+                  done_function done, lost_function lost,
+                  lost_function abandoned, permission_function may_repeat);
 
     /// Queues a call. It is sent by start_calls().
     void add(const batch::start_reward& reward);
@@ -72,6 +77,8 @@
     forwarder& forwarder_;
     done_function on_done_;
     lost_function on_lost_;
+    lost_function on_abandoned_;
+    permission_function may_repeat_;
     batch::scoring_queue queue_;
     std::map<item_key, queued_reward> queued_;
     std::map<batch::scoring_number, std::shared_ptr<active_forward>> active_;
--- a/packages/entry/test/lost_servers_test.cpp
+++ b/packages/entry/test/lost_servers_test.cpp
@@ -54,6 +54,19 @@
     EXPECT_FALSE(counting_.should_avoid(samplers::sampler_id("a")));
 }
 
+// Guards against attempts that are forgotten since they were given up.
+TEST_F(lost_servers_test, attempts_that_are_given_up_are_reported) {
+    int abandoned = 0;
+    lost_servers servers{
+        [this](const auto& lost) { reported_.push_back(lost); },
+        [&](const auto& /*last_seen*/) { ++abandoned; }};
+    servers.on_attempt_ended(attempt_at("a"), call_outcome::total_timeout);
+    servers.on_attempt_cancelled(attempt_at("b"), true);
+    EXPECT_EQ(abandoned, 2);
+    EXPECT_EQ(servers.count(), 0);
+    EXPECT_TRUE(reported_.empty());
+}
+
 TEST_F(lost_servers_test, a_stale_connection_counts_once_it_is_refused) {
     counting_.on_attempt_ended(attempt_at("a"), call_outcome::stale_connection);
     EXPECT_EQ(counting_.count(), 0);
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -7,6 +7,7 @@
 #include "hibiscus/samplers/server_end_log.hpp"
 #include "hibiscus/samplers/start_limits.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -72,6 +73,8 @@
     double mean_response_ms = 0;
     /// When the server last responded to a plain request; 0 if never.
     base::millis last_response_at = 0;
+    /// When a request found the server silent; 0 if never.
+    base::millis silence_noticed_at = 0;
     /// A number from 0 to 1 that differs between servers and between processes.
     double tie_breaker = 0;
     /// A number that differs between servers and is the same in all processes.
@@ -90,6 +93,16 @@
     /// ended would fail one after the other.
     bool may_reuse_connections() const { return consecutive_failures == 0; }
 
+    /// Returns when something last came from the server: an event, a response
+    /// or a registration.
+    base::millis last_sign_at() const {
+        return std::max({last_event_at, last_response_at, registered_at});
+    }
+
+    /// Returns true if the server was found silent and nothing has come from it
+    /// since.
+    bool is_silent() const { return silence_noticed_at > last_sign_at(); }
+
     /// Returns the known version of `model`, or 0.
     std::int64_t version_of(const std::string& model) const;
 };
@@ -188,6 +201,9 @@
     /// time that doubles with each consecutive failure.
     void on_failure(const sampler_id& id);
 
+    /// Called when a request timed out and nothing came from the server.
+    void on_silence(const sampler_id& id);
+
     /// Blocks a server for `ms`. Called when it rejected a request without
     /// running it: it is full, loading, or not the expected server.
     void block(const sampler_id& id, base::millis ms);
--- a/packages/samplers/src/plain_placement.cpp
+++ b/packages/samplers/src/plain_placement.cpp
@@ -45,6 +45,7 @@
     // although only the first few failed, and a request that tries one is
     // better off than a request that waits.
     constexpr double blocked_cost = 1000;
+    constexpr double silent_cost = 2000;
     constexpr double tried_cost = 100;
     constexpr double other_zone_cost = 0.25;
     // Cost of a server without an idle open connection. A node with a request
@@ -64,6 +65,7 @@
                       std::max(1, row.registered.slots);
         cost += row.registered.zone == local_zone ? 0 : other_zone_cost;
         cost += now < row.blocked_until ? blocked_cost : 0;
+        cost += row.is_silent() ? silent_cost : 0;
         cost += tried.count(id) != 0 ? tried_cost : 0;
         cost += (row.mean_response_ms > 0 ? row.mean_response_ms
                                           : service_mean_ms) /
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -310,6 +310,12 @@
         std::max(row->blocked_until, clock_.now() + backoff_ms);
 }
 
+void sampler_table::on_silence(const sampler_id& id) {
+    if (auto* row = find(id)) {
+        row->silence_noticed_at = clock_.now();
+    }
+}
+
 void sampler_table::block(const sampler_id& id, base::millis ms) {
     if (auto* row = find(id)) {
         row->blocked_until = std::max(row->blocked_until, clock_.now() + ms);
--- a/testing/entry/entry_cut_head_test.cpp
+++ b/testing/entry/entry_cut_head_test.cpp
@@ -28,7 +28,7 @@
 /// One node, and servers whose first responses stop in their heads.
 class entry_cut_head_test : public ::testing::Test, protected entry_harness {
 protected:
-    void cut_responses_of(const fake_backend_server& server,
+    void cut_responses_of(fake_backend_server& server,
                           const std::string& service, bool is_sampler) {
         const auto positions = cut_positions(
             is_sampler ? last_cut_of_run : last_cut_of_reward_call);
--- a/testing/entry/fake_backend_server.cpp
+++ b/testing/entry/fake_backend_server.cpp
@@ -52,6 +52,8 @@
             handle(request, writer);
         });
     address_ = *server_->listen(address_);
+    is_running_ = true;
+    registration_count_ = 0;
 }
 
 void fake_backend_server::end_at_request(std::string id, int restart_ms,
@@ -64,6 +66,7 @@
 }
 
 void fake_backend_server::end() {
+    is_running_ = false;
     ++end_count_;
     ++abort_count_;
     accepted_order_count_ = 0;
@@ -126,7 +129,7 @@
 }
 
 std::string fake_backend_server::make_registration(const std::string& service,
-                                                   bool is_sampler) const {
+                                                   bool is_sampler) {
     json registration{{"service", service},
                       {"address", to_string(address_)},
                       {"zone", "z"},
@@ -134,7 +137,7 @@
                       {"slots", 4},
                       {"state", "ready"},
                       {"coldLeftMs", warm_up_ms_},
-                      {"seq", 1},
+                      {"seq", ++registration_count_},
                       {"born", end_count_ + 1}};
     if (is_sampler) {
         registration["models"] = {
@@ -149,7 +152,7 @@
     const auto expected = header_value(request, "Expect-Instance");
     if (!expected.empty() && expected != id_) {
         writer->send({421, {{"Instance-Id", id_}}, ""});
-    } else if (!id.empty() && id == ending_request_) {
+    } else if (!id.empty() && id == ending_request_ && ending_delay_ms_ == 0) {
         end();
         break_off(writer);
     } else if (request.target == "/report") {
@@ -177,21 +180,61 @@
             return;
         }
         add_run(id);
-        respond_to_plain_request(id, status, writer);
+        if (id == ending_request_) {
+            start_ending_request(id, writer);
+        } else {
+            respond_to_plain_request(id, status, writer);
+        }
     } else {
         add_run(id);
-        writer->send_head(
-            200, {{"Request-Id", id},
-                  {"Response-Stamp", "of-" + id},
-                  {"Weight-Versions", std::to_string(weight_version_)}});
-        const int first_event =
-            std::atoi(header_value(request, "Last-Event-Id").c_str()) + 1;
-        const stream started{id, first_event, abort_count_, weight_version_,
-                             writer};
-        writer->on_disconnect(
-            [is_dropped = started.is_dropped] { *is_dropped = true; });
-        send_events(started, first_event);
+        start_stream(request, id, writer);
+    }
+}
+
+void fake_backend_server::start_stream(
+    const transport::inbound_request& request, const std::string& id,
+    const response_writer_ptr& writer) {
+    writer->send_head(200,
+                      {{"Request-Id", id},
+                       {"Response-Stamp", "of-" + id},
+                       {"Weight-Versions", std::to_string(weight_version_)}});
+    const int first_event =
+        std::atoi(header_value(request, "Last-Event-Id").c_str()) + 1;
+    const stream started{id, first_event, abort_count_, weight_version_,
+                         writer};
+    writer->on_disconnect(
+        [is_dropped = started.is_dropped] { *is_dropped = true; });
+    if (id == ending_request_) {
+        end_later(started.is_dropped, started.is_finished);
     }
+    send_events(started, first_event);
+}
+
+/// Ends this process after the delay, unless the request was dropped or its
+/// response finished before.
+void fake_backend_server::end_later(std::shared_ptr<const bool> is_dropped,
+                                    std::shared_ptr<const bool> is_finished) {
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        io_, std::chrono::milliseconds(ending_delay_ms_));
+    timer->async_wait([this, timer, process = end_count_,
+                       is_dropped = std::move(is_dropped),
+                       is_finished = std::move(is_finished)](auto error) {
+        const bool is_harmless =
+            *is_finished || (*is_dropped && !ends_if_closed_);
+        if (!error && process == end_count_ && !is_harmless) {
+            end();
+        }
+    });
+}
+
+/// Holds a request without a model until the process ends.
+void fake_backend_server::start_ending_request(
+    const std::string& id, const response_writer_ptr& writer) {
+    const stream held{id, 1, abort_count_, weight_version_, writer};
+    writer->on_disconnect(
+        [is_dropped = held.is_dropped] { *is_dropped = true; });
+    unfinished_responses_.push_back(writer);
+    end_later(held.is_dropped, held.is_finished);
 }
 
 void fake_backend_server::respond_to_plain_request(
@@ -241,6 +284,7 @@
         return;
     }
     if (event_number > events_) {
+        *s.is_finished = true;
         s.writer->finish();
         return;
     }
--- a/testing/entry/fake_backend_server.hpp
+++ b/testing/entry/fake_backend_server.hpp
@@ -87,6 +87,15 @@
         should_end_ = std::move(should_end);
     }
 
+    /// Makes the process end as end_at_request() says, but only `ms` after it
+    /// received the request, unless it has responded by then. With
+    /// `also_if_closed`, it ends even if the request's connection has closed.
+    /// Requests without a model get no response before.
+    void end_after(int ms, bool also_if_closed) {
+        ending_delay_ms_ = ms;
+        ends_if_closed_ = also_if_closed;
+    }
+
     /// Makes the process end without a sign: its connections stay open, nothing
     /// is sent on them, and new ones get no response until it starts again.
     void end_silently() { ends_silently_ = true; }
@@ -102,8 +111,10 @@
 
     /// Returns the JSON record that the server registers in the store. A
     /// sampler also registers its model.
-    std::string make_registration(const std::string& service,
-                                  bool is_sampler) const;
+    std::string make_registration(const std::string& service, bool is_sampler);
+
+    /// Returns true unless the process has ended and not started again.
+    bool is_running() const { return is_running_; }
 
 private:
     using response_writer_ptr = std::shared_ptr<transport::response_writer>;
@@ -119,11 +130,19 @@
         response_writer_ptr writer;
         /// Set once the connection has closed.
         std::shared_ptr<bool> is_dropped = std::make_shared<bool>(false);
+        /// Set once all events are sent.
+        std::shared_ptr<bool> is_finished = std::make_shared<bool>(false);
     };
 
     void start();
     void end();
     void add_run(const std::string& id);
+    void end_later(std::shared_ptr<const bool> is_dropped,
+                   std::shared_ptr<const bool> is_finished);
+    void start_ending_request(const std::string& id,
+                              const response_writer_ptr& writer);
+    void start_stream(const transport::inbound_request& request,
+                      const std::string& id, const response_writer_ptr& writer);
     void break_off(const response_writer_ptr& writer);
     void handle(const transport::inbound_request& request,
                 const response_writer_ptr& writer);
@@ -148,11 +167,16 @@
     std::set<std::string> executed_ids_;
     std::string ending_request_;
     int restart_ms_ = 0;
+    int ending_delay_ms_ = 0;
+    bool ends_if_closed_ = false;
     bool changes_id_ = false;
     std::function<void()> on_restart_;
     std::function<int(const std::string&)> choose_status_;
     std::function<bool(const std::string&, int, int)> should_end_;
     int end_count_ = 0;
+    bool is_running_ = false;
+    /// Number of registrations of the process.
+    std::int64_t registration_count_ = 0;
     bool ends_silently_ = false;
     std::unique_ptr<transport::streaming_http_server> server_;
     /// Processes that have ended silently.
