batch, entry: only suspected reward calls keep away from silent servers

Now a reward call keeps away from a silent server only if it has losses or had a send that was no loss as its server had fallen silent. A check by the registration clears later broken connections, too, but not a later silence.

--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -185,6 +185,12 @@
     /// server may still run, or that it may have ended under unnoticed.
     void on_abandoned(const request_key& request, const server_loss& last_seen);
 
+    /// Returns true if a send of a request was no loss, since its server had
+    /// fallen silent before. The next one should not be to a silent server.
+    bool has_doubtful_send(const request_key& request) const {
+        return doubtful_sends_.count(request) != 0;
+    }
+
     /// Looks which servers have outlived the sends that were abandoned there.
     /// Called often.
     void settle_abandoned(const samplers::sampler_table& servers);
@@ -218,8 +224,8 @@
     void on_ended(const server_process& process);
 
     /// Called when a server process turned out to have outlived all that
-    /// happened up to `time`: its losses until then were broken connections
-    /// only.
+    /// happened up to `time`. Its losses until then were broken connections
+    /// only, and so are later ones unless it fell silent.
     void on_alive(const server_process& process, base::millis time);
     void on_alive(const server_process& process) {
         on_alive(process, clock_.now());
@@ -295,6 +301,8 @@
         bool is_progress_known = true;
         /// Whether the send had been abandoned before the server ended.
         bool is_late = false;
+        /// Whether the server fell silent and no connection broke off.
+        bool is_silent = false;
     };
 
     /// A server process whose connections broke off while it had requests, or
@@ -439,6 +447,8 @@
     check_times checked_at_;
     std::uint64_t last_change_ = 0;
     abandoned_sends abandoned_;
+    /// Requests for which on_lost() has returned false.
+    std::set<request_key> doubtful_sends_;
     std::vector<late_loss> late_losses_;
 };
 
--- a/packages/batch/include/hibiscus/batch/effects.hpp
+++ b/packages/batch/include/hibiscus/batch/effects.hpp
@@ -73,6 +73,8 @@
     int max_lost_servers = 1;
     /// Whether an idle connection may be used, as for start_run.
     bool reuse_connection = true;
+    /// Whether the call must not be sent to a server that is silent.
+    bool avoid_silent_servers = false;
 };
 
 /// An item, or its reward call, that servers may end under.
--- a/packages/batch/src/crash_ledger.cpp
+++ b/packages/batch/src/crash_ledger.cpp
@@ -226,8 +226,8 @@
 void crash_ledger::set_loss(const request_key& request, const server_loss& lost,
                             loss_state state) {
     auto& row = rows_[request];
-    const loss added{lost.process, state, sent_at(lost), clock_.now(),
-                     lost.progress};
+    loss added{lost.process, state, sent_at(lost), clock_.now(), lost.progress};
+    added.is_silent = lost.silent_since || lost.silence_ms > 0;
     const auto known =
         std::find_if(row.losses.begin(), row.losses.end(),
                      [&](const loss& l) { return is_same_loss(l, added); });
@@ -268,6 +268,7 @@
 bool crash_ledger::on_lost(const request_key& request,
                            const server_loss& lost) {
     if (had_fallen_silent(lost)) {
+        doubtful_sends_.insert(request);
         return false;
     }
     set_loss(request, lost, loss_state::suspected);
@@ -343,6 +344,7 @@
 
 void crash_ledger::on_finished(const request_key& request) {
     abandoned_.erase(request);
+    doubtful_sends_.erase(request);
     const auto found = rows_.find(request);
     if (found != rows_.end()) {
         found->second.clear();
@@ -374,9 +376,11 @@
             row.losses.begin(), row.losses.end(), [&](const loss& l) {
                 const bool is_suspected =
                     l.process == process && l.state == loss_state::suspected;
+                const bool is_cleared =
+                    is_suspected && (l.lost_at <= time || !l.is_silent);
                 has_later_loss =
-                    has_later_loss || (is_suspected && l.lost_at > time);
-                return is_suspected && l.lost_at <= time;
+                    has_later_loss || (is_suspected && !is_cleared);
+                return is_cleared;
             });
         if (end != row.losses.end()) {
             row.losses.erase(end, row.losses.end());
@@ -503,6 +507,7 @@
     rows_.clear();
     processes_.clear();
     abandoned_.clear();
+    doubtful_sends_.clear();
     late_losses_.clear();
     registered_ends_ = 0;
 }
--- a/packages/batch/src/item_scheduler_scoring.cpp
+++ b/packages/batch/src/item_scheduler_scoring.cpp
@@ -186,6 +186,8 @@
     reward.max_lost_servers =
         std::max(1, crash_ledger::max_server_ends - 1 - loss_count);
     reward.reuse_connection = !crash_ledger::is_last_send(loss_count);
+    reward.avoid_silent_servers =
+        loss_count > 0 || crashes_.has_doubtful_send(reward_of(job, row));
     return reward;
 }
 
--- a/packages/batch/test/crash_ledger_abandoned_test.cpp
+++ b/packages/batch/test/crash_ledger_abandoned_test.cpp
@@ -104,7 +104,9 @@
     ledger_.on_lost(other_, make_loss(process("s0")));
     const auto first_loss_at = clock_.now();
     time_->advance(4000);
-    ledger_.on_lost(request_, make_loss(process("s0")));
+    auto later = make_loss(process("s0"));
+    later.silent_since = clock_.now();
+    ledger_.on_lost(request_, later);
     ledger_.on_alive(process("s0"), first_loss_at);
     EXPECT_EQ(ledger_.loss_count(other_), 0);
     EXPECT_EQ(ledger_.loss_count(request_), 1);
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -123,8 +123,12 @@
                                       state_.samplers, request_.service,
                                       state_.settings.zone, tried_, now)
                                 : std::nullopt;
-        if (!server || lost_servers_.should_avoid(*server) ||
-            has_to_wait_for(*server)) {
+        if (!server || lost_servers_.should_avoid(*server)) {
+            fail(false);
+            return;
+        }
+        if (has_to_wait_for(*server)) {
+            log_attempt("server_silent");
             fail(false);
             return;
         }
@@ -158,13 +162,13 @@
         return admission_->gate(request_.service);
     }
 
-    /// Returns true if a request that counts lost servers should not be sent to
-    /// a server before something comes from it: whether it ended before or
-    /// under the request could not be told.
+    /// Returns true if the request should not be sent to a server before
+    /// something comes from it.
     bool has_to_wait_for(const samplers::sampler_id& server) const {
         const auto* row = state_.samplers.find(server);
         const auto renewal_ms = state_.settings.server_renewal_ms;
-        return request_.on_server_lost && row != nullptr && row->is_silent() &&
+        return request_.avoid_silent_servers && row != nullptr &&
+               row->is_silent() &&
                state_.clock.now() - row->silence_noticed_at <
                    renewal_ms + renewal_ms / 2;
     }
--- a/packages/entry/src/forwarder.hpp
+++ b/packages/entry/src/forwarder.hpp
@@ -40,6 +40,10 @@
     /// Whether idle connections may be used. The end of one does not tell
     /// whether the server has run the request.
     bool reuse_connection = true;
+    /// Whether the request must not be sent to a server that is silent, until
+    /// something comes from it: whether it ended before or under the request
+    /// could not be told.
+    bool avoid_silent_servers = false;
     /// Number of servers that may be lost after the request was sent; then no
     /// other server is tried, since the request may end them.
     int max_lost_servers = batch::crash_ledger::max_server_ends;
--- a/packages/entry/src/reward_caller.cpp
+++ b/packages/entry/src/reward_caller.cpp
@@ -79,9 +79,9 @@
     call.group_items = reward.group_items;
     call.is_resubmitted = reward.is_resubmitted;
     call.target_at = reward.target_at;
-    queued_[{reward.job, reward.item_index}] = {*reward.call, reward.expires_at,
-                                                reward.max_lost_servers,
-                                                reward.reuse_connection};
+    queued_[{reward.job, reward.item_index}] = {
+        *reward.call, reward.expires_at, reward.max_lost_servers,
+        reward.reuse_connection, reward.avoid_silent_servers};
     queue_.set_target(call.service, route->latency_target_ms);
     queue_.add(std::move(call), state_.clock.now());
 }
@@ -166,6 +166,7 @@
     request.retry_server_errors = true;
     request.max_lost_servers = reward.max_lost_servers;
     request.reuse_connection = reward.reuse_connection;
+    request.avoid_silent_servers = reward.avoid_silent_servers;
     request.on_server_lost = [this, job = call.job,
                               item = call.item_index](const auto& lost) {
         on_lost_(job, item, lost);
--- a/packages/entry/src/reward_caller.hpp
+++ b/packages/entry/src/reward_caller.hpp
@@ -63,6 +63,7 @@
         base::millis expires_at = 0;
         int max_lost_servers = batch::crash_ledger::max_server_ends;
         bool reuse_connection = true;
+        bool avoid_silent_servers = false;
     };
 
     int priority_of(const batch::job_id& id,
--- a/testing/entry/entry_delayed_end_test.cpp
+++ b/testing/entry/entry_delayed_end_test.cpp
@@ -63,31 +63,65 @@
            (silent ? "_silently" : "");
 }
 
+class reward_end_test : public entry_delayed_end_test {
+protected:
+    /// All reward calls take longer than the servers of one live.
+    void end_servers_of_reward_call(int ms, when_closed closed, bool silent) {
+        lookup_server_.set_service_time_ms(ms + ms / 2);
+        start("si5", ms, closed, silent);
+        ASSERT_EQ(submit("n1", "job1", "i").status, 202);
+        run_until([&] { return is_quarantined("\"si5\""); });
+        run_for(silent_ms);
+        std::printf("%d servers ended\n", server_ends());
+        EXPECT_LE(server_ends(), max_server_ends);
+    }
+};
+
 class delayed_reward_end_test
-    : public entry_delayed_end_test,
+    : public reward_end_test,
       public ::testing::WithParamInterface<delayed_end_parameters> {};
 
 // Guards against attempts that are forgotten since they timed out before their
 // server ended.
 TEST_P(delayed_reward_end_test, a_reward_call_ends_three_servers_at_most) {
     const auto [ms, closed, silent] = GetParam();
-    lookup_server_.set_service_time_ms(ms + ms / 2);
-    start("si5", ms, closed, silent);
-    ASSERT_EQ(submit("n1", "job1", "i").status, 202);
-    run_until([&] { return is_quarantined("\"si5\""); });
-    run_for(silent_ms);
-    std::printf("%d servers ended\n", server_ends());
-    EXPECT_LE(server_ends(), max_server_ends);
+    end_servers_of_reward_call(ms, closed, silent);
 }
 
 INSTANTIATE_TEST_SUITE_P(
     times, delayed_reward_end_test,
-    ::testing::Combine(::testing::Values(20, 100, 200, 300, 400),
+    ::testing::Combine(::testing::Values(20, 100, 200),
                        ::testing::Values(when_closed::drops_request,
                                          when_closed::ends_anyway),
                        ::testing::Bool()),
     name_of);
 
+// Guard against attempts that time out at about the time at which their server
+// ends.
+TEST_F(reward_end_test, a_call_given_up_ends_three_servers) {
+    end_servers_of_reward_call(300, when_closed::drops_request, false);
+}
+
+TEST_F(reward_end_test, a_call_given_up_silences_three_servers) {
+    end_servers_of_reward_call(300, when_closed::drops_request, true);
+}
+
+TEST_F(reward_end_test, a_call_that_goes_on_ends_three_servers) {
+    end_servers_of_reward_call(300, when_closed::ends_anyway, false);
+}
+
+TEST_F(reward_end_test, a_call_that_goes_on_silences_three_servers) {
+    end_servers_of_reward_call(300, when_closed::ends_anyway, true);
+}
+
+TEST_F(reward_end_test, a_long_call_that_goes_on_ends_three_servers) {
+    end_servers_of_reward_call(400, when_closed::ends_anyway, false);
+}
+
+TEST_F(reward_end_test, a_long_call_that_goes_on_silences_three_servers) {
+    end_servers_of_reward_call(400, when_closed::ends_anyway, true);
+}
+
 class delayed_item_end_test
     : public entry_delayed_end_test,
       public ::testing::WithParamInterface<delayed_end_parameters> {};
