transport: all input of a server goes through one account

What callers saw: a process ran out of memory under trailers without end, and under chunked bodies that stopped just short of their end; ordinary bodies over 64 KB waited behind bodies that were announced and never sent.

Cause: bytes that are held for a request before it is whole were in no account. A reservation was made only for an announced body over 64 KiB. The parser's buffer grew until the end of a line, a chunk's head or the trailers; a chunked body, the request behind the one in flight and 64 KiB for each connection were counted nowhere.

Now a session waits until its socket is readable, reads into memory that all connections share, and keeps only what the parser can't take yet: at most the limit on heads, else 431. What it holds goes through peer_buffers. A body over 64 KiB reserves room before it is read: its length, or for a chunked body steps that double, so that it waits as before. What is not reserved has a quarter as much beside it and never waits. A request without progress for 2 s (16 KiB are progress) makes room for a body that waits, the one with the most bytes times time first; at the bound of what is not reserved, the same one makes room at once. It gets 503 with Retry-After, which is true, as it was not passed on; a request in flight before it is still answered. A body that waits for 3 s is rejected. Each rejection is reported (on_reject).

Why this and not a bound for each element: a list of bounds leaves the next element open; all input goes through the one read of a session. Reserving the limit for each chunked body would let one caller in at a time.

--- a/packages/transport/include/hibiscus/transport/peer_buffers.hpp
+++ b/packages/transport/include/hibiscus/transport/peer_buffers.hpp
@@ -9,22 +9,25 @@
 
 namespace hibiscus::transport {
 
-/// Bounds on what a server holds for its callers.
+/// Bounds on what the servers of a process hold for their callers.
 struct peer_buffer_limits {
     /// Bytes held for one connection above which the source of its response
     /// pauses.
     std::size_t connection_bytes = 256 * 1024;
-    /// Bytes of responses held for all connections. Bodies of requests may take
-    /// half as much beside them.
+    /// Bytes of responses held for all connections.
     std::size_t total_bytes = 24 * 1024 * 1024;
     /// Time after which a caller that reads nothing is disconnected, in ms. A
     /// receiver with a large buffer announces room only now and then, so a
     /// slow one may seem to read nothing for most of a minute.
     base::millis stall_timeout_ms = 60000;
+    /// Bytes of large bodies of requests, beside the responses. 0 stands for
+    /// half of `total_bytes`. What is read without a reservation may take a
+    /// quarter as much again.
+    std::size_t request_bytes = 0;
 };
 
-/// Accounts for the bytes that a server holds for its callers, and decides
-/// which sources pause and which callers are disconnected.
+/// Accounts for the bytes that the servers of a process hold for their callers,
+/// and decides which sources pause and which callers are disconnected.
 class peer_buffers {
 public:
     using connection_id = std::uint64_t;
@@ -42,12 +45,20 @@
     /// Forgets a connection.
     void erase(connection_id connection);
 
-    /// Counts the body of a request, from its announcement until its response
-    /// has been sent. Returns false, and counts nothing, if there is no room; a
-    /// single body always has room.
-    bool reserve_request(std::size_t bytes);
+    /// Counts `bytes` more of the body of a request, which has reserved
+    /// `reserved` before, until its response has been sent. Returns false, and
+    /// counts nothing, if there is no room; a single body always has room.
+    bool reserve_request(std::size_t bytes, std::size_t reserved = 0);
     void release_request(std::size_t bytes);
 
+    /// Counts bytes of requests that were read without a reservation; a
+    /// negative number if they are held no longer.
+    void count_unreserved(std::ptrdiff_t bytes);
+
+    /// Returns true while requests have to be given up: what was read without a
+    /// reservation takes more than its part.
+    bool has_request_excess() const;
+
     /// Returns true while the source of a response is to pause.
     bool is_full(connection_id connection) const;
 
@@ -61,7 +72,9 @@
     std::optional<connection_id> find_stalled(base::millis now) const;
 
     /// Bytes of responses and requests, now and at most so far.
-    std::size_t held() const { return response_bytes_ + request_bytes_; }
+    std::size_t held() const {
+        return response_bytes_ + reserved_bytes_ + unreserved_bytes_;
+    }
     std::size_t peak() const { return peak_; }
 
 private:
@@ -73,13 +86,15 @@
     /// Returns the bytes that one connection may hold.
     std::size_t share() const;
     std::size_t free_bytes() const;
+    std::size_t max_reserved_bytes() const;
     void update_peak();
 
     peer_buffer_limits limits_;
     /// Connections with unsent bytes.
     std::map<connection_id, holding> holdings_;
     std::size_t response_bytes_ = 0;
-    std::size_t request_bytes_ = 0;
+    std::size_t reserved_bytes_ = 0;
+    std::size_t unreserved_bytes_ = 0;
     std::size_t peak_ = 0;
 };
 
--- a/packages/transport/include/hibiscus/transport/streaming_http_server.hpp
+++ b/packages/transport/include/hibiscus/transport/streaming_http_server.hpp
@@ -5,6 +5,7 @@
 #include "hibiscus/base/enum_names.hpp"
 #include "hibiscus/transport/headers.hpp"
 #include "hibiscus/transport/peer_buffers.hpp"
+#include "hibiscus/transport/server_resources.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -112,12 +113,40 @@
     bool response_started = false;
 };
 
-/// How a server reports aborted requests.
+/// Why a server rejected a request before it was read completely.
+enum class reject_cause {
+    /// The input is no request.
+    malformed,
+    /// The head, the body or the trailers are larger than the limits.
+    too_large,
+    /// The process holds too much for requests, and others need the room.
+    no_room,
+    /// The connection was closed to make place for another one.
+    connection_limit,
+};
+
+/// A request that was rejected before it was read completely.
+struct rejected_request {
+    /// The value of the request id header, or empty if it is not known.
+    std::string request_id;
+    std::string target;
+    reject_cause cause = reject_cause::malformed;
+    /// The status of the response, or 0 if there is none.
+    int status = 0;
+    /// Bytes that were held for the request.
+    std::size_t held_bytes = 0;
+    /// The time since the request last made progress.
+    base::millis age_ms = 0;
+};
+
+/// How a server reports requests that its handler did not answer completely.
 struct abort_reporting {
     /// The name of the header field that contains the request id.
     std::string request_id_header;
     /// Called for each aborted request. May be empty.
     std::function<void(const aborted_request&)> on_abort;
+    /// Called for each rejected request. May be empty.
+    std::function<void(const rejected_request&)> on_reject = nullptr;
 };
 
 /// An HTTP/1.1 server for one address. Supports streamed responses and notifies
@@ -125,10 +154,12 @@
 /// runs its io_context.
 class streaming_http_server {
 public:
-    /// Constructs a server that does not listen yet.
-    streaming_http_server(boost::asio::io_context& io,
-                          http_server_limits limits, request_handler handler,
-                          abort_reporting reporting = {});
+    /// Constructs a server that does not listen yet. Servers of one process
+    /// share `resources`; by default, a server has its own.
+    streaming_http_server(
+        boost::asio::io_context& io, http_server_limits limits,
+        request_handler handler, abort_reporting reporting = {},
+        std::shared_ptr<server_resources> resources = nullptr);
     ~streaming_http_server();
 
     streaming_http_server(const streaming_http_server&) = delete;
@@ -143,10 +174,12 @@
     /// timeout.
     void set_limits(http_server_limits limits);
 
-    /// Changes the bounds on what is held for callers.
+    /// Changes the bounds on what is held for callers, of all servers that
+    /// share the resources.
     void set_buffer_limits(peer_buffer_limits limits);
 
-    /// Returns what is held for callers.
+    /// Returns what is held for callers, of all servers that share the
+    /// resources.
     const peer_buffers& buffers() const;
 
     /// Sets a callback for the first of a row of failed accepts; it gets the
@@ -200,4 +233,14 @@
     };
 };
 
+template <>
+struct enum_names<transport::reject_cause> {
+    static constexpr enum_name<transport::reject_cause> table[] = {
+        {transport::reject_cause::malformed, "malformed"},
+        {transport::reject_cause::too_large, "too_large"},
+        {transport::reject_cause::no_room, "no_room"},
+        {transport::reject_cause::connection_limit, "connection_limit"},
+    };
+};
+
 } // namespace hibiscus::base
--- /dev/null
+++ b/packages/transport/src/connection_table.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "hibiscus/base/clock.hpp"
+#include "hibiscus/transport/peer_buffers.hpp"
+
+#include <boost/asio/buffer.hpp>
+
+#include <cstddef>
+#include <limits>
+#include <map>
+#include <string_view>
+#include <vector>
+
+namespace hibiscus::transport {
+
+class server_session;
+
+/// The open connections of all servers of a process, and the account of what is
+/// held for them. Decides which of them are given up when room is short.
+class connection_table {
+public:
+    using connection_id = peer_buffers::connection_id;
+
+    peer_buffers& buffers() { return buffers_; }
+    const peer_buffers& buffers() const { return buffers_; }
+
+    void set_max_connections(std::size_t count) { max_connections_ = count; }
+
+    /// Adds an open connection. Returns its number.
+    connection_id insert(server_session& session);
+
+    void erase(connection_id id) { sessions_.erase(id); }
+
+    /// Returns an open connection, or null.
+    server_session* find(connection_id id) const;
+
+    std::size_t size() const { return sessions_.size(); }
+
+    /// Gives up requests that are being read while what was read without a
+    /// reservation takes more than its part.
+    void end_request_excess(base::millis now);
+
+    /// Gives up the request that holds the most for the longest time without
+    /// progress, unless all make progress. Called when the body of a request
+    /// waits for room.
+    void give_up_stalled_request(base::millis now);
+
+    /// Closes connections that are idle until there is place for one more.
+    /// Returns false if there is none.
+    bool make_place(base::millis now);
+
+    /// Returns memory for one read beyond `kept`, which is copied to its
+    /// beginning. Valid until the next call.
+    boost::asio::mutable_buffer prepare_read(std::string_view kept);
+
+    /// Returns the first `size` bytes of that memory.
+    std::string_view received(std::size_t size) const;
+
+private:
+    /// Returns the request to give up among those without progress for
+    /// `min_stall_ms`, or null.
+    server_session* choose_request(base::millis now,
+                                   base::millis min_stall_ms) const;
+
+    peer_buffers buffers_;
+    std::map<connection_id, server_session*> sessions_;
+    connection_id last_id_ = 0;
+    std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
+    std::vector<char> read_buffer_;
+};
+
+} // namespace hibiscus::transport
--- a/packages/transport/src/peer_buffers.cpp
+++ b/packages/transport/src/peer_buffers.cpp
@@ -48,18 +48,34 @@
     }
 }
 
-bool peer_buffers::reserve_request(std::size_t bytes) {
-    if (request_bytes_ > 0 &&
-        request_bytes_ + bytes > limits_.total_bytes / 2) {
+bool peer_buffers::reserve_request(std::size_t bytes, std::size_t reserved) {
+    const bool is_single = reserved_bytes_ <= reserved;
+    if (!is_single && reserved_bytes_ + bytes > max_reserved_bytes()) {
         return false;
     }
-    request_bytes_ += bytes;
+    reserved_bytes_ += bytes;
     update_peak();
     return true;
 }
 
 void peer_buffers::release_request(std::size_t bytes) {
-    request_bytes_ -= std::min(bytes, request_bytes_);
+    reserved_bytes_ -= std::min(bytes, reserved_bytes_);
+}
+
+void peer_buffers::count_unreserved(std::ptrdiff_t bytes) {
+    unreserved_bytes_ += static_cast<std::size_t>(bytes);
+    update_peak();
+}
+
+bool peer_buffers::has_request_excess() const {
+    const auto max = max_reserved_bytes() + max_reserved_bytes() / 4;
+    return unreserved_bytes_ > max - std::min(max, reserved_bytes_) &&
+           unreserved_bytes_ > max_reserved_bytes() / 4;
+}
+
+std::size_t peer_buffers::max_reserved_bytes() const {
+    return limits_.request_bytes > 0 ? limits_.request_bytes
+                                     : limits_.total_bytes / 2;
 }
 
 std::size_t peer_buffers::free_bytes() const {
--- a/packages/transport/src/server_session.cpp
+++ b/packages/transport/src/server_session.cpp
@@ -3,8 +3,6 @@
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 
-#include <algorithm>
-#include <chrono>
 #include <utility>
 
 namespace hibiscus::transport {
@@ -16,25 +14,6 @@
 
 namespace {
 
-/// How long a closing server waits for the first request on a new connection.
-/// Callers send their request as soon as the connection is open.
-constexpr base::millis first_request_timeout_ms = 250;
-
-/// The largest body, in bytes, that is read without a reservation.
-constexpr std::size_t max_unreserved_body_bytes = 64 * 1024;
-
-/// How often a body is held while it is forwarded: as received, and as sent to
-/// a server.
-constexpr std::size_t body_copies = 2;
-
-/// Interval between checks for room for the body of a request.
-constexpr std::chrono::milliseconds room_check_interval(20);
-
-/// How long a connection may be idle while its remaining input is read and
-/// dropped after the last response. Closing a socket with unread input resets
-/// the connection, and the caller could lose the response.
-constexpr base::millis linger_timeout_ms = 2000;
-
 std::string serialize_head(int status, const headers& fields) {
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
     const auto reason =
@@ -50,10 +29,10 @@
     return head;
 }
 
-std::string serialize_empty_response(int status) {
-    return serialize_head(status,
-                          {{"Connection", "close"}, {"Content-Length", "0"}}) +
-           "\r\n";
+std::string serialize_empty_response(int status, headers fields = {}) {
+    fields.push_back({"Connection", "close"});
+    fields.push_back({"Content-Length", "0"});
+    return serialize_head(status, fields) + "\r\n";
 }
 
 } // namespace
@@ -145,7 +124,7 @@
 server_session::server_session(tcp::socket socket,
                                std::shared_ptr<server_state> state)
     : socket_(std::move(socket)), room_timer_(socket_.get_executor()),
-      state_(std::move(state)), id_(++state_->connections_accepted),
+      state_(std::move(state)), id_(state_->connections().insert(*this)),
       opened_at_(state_->clock.now()) {
     state_->sessions.insert(this);
     ++state_->open_connections;
@@ -153,10 +132,11 @@
 
 server_session::~server_session() {
     state_->sessions.erase(this);
+    state_->connections().erase(id_);
     state_->open_connections -= open_ ? 1 : 0;
-    state_->buffers.erase(id_);
+    state_->buffers().erase(id_);
     release_body();
-    state_->buffers.release_request(std::exchange(next_body_bytes_, 0));
+    release_input();
 }
 
 void server_session::check_timeouts(base::millis now) {
@@ -171,7 +151,7 @@
         }
     } else if (timed_out ||
                (!idle_timeout_restarted_ && may_close_idle_connection(now))) {
-        cancel_idle_read();
+        end_idle_wait();
     }
 }
 
@@ -190,8 +170,8 @@
     }
     last_write_queued_ = last;
     response_started_ = true;
-    state_->buffers.add(id_, bytes.size(), state_->clock.now());
-    if (state_->buffers.find_excess()) {
+    state_->buffers().add(id_, bytes.size(), state_->clock.now());
+    if (state_->buffers().find_excess()) {
         state_->on_excess();
     }
     write_queue_.push_back(std::move(bytes));
@@ -210,6 +190,16 @@
     }
 }
 
+void server_session::send_rejection(int status, const headers& fields) {
+    current_request_number_ = ++last_request_number_;
+    ++state_->requests_in_flight;
+    request_rejected_ = true;
+    keep_alive_ = false;
+    discard_remaining_input_ = true;
+    send(current_request_number_, serialize_empty_response(status, fields),
+         true);
+}
+
 void server_session::fail_open_request(int status) {
     if (!current_request_number_ || last_write_queued_) {
         return;
@@ -227,177 +217,6 @@
     }
 }
 
-void server_session::read_next_request() {
-    parser_.emplace();
-    apply_limits();
-    idle_timeout_restarted_ = false;
-    continue_read();
-}
-
-void server_session::apply_limits() {
-    if (!parser_ || parser_->got_some()) {
-        return;
-    }
-    parser_->header_limit(
-        static_cast<std::uint32_t>(state_->limits.max_header_bytes));
-    parser_->body_limit(state_->limits.max_body_bytes);
-}
-
-void server_session::start_idle_timer() {
-    idle_since_ = state_->clock.now();
-    idle_timeout_ms_ = state_->limits.idle_timeout_ms;
-}
-
-bool server_session::is_idle_timeout_over(base::millis now) const {
-    const auto idle_ms =
-        std::max(idle_timeout_ms_, state_->limits.idle_timeout_ms);
-    return idle_since_ &&
-           now - *idle_since_ > (lingering_ ? linger_timeout_ms : idle_ms);
-}
-
-void server_session::continue_read() {
-    start_idle_timer();
-    if (parser_->is_header_done()) {
-        read_body();
-        return;
-    }
-    http::async_read_header(
-        socket_, buffer_, *parser_,
-        [self = shared_from_this()](beast::error_code error, std::size_t) {
-            self->on_header_read(error);
-        });
-}
-
-void server_session::on_header_read(beast::error_code error) {
-    if (error || !open_ || parser_->is_done()) {
-        on_read(error);
-        return;
-    }
-    read_body();
-}
-
-void server_session::read_body() {
-    waiting_for_room_ = !reserve_body();
-    if (waiting_for_room_) {
-        wait_for_room();
-        return;
-    }
-    http::async_read(
-        socket_, buffer_, *parser_,
-        [self = shared_from_this()](beast::error_code error, std::size_t) {
-            self->on_read(error);
-        });
-}
-
-bool server_session::reserve_body() {
-    const auto announced = parser_->content_length().value_or(0);
-    if (announced <= max_unreserved_body_bytes || next_body_bytes_ > 0) {
-        return true;
-    }
-    const auto bytes = static_cast<std::size_t>(announced) * body_copies;
-    if (!state_->buffers.reserve_request(bytes)) {
-        return false;
-    }
-    next_body_bytes_ = bytes;
-    return true;
-}
-
-void server_session::wait_for_room() {
-    idle_since_.reset();
-    room_timer_.expires_after(room_check_interval);
-    room_timer_.async_wait([self = shared_from_this()](beast::error_code) {
-        if (self->open_) {
-            self->start_idle_timer();
-            self->read_body();
-        }
-    });
-}
-
-void server_session::release_body() {
-    state_->buffers.release_request(std::exchange(current_body_bytes_, 0));
-}
-
-bool server_session::may_close_idle_connection(base::millis now) const {
-    return state_->phase == server_phase::closing &&
-           (last_request_number_ > 0 ||
-            now - opened_at_ > first_request_timeout_ms);
-}
-
-void server_session::cancel_idle_read() {
-    idle_read_cancelled_ = true;
-    beast::error_code ignored;
-    socket_.cancel(ignored);
-}
-
-void server_session::on_idle_read_cancelled() {
-    beast::error_code ignored;
-    const bool request_began = parser_->got_some() || buffer_.size() > 0 ||
-                               socket_.available(ignored) > 0;
-    if (!request_began || idle_timeout_restarted_) {
-        close();
-        return;
-    }
-    idle_timeout_restarted_ = true;
-    continue_read();
-}
-
-void server_session::on_read(beast::error_code error) {
-    const bool cancelled = std::exchange(idle_read_cancelled_, false);
-    idle_since_.reset();
-    if (!open_) {
-        return;
-    }
-    if (cancelled && error == asio::error::operation_aborted) {
-        on_idle_read_cancelled();
-        return;
-    }
-    if (error) {
-        on_read_error(error);
-        return;
-    }
-    if (lingering_) {
-        start_idle_timer();
-        discard_input();
-        return;
-    }
-    if (current_request_number_) {
-        next_request_ready_ = true;
-        return;
-    }
-    dispatch_request();
-}
-
-void server_session::on_read_error(beast::error_code error) {
-    const bool is_protocol_error =
-        error.category() ==
-            http::make_error_code(http::error::bad_method).category() &&
-        error != http::error::end_of_stream &&
-        error != http::error::partial_message;
-    if (!is_protocol_error || lingering_) {
-        close();
-        return;
-    }
-    if (current_request_number_) {
-        // The input after the current request is malformed. The current request
-        // is still answered.
-        keep_alive_ = false;
-        discard_remaining_input_ = true;
-        return;
-    }
-    int status = 400;
-    if (error == http::error::body_limit) {
-        status = 413;
-    } else if (error == http::error::header_limit) {
-        status = 431;
-    }
-    current_request_number_ = ++last_request_number_;
-    ++state_->requests_in_flight;
-    request_rejected_ = true;
-    keep_alive_ = false;
-    discard_remaining_input_ = true;
-    send(current_request_number_, serialize_empty_response(status), true);
-}
-
 void server_session::record_request(const inbound_request& request) {
     const auto* id =
         find_header(request.fields, state_->reporting.request_id_header);
@@ -423,7 +242,7 @@
         close();
         return;
     }
-    state_->buffers.on_progress(id_, bytes, state_->clock.now());
+    state_->buffers().on_progress(id_, bytes, state_->clock.now());
     front_sent_ += bytes;
     if (front_sent_ == write_queue_.front().size()) {
         write_queue_.pop_front();
@@ -448,14 +267,14 @@
     int unacknowledged = 0;
     if (::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) == 0 &&
         unacknowledged < std::exchange(unacknowledged_, unacknowledged)) {
-        state_->buffers.on_progress(id_, 0, now);
+        state_->buffers().on_progress(id_, 0, now);
     }
     // The share of a connection grows when others end.
     notify_room();
 }
 
 bool server_session::is_full(std::uint64_t number) const {
-    return current_request_number_ == number && state_->buffers.is_full(id_);
+    return current_request_number_ == number && state_->buffers().is_full(id_);
 }
 
 void server_session::set_on_room(std::uint64_t number,
@@ -466,7 +285,7 @@
 }
 
 void server_session::notify_room() {
-    if (on_room_ && !state_->buffers.is_full(id_)) {
+    if (on_room_ && !state_->buffers().is_full(id_)) {
         const auto callback = on_room_;
         callback();
     }
@@ -496,25 +315,8 @@
     beast::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     start_idle_timer();
-    if (discard_remaining_input_ || next_request_ready_) {
-        discard_input();
-    }
-}
-
-void server_session::discard_input() {
-    if (!open_) {
-        return;
-    }
-    discard_buffer_.resize(16 * 1024);
-    socket_.async_read_some(
-        asio::buffer(discard_buffer_),
-        [self = shared_from_this()](beast::error_code error, std::size_t) {
-            if (error) {
-                self->close();
-            } else {
-                self->discard_input();
-            }
-        });
+    stop_reading();
+    wait_for_input();
 }
 
 void server_session::close(abort_cause cause) {
@@ -522,9 +324,11 @@
         return;
     }
     --state_->open_connections;
+    state_->connections().erase(id_);
     beast::error_code ignored;
     socket_.close(ignored);
-    state_->buffers.erase(id_);
+    room_timer_.cancel();
+    state_->buffers().erase(id_);
     on_room_ = nullptr;
     if (current_request_number_) {
         report_abort(cause);
@@ -534,6 +338,8 @@
     if (auto callback = std::exchange(on_disconnect_, nullptr)) {
         callback();
     }
+    release_body();
+    stop_reading();
 }
 
 void server_session::report_abort(abort_cause cause) const {
@@ -544,6 +350,12 @@
     }
 }
 
+void server_session::release_body() {
+    state_->buffers().release_request(std::exchange(current_body_bytes_, 0));
+    state_->buffers().count_unreserved(-static_cast<std::ptrdiff_t>(
+        std::exchange(current_unreserved_bytes_, 0)));
+}
+
 void server_session::dispatch_request() {
     auto message = parser_->release();
     keep_alive_ = message.keep_alive();
@@ -558,6 +370,7 @@
     current_request_number_ = ++last_request_number_;
     ++state_->requests_in_flight;
     current_body_bytes_ = std::exchange(next_body_bytes_, 0);
+    current_unreserved_bytes_ = std::exchange(unreserved_bytes_, 0);
     record_request(request);
     auto responder =
         std::make_shared<writer>(shared_from_this(), current_request_number_);
--- a/packages/transport/src/server_session.hpp
+++ b/packages/transport/src/server_session.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection_table.hpp"
 #include "hibiscus/transport/streaming_http_server.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -29,10 +30,7 @@
     abort_reporting reporting;
     base::clock clock;
     std::set<server_session*> sessions;
-    /// What is held for callers that have not read it yet, and for requests.
-    peer_buffers buffers;
-    /// The number of connections accepted so far.
-    std::uint64_t connections_accepted = 0;
+    std::shared_ptr<server_resources> resources;
     /// Called when more is held than the limit; closes connections later.
     std::function<void()> on_excess;
     /// The number of requests whose response has not been sent completely.
@@ -40,6 +38,10 @@
     /// The number of open connections.
     std::size_t open_connections = 0;
     server_phase phase = server_phase::serving;
+
+    connection_table& connections() const { return resources->connections(); }
+    /// What is held for callers that have not read it yet, and for requests.
+    peer_buffers& buffers() const { return connections().buffers(); }
 };
 
 /// Serves one connection. While a request is being answered, it already reads
@@ -66,15 +68,31 @@
     /// Closes the connection at once.
     void abort_connection() { close(abort_cause::server_shutdown); }
 
-    /// The number of the connection in `server_state::buffers`.
-    peer_buffers::connection_id id() const { return id_; }
+    /// Returns the bytes held for the request that is being read.
+    std::size_t input_bytes() const {
+        return unreserved_bytes_ + next_body_bytes_;
+    }
+
+    /// Returns when the request that is being read last made progress.
+    base::millis input_progress_at() const { return input_progress_at_; }
+
+    /// Returns how long the connection has been waiting for input, or -1 if it
+    /// is not waiting.
+    base::millis idle_ms(base::millis now) const;
+
+    /// Rejects the request that is being read and releases its memory. Its
+    /// caller learns that it has not run.
+    void give_up_request(reject_cause cause);
+
+    /// Closes the connection, which waits for input, to make place.
+    void close_for_another();
 
     /// Returns true while the source of the response to request `number` is to
     /// pause.
     bool is_full(std::uint64_t number) const;
 
     /// Returns how many bytes a response may add at once; 0 if it has to wait.
-    std::size_t room() const { return state_->buffers.room(); }
+    std::size_t room() const { return state_->buffers().room(); }
 
     /// Sets the callback for the time when the response to request `number`
     /// may go on.
@@ -112,21 +130,46 @@
 
     void read_next_request();
 
+    /// Waits for input once there is room for the body.
     void continue_read();
 
-    /// Reads the body once there is room for it.
-    void read_body();
+    void wait_for_input();
 
     void wait_for_room();
 
-    void on_header_read(boost::beast::error_code error);
+    void on_readable(boost::beast::error_code error);
+
+    /// Reads into the memory that all connections share. Returns nothing if
+    /// there is no input yet, or if the connection has ended.
+    std::optional<std::string_view> read_input();
+
+    /// Parses input that begins with what was not parsed before.
+    void on_input(std::string_view input);
+
+    /// Notes how much has arrived, which decides who makes room for others.
+    void note_progress(std::size_t bytes);
 
     /// Reserves room for the body of the request that is being read. Returns
     /// false if there is none.
     bool reserve_body();
 
+    /// Counts what is held for the request that is being read, beside the room
+    /// that is reserved.
+    void count_input();
+
+    /// Drops what was read of the next request and reads no more requests.
+    void stop_reading();
+
+    /// Sends an empty response in place of a handler and closes the connection
+    /// after it.
+    void send_rejection(int status, const headers& fields);
+
+    void report_rejection(reject_cause cause, int status) const;
+
     void release_body();
 
+    void release_input();
+
     void start_idle_timer();
 
     /// Returns true if the connection has been idle longer than both the limit
@@ -138,17 +181,12 @@
     /// request on this connection.
     bool may_close_idle_connection(base::millis now) const;
 
-    /// Cancels the pending read. The connection is closed when the read ends,
-    /// unless a request has begun to arrive. Only the end of the read shows
-    /// this, because bytes may have been read whose completion handler has not
-    /// run yet.
-    void cancel_idle_read();
-
-    void on_idle_read_cancelled();
+    /// Closes the connection unless a request has begun to arrive.
+    void end_idle_wait();
 
-    void on_read(boost::beast::error_code error);
+    void on_request_read();
 
-    void on_read_error(boost::beast::error_code error);
+    void on_parse_error(boost::beast::error_code error);
 
     void dispatch_request();
 
@@ -182,7 +220,9 @@
     /// Runs while a request waits for room for its body.
     boost::asio::steady_timer room_timer_;
     std::shared_ptr<server_state> state_;
-    boost::beast::flat_buffer buffer_;
+    /// Input that the parser can't take before more has arrived, or that
+    /// follows the request that was read.
+    std::string unparsed_;
     std::optional<
         boost::beast::http::request_parser<boost::beast::http::string_body>>
         parser_;
@@ -191,7 +231,6 @@
     std::size_t front_sent_ = 0;
     /// Bytes sent that the caller had not acknowledged at the last check.
     int unacknowledged_ = 0;
-    std::string discard_buffer_;
     std::function<void()> on_disconnect_;
     std::function<void()> on_room_;
     peer_buffers::connection_id id_;
@@ -199,6 +238,18 @@
     /// been read, and for the body of the request that is being answered.
     std::size_t next_body_bytes_ = 0;
     std::size_t current_body_bytes_ = 0;
+    /// Bytes held for these requests that were not reserved.
+    std::size_t unreserved_bytes_ = 0;
+    std::size_t current_unreserved_bytes_ = 0;
+    /// The limits on the body and on what can't be parsed yet, in bytes, for
+    /// the request that is being read.
+    std::size_t body_limit_ = 0;
+    std::size_t unparsed_limit_ = 0;
+    /// Bytes read of the head, and bytes since the last progress.
+    std::size_t head_bytes_ = 0;
+    std::size_t recent_bytes_ = 0;
+    base::millis input_progress_at_ = 0;
+    base::millis room_awaited_since_ = 0;
     std::uint64_t last_request_number_ = 0;
     /// The number of the request that is being answered, or 0.
     std::uint64_t current_request_number_ = 0;
@@ -222,9 +273,8 @@
     /// False once the server or the caller has announced that the current
     /// response is the last one of the connection.
     bool keep_alive_ = true;
-    /// Whether the pending read was cancelled to find out whether a request has
-    /// begun to arrive.
-    bool idle_read_cancelled_ = false;
+    /// Whether the session waits for its socket to become readable.
+    bool input_awaited_ = false;
     /// Whether the idle timeout was restarted because a request had begun to
     /// arrive when the connection was due to be closed. This happens at most
     /// once for each request.
--- a/packages/transport/src/streaming_http_server.cpp
+++ b/packages/transport/src/streaming_http_server.cpp
@@ -43,12 +43,14 @@
 class streaming_http_server::impl : public std::enable_shared_from_this<impl> {
 public:
     impl(asio::io_context& io, http_server_limits limits,
-         request_handler handler, abort_reporting reporting)
+         request_handler handler, abort_reporting reporting,
+         std::shared_ptr<server_resources> resources)
         : acceptor_(io), timer_(io), accept_timer_(io),
           state_(std::make_shared<server_state>()) {
         state_->limits = limits;
         state_->handler = std::move(handler);
         state_->reporting = std::move(reporting);
+        state_->resources = std::move(resources);
     }
 
     std::optional<base::endpoint> listen(const base::endpoint& address) {
@@ -162,7 +164,11 @@
     }
 
     void start_session(tcp::socket socket) {
+        if (!state_->connections().make_place(state_->clock.now())) {
+            return;
+        }
         beast::error_code ignored;
+        socket.non_blocking(true, ignored);
         socket.set_option(tcp::no_delay(true), ignored);
         ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
                      &max_unsent_kernel_bytes, sizeof max_unsent_kernel_bytes);
@@ -202,7 +208,7 @@
     }
 
     void close_stalled_readers(base::millis now) {
-        while (const auto id = state_->buffers.find_stalled(now)) {
+        while (const auto id = state_->buffers().find_stalled(now)) {
             close_slow_reader(*id);
         }
     }
@@ -211,19 +217,17 @@
     /// later, because the caller may be sending to one of them.
     void schedule_excess_check() {
         asio::post(timer_.get_executor(), [self = shared_from_this()] {
-            while (const auto id = self->state_->buffers.find_excess()) {
+            while (const auto id = self->state_->buffers().find_excess()) {
                 self->close_slow_reader(*id);
             }
         });
     }
 
     void close_slow_reader(peer_buffers::connection_id id) {
-        for_each_session([id](server_session& s) {
-            if (s.id() == id) {
-                s.close_slow_reader();
-            }
-        });
-        state_->buffers.erase(id);
+        if (auto* session = state_->connections().find(id)) {
+            session->close_slow_reader();
+        }
+        state_->buffers().erase(id);
     }
 
     tcp::acceptor acceptor_;
@@ -237,12 +241,13 @@
     bool accepting_ = false;
 };
 
-streaming_http_server::streaming_http_server(asio::io_context& io,
-                                             http_server_limits limits,
-                                             request_handler handler,
-                                             abort_reporting reporting)
-    : impl_(std::make_shared<impl>(io, limits, std::move(handler),
-                                   std::move(reporting))) {}
+streaming_http_server::streaming_http_server(
+    asio::io_context& io, http_server_limits limits, request_handler handler,
+    abort_reporting reporting, std::shared_ptr<server_resources> resources)
+    : impl_(std::make_shared<impl>(
+          io, limits, std::move(handler), std::move(reporting),
+          resources ? std::move(resources)
+                    : std::make_shared<server_resources>())) {}
 
 streaming_http_server::~streaming_http_server() {
     impl_->stop();
@@ -259,7 +264,7 @@
 }
 
 void streaming_http_server::set_buffer_limits(peer_buffer_limits limits) {
-    impl_->state().buffers.set_limits(limits);
+    impl_->state().buffers().set_limits(limits);
 }
 
 void streaming_http_server::set_on_accept_failed(
@@ -272,7 +277,7 @@
 }
 
 const peer_buffers& streaming_http_server::buffers() const {
-    return impl_->state().buffers;
+    return impl_->state().buffers();
 }
 
 void streaming_http_server::drain() {
--- a/packages/transport/test/peer_buffers_test.cpp
+++ b/packages/transport/test/peer_buffers_test.cpp
@@ -84,6 +84,28 @@
     EXPECT_FALSE(buffers_.reserve_request(1));
 }
 
+TEST_F(peer_buffers_test, a_body_that_grows_alone_always_has_room) {
+    EXPECT_TRUE(buffers_.reserve_request(total_bytes / 4));
+    EXPECT_TRUE(buffers_.reserve_request(total_bytes, total_bytes / 4));
+    EXPECT_FALSE(buffers_.reserve_request(1, total_bytes / 4));
+}
+
+TEST_F(peer_buffers_test, what_is_not_reserved_has_a_part_of_its_own) {
+    constexpr auto part = static_cast<std::ptrdiff_t>(total_bytes / 8);
+    EXPECT_TRUE(buffers_.reserve_request(total_bytes));
+    buffers_.count_unreserved(part);
+    EXPECT_FALSE(buffers_.has_request_excess());
+    buffers_.count_unreserved(1);
+    EXPECT_TRUE(buffers_.has_request_excess());
+    buffers_.count_unreserved(-1);
+    EXPECT_FALSE(buffers_.has_request_excess());
+    buffers_.release_request(total_bytes);
+    buffers_.count_unreserved(4 * part);
+    EXPECT_FALSE(buffers_.has_request_excess());
+    buffers_.count_unreserved(1);
+    EXPECT_TRUE(buffers_.has_request_excess());
+}
+
 } // namespace
 
 } // namespace hibiscus::transport
--- a/packages/transport/test/streaming_http_server_test.cpp
+++ b/packages/transport/test/streaming_http_server_test.cpp
@@ -41,8 +41,12 @@
                           handler_();
                       }
                   },
-                  {"Id", [this](const auto& aborted) {
+                  {"Id",
+                   [this](const auto& aborted) {
                        aborted_requests_.push_back(aborted);
+                   },
+                   [this](const auto& rejected) {
+                       rejected_requests_.push_back(rejected);
                    }}) {
         const auto address = server_.listen({"127.0.0.1", 0});
         socket_.connect(
@@ -115,6 +119,7 @@
     std::vector<inbound_request> requests_;
     std::vector<std::shared_ptr<response_writer>> responses_;
     std::vector<aborted_request> aborted_requests_;
+    std::vector<rejected_request> rejected_requests_;
     std::function<void()> handler_;
     streaming_http_server server_;
     tcp::socket socket_{io_};
@@ -553,6 +558,92 @@
     run_until([&] { return server_.buffers().held() == 0; });
 }
 
+const std::string chunked_head = "POST /d HTTP/1.1\r\nHost: h\r\nId: r2\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n";
+
+/// Returns a chunk of `size` bytes.
+std::string make_chunk(std::size_t size) {
+    char head[32];
+    std::snprintf(head, sizeof head, "%zx\r\n", size);
+    return head + std::string(size, 'x') + "\r\n";
+}
+
+TEST_F(streaming_http_server_test, trailers_over_the_limit_are_rejected) {
+    send(chunked_head + "2\r\nhi\r\n0\r\nx: " + std::string(40 * 1024, 'x'));
+    expect_received("HTTP/1.1 431");
+    EXPECT_TRUE(requests_.empty());
+    EXPECT_EQ(server_.buffers().held(), 0U);
+}
+
+TEST_F(streaming_http_server_test, the_extension_of_a_chunk_is_bounded) {
+    send(chunked_head + "2;x=" + std::string(40 * 1024, 'x'));
+    expect_received("HTTP/1.1 431");
+    EXPECT_TRUE(requests_.empty());
+}
+
+TEST_F(streaming_http_server_test, trailers_within_the_limit_are_read) {
+    send(chunked_head + "2\r\nhi\r\n0\r\nx: " + std::string(8 * 1024, 'x') +
+         "\r\n\r\n");
+    run_until([&] { return requests_.size() == 1; });
+    EXPECT_EQ(requests_[0].body, "hi");
+}
+
+// A body that stops must not keep the room from those that go on.
+TEST_F(streaming_http_server_test, a_stalled_body_makes_room_for_another) {
+    server_.set_buffer_limits({256 * 1024, 1024 * 1024, 60000});
+    const auto unfinished = chunked_head + make_chunk(400 * 1024);
+    asio::async_write(socket_, asio::buffer(unfinished), [](auto, auto) {});
+    run_until([&] { return server_.buffers().held() > 400 * 1024; });
+    tcp::socket second(io_);
+    second.connect(socket_.remote_endpoint());
+    const std::string large(400 * 1024, 'y');
+    const auto post = "POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                      std::to_string(large.size()) + "\r\n\r\n" + large;
+    asio::async_write(second, asio::buffer(post), [](auto, auto) {});
+    run_until([&] { return requests_.size() == 1; });
+    EXPECT_EQ(requests_[0].body, large);
+    expect_received("HTTP/1.1 503");
+    expect_received("Retry-After: ");
+    ASSERT_EQ(rejected_requests_.size(), 1U);
+    EXPECT_EQ(rejected_requests_[0].cause, reject_cause::no_room);
+    EXPECT_EQ(rejected_requests_[0].request_id, "r2");
+    EXPECT_GT(rejected_requests_[0].held_bytes, 400U * 1024);
+}
+
+// A request that is being answered is not given up with the next one.
+TEST_F(streaming_http_server_test, a_request_before_a_stalled_one_is_answered) {
+    server_.set_buffer_limits({256 * 1024, 1024 * 1024, 60000});
+    const auto unfinished = request + chunked_head + make_chunk(400 * 1024);
+    asio::async_write(socket_, asio::buffer(unfinished), [](auto, auto) {});
+    run_until([&] { return server_.buffers().held() > 400 * 1024; });
+    ASSERT_EQ(requests_.size(), 1U);
+    tcp::socket second(io_);
+    second.connect(socket_.remote_endpoint());
+    const std::string large(400 * 1024, 'y');
+    const auto post = "POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                      std::to_string(large.size()) + "\r\n\r\n" + large;
+    asio::async_write(second, asio::buffer(post), [](auto, auto) {});
+    run_until([&] { return requests_.size() == 2; });
+    responses_[0]->send({200, {}, "first"});
+    expect_received("first");
+    EXPECT_EQ(received_.find("HTTP/1.1 200"), 0U);
+    EXPECT_NE(received_.find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(aborted_requests_.empty());
+}
+
+// A body that never gets room is rejected while its caller still waits.
+TEST_F(streaming_http_server_test, a_body_waits_for_room_for_a_bounded_time) {
+    server_.set_buffer_limits({256 * 1024, 1024 * 1024, 60000});
+    const auto post = chunked_head + make_chunk(400 * 1024) + "0\r\n\r\n";
+    tcp::socket second(io_);
+    second.connect(socket_.remote_endpoint());
+    asio::async_write(second, asio::buffer(post), [](auto, auto) {});
+    run_until([&] { return requests_.size() == 1; });
+    asio::async_write(socket_, asio::buffer(post), [](auto, auto) {});
+    expect_received("HTTP/1.1 503");
+    EXPECT_EQ(requests_.size(), 1U);
+}
+
 } // namespace
 
 } // namespace hibiscus::transport
