entry: one account for the process, sized by its memory

What callers saw: the same clients at the ports for readiness, the directory and metrics took the memory beside what the port for callers held.

Cause: each of the four servers of a process had an account of its own (24 MB of responses and 12 MB of bodies, constants), and no node knew its memory; the template passed only the share of the processor. The allocator kept the memory of a crowd: glibc raises its threshold for returned blocks to the largest block that was released.

Blocks of 1 MiB and more return to the system when they are released. Rejected requests are logged (`input_refused`) and counted.

--- a/packages/entry/include/hibiscus/entry/settings.hpp
+++ b/packages/entry/include/hibiscus/entry/settings.hpp
@@ -42,6 +42,9 @@
     base::millis server_renewal_ms = 1200;
     /// CPU share of this node, in cores.
     double cpu_share = 1;
+    /// Memory of this process, in MB (10^6 bytes). What is held for callers is
+    /// bounded so that the rest of the node has room beside it.
+    std::size_t memory_mb = 120;
     /// Minimum time between load orders of two successive job owners to the
     /// same server, in ms.
     base::millis order_lease_ms = 3000;
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -5,6 +5,7 @@
 #include "hibiscus/base/result.hpp"
 #include "hibiscus/membership/fleet_membership.hpp"
 #include "job_owner.hpp"
+#include "memory_bounds.hpp"
 #include "node_state.hpp"
 #include "platform/client_api.hpp"
 #include "platform/documents.hpp"
@@ -150,18 +151,29 @@
                                          std::move(response));
               },
               {adapter::request_id_header,
-               [this](const auto& aborted) { on_request_aborted(aborted); }}),
-          readiness_server_(io_, {},
-                            [this](const auto& request, auto response) {
-                                on_readiness_request(request, *response);
-                            }),
-          directory_server_(io_, {},
-                            [this](const auto& request, auto response) {
-                                on_directory_request(request, *response);
-                            }),
-          internal_server_(io_, {}, [this](const auto& request, auto response) {
-              on_internal_request(request, response);
-          }) {}
+               [this](const auto& aborted) { on_request_aborted(aborted); },
+               [this](const auto& rejected) { on_request_rejected(rejected); }},
+              server_resources_),
+          readiness_server_(
+              io_, {},
+              [this](const auto& request, auto response) {
+                  on_readiness_request(request, *response);
+              },
+              make_reject_reporting(), server_resources_),
+          directory_server_(
+              io_, {},
+              [this](const auto& request, auto response) {
+                  on_directory_request(request, *response);
+              },
+              make_reject_reporting(), server_resources_),
+          internal_server_(
+              io_, {},
+              [this](const auto& request, auto response) {
+                  on_internal_request(request, response);
+              },
+              make_reject_reporting(), server_resources_) {
+        set_server_bounds();
+    }
 
     std::optional<listen_error> run() {
         wait_for_signal();
@@ -270,6 +282,8 @@
         }
         current.retry_ratio = updated->retry_ratio;
         current.reward_share = updated->reward_share;
+        current.memory_mb = updated->memory_mb;
+        set_server_bounds();
         current.store = updated->store;
         if (store_address_changed) {
             store_monitor_.router().set_store_address(current.store);
@@ -646,6 +660,32 @@
                        state_.counters.serialize()});
     }
 
+    /// Bounds what the servers hold by the memory of this process.
+    void set_server_bounds() {
+        server_resources_->set_buffer_limits(
+            make_buffer_limits(state_.settings.memory_mb));
+    }
+
+    transport::abort_reporting make_reject_reporting() {
+        return {
+            adapter::request_id_header, nullptr,
+            [this](const auto& rejected) { on_request_rejected(rejected); }};
+    }
+
+    /// Logs a request that was rejected before it was read completely.
+    void on_request_rejected(const transport::rejected_request& rejected) {
+        const std::string cause(base::name_of(rejected.cause));
+        state_.counters.count_response("caller", "refused", cause);
+        state_.log.write(
+            "input_refused",
+            {{"id", rejected.request_id},
+             {"target", rejected.target},
+             {"cause", cause},
+             {"status", rejected.status},
+             {"held_bytes", static_cast<std::int64_t>(rejected.held_bytes)},
+             {"age_ms", rejected.age_ms}});
+    }
+
     /// Logs a request that ended without a complete response.
     void on_request_aborted(const transport::aborted_request& aborted) {
         const std::string cause(base::name_of(aborted.cause));
@@ -682,6 +722,8 @@
     scaling_duty scaling_duty_;
     batch_api batch_api_;
     request_router request_router_;
+    std::shared_ptr<transport::server_resources> server_resources_ =
+        std::make_shared<transport::server_resources>();
     transport::streaming_http_server caller_server_;
     transport::streaming_http_server readiness_server_;
     transport::streaming_http_server directory_server_;
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -1,5 +1,6 @@
 #include "hibiscus/entry/daemon.hpp"
 
+#include "memory_bounds.hpp"
 #include "reload_signal.hpp"
 
 #include <absl/flags/flag.h>
@@ -23,6 +24,7 @@
 /// listen on an address, 2 if the settings are invalid.
 int main(int argc, char** argv) {
     hibiscus::entry::set_reload_signal_blocked(true);
+    hibiscus::entry::return_large_blocks();
     absl::SetProgramUsageMessage(
         "runs one entry node: hibiscus_entryd --settings=FILE");
     absl::ParseCommandLine(argc, argv);
--- /dev/null
+++ b/packages/entry/src/memory_bounds.cpp
@@ -0,0 +1,40 @@
+#include "memory_bounds.hpp"
+
+#include <malloc.h>
+
+#include <algorithm>
+
+namespace hibiscus::entry {
+
+namespace {
+
+constexpr std::size_t bytes_per_mb = 1000 * 1000;
+
+/// What a node needs beside its callers: its tables, the calls to the store and
+/// to servers, and one job that is being decoded, in MB.
+constexpr std::size_t own_memory_mb = 48;
+
+/// The smallest block that the allocator returns to the system at once, and the
+/// released memory that it keeps at the end of its heap, in bytes. Smaller
+/// values would cost system calls for the records of the store.
+constexpr int large_block_bytes = 1024 * 1024;
+constexpr int max_kept_bytes = 4 * 1024 * 1024;
+
+} // namespace
+
+transport::peer_buffer_limits make_buffer_limits(std::size_t memory_mb) {
+    transport::peer_buffer_limits limits;
+    const auto own_mb = std::min(own_memory_mb, memory_mb / 2);
+    const auto peer_bytes = (memory_mb - own_mb) * bytes_per_mb;
+    limits.total_bytes = std::min(limits.total_bytes, peer_bytes / 3);
+    // Requests that are read without a reservation take a quarter beside it.
+    limits.request_bytes = (peer_bytes - limits.total_bytes) / 5 * 4;
+    return limits;
+}
+
+void return_large_blocks() {
+    ::mallopt(M_MMAP_THRESHOLD, large_block_bytes);
+    ::mallopt(M_TRIM_THRESHOLD, max_kept_bytes);
+}
+
+} // namespace hibiscus::entry
--- a/packages/entry/test/settings_test.cpp
+++ b/packages/entry/test/settings_test.cpp
@@ -57,6 +57,15 @@
     }
 }
 
+TEST_F(settings_test, reads_the_memory_of_the_process) {
+    const auto loaded = load("limits:\n  memory_mb: 330\n");
+    const auto* s = base::value_if(loaded);
+    ASSERT_NE(s, nullptr);
+    EXPECT_EQ(s->memory_mb, 330U);
+    const auto too_small = load("limits:\n  memory_mb: 1\n");
+    EXPECT_EQ(base::value_if(too_small), nullptr);
+}
+
 TEST_F(settings_test, reads_what_the_store_can_carry) {
     const auto loaded = load("  writes_per_s: 4000\n"
                              "  reads_per_s: 16000\n"
--- a/packages/transport/test/streaming_http_server_test.cpp
+++ b/packages/transport/test/streaming_http_server_test.cpp
@@ -631,6 +631,35 @@
     EXPECT_TRUE(aborted_requests_.empty());
 }
 
+// The memory of a process is one, however many servers it has.
+TEST_F(streaming_http_server_test, servers_share_the_room_for_bodies) {
+    const auto resources = std::make_shared<server_resources>();
+    resources->set_buffer_limits({256 * 1024, 1024 * 1024, 60000});
+    const auto keep = [this](auto inbound, auto writer) {
+        requests_.push_back(std::move(inbound));
+        responses_.push_back(std::move(writer));
+    };
+    streaming_http_server first(io_, {}, keep, {}, resources);
+    streaming_http_server second(io_, {}, keep, {}, resources);
+    const auto post = chunked_head + make_chunk(400 * 1024) + "0\r\n\r\n";
+    std::vector<tcp::socket> callers;
+    for (auto* server : {&first, &second}) {
+        const auto address = server->listen({"127.0.0.1", 0});
+        callers.emplace_back(io_);
+        callers.back().connect(
+            tcp::endpoint(asio::ip::address_v4::loopback(), address->port));
+    }
+    asio::async_write(callers[0], asio::buffer(post), [](auto, auto) {});
+    run_until([&] { return requests_.size() == 1; });
+    asio::async_write(callers[1], asio::buffer(post), [](auto, auto) {});
+    run_for(300);
+    EXPECT_EQ(requests_.size(), 1U);
+    EXPECT_EQ(resources->open_connections(), 2U);
+    responses_[0]->send({200, {}, "first"});
+    run_until([&] { return requests_.size() == 2; });
+    responses_.clear();
+}
+
 // A body that never gets room is rejected while its caller still waits.
 TEST_F(streaming_http_server_test, a_body_waits_for_room_for_a_bounded_time) {
     server_.set_buffer_limits({256 * 1024, 1024 * 1024, 60000});
