transport, entry: the body of a request is held once

What callers saw: nothing yet; a single body of 32 MiB, which the limits allow, took 103 MB, so a node with its tables would not have borne it on a machine of 120 MB.

Cause: the body was copied for each attempt, and again into the message with its head.

Now copies of upstream_request share the bytes (shared_body), and the head and the body are written from where they are.

--- a/packages/transport/include/hibiscus/transport/upstream.hpp
+++ b/packages/transport/include/hibiscus/transport/upstream.hpp
@@ -12,9 +12,35 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace hibiscus::transport {
 
+/// The body of a request. Copies share the bytes, so that a request can be sent
+/// again without holding its body twice.
+class shared_body {
+public:
+    shared_body() = default;
+    // A string is a body wherever one is expected.
+    shared_body(std::string bytes) // NOLINT(google-explicit-constructor)
+        : bytes_(std::make_shared<const std::string>(std::move(bytes))) {}
+    shared_body(const char* bytes) // NOLINT(google-explicit-constructor)
+        : shared_body(std::string(bytes)) {}
+
+    std::string_view view() const {
+        return bytes_ ? std::string_view(*bytes_) : std::string_view();
+    }
+    bool empty() const { return view().empty(); }
+    std::size_t size() const { return view().size(); }
+
+    friend bool operator==(const shared_body& body, std::string_view bytes) {
+        return body.view() == bytes;
+    }
+
+private:
+    std::shared_ptr<const std::string> bytes_;
+};
+
 /// A request to a backend server or to another node.
 struct upstream_request {
     std::string method = "GET";
@@ -22,7 +48,7 @@
     /// The header fields. Must not contain Content-Length or Transfer-Encoding;
     /// the client frames the body itself.
     headers fields;
-    std::string body;
+    shared_body body;
 };
 
 /// The status and the header fields of a response.
--- a/packages/transport/src/serialize_request.cpp
+++ b/packages/transport/src/serialize_head.cpp
@@ -1,9 +1,9 @@
-#include "serialize_request.hpp"
+#include "serialize_head.hpp"
 
 namespace hibiscus::transport {
 
-std::string serialize_request(const upstream_request& request,
-                              const base::endpoint& address) {
+std::string serialize_head(const upstream_request& request,
+                           const base::endpoint& address) {
     std::string message =
         request.method + " " + request.target + " HTTP/1.1\r\n";
     if (find_header(request.fields, "host") == nullptr) {
@@ -20,7 +20,6 @@
             "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     }
     message += "\r\n";
-    message += request.body;
     return message;
 }
 
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -2,7 +2,7 @@
 
 #include "hibiscus/base/stall_detector.hpp"
 #include "idle_connection_pool.hpp"
-#include "serialize_request.hpp"
+#include "serialize_head.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -15,6 +15,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <deque>
 #include <map>
@@ -83,7 +84,8 @@
         if (const auto* id = find_header(request.fields, echo_header_)) {
             echo_value_ = *id;
         }
-        request_bytes_ = serialize_request(request, address_);
+        request_head_ = serialize_head(request, address_);
+        request_body_ = std::move(request.body);
     }
 
     void start() {
@@ -203,7 +205,9 @@
 
     void send() {
         last_activity_ = state_->clock.now();
-        asio::async_write(*socket_, asio::buffer(request_bytes_),
+        const std::array<asio::const_buffer, 2> message{
+            asio::buffer(request_head_), asio::buffer(request_body_.view())};
+        asio::async_write(*socket_, message,
                           [self = shared_from_this(), socket = socket_](
                               beast::error_code error, std::size_t) {
                               if (socket != self->socket_) {
@@ -211,7 +215,8 @@
                               }
                               self->request_written_ = !error;
                               if (!self->may_resend()) {
-                                  self->request_bytes_ = {};
+                                  self->request_head_ = {};
+                                  self->request_body_ = {};
                               }
                           });
         parser_.emplace();
@@ -449,7 +454,8 @@
     upstream_callbacks callbacks_;
     std::string echo_header_;
     std::string echo_value_;
-    std::string request_bytes_;
+    std::string request_head_;
+    shared_body request_body_;
     std::shared_ptr<tcp::socket> socket_;
     beast::flat_buffer buffer_;
     std::optional<http::response_parser<http::string_body>> parser_;
