platform, entry: jobs are read without a tree

What callers saw: one job of 32 MiB whose items are no items took 552 to 1205 MB, and ordinary requests waited for a second.

Cause: the body was parsed into a tree before anything was checked; an empty array takes 3 bytes in JSON and about 75 in the tree, members that nobody reads included.

The body is released once the job is read.

--- a/packages/entry/src/request_router.cpp
+++ b/packages/entry/src/request_router.cpp
@@ -1,6 +1,7 @@
 #include "request_router.hpp"
 
 #include "hibiscus/base/result.hpp"
+#include "memory_bounds.hpp"
 #include "platform/sampler_calls.hpp"
 
 #include <algorithm>
@@ -129,7 +130,8 @@
         return;
     }
     if (route->kind == gateway::route_kind::batch) {
-        submit_job(call, decision.holder, request, std::move(response));
+        submit_job(call, decision.holder, std::move(request),
+                   std::move(response));
         return;
     }
     forwarder_.forward_to_caller(
@@ -166,12 +168,19 @@
 
 void request_router::submit_job(
     const adapter::routed_request& call, const gateway::workspace* holder,
-    const transport::inbound_request& request,
+    transport::inbound_request request,
     std::shared_ptr<transport::response_writer> response) {
-    auto job = adapter::decode_job(request, call);
-    if (!job) {
-        reject(call.id, call.host, "no_job", *response,
-               adapter::status_response(400));
+    auto decoded = adapter::decode_job(
+        request, call,
+        make_buffer_limits(state_.settings.memory_mb).request_bytes);
+    // The job may be as large again.
+    request.body = {};
+    auto* job = base::value_if(decoded);
+    if (job == nullptr) {
+        const auto fault = std::get<adapter::job_fault>(decoded);
+        const bool is_too_large = fault == adapter::job_fault::too_large;
+        reject(call.id, call.host, base::name_of(fault), *response,
+               adapter::status_response(is_too_large ? 413 : 400));
         return;
     }
     job->header.workspace = name_of(holder);
--- a/packages/entry/src/request_router.hpp
+++ b/packages/entry/src/request_router.hpp
@@ -39,7 +39,7 @@
                        std::shared_ptr<transport::response_writer> response);
     void submit_job(const adapter::routed_request& call,
                     const gateway::workspace* holder,
-                    const transport::inbound_request& request,
+                    transport::inbound_request request,
                     std::shared_ptr<transport::response_writer> response);
     forward_request make_forward_request(const adapter::routed_request& call,
                                          const gateway::route& route,
