testing: a single large job on the smallest machine

entry_crowd_test.a_single_large_job_is_accepted: a job of nearly 32 MiB gets 202, and the node stays within 120 MB.

--- a/testing/entry/entry_crowd_test.cpp
+++ b/testing/entry/entry_crowd_test.cpp
@@ -443,6 +443,28 @@
     expect_unharmed();
 }
 
+// A single job within the limits is accepted, also on the smallest machine.
+TEST_F(entry_crowd_test, a_single_large_job_is_accepted) {
+    start(max_body_bytes);
+    const auto content = std::string(100 * kib, 'A');
+    auto job = json::parse(make_job_body("i", 1, content));
+    const auto first = job["items"][0];
+    for (int n = 0; n < 305; ++n) {
+        auto item = first;
+        item["id"] = "more" + std::to_string(n);
+        item["scorer"]["id"] = "smore" + std::to_string(n);
+        job["items"].push_back(std::move(item));
+    }
+    const auto body = job.dump();
+    ASSERT_GT(body.size(), max_body_bytes - mib);
+    ASSERT_LE(body.size(), max_body_bytes);
+    EXPECT_TRUE(run_until([&] {
+        return call("n1", "POST", "/batch/1", {{"Request-Id", "job1"}}, body)
+                   .status == 202;
+    }));
+    expect_unharmed();
+}
+
 // A body over the limit is refused, in whatever form it comes.
 TEST_F(entry_crowd_test, a_body_over_the_limit_is_refused) {
     start(small_body_bytes);
