transport, entry: a new connection takes the place of an idle one

What callers saw: a crowd that opens connections and sends nothing, or half a head, took all descriptors of a node. Nobody else could connect, and the node could not open connections to the store or to servers, until its idle time ended.

Cause: connections were accepted until accept failed; none made way.

Now the servers of a process have a bound on open connections together: of the descriptors that are not for files, a quarter is kept for the node's own calls (`limits.max_fds`, passed by the template, or the limit of the system, which is the default). Beyond it a new connection takes the place of the one that has waited for input for the longest time, which may have half a request, but never of one with a request in flight; if none waits, the new one is closed.

A request that crosses the close of its idle connection isn't passed on.

--- a/packages/entry/include/hibiscus/entry/settings.hpp
+++ b/packages/entry/include/hibiscus/entry/settings.hpp
@@ -45,6 +45,9 @@
     /// Memory of this process, in MB (10^6 bytes). What is held for callers is
     /// bounded so that the rest of the node has room beside it.
     std::size_t memory_mb = 120;
+    /// Number of descriptors that this process may open; 0 if only the limit of
+    /// the system applies.
+    std::size_t max_descriptors = 0;
     /// Minimum time between load orders of two successive job owners to the
     /// same server, in ms.
     base::millis order_lease_ms = 3000;
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -283,6 +283,7 @@
         current.retry_ratio = updated->retry_ratio;
         current.reward_share = updated->reward_share;
         current.memory_mb = updated->memory_mb;
+        current.max_descriptors = updated->max_descriptors;
         set_server_bounds();
         current.store = updated->store;
         if (store_address_changed) {
@@ -636,6 +637,12 @@
         state_.counters.set("held_bytes", static_cast<double>(buffers.held()));
         state_.counters.set("held_bytes_peak",
                             static_cast<double>(buffers.peak()));
+        state_.counters.set(
+            "connections_open",
+            static_cast<double>(server_resources_->open_connections()));
+        state_.counters.set(
+            "connections_displaced",
+            static_cast<double>(server_resources_->displaced_connections()));
         state_.counters.set("log_lines_dropped",
                             static_cast<double>(state_.log.dropped_lines()));
         state_.counters.set("owner", job_owner_.is_owner() ? 1 : 0);
@@ -660,10 +667,13 @@
                        state_.counters.serialize()});
     }
 
-    /// Bounds what the servers hold by the memory of this process.
+    /// Bounds what the servers hold by the memory of this process, and their
+    /// connections by its descriptors.
     void set_server_bounds() {
         server_resources_->set_buffer_limits(
             make_buffer_limits(state_.settings.memory_mb));
+        server_resources_->set_max_connections(
+            max_caller_connections(state_.settings.max_descriptors));
     }
 
     transport::abort_reporting make_reject_reporting() {
--- a/packages/entry/src/memory_bounds.cpp
+++ b/packages/entry/src/memory_bounds.cpp
@@ -1,6 +1,7 @@
 #include "memory_bounds.hpp"
 
 #include <malloc.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 
@@ -14,6 +15,9 @@
 /// to servers, and one job that is being decoded, in MB.
 constexpr std::size_t own_memory_mb = 48;
 
+/// Descriptors that are not sockets: files, and those of the runtime.
+constexpr std::size_t file_descriptors = 200;
+
 /// The smallest block that the allocator returns to the system at once, and the
 /// released memory that it keeps at the end of its heap, in bytes. Smaller
 /// values would cost system calls for the records of the store.
@@ -32,6 +36,19 @@
     return limits;
 }
 
+std::size_t max_caller_connections(std::size_t max_descriptors) {
+    ::rlimit system{};
+    auto descriptors = max_descriptors;
+    if (::getrlimit(RLIMIT_NOFILE, &system) == 0 &&
+        (descriptors == 0 || system.rlim_cur < descriptors)) {
+        descriptors = static_cast<std::size_t>(system.rlim_cur);
+    }
+    const auto sockets =
+        descriptors - std::min(file_descriptors, descriptors / 2);
+    // The others are for calls to the store, to servers and to other nodes.
+    return sockets - sockets / 4;
+}
+
 void return_large_blocks() {
     ::mallopt(M_MMAP_THRESHOLD, large_block_bytes);
     ::mallopt(M_TRIM_THRESHOLD, max_kept_bytes);
--- a/packages/entry/src/memory_bounds.hpp
+++ b/packages/entry/src/memory_bounds.hpp
@@ -10,6 +10,11 @@
 /// for their callers.
 transport::peer_buffer_limits make_buffer_limits(std::size_t memory_mb);
 
+/// Returns how many connections of callers a process may have open that may
+/// open `max_descriptors`, or what the system allows if that is less or the
+/// number is 0.
+std::size_t max_caller_connections(std::size_t max_descriptors);
+
 /// Sets up the allocator so that large blocks return to the system as soon as
 /// they are released. Otherwise the memory of an earlier crowd stays with the
 /// process.
--- a/packages/entry/test/memory_bounds_test.cpp
+++ b/packages/entry/test/memory_bounds_test.cpp
@@ -30,6 +30,12 @@
     EXPECT_GT(limits.request_bytes, largest_body_bytes);
 }
 
+TEST(memory_bounds_test, a_part_of_the_descriptors_stays_with_the_node) {
+    EXPECT_EQ(max_caller_connections(1000), 600U);
+    EXPECT_EQ(max_caller_connections(100), 38U);
+    EXPECT_GT(max_caller_connections(0), 0U);
+}
+
 } // namespace
 
 } // namespace hibiscus::entry
--- a/packages/transport/include/hibiscus/transport/server_resources.hpp
+++ b/packages/transport/include/hibiscus/transport/server_resources.hpp
@@ -34,6 +34,10 @@
     /// Returns how many connections are open.
     std::size_t open_connections() const;
 
+    /// Returns how many connections were closed to make place for others, or
+    /// were not accepted as there was none.
+    std::uint64_t displaced_connections() const;
+
     /// For the servers.
     connection_table& connections() { return *connections_; }
 
--- a/packages/transport/src/connection_table.cpp
+++ b/packages/transport/src/connection_table.cpp
@@ -63,23 +63,29 @@
 
 bool connection_table::make_place(base::millis now) {
     while (sessions_.size() >= max_connections_) {
-        server_session* longest = nullptr;
-        base::millis longest_ms = -1;
-        for (const auto& [id, session] : sessions_) {
-            const auto idle_ms = session->idle_ms(now);
-            if (idle_ms > longest_ms) {
-                longest = session;
-                longest_ms = idle_ms;
-            }
-        }
-        if (longest == nullptr) {
+        ++displaced_;
+        auto* session = find_longest_idle(now);
+        if (session == nullptr) {
             return false;
         }
-        longest->close_for_another();
+        session->close_for_another();
     }
     return true;
 }
 
+server_session* connection_table::find_longest_idle(base::millis now) const {
+    server_session* longest = nullptr;
+    base::millis longest_ms = -1;
+    for (const auto& [id, session] : sessions_) {
+        const auto idle_ms = session->idle_ms(now);
+        if (idle_ms > longest_ms) {
+            longest = session;
+            longest_ms = idle_ms;
+        }
+    }
+    return longest;
+}
+
 boost::asio::mutable_buffer
 connection_table::prepare_read(std::string_view kept) {
     if (read_buffer_.size() < kept.size() + read_bytes) {
--- a/packages/transport/src/connection_table.hpp
+++ b/packages/transport/src/connection_table.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <limits>
 #include <map>
 #include <string_view>
@@ -49,6 +50,10 @@
     /// Returns false if there is none.
     bool make_place(base::millis now);
 
+    /// Returns how many connections were closed to make place, or were not
+    /// accepted as there was none.
+    std::uint64_t displaced() const { return displaced_; }
+
     /// Returns memory for one read beyond `kept`, which is copied to its
     /// beginning. Valid until the next call.
     boost::asio::mutable_buffer prepare_read(std::string_view kept);
@@ -62,10 +67,15 @@
     server_session* choose_request(base::millis now,
                                    base::millis min_stall_ms) const;
 
+    /// Returns the connection that has waited for input for the longest time,
+    /// or null.
+    server_session* find_longest_idle(base::millis now) const;
+
     peer_buffers buffers_;
     std::map<connection_id, server_session*> sessions_;
     connection_id last_id_ = 0;
     std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
+    std::uint64_t displaced_ = 0;
     std::vector<char> read_buffer_;
 };
 
--- a/packages/transport/src/server_resources.cpp
+++ b/packages/transport/src/server_resources.cpp
@@ -25,4 +25,8 @@
     return connections_->size();
 }
 
+std::uint64_t server_resources::displaced_connections() const {
+    return connections_->displaced();
+}
+
 } // namespace hibiscus::transport
--- a/packages/transport/test/streaming_http_server_test.cpp
+++ b/packages/transport/test/streaming_http_server_test.cpp
@@ -660,6 +660,45 @@
     responses_.clear();
 }
 
+// Guards against callers that leave no descriptor for others.
+TEST_F(streaming_http_server_test, a_new_connection_displaces_an_idle_one) {
+    const auto resources = std::make_shared<server_resources>();
+    resources->set_max_connections(2);
+    streaming_http_server server(
+        io_, {},
+        [this](auto, auto writer) { responses_.push_back(std::move(writer)); },
+        {}, resources);
+    const auto address = server.listen({"127.0.0.1", 0});
+    const tcp::endpoint endpoint(asio::ip::address_v4::loopback(),
+                                 address->port);
+    tcp::socket busy(io_);
+    tcp::socket idle(io_);
+    busy.connect(endpoint);
+    asio::write(busy, asio::buffer(request));
+    run_until([&] { return responses_.size() == 1; });
+    idle.connect(endpoint);
+    run_until([&] { return resources->open_connections() == 2; });
+    socket_.close();
+    socket_.connect(endpoint);
+    send(request);
+    run_until([&] { return responses_.size() == 2; });
+    EXPECT_EQ(resources->open_connections(), 2U);
+    EXPECT_EQ(resources->displaced_connections(), 1U);
+    char byte = 0;
+    boost::system::error_code error;
+    idle.read_some(asio::buffer(&byte, 1), error);
+    EXPECT_EQ(error, asio::error::eof);
+    // None is idle.
+    tcp::socket refused(io_);
+    refused.connect(endpoint);
+    run_until([&] { return resources->displaced_connections() == 2; });
+    responses_[0]->send({200, {}, "first"});
+    responses_[1]->send({200, {}, "second"});
+    expect_received("second");
+    asio::read(busy, asio::buffer(&byte, 1), error);
+    EXPECT_FALSE(error);
+}
+
 // A body that never gets room is rejected while its caller still waits.
 TEST_F(streaming_http_server_test, a_body_waits_for_room_for_a_bounded_time) {
     server_.set_buffer_limits({256 * 1024, 1024 * 1024, 60000});
