transport: a head that takes too long gets 408

What callers saw: a caller that sends half a head held its connection for twice the idle time.

Cause: the configuration's limit on the time of a head was taken over into http_server_limits and read nowhere.

Now a head has that time from its first byte; then 408, which promises that the request has not run, and the connection is closed. It does not count while the session has input that it has not read, as after a stall of its thread.

streaming_http_server_test.a_slow_head_is_rejected: no response within 20 s without the change, 408 with it.

--- a/packages/transport/include/hibiscus/transport/streaming_http_server.hpp
+++ b/packages/transport/include/hibiscus/transport/streaming_http_server.hpp
@@ -39,6 +39,7 @@
 struct http_server_limits {
     std::size_t max_header_bytes = 16 * 1024;
     std::size_t max_body_bytes = 32 * 1024 * 1024;
+    /// Time from the first byte of a head to its end.
     base::millis header_timeout_ms = 3000;
     base::millis idle_timeout_ms = 15000;
 };
@@ -119,6 +120,8 @@
     malformed,
     /// The head, the body or the trailers are larger than the limits.
     too_large,
+    /// The head took too long.
+    slow_head,
     /// The process holds too much for requests, and others need the room.
     no_room,
     /// The connection was closed to make place for another one.
@@ -238,6 +241,7 @@
     static constexpr enum_name<transport::reject_cause> table[] = {
         {transport::reject_cause::malformed, "malformed"},
         {transport::reject_cause::too_large, "too_large"},
+        {transport::reject_cause::slow_head, "slow_head"},
         {transport::reject_cause::no_room, "no_room"},
         {transport::reject_cause::connection_limit, "connection_limit"},
     };
--- a/packages/transport/src/server_session.cpp
+++ b/packages/transport/src/server_session.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr int request_timeout = 408;
+
 std::string serialize_head(int status, const headers& fields) {
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
     const auto reason =
@@ -144,6 +146,10 @@
     if (current_request_number_ || waiting_for_room_) {
         return;
     }
+    if (is_head_timeout_over(now)) {
+        reject_input(reject_cause::slow_head, request_timeout, {});
+        return;
+    }
     const bool timed_out = is_idle_timeout_over(now);
     if (lingering_) {
         if (timed_out) {
--- a/packages/transport/src/server_session.hpp
+++ b/packages/transport/src/server_session.hpp
@@ -160,6 +160,10 @@
     /// Drops what was read of the next request and reads no more requests.
     void stop_reading();
 
+    /// Rejects the request that is being read. A request before it is still
+    /// answered; if there is none, a response with `status` is sent.
+    void reject_input(reject_cause cause, int status, const headers& fields);
+
     /// Sends an empty response in place of a handler and closes the connection
     /// after it.
     void send_rejection(int status, const headers& fields);
@@ -177,6 +181,10 @@
     /// may know either of them. While lingering, a fixed timeout applies.
     bool is_idle_timeout_over(base::millis now) const;
 
+    /// Returns true if the head of the request that is being read takes too
+    /// long. Input that the session has not read yet may complete it.
+    bool is_head_timeout_over(base::millis now);
+
     /// Returns true if the server is closing and need not wait any longer for a
     /// request on this connection.
     bool may_close_idle_connection(base::millis now) const;
@@ -248,6 +256,8 @@
     /// Bytes read of the head, and bytes since the last progress.
     std::size_t head_bytes_ = 0;
     std::size_t recent_bytes_ = 0;
+    base::millis head_began_at_ = 0;
+    base::millis head_timeout_ms_ = 0;
     base::millis input_progress_at_ = 0;
     base::millis room_awaited_since_ = 0;
     std::uint64_t last_request_number_ = 0;
--- a/packages/transport/src/server_session_input.cpp
+++ b/packages/transport/src/server_session_input.cpp
@@ -86,6 +86,7 @@
         return;
     }
     const auto& limits = state_->limits;
+    head_timeout_ms_ = limits.header_timeout_ms;
     body_limit_ = limits.max_body_bytes;
     unparsed_limit_ = limits.max_header_bytes;
     parser_->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
@@ -177,6 +178,8 @@
         error = {};
     }
     if (!parser_->is_header_done()) {
+        head_began_at_ =
+            head_bytes_ == 0 ? state_->clock.now() : head_began_at_;
         head_bytes_ = input.size();
     }
     unparsed_ = std::string(input.substr(parsed));
@@ -210,30 +213,27 @@
 }
 
 void server_session::on_parse_error(beast::error_code error) {
-    idle_since_.reset();
     const int status = status_of(error);
-    report_rejection(status == 400 ? reject_cause::malformed
-                                   : reject_cause::too_large,
-                     current_request_number_ ? 0 : status);
-    stop_reading();
-    keep_alive_ = false;
-    discard_remaining_input_ = true;
-    if (!current_request_number_) {
-        send_rejection(status, {});
-    }
-    // The current request is still answered.
+    reject_input(status == 400 ? reject_cause::malformed
+                               : reject_cause::too_large,
+                 status, {});
 }
 
 void server_session::give_up_request(reject_cause cause) {
-    idle_since_.reset();
     constexpr int unavailable = 503;
-    report_rejection(cause, current_request_number_ ? 0 : unavailable);
+    reject_input(cause, unavailable, {{"Retry-After", no_room_retry_after_s}});
+}
+
+void server_session::reject_input(reject_cause cause, int status,
+                                  const headers& fields) {
+    report_rejection(cause, current_request_number_ ? 0 : status);
+    idle_since_.reset();
     stop_reading();
     next_request_ready_ = false;
     keep_alive_ = false;
     discard_remaining_input_ = true;
     if (!current_request_number_) {
-        send_rejection(unavailable, {{"Retry-After", no_room_retry_after_s}});
+        send_rejection(status, fields);
     }
 }
 
@@ -342,6 +342,16 @@
            now - *idle_since_ > (lingering_ ? linger_timeout_ms : idle_ms);
 }
 
+bool server_session::is_head_timeout_over(base::millis now) {
+    if (!parser_ || head_bytes_ == 0 || parser_->is_header_done()) {
+        return false;
+    }
+    const auto limit_ms =
+        std::max(head_timeout_ms_, state_->limits.header_timeout_ms);
+    beast::error_code ignored;
+    return now - head_began_at_ > limit_ms && socket_.available(ignored) == 0;
+}
+
 base::millis server_session::idle_ms(base::millis now) const {
     return current_request_number_ || !idle_since_ ? -1 : now - *idle_since_;
 }
--- a/packages/transport/test/streaming_http_server_test.cpp
+++ b/packages/transport/test/streaming_http_server_test.cpp
@@ -699,6 +699,28 @@
     EXPECT_FALSE(error);
 }
 
+// Guards against heads that take all the time that a connection may be idle.
+TEST_F(streaming_http_server_test, a_slow_head_is_rejected) {
+    server_.set_limits({16 * 1024, 8 * 1024, 200, 60000});
+    tcp::socket slow(io_);
+    slow.connect(socket_.remote_endpoint());
+    asio::write(slow, asio::buffer(request.substr(0, 20)));
+    send(request);
+    run_until([&] { return requests_.size() == 1; });
+    std::string received(12, ' ');
+    asio::async_read(slow, asio::buffer(received), [](auto, auto) {});
+    run_until([&] { return received == "HTTP/1.1 408"; });
+    ASSERT_EQ(rejected_requests_.size(), 1U);
+    EXPECT_EQ(rejected_requests_[0].cause, reject_cause::slow_head);
+    // The time of a body is not that of its head.
+    responses_[0]->send({200, {}, "first"});
+    expect_received("first");
+    send(long_request.substr(0, 100));
+    run_for(1000);
+    send(long_request.substr(100));
+    run_until([&] { return requests_.size() == 2; });
+}
+
 // A body that never gets room is rejected while its caller still waits.
 TEST_F(streaming_http_server_test, a_body_waits_for_room_for_a_bounded_time) {
     server_.set_buffer_limits({256 * 1024, 1024 * 1024, 60000});
