transport: what is not parsed of a response is bounded

What callers saw: nothing yet; the same class on the side of the servers. A server whose chunk line or trailers don't end filled the memory of a node until the call's time was over.

Cause: the client kept input that its parser can't take yet without a bound, except for the head.

Now the bound of the head, 64 KiB, is that of all of them; beyond it the call ends as broken. upstream_test.what_is_not_parsed_of_a_response_is_bounded: two of three calls did not end within 20 s before (the head did), three of three end as broken now.

--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -63,6 +63,10 @@
 /// so a larger body is treated as malformed.
 constexpr std::uint64_t max_body_bytes = 64 * 1024 * 1024;
 
+/// Maximum size of a head, of the line before a chunk, and of the trailers of a
+/// response, in bytes.
+constexpr std::uint32_t max_unparsed_bytes = 64 * 1024;
+
 struct client_state {
     idle_connection_pool idle_connections;
     base::clock clock;
@@ -221,7 +225,7 @@
                           });
         parser_.emplace();
         parser_->body_limit(max_body_bytes);
-        parser_->header_limit(64 * 1024);
+        parser_->header_limit(max_unparsed_bytes);
         parser_->eager(true);
         parser_->skip(is_head_request_);
         read();
@@ -280,7 +284,8 @@
             beast::error_code error;
             const auto consumed = parser_->put(buffer_.data(), error);
             buffer_.consume(consumed);
-            if (error == http::error::need_more) {
+            if (error == http::error::need_more &&
+                buffer_.size() <= max_unparsed_bytes) {
                 return true;
             }
             if (error) {
--- a/packages/transport/test/upstream_test.cpp
+++ b/packages/transport/test/upstream_test.cpp
@@ -294,6 +294,21 @@
     EXPECT_EQ(get(server.address()).outcome, call_outcome::broken);
 }
 
+// Guards against servers that fill the memory of a node.
+TEST_F(upstream_test, what_is_not_parsed_of_a_response_is_bounded) {
+    const std::string endless(200 * 1024, 'x');
+    for (const auto& begin :
+         {std::string("HTTP/1.1 200 OK\r\nx: "), chunked_head + "2;x=",
+          chunked_head + encode_chunk("hi") + "0\r\nx: "}) {
+        scripted_server server(io_, {{begin + endless}});
+        EXPECT_EQ(get(server.address()).outcome, call_outcome::broken);
+    }
+    scripted_server server(
+        io_, {{chunked_head + encode_chunk("hi") +
+               "0\r\nx: " + endless.substr(0, 32 * 1024) + "\r\n\r\n"}});
+    EXPECT_EQ(get(server.address()).outcome, call_outcome::complete);
+}
+
 // Guards against responses that stop in their heads and look complete.
 TEST_F(upstream_test, a_response_that_stops_in_its_head_is_broken) {
     const std::string status = "HTTP/1.1 200 OK\r\n";
