transport: heads count with what their fields take

Cause: a head was counted with its bytes, but each field takes about 200 bytes beside its text, as parsed and for the handler.

Now a head is counted with its fields, until its response is sent. As a request in flight can't be given up, a head that takes more than an eighth of what is free is rejected at once (503, not run), so that large ones leave room for small ones, which have room up to 4 KiB as long as there is any. In calm that is a head of several MB. At the bound of what is read without a reservation, stalled requests make room first and then those that hold most without a reservation; before, a large body that makes progress could be the one. Input that follows a request counts with the next one.

Tried and taken back: counting what the kernel holds for connections that are not read. A body that waits for room has to leave its bytes there.

--- a/packages/transport/include/hibiscus/transport/peer_buffers.hpp
+++ b/packages/transport/include/hibiscus/transport/peer_buffers.hpp
@@ -59,6 +59,10 @@
     /// reservation takes more than its part.
     bool has_request_excess() const;
 
+    /// Returns true if a head that takes `bytes`, which are counted already,
+    /// takes more than its share of what is free. A small head never does.
+    bool lacks_head_room(std::size_t bytes) const;
+
     /// Returns true while the source of a response is to pause.
     bool is_full(connection_id connection) const;
 
@@ -87,6 +91,8 @@
     std::size_t share() const;
     std::size_t free_bytes() const;
     std::size_t max_reserved_bytes() const;
+    /// Returns the bytes that may be read without a reservation.
+    std::size_t max_unreserved_bytes() const;
     void update_peak();
 
     peer_buffer_limits limits_;
--- a/packages/transport/src/connection_table.cpp
+++ b/packages/transport/src/connection_table.cpp
@@ -15,6 +15,10 @@
 /// Maximum number of bytes per read.
 constexpr std::size_t read_bytes = 64 * 1024;
 
+double cost(std::size_t bytes, base::millis stall_ms) {
+    return static_cast<double>(bytes) * static_cast<double>(1 + stall_ms);
+}
+
 } // namespace
 
 connection_table::connection_id
@@ -28,32 +32,49 @@
     return entry == sessions_.end() ? nullptr : entry->second;
 }
 
-void connection_table::end_request_excess(base::millis now) {
+void connection_table::make_request_room(server_session& session,
+                                         base::millis now) {
     while (buffers_.has_request_excess()) {
-        auto* session = choose_request(now, 0);
-        if (session == nullptr) {
-            return;
+        auto* chosen = choose_stalled_request(now);
+        chosen = chosen == nullptr ? choose_unreserved_request(now) : chosen;
+        if (chosen == nullptr) {
+            break;
         }
-        session->give_up_request(reject_cause::no_room);
+        chosen->give_up_request(reject_cause::no_room);
+    }
+    if (buffers_.lacks_head_room(session.head_bytes())) {
+        session.give_up_request(reject_cause::no_room);
     }
 }
 
 void connection_table::give_up_stalled_request(base::millis now) {
-    if (auto* session = choose_request(now, max_stall_ms)) {
+    if (auto* session = choose_stalled_request(now)) {
         session->give_up_request(reject_cause::no_room);
     }
 }
 
 server_session*
-connection_table::choose_request(base::millis now,
-                                 base::millis min_stall_ms) const {
+connection_table::choose_stalled_request(base::millis now) const {
+    return choose_request([now](const server_session& s) {
+        const auto stall_ms = now - s.input_progress_at();
+        return stall_ms < max_stall_ms ? 0 : cost(s.input_bytes(), stall_ms);
+    });
+}
+
+server_session*
+connection_table::choose_unreserved_request(base::millis now) const {
+    return choose_request([now](const server_session& s) {
+        return cost(s.unreserved_bytes(), now - s.input_progress_at());
+    });
+}
+
+template <class Cost>
+server_session* connection_table::choose_request(Cost cost_of) const {
     server_session* chosen = nullptr;
     double most = 0;
     for (const auto& [id, session] : sessions_) {
-        const auto stall_ms = now - session->input_progress_at();
-        const auto cost = static_cast<double>(session->input_bytes()) *
-                          static_cast<double>(1 + stall_ms);
-        if (stall_ms >= min_stall_ms && cost > most) {
+        const double cost = cost_of(*session);
+        if (cost > most) {
             chosen = session;
             most = cost;
         }
--- a/packages/transport/src/connection_table.hpp
+++ b/packages/transport/src/connection_table.hpp
@@ -38,8 +38,9 @@
     std::size_t size() const { return sessions_.size(); }
 
     /// Gives up requests that are being read while what was read without a
-    /// reservation takes more than its part.
-    void end_request_excess(base::millis now);
+    /// reservation takes more than its part, and that of `session` if its head
+    /// takes more than its share.
+    void make_request_room(server_session& session, base::millis now);
 
     /// Gives up the request that holds the most for the longest time without
     /// progress, unless all make progress. Called when the body of a request
@@ -62,10 +63,17 @@
     std::string_view received(std::size_t size) const;
 
 private:
-    /// Returns the request to give up among those without progress for
-    /// `min_stall_ms`, or null.
-    server_session* choose_request(base::millis now,
-                                   base::millis min_stall_ms) const;
+    /// Returns the request without progress that has the most bytes times time,
+    /// or null.
+    server_session* choose_stalled_request(base::millis now) const;
+
+    /// Returns the request that has the most bytes without a reservation times
+    /// time, or null.
+    server_session* choose_unreserved_request(base::millis now) const;
+
+    /// Returns the session with the largest cost above 0, or null.
+    template <class Cost>
+    server_session* choose_request(Cost cost_of) const;
 
     /// Returns the connection that has waited for input for the longest time,
     /// or null.
--- a/packages/transport/src/peer_buffers.cpp
+++ b/packages/transport/src/peer_buffers.cpp
@@ -15,6 +15,11 @@
 constexpr std::size_t share_divisor = 128;
 constexpr std::size_t room_divisor = 16;
 
+/// The part of the free room that the head of a request may take, and what each
+/// may take as long as there is room at all, in bytes.
+constexpr std::size_t head_divisor = 8;
+constexpr std::size_t small_head_bytes = 4 * 1024;
+
 } // namespace
 
 void peer_buffers::add(connection_id connection, std::size_t bytes,
@@ -68,9 +73,18 @@
 }
 
 bool peer_buffers::has_request_excess() const {
-    const auto max = max_reserved_bytes() + max_reserved_bytes() / 4;
-    return unreserved_bytes_ > max - std::min(max, reserved_bytes_) &&
-           unreserved_bytes_ > max_reserved_bytes() / 4;
+    return unreserved_bytes_ > max_unreserved_bytes();
+}
+
+bool peer_buffers::lacks_head_room(std::size_t bytes) const {
+    const auto max = max_unreserved_bytes();
+    const auto free = max - std::min(max, unreserved_bytes_) + bytes;
+    return bytes > std::max(small_head_bytes, free / head_divisor);
+}
+
+std::size_t peer_buffers::max_unreserved_bytes() const {
+    const auto max = max_reserved_bytes();
+    return max / 4 + max - std::min(max, reserved_bytes_);
 }
 
 std::size_t peer_buffers::max_reserved_bytes() const {
--- a/packages/transport/src/server_session.cpp
+++ b/packages/transport/src/server_session.cpp
@@ -376,7 +376,10 @@
     current_request_number_ = ++last_request_number_;
     ++state_->requests_in_flight;
     current_body_bytes_ = std::exchange(next_body_bytes_, 0);
-    current_unreserved_bytes_ = std::exchange(unreserved_bytes_, 0);
+    // What follows the request belongs to the next one.
+    current_unreserved_bytes_ =
+        std::exchange(unreserved_bytes_, unparsed_bytes());
+    current_unreserved_bytes_ -= unreserved_bytes_;
     record_request(request);
     auto responder =
         std::make_shared<writer>(shared_from_this(), current_request_number_);
--- a/packages/transport/src/server_session.hpp
+++ b/packages/transport/src/server_session.hpp
@@ -73,6 +73,12 @@
         return unreserved_bytes_ + next_body_bytes_;
     }
 
+    /// Returns the part of them that was not reserved.
+    std::size_t unreserved_bytes() const { return unreserved_bytes_; }
+
+    /// Returns the part of these that its head takes.
+    std::size_t head_bytes() const { return head_bytes_; }
+
     /// Returns when the request that is being read last made progress.
     base::millis input_progress_at() const { return input_progress_at_; }
 
@@ -153,8 +159,10 @@
     /// false if there is none.
     bool reserve_body();
 
+    std::size_t unparsed_bytes() const;
+
     /// Counts what is held for the request that is being read, beside the room
-    /// that is reserved.
+    /// that is reserved. Gives up requests if that is too much.
     void count_input();
 
     /// Drops what was read of the next request and reads no more requests.
@@ -253,7 +261,7 @@
     /// the request that is being read.
     std::size_t body_limit_ = 0;
     std::size_t unparsed_limit_ = 0;
-    /// Bytes read of the head, and bytes since the last progress.
+    /// What is held for the head, and bytes read since the last progress.
     std::size_t head_bytes_ = 0;
     std::size_t recent_bytes_ = 0;
     base::millis head_began_at_ = 0;
--- a/packages/transport/src/server_session_input.cpp
+++ b/packages/transport/src/server_session_input.cpp
@@ -24,7 +24,9 @@
 constexpr std::size_t progress_bytes = 16 * 1024;
 
 /// How often the fields of a head are held: as parsed, and for the handler.
+/// What each of them takes beside its text, in bytes.
 constexpr std::size_t head_copies = 2;
+constexpr std::size_t field_overhead_bytes = 192;
 
 /// Interval between checks for room for the body of a request.
 constexpr std::chrono::milliseconds room_check_interval(20);
@@ -56,6 +58,16 @@
     return room;
 }
 
+template <class Fields>
+std::size_t memory_of(const Fields& fields) {
+    std::size_t bytes = 0;
+    for (const auto& f : fields) {
+        bytes += head_copies * (f.name_string().size() + f.value().size()) +
+                 field_overhead_bytes;
+    }
+    return bytes;
+}
+
 int status_of(beast::error_code error) {
     if (error == http::error::body_limit) {
         return 413;
@@ -166,6 +178,7 @@
 void server_session::on_input(std::string_view input) {
     beast::error_code error;
     std::size_t parsed = 0;
+    const bool began_in_head = !parser_->is_header_done();
     while (parsed < input.size() && !parser_->is_done() && !error) {
         const auto taken = parser_->put(
             asio::buffer(input.data() + parsed, input.size() - parsed), error);
@@ -181,6 +194,8 @@
         head_began_at_ =
             head_bytes_ == 0 ? state_->clock.now() : head_began_at_;
         head_bytes_ = input.size();
+    } else if (began_in_head) {
+        head_bytes_ = memory_of(parser_->get());
     }
     unparsed_ = std::string(input.substr(parsed));
     if (!error && !parser_->is_done() && unparsed_.size() > unparsed_limit_) {
@@ -192,7 +207,6 @@
         return;
     }
     count_input();
-    state_->connections().end_request_excess(state_->clock.now());
     if (!open_ || !parser_) {
         return;
     }
@@ -309,17 +323,24 @@
         });
 }
 
+std::size_t server_session::unparsed_bytes() const {
+    return unparsed_.empty() ? 0 : unparsed_.capacity();
+}
+
 void server_session::count_input() {
-    std::size_t bytes = unparsed_.empty() ? 0 : unparsed_.capacity();
+    auto bytes = unparsed_bytes();
     if (parser_ && parser_->got_some()) {
-        bytes += head_copies * head_bytes_;
+        bytes += head_bytes_;
         if (parser_->is_header_done() && next_body_bytes_ == 0) {
             bytes += parser_->get().body().size();
         }
     }
-    state_->buffers().count_unreserved(
-        static_cast<std::ptrdiff_t>(bytes) -
-        static_cast<std::ptrdiff_t>(std::exchange(unreserved_bytes_, bytes)));
+    const auto before = std::exchange(unreserved_bytes_, bytes);
+    state_->buffers().count_unreserved(static_cast<std::ptrdiff_t>(bytes) -
+                                       static_cast<std::ptrdiff_t>(before));
+    if (bytes > before) {
+        state_->connections().make_request_room(*this, state_->clock.now());
+    }
 }
 
 void server_session::release_input() {
@@ -332,6 +353,7 @@
     waiting_for_room_ = false;
     parser_.reset();
     unparsed_ = {};
+    head_bytes_ = 0;
     release_input();
 }
 
--- a/packages/transport/test/peer_buffers_test.cpp
+++ b/packages/transport/test/peer_buffers_test.cpp
@@ -106,6 +106,27 @@
     EXPECT_TRUE(buffers_.has_request_excess());
 }
 
+// Guards against large heads that leave no room for small ones.
+TEST_F(peer_buffers_test, large_heads_leave_room_for_small_ones) {
+    constexpr std::size_t large = 64 * 1024;
+    constexpr std::size_t small = 4 * 1024;
+    int accepted = 0;
+    for (; accepted < 1000; ++accepted) {
+        buffers_.count_unreserved(large);
+        if (buffers_.lacks_head_room(large)) {
+            buffers_.count_unreserved(-static_cast<std::ptrdiff_t>(large));
+            break;
+        }
+    }
+    EXPECT_GT(accepted, 50);
+    EXPECT_LT(accepted, 1000);
+    for (int n = 0; n < 100; ++n) {
+        buffers_.count_unreserved(small);
+        EXPECT_FALSE(buffers_.lacks_head_room(small));
+        EXPECT_FALSE(buffers_.has_request_excess());
+    }
+}
+
 } // namespace
 
 } // namespace hibiscus::transport
--- a/testing/entry/entry_crowd_test.cpp
+++ b/testing/entry/entry_crowd_test.cpp
@@ -323,6 +323,29 @@
     expect_unharmed(clients + max_sockets);
 }
 
+// Guards against heads whose many fields take far more than their bytes.
+TEST_F(entry_crowd_test, heads_of_many_fields_in_flight) {
+    start(small_body_bytes);
+    lookup_server_.set_service_time_ms(20000);
+    for (int n = 0; n < 800; ++n) {
+        auto head = make_head(next_id(), "/look/x", length_field(0));
+        head.resize(head.size() - 2);
+        while (head.size() < max_header_bytes - 8) {
+            head += "a:b\r\n";
+        }
+        add_client(send_once(head + "\r\n"));
+    }
+    EXPECT_TRUE(run_until([&] {
+        return std::all_of(crowd_.begin(), crowd_.end(),
+                           [](const auto& c) { return c->is_done(); });
+    }));
+    // An ordinary request finds room beside those in flight.
+    EXPECT_TRUE(run_until(
+        [&] { return call("n1", "GET", "/none/", {}).status == 404; }));
+    lookup_server_.set_service_time_ms(0);
+    expect_unharmed(800 * 2 + max_sockets);
+}
+
 // Guards against jobs that are parsed into a tree before they are checked.
 TEST_F(entry_crowd_test, a_job_whose_items_are_none) {
     start(max_body_bytes);
