entry: the memory of the process may be a fraction or 0 in its settings

Found while reading the change: the template passes what the platform says, and a number that the settings refuse would keep a node from starting.

--- a/packages/entry/include/hibiscus/entry/settings.hpp
+++ b/packages/entry/include/hibiscus/entry/settings.hpp
@@ -43,7 +43,8 @@
     /// CPU share of this node, in cores.
     double cpu_share = 1;
     /// Memory of this process, in MB (10^6 bytes). What is held for callers is
-    /// bounded so that the rest of the node has room beside it.
+    /// bounded so that the rest of the node has room beside it. 0 in the file
+    /// stands for this default.
     std::size_t memory_mb = 120;
     /// Number of descriptors that this process may open; 0 if only the limit of
     /// the system applies.
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -11,7 +11,7 @@
 constexpr long max_duration_ms = 3600000;
 constexpr long max_size_bytes = 1L << 30;
 constexpr long max_descriptors = 1L << 30;
-constexpr long max_memory_mb = 1L << 20;
+constexpr double max_memory_mb = 1e6;
 constexpr long max_usage_seconds = 3600;
 constexpr double max_calls_per_s = 1e7;
 constexpr double max_mb_per_s = 1e6;
@@ -47,8 +47,12 @@
     });
     in.mapping("limits", false, [&](mapping_reader& m) {
         m.decimal("cpu_share", s.cpu_share, 0.001, 1024);
-        m.integer("memory_mb", s.memory_mb, 16, max_memory_mb);
-        m.integer("max_fds", s.max_descriptors, 64, max_descriptors);
+        auto memory_mb = static_cast<double>(s.memory_mb);
+        m.decimal("memory_mb", memory_mb, 0, max_memory_mb);
+        if (memory_mb >= 1) {
+            s.memory_mb = static_cast<std::size_t>(memory_mb);
+        }
+        m.integer("max_fds", s.max_descriptors, 0, max_descriptors);
     });
     in.mapping("bounds", false, [&](mapping_reader& m) {
         m.integer("lease_ms", s.order_lease_ms, 0, max_duration_ms);
