transport: requests in any pieces are the same requests

No fault: the path that reads requests is new, so a test with 60 seeds sends up to five requests on one connection, with lengths and in chunks with extensions and trailers, in pieces of one byte to 70 KB, beside responses to those before. All arrive whole and in order, and nothing stays counted.

--- a/packages/transport/test/streaming_http_server_test.cpp
+++ b/packages/transport/test/streaming_http_server_test.cpp
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -723,6 +724,89 @@
     run_until([&] { return requests_.size() == 2; });
 }
 
+/// Requests in a row on one connection, drawn from a seed.
+class drawn_requests {
+public:
+    explicit drawn_requests(unsigned seed) : random_(seed) {
+        const auto count = 1 + below(5);
+        while (bodies.size() < count) {
+            add(std::string(below(3) == 0 ? below(200000) : below(300), 'x'));
+        }
+    }
+
+    std::size_t below(std::size_t n) { return random_() % n; }
+
+    /// Returns the size of the next piece to send, mostly a small one.
+    std::size_t piece_bytes() {
+        const auto kind = below(3);
+        return 1 + below(kind == 0 ? 70000 : kind == 1 ? 3 : 2000);
+    }
+
+    std::string bytes;
+    std::vector<std::string> bodies;
+
+private:
+    void add(std::string body) {
+        bytes += "POST /" + std::to_string(bodies.size()) +
+                 " HTTP/1.1\r\nHost: h\r\n";
+        if (below(2) == 0) {
+            bytes += "Content-Length: " + std::to_string(body.size()) +
+                     "\r\n\r\n" + body;
+        } else {
+            add_chunks(body);
+        }
+        bodies.push_back(std::move(body));
+    }
+
+    void add_chunks(const std::string& body) {
+        bytes += "Transfer-Encoding: chunked\r\n\r\n";
+        for (std::size_t at = 0; at < body.size();) {
+            const auto size = std::min(body.size() - at,
+                                       1 + below(below(2) == 0 ? 20 : 100000));
+            bytes += make_chunk(size);
+            at += size;
+        }
+        bytes += below(2) == 0 ? "0\r\n\r\n" : "0;x\r\nt: 1\r\nu: 2\r\n\r\n";
+    }
+
+    std::mt19937 random_;
+};
+
+// Guards against input that is read otherwise when it arrives in other pieces.
+TEST_F(streaming_http_server_test, requests_arrive_in_any_pieces) {
+    constexpr unsigned seeds = 60;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        drawn_requests drawn(seed);
+        const auto count = drawn.bodies.size();
+        requests_.clear();
+        responses_.clear();
+        tcp::socket caller(io_);
+        caller.connect(socket_.remote_endpoint());
+        caller.non_blocking(true);
+        std::size_t sent = 0;
+        std::size_t answered = 0;
+        run_until([&] {
+            const auto piece =
+                std::min(drawn.bytes.size() - sent, drawn.piece_bytes());
+            boost::system::error_code error;
+            sent += caller.write_some(
+                asio::buffer(drawn.bytes.data() + sent, piece), error);
+            poll();
+            if (responses_.size() > answered && drawn.below(3) == 0) {
+                responses_[answered++]->send({200, {}, "x"});
+            }
+            return answered == count || HasFailure();
+        });
+        ASSERT_EQ(requests_.size(), count) << seed;
+        for (std::size_t n = 0; n < count; ++n) {
+            EXPECT_EQ(requests_[n].target, "/" + std::to_string(n)) << seed;
+            EXPECT_TRUE(requests_[n].body == drawn.bodies[n]) << seed;
+        }
+        run_until([&] { return server_.requests_in_flight() == 0; });
+        EXPECT_EQ(server_.buffers().held(), 0U) << seed;
+    }
+}
+
 // A body that never gets room is rejected while its caller still waits.
 TEST_F(streaming_http_server_test, a_body_waits_for_room_for_a_bounded_time) {
     server_.set_buffer_limits({256 * 1024, 1024 * 1024, 60000});
