transport: responses are parsed in a module of their own

No change of behavior: response_reader holds the parser and the unparsed input of a call, so that what is checked of a response stands apart from connections and timeouts.

--- /dev/null
+++ b/packages/transport/src/response_reader.cpp
@@ -0,0 +1,79 @@
+#include "response_reader.hpp"
+
+#include <boost/beast/http/error.hpp>
+
+#include <cstdint>
+#include <utility>
+
+namespace hibiscus::transport {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+/// Maximum number of bytes per read.
+constexpr std::size_t read_buffer_bytes = 16 * 1024;
+
+/// Maximum size of a response body. Responses are event streams or documents,
+/// so a larger body is treated as malformed.
+constexpr std::uint64_t max_body_bytes = 64 * 1024 * 1024;
+
+/// Maximum size of a head, of the line before a chunk, and of the trailers of a
+/// response, in bytes.
+constexpr std::uint32_t max_unparsed_bytes = 64 * 1024;
+
+} // namespace
+
+void response_reader::reset() {
+    input_.consume(input_.size());
+    parser_.emplace();
+    parser_->body_limit(max_body_bytes);
+    parser_->header_limit(max_unparsed_bytes);
+    parser_->eager(true);
+    parser_->skip(is_head_request_);
+}
+
+boost::asio::mutable_buffer response_reader::prepare() {
+    return input_.prepare(read_buffer_bytes);
+}
+
+bool response_reader::parse() {
+    while (input_.size() > 0 && !parser_->is_done()) {
+        beast::error_code error;
+        const auto consumed = parser_->put(input_.data(), error);
+        input_.consume(consumed);
+        if (error == http::error::need_more) {
+            return input_.size() <= max_unparsed_bytes;
+        }
+        if (error) {
+            return false;
+        }
+        if (consumed == 0) {
+            return true;
+        }
+    }
+    return true;
+}
+
+bool response_reader::finish() {
+    beast::error_code error;
+    parser_->put_eof(error);
+    return !error;
+}
+
+response_head response_reader::head() const {
+    response_head head;
+    head.status = static_cast<int>(parser_->get().result_int());
+    for (const auto& field : parser_->get()) {
+        head.fields.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
+    }
+    return head;
+}
+
+std::string response_reader::take_data() {
+    return std::exchange(parser_->get().body(), std::string());
+}
+
+} // namespace hibiscus::transport
--- /dev/null
+++ b/packages/transport/src/response_reader.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "hibiscus/transport/upstream.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace hibiscus::transport {
+
+/// Reads one response from the bytes of a connection.
+class response_reader {
+public:
+    explicit response_reader(bool is_head_request)
+        : is_head_request_(is_head_request) {
+        reset();
+    }
+
+    /// Forgets all input, for a response on another connection.
+    void reset();
+
+    /// Returns room for the next bytes of the connection, which are added by
+    /// commit().
+    boost::asio::mutable_buffer prepare();
+    void commit(std::size_t bytes) { input_.commit(bytes); }
+
+    /// Parses what was committed. Returns false if it is no valid response.
+    bool parse();
+
+    /// Called at the end of the connection, which completes a response for
+    /// which ends_with_connection() holds. Returns false if it is incomplete.
+    bool finish();
+
+    bool is_head_complete() const { return parser_->is_header_done(); }
+    bool is_complete() const { return parser_->is_done(); }
+
+    /// Returns true if the head is complete and the body has no declared
+    /// length.
+    bool ends_with_connection() const {
+        return is_head_complete() && parser_->need_eof();
+    }
+
+    /// Returns true if the connection is in order for another response once
+    /// this one is complete.
+    bool leaves_connection_open() const {
+        return parser_->keep_alive() && !parser_->need_eof() &&
+               input_.size() == 0;
+    }
+
+    /// Returns the head. Must not be called before it is complete.
+    response_head head() const;
+
+    /// Returns the part of the body that has arrived since the last call.
+    std::string take_data();
+
+private:
+    using body_type = boost::beast::http::string_body;
+
+    bool is_head_request_;
+    boost::beast::flat_buffer input_;
+    std::optional<boost::beast::http::response_parser<body_type>> parser_;
+};
+
+} // namespace hibiscus::transport
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -2,14 +2,14 @@
 
 #include "hibiscus/base/stall_detector.hpp"
 #include "idle_connection_pool.hpp"
+#include "response_reader.hpp"
 #include "serialize_head.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/core/error.hpp>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -26,14 +26,10 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = beast::http;
 using tcp = asio::ip::tcp;
 
 namespace {
 
-/// Maximum number of bytes per read.
-constexpr std::size_t read_buffer_bytes = 16 * 1024;
-
 /// Interval between checks of the timeouts of all calls.
 constexpr base::millis timeout_check_interval_ms = 50;
 
@@ -59,14 +55,6 @@
 /// their connections.
 constexpr unsigned tcp_user_timeout_ms = 3000;
 
-/// Maximum size of a response body. Responses are event streams or documents,
-/// so a larger body is treated as malformed.
-constexpr std::uint64_t max_body_bytes = 64 * 1024 * 1024;
-
-/// Maximum size of a head, of the line before a chunk, and of the trailers of a
-/// response, in bytes.
-constexpr std::uint32_t max_unparsed_bytes = 64 * 1024;
-
 struct client_state {
     idle_connection_pool idle_connections;
     base::clock clock;
@@ -83,8 +71,8 @@
         : io_(io), state_(std::move(state)), address_(std::move(address)),
           options_(options), callbacks_(std::move(callbacks)),
           echo_header_(std::move(echo_header)),
-          started_at_(state_->clock.now()), last_activity_(started_at_),
-          is_head_request_(request.method == "HEAD") {
+          reader_(request.method == "HEAD"), started_at_(state_->clock.now()),
+          last_activity_(started_at_) {
         if (const auto* id = find_header(request.fields, echo_header_)) {
             echo_value_ = *id;
         }
@@ -223,11 +211,7 @@
                                   self->request_body_ = {};
                               }
                           });
-        parser_.emplace();
-        parser_->body_limit(max_body_bytes);
-        parser_->header_limit(max_unparsed_bytes);
-        parser_->eager(true);
-        parser_->skip(is_head_request_);
+        reader_.reset();
         read();
     }
 
@@ -240,9 +224,8 @@
             return;
         }
         socket_->async_read_some(
-            buffer_.prepare(read_buffer_bytes),
-            [self = shared_from_this()](beast::error_code error,
-                                        std::size_t bytes) {
+            reader_.prepare(), [self = shared_from_this()](
+                                   beast::error_code error, std::size_t bytes) {
                 self->on_read(error, bytes);
             });
     }
@@ -252,7 +235,7 @@
             return;
         }
         last_activity_ = state_->clock.now();
-        buffer_.commit(bytes);
+        reader_.commit(bytes);
         if (error == asio::error::eof) {
             on_eof();
             return;
@@ -262,14 +245,18 @@
             return;
         }
         nothing_received_ = false;
-        if (!parse() || !deliver_head()) {
+        if (!reader_.parse()) {
+            finish(call_outcome::broken);
+            return;
+        }
+        if (!deliver_head()) {
             return;
         }
         deliver_data();
         if (done_) {
             return;
         }
-        if (!parser_->is_done()) {
+        if (!reader_.is_complete()) {
             read();
             return;
         }
@@ -277,36 +264,12 @@
         finish(call_outcome::complete);
     }
 
-    /// Parses the buffered input. Ends the call and returns false if the input
-    /// is not a valid response.
-    bool parse() {
-        while (buffer_.size() > 0 && !parser_->is_done()) {
-            beast::error_code error;
-            const auto consumed = parser_->put(buffer_.data(), error);
-            buffer_.consume(consumed);
-            if (error == http::error::need_more &&
-                buffer_.size() <= max_unparsed_bytes) {
-                return true;
-            }
-            if (error) {
-                finish(call_outcome::broken);
-                return false;
-            }
-            if (consumed == 0) {
-                return true;
-            }
-        }
-        return true;
-    }
-
     /// Called when the server has closed the connection. This completes a body
     /// without a declared length and truncates any other.
     void on_eof() {
-        beast::error_code error;
-        if (parser_->is_header_done() && parser_->need_eof()) {
-            parser_->put_eof(error);
-            finish(error ? call_outcome::broken
-                         : call_outcome::closed_without_length);
+        if (reader_.ends_with_connection()) {
+            finish(reader_.finish() ? call_outcome::closed_without_length
+                                    : call_outcome::broken);
             return;
         }
         end_without_response();
@@ -329,7 +292,6 @@
     void resend() {
         resent_ = true;
         close();
-        buffer_.consume(buffer_.size());
         nothing_received_ = true;
         connected_ = false;
         request_written_ = false;
@@ -346,16 +308,11 @@
     /// Calls `on_head` once the head is complete. Returns false if the call has
     /// ended.
     bool deliver_head() {
-        if (head_delivered_ || !parser_->is_header_done()) {
+        if (head_delivered_ || !reader_.is_head_complete()) {
             return true;
         }
         head_delivered_ = true;
-        response_head head;
-        head.status = static_cast<int>(parser_->get().result_int());
-        for (const auto& field : parser_->get()) {
-            head.fields.push_back(
-                {std::string(field.name_string()), std::string(field.value())});
-        }
+        const auto head = reader_.head();
         // A server may send a second response to an earlier request where the
         // response to this one is expected. Without this check, one caller
         // would receive the response to another.
@@ -392,12 +349,10 @@
     }
 
     void deliver_data() {
-        auto& body = parser_->get().body();
-        if (body.empty()) {
-            return;
+        const auto data = reader_.take_data();
+        if (!data.empty()) {
+            invoke_callback(callbacks_.on_data, std::string_view(data));
         }
-        const std::string data = std::exchange(body, std::string());
-        invoke_callback(callbacks_.on_data, std::string_view(data));
     }
 
     template <class Callback, class Value>
@@ -424,8 +379,8 @@
     /// Makes the connection available to later calls, if the request was sent
     /// completely and no input of this call remains.
     void return_to_pool() {
-        const bool is_reusable = parser_->keep_alive() && request_written_ &&
-                                 buffer_.size() == 0 && !parser_->need_eof();
+        const bool is_reusable =
+            request_written_ && reader_.leaves_connection_open();
         if (is_reusable && keep_alive_ms_ > 0) {
             state_->idle_connections.put(
                 address_,
@@ -462,14 +417,12 @@
     std::string request_head_;
     shared_body request_body_;
     std::shared_ptr<tcp::socket> socket_;
-    beast::flat_buffer buffer_;
-    std::optional<http::response_parser<http::string_body>> parser_;
+    response_reader reader_;
     base::millis started_at_;
     /// The time of the last progress of the connection, moved forward by the
     /// time in which the thread was stalled.
     base::millis last_activity_;
     base::millis keep_alive_ms_ = default_keep_alive_ms;
-    bool is_head_request_;
     bool opened_connection_ = false;
     bool resent_ = false;
     bool refused_ = false;
