transport, net: a status that HTTP does not have is no response

Callers saw: a server in trouble sent status 000 and the caller got "HTTP/1.1 0 <unknown-status>" as a complete answer; 001, 099, 600, 999 and, with the request's id, 100 to 199 reached them as well.

Cause: what the parser accepts was taken for a response. The parser checks the grammar of a status line, three digits; what they may be is left to the client. Class: a response is passed on unless something forbids it. The client of hibiscusd (net/http_client) had the same fault.

Evidence: broken_response_test.a_status_that_is_none_is_no_response failed for all of 000, 001, 099, 600 and 999 in three framings (complete, body delivered) and for 1xx; http_client_test.a_status_that_is_none_is_no_answer failed for each status (a response arrived). Both pass now.

Why it works: the parser stops at the end of the head, and a head is judged (base::classify_status) before any of its body is parsed or delivered. Both clients ask the same function.

--- /dev/null
+++ b/packages/base/include/hibiscus/base/response_rules.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "hibiscus/base/enum_names.hpp"
+
+#include <array>
+
+/// What RFC 9110 and RFC 9112 ask a client to check of a response that a parser
+/// has accepted.
+namespace hibiscus::base {
+
+/// What a response is to the client that reads it.
+enum class response_kind {
+    /// The response to the request.
+    final_response,
+    /// One that the response to the request follows.
+    interim_response,
+    /// None that a client may use.
+    malformed,
+};
+
+/// Returns what a response with this status is. Status 101 is malformed: it
+/// accepts an upgrade, which the clients never ask for.
+response_kind classify_status(unsigned status);
+
+template <>
+struct enum_names<response_kind> {
+    static constexpr std::array<enum_name<response_kind>, 3> table{{
+        {response_kind::final_response, "final"},
+        {response_kind::interim_response, "interim"},
+        {response_kind::malformed, "malformed"},
+    }};
+};
+
+} // namespace hibiscus::base
--- /dev/null
+++ b/packages/base/src/response_rules.cpp
@@ -0,0 +1,23 @@
+#include "hibiscus/base/response_rules.hpp"
+
+namespace hibiscus::base {
+
+namespace {
+
+constexpr unsigned switching_protocols = 101;
+constexpr unsigned first_interim_status = 100;
+constexpr unsigned first_final_status = 200;
+constexpr unsigned last_final_status = 599;
+
+} // namespace
+
+response_kind classify_status(unsigned status) {
+    if (status < first_interim_status || status == switching_protocols ||
+        status > last_final_status) {
+        return response_kind::malformed;
+    }
+    return status < first_final_status ? response_kind::interim_response
+                                       : response_kind::final_response;
+}
+
+} // namespace hibiscus::base
--- /dev/null
+++ b/packages/base/test/response_rules_test.cpp
@@ -0,0 +1,25 @@
+#include "hibiscus/base/response_rules.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hibiscus::base {
+
+namespace {
+
+TEST(response_rules_test, statuses_are_classified) {
+    for (const unsigned status : {0U, 1U, 99U, 101U, 600U, 999U}) {
+        EXPECT_EQ(classify_status(status), response_kind::malformed) << status;
+    }
+    for (const unsigned status : {100U, 102U, 103U, 150U, 199U}) {
+        EXPECT_EQ(classify_status(status), response_kind::interim_response)
+            << status;
+    }
+    for (const unsigned status : {200U, 204U, 299U, 304U, 404U, 599U}) {
+        EXPECT_EQ(classify_status(status), response_kind::final_response)
+            << status;
+    }
+}
+
+} // namespace
+
+} // namespace hibiscus::base
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "hibiscus/net/http_client.hpp"
 
+#include "hibiscus/base/response_rules.hpp"
+
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
@@ -268,6 +270,11 @@
 
     void on_response() {
         auto message = parser_->release();
+        if (base::classify_status(message.result_int()) !=
+            base::response_kind::final_response) {
+            finish(http_failure{delivery_status::lost});
+            return;
+        }
         // A response without a length ends when the connection closes, so the
         // caller would take a truncated response for a complete one.
         constexpr unsigned no_content = 204;
--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -144,6 +144,26 @@
     }
 }
 
+// Guards against statuses that HTTP does not have.
+TEST_F(http_client_test, a_status_that_is_none_is_no_answer) {
+    const std::vector<std::string> statuses{"000", "099", "100", "101",
+                                            "199", "600", "999"};
+    std::vector<script> scripts;
+    for (const auto& status : statuses) {
+        scripts.emplace_back([status](tcp::socket socket) {
+            read_request(socket);
+            write(socket, "HTTP/1.1 " + status +
+                              " Trouble\r\nContent-Length: 4\r\n\r\nfour");
+        });
+    }
+    serve(scripts);
+    for (const auto& status : statuses) {
+        EXPECT_EQ(status_of_failure(get(20000, connection_reuse::never)),
+                  delivery_status::lost)
+            << status;
+    }
+}
+
 // A response without a length ends when the connection closes, so a truncated
 // response looks like a complete one.
 TEST_F(http_client_test, an_answer_without_a_length_is_no_answer) {
--- a/packages/transport/src/response_reader.cpp
+++ b/packages/transport/src/response_reader.cpp
@@ -1,5 +1,7 @@
 #include "response_reader.hpp"
 
+#include "hibiscus/base/response_rules.hpp"
+
 #include <boost/beast/http/error.hpp>
 
 #include <cstdint>
@@ -30,7 +32,6 @@
     parser_.emplace();
     parser_->body_limit(max_body_bytes);
     parser_->header_limit(max_unparsed_bytes);
-    parser_->eager(true);
     parser_->skip(is_head_request_);
 }
 
@@ -40,9 +41,14 @@
 
 bool response_reader::parse() {
     while (input_.size() > 0 && !parser_->is_done()) {
+        const bool was_in_head = !parser_->is_header_done();
         beast::error_code error;
         const auto consumed = parser_->put(input_.data(), error);
         input_.consume(consumed);
+        if (!error && was_in_head && parser_->is_header_done() &&
+            !accept_head()) {
+            return false;
+        }
         if (error == http::error::need_more) {
             return input_.size() <= max_unparsed_bytes;
         }
@@ -56,6 +62,15 @@
     return true;
 }
 
+bool response_reader::accept_head() {
+    if (base::classify_status(parser_->get().result_int()) !=
+        base::response_kind::final_response) {
+        return false;
+    }
+    parser_->eager(true);
+    return true;
+}
+
 bool response_reader::finish() {
     beast::error_code error;
     parser_->put_eof(error);
--- a/packages/transport/src/response_reader.hpp
+++ b/packages/transport/src/response_reader.hpp
@@ -59,6 +59,10 @@
     std::string take_data();
 
 private:
+    /// Called once a head is complete, before any of its body is parsed.
+    /// Returns false if it is no valid head.
+    bool accept_head();
+
     using body_type = boost::beast::http::string_body;
 
     bool is_head_request_;
--- a/packages/transport/test/broken_response_test.cpp
+++ b/packages/transport/test/broken_response_test.cpp
@@ -191,6 +191,20 @@
     EXPECT_FALSE(call(cut).is_complete());
 }
 
+// Guards against statuses that HTTP does not have.
+TEST_F(broken_response_test, a_status_that_is_none_is_no_response) {
+    for (const char* status :
+         {"000", "001", "099", "100", "101", "150", "199", "600", "999"}) {
+        const auto head = "HTTP/1.1 " + std::string(status) +
+                          " Trouble\r\nRequest-Id: {id}\r\n";
+        expect_broken(sized(head, "hello"), connection_end::shutdown);
+        expect_broken(head + "\r\nhello", connection_end::shutdown);
+        expect_broken(head + "Transfer-Encoding: chunked\r\n\r\n"
+                             "5\r\nhello\r\n0\r\n\r\n",
+                      connection_end::shutdown);
+    }
+}
+
 } // namespace
 
 } // namespace hibiscus::transport
