transport, net: interim responses are skipped

Callers saw: a server that sends 100, 102 or 103 before its response made the call fail (502), and its sound response behind it was lost.

Cause: the first head on a connection was taken for the only one. RFC 9110, section 15.2, asks clients to read interim responses also where they have not asked for any.

Evidence: broken_response_test.interim_responses_are_skipped and http_client_test.interim_answers_are_skipped failed (broken and lost in place of complete) and pass now. They also check that a status 101, an end behind an interim response, and interim responses without end stay failures.

Why it works: a head that is interim is dropped and the next one is read, by a new parser on the same input. All interim responses of a call together are bounded like one head, so a server can't send them without end. Their request id is not compared: only the final response is delivered.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -27,6 +27,7 @@
 
 constexpr std::size_t max_idle_per_target = 16;
 constexpr std::size_t max_response_bytes = 64 * 1024 * 1024;
+constexpr std::size_t max_interim_bytes = 64 * 1024;
 
 using stream_ptr = std::unique_ptr<beast::tcp_stream>;
 
@@ -241,6 +242,34 @@
     void read() {
         parser_.emplace();
         parser_->body_limit(max_response_bytes);
+        http::async_read_header(
+            *stream_, buffer_, *parser_,
+            [self = shared_from_this()](beast::error_code e, std::size_t n) {
+                if (e) {
+                    self->on_connection_error();
+                } else {
+                    self->on_head(n);
+                }
+            });
+    }
+
+    /// Called once a head of `bytes` has been read, before the body is.
+    void on_head(std::size_t bytes) {
+        switch (base::classify_status(parser_->get().result_int())) {
+        case base::response_kind::malformed:
+            finish(http_failure{delivery_status::lost});
+            return;
+        case base::response_kind::interim_response:
+            interim_bytes_ += bytes;
+            if (interim_bytes_ > max_interim_bytes) {
+                finish(http_failure{delivery_status::lost});
+            } else {
+                read();
+            }
+            return;
+        case base::response_kind::final_response:
+            break;
+        }
         http::async_read(
             *stream_, buffer_, *parser_,
             [self = shared_from_this()](beast::error_code e, std::size_t) {
@@ -256,7 +285,8 @@
     /// fails on a pooled connection is sent again over a new one. Only
     /// idempotent requests use pooled connections.
     void on_connection_error() {
-        const bool no_response_bytes = !parser_ || !parser_->got_some();
+        const bool no_response_bytes =
+            interim_bytes_ == 0 && (!parser_ || !parser_->got_some());
         if (is_reused_) {
             pool_->remove_all(target_);
         }
@@ -270,11 +300,6 @@
 
     void on_response() {
         auto message = parser_->release();
-        if (base::classify_status(message.result_int()) !=
-            base::response_kind::final_response) {
-            finish(http_failure{delivery_status::lost});
-            return;
-        }
         // A response without a length ends when the connection closes, so the
         // caller would take a truncated response for a complete one.
         constexpr unsigned no_content = 204;
@@ -317,6 +342,8 @@
     /// How many times the request was written, counting failed writes.
     int send_count_ = 0;
     beast::flat_buffer buffer_;
+    /// The size of the interim responses so far.
+    std::size_t interim_bytes_ = 0;
     http::request<http::string_body> request_;
     std::optional<http::response_parser<http::string_body>> parser_;
 };
--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -164,6 +164,34 @@
     }
 }
 
+// Guards against answers that are lost behind interim ones.
+TEST_F(http_client_test, interim_answers_are_skipped) {
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+    serve({[hints](tcp::socket socket) {
+               read_request(socket);
+               write(socket, hints + hints + complete_response);
+           },
+           [hints](tcp::socket socket) {
+               read_request(socket);
+               write(socket, hints);
+           },
+           [hints](tcp::socket socket) {
+               read_request(socket);
+               boost::system::error_code error;
+               while (!error) {
+                   asio::write(socket, asio::buffer(hints), error);
+               }
+           }});
+    const auto result = get(20000, connection_reuse::never);
+    ASSERT_TRUE(std::holds_alternative<http_response>(result));
+    EXPECT_EQ(std::get<http_response>(result).status, 200);
+    EXPECT_EQ(std::get<http_response>(result).body, "four");
+    for (int n = 0; n < 2; ++n) {
+        EXPECT_EQ(status_of_failure(get(20000, connection_reuse::never)),
+                  delivery_status::lost);
+    }
+}
+
 // A response without a length ends when the connection closes, so a truncated
 // response looks like a complete one.
 TEST_F(http_client_test, an_answer_without_a_length_is_no_answer) {
--- a/packages/transport/src/response_reader.cpp
+++ b/packages/transport/src/response_reader.cpp
@@ -21,14 +21,19 @@
 /// so a larger body is treated as malformed.
 constexpr std::uint64_t max_body_bytes = 64 * 1024 * 1024;
 
-/// Maximum size of a head, of the line before a chunk, and of the trailers of a
-/// response, in bytes.
+/// Maximum size of a head, of all interim responses, of the line before a
+/// chunk, and of the trailers of a response, in bytes.
 constexpr std::uint32_t max_unparsed_bytes = 64 * 1024;
 
 } // namespace
 
 void response_reader::reset() {
     input_.consume(input_.size());
+    interim_bytes_ = 0;
+    start_parser();
+}
+
+void response_reader::start_parser() {
     parser_.emplace();
     parser_->body_limit(max_body_bytes);
     parser_->header_limit(max_unparsed_bytes);
@@ -46,7 +51,7 @@
         const auto consumed = parser_->put(input_.data(), error);
         input_.consume(consumed);
         if (!error && was_in_head && parser_->is_header_done() &&
-            !accept_head()) {
+            !accept_head(consumed)) {
             return false;
         }
         if (error == http::error::need_more) {
@@ -62,10 +67,16 @@
     return true;
 }
 
-bool response_reader::accept_head() {
-    if (base::classify_status(parser_->get().result_int()) !=
-        base::response_kind::final_response) {
+bool response_reader::accept_head(std::size_t bytes) {
+    switch (base::classify_status(parser_->get().result_int())) {
+    case base::response_kind::malformed:
         return false;
+    case base::response_kind::interim_response:
+        interim_bytes_ += bytes;
+        start_parser();
+        return interim_bytes_ <= max_unparsed_bytes;
+    case base::response_kind::final_response:
+        break;
     }
     parser_->eager(true);
     return true;
--- a/packages/transport/src/response_reader.hpp
+++ b/packages/transport/src/response_reader.hpp
@@ -13,7 +13,8 @@
 
 namespace hibiscus::transport {
 
-/// Reads one response from the bytes of a connection.
+/// Reads one response from the bytes of a connection. Skips the interim
+/// responses before it.
 class response_reader {
 public:
     explicit response_reader(bool is_head_request)
@@ -59,14 +60,18 @@
     std::string take_data();
 
 private:
-    /// Called once a head is complete, before any of its body is parsed.
-    /// Returns false if it is no valid head.
-    bool accept_head();
+    void start_parser();
+
+    /// Called once a head of `bytes` is complete, before any of its body is
+    /// parsed. Returns false if it is no valid head.
+    bool accept_head(std::size_t bytes);
 
     using body_type = boost::beast::http::string_body;
 
     bool is_head_request_;
     boost::beast::flat_buffer input_;
+    /// The size of the interim responses so far.
+    std::size_t interim_bytes_ = 0;
     std::optional<boost::beast::http::response_parser<body_type>> parser_;
 };
 
--- a/packages/transport/test/broken_response_test.cpp
+++ b/packages/transport/test/broken_response_test.cpp
@@ -205,6 +205,38 @@
     }
 }
 
+// Guards against responses that are lost behind interim ones.
+TEST_F(broken_response_test, interim_responses_are_skipped) {
+    const std::string processing = "HTTP/1.1 102 Processing\r\n\r\n";
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\n"
+                              "Request-Id: {id}\r\nLink: </x>\r\n\r\n";
+    for (const auto& interim : {std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+                                hints, processing + hints}) {
+        const auto result = call(interim + sized(ok, "hello"));
+        EXPECT_EQ(result.outcome, call_outcome::complete) << interim;
+        EXPECT_EQ(result.status, 200);
+        EXPECT_EQ(result.body, "hello");
+        EXPECT_EQ(find_header(result.fields, "Link"), nullptr);
+        const auto closed =
+            call(interim + ok + "\r\nhello", connection_end::shutdown);
+        EXPECT_EQ(closed.outcome, call_outcome::closed_without_length);
+        EXPECT_EQ(closed.body, "hello");
+        for (const auto end :
+             {connection_end::shutdown, connection_end::reset}) {
+            expect_broken(interim, end);
+            expect_broken(interim + "HTTP/1.1 20", end);
+        }
+    }
+    expect_broken("HTTP/1.1 101 Switching\r\n\r\n" + sized(ok, "hello"));
+    expect_broken(
+        "HTTP/1.1 100 Continue\r\n\r\n" +
+        sized("HTTP/1.1 000 Trouble\r\nRequest-Id: {id}\r\n", "hello"));
+    raw_response endless;
+    endless.bytes = processing;
+    endless.endless_piece = processing;
+    EXPECT_EQ(call(endless).outcome, call_outcome::broken);
+}
+
 } // namespace
 
 } // namespace hibiscus::transport
