transport: a reset during an upload does not complete a response

Callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the kernel reports a reset once. The pending write took it, its handler dropped the error, and the read that followed saw an end of file, which ends a body without a length. TCP_USER_TIMEOUT on an upload reports its error in the same way. Class: an end of file is taken for an end in order.

Why it works: an end of file ends a body only if the whole request was written, after which a reset can only reach the read, or if no write has failed and the kernel says that the peer has closed its side (CLOSE_WAIT), which no connection is in after a reset or a timeout. This holds in whichever order the handlers of the write and of the read run.

Weighed: to let no such response end before the request was written. It is simpler, but fails a sound early response of a server that closes its side in order and reads on, which an_early_response_that_ends_in_order_is_complete guards. A server that closes its side and then resets can't be told from a reset in the middle; its response is broken.

--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -55,6 +55,16 @@
 /// their connections.
 constexpr unsigned tcp_user_timeout_ms = 3000;
 
+/// Returns true if the peer has closed its side of the connection in order.
+/// After a reset or a timeout the connection is in another state.
+bool was_closed_by_peer(tcp::socket& socket) {
+    ::tcp_info info{};
+    ::socklen_t size = sizeof info;
+    return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                        &size) == 0 &&
+           info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 struct client_state {
     idle_connection_pool idle_connections;
     base::clock clock;
@@ -206,6 +216,7 @@
                                   return;
                               }
                               self->request_written_ = !error;
+                              self->write_failed_ = bool(error);
                               if (!self->may_resend()) {
                                   self->request_head_ = {};
                                   self->request_body_ = {};
@@ -268,13 +279,22 @@
     /// without a declared length and truncates any other.
     void on_eof() {
         if (reader_.ends_with_connection()) {
-            finish(reader_.finish() ? call_outcome::closed_without_length
-                                    : call_outcome::broken);
+            finish(has_ended_in_order() && reader_.finish()
+                       ? call_outcome::closed_without_length
+                       : call_outcome::broken);
             return;
         }
         end_without_response();
     }
 
+    /// Returns true if the connection was neither reset nor given up. The
+    /// kernel reports such an error once, and a write in progress takes it: the
+    /// next read then sees an end of file.
+    bool has_ended_in_order() {
+        return request_written_ ||
+               (!write_failed_ && was_closed_by_peer(*socket_));
+    }
+
     bool may_resend() const {
         return options_.resend_if_stale && !opened_connection_;
     }
@@ -295,6 +315,7 @@
         nothing_received_ = true;
         connected_ = false;
         request_written_ = false;
+        write_failed_ = false;
         last_activity_ = state_->clock.now();
         connect();
     }
@@ -428,6 +449,7 @@
     bool refused_ = false;
     bool connected_ = false;
     bool request_written_ = false;
+    bool write_failed_ = false;
     /// Whether no part of the response has been received yet.
     bool nothing_received_ = true;
     bool head_delivered_ = false;
--- a/packages/transport/test/broken_response_test.cpp
+++ b/packages/transport/test/broken_response_test.cpp
@@ -237,6 +237,50 @@
     EXPECT_EQ(call(endless).outcome, call_outcome::broken);
 }
 
+upstream_request make_upload() {
+    upstream_request request;
+    request.method = "POST";
+    request.body = std::string(12 * 1024 * 1024, 'x');
+    return request;
+}
+
+/// Returns a response that ends with its connection, sent while the body of
+/// the request is left unread.
+raw_response make_early_response(connection_end end, base::millis delay_ms) {
+    raw_response early;
+    early.bytes = ok + "\r\nhello";
+    early.end = end;
+    early.end_delay_ms = delay_ms;
+    early.leaves_body_unread = true;
+    return early;
+}
+
+// Guards against a reset that is taken for the end of a body.
+TEST_F(broken_response_test, a_reset_during_an_upload_ends_no_response) {
+    for (const base::millis delay_ms : {0, 5, 20, 50, 100, 400}) {
+        const auto result =
+            call(make_early_response(connection_end::reset, delay_ms),
+                 make_upload());
+        EXPECT_EQ(result.outcome, call_outcome::broken) << delay_ms;
+    }
+}
+
+// A server may respond, and end its side in order, before it has read a body.
+TEST_F(broken_response_test, an_early_response_that_ends_in_order_is_complete) {
+    for (const base::millis delay_ms : {0, 50}) {
+        const auto result =
+            call(make_early_response(connection_end::shutdown, delay_ms),
+                 make_upload());
+        EXPECT_EQ(result.outcome, call_outcome::closed_without_length);
+        EXPECT_EQ(result.body, "hello");
+    }
+    auto early = make_early_response(connection_end::reset, 50);
+    early.bytes = sized(ok, "hello");
+    const auto result = call(early, make_upload());
+    EXPECT_EQ(result.outcome, call_outcome::complete);
+    EXPECT_EQ(result.body, "hello");
+}
+
 } // namespace
 
 } // namespace hibiscus::transport
--- a/testing/support/raw_server.hpp
+++ b/testing/support/raw_server.hpp
@@ -157,13 +157,16 @@
 
     static void end_now(const connection_ptr& c) {
         error_code ignored;
-        if (c->response.end == connection_end::shutdown) {
-            c->socket.shutdown(tcp::socket::shutdown_send, ignored);
-        } else if (c->response.end == connection_end::reset) {
+        if (c->response.end == connection_end::reset) {
             c->socket.set_option(boost::asio::socket_base::linger(true, 0),
                                  ignored);
             c->socket.close(ignored);
-        } else {
+            return;
+        }
+        if (c->response.end == connection_end::shutdown) {
+            c->socket.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        if (c->response.leaves_body_unread) {
             keep_open(c);
         }
     }
