transport: a response with a folded field is malformed

Callers saw: a server sent a head with a line that begins with a blank. The line was glued onto the field before it, which may be the signature, and the response was passed on as complete.

Cause: the parser replaces obsolete line folding by a blank, as it may, and says nothing about it. RFC 9112, section 5.2, lets a proxy either do that or reject the response; for a server that should never fold, the line is more likely a fault of its head.

Evidence: broken_response_test.a_folded_field_is_malformed failed (complete, 200, body delivered) and passes now.

Why it works: a field is parsed together with all its lines, so a fold is found in the bytes that one step of the parser took, in whatever pieces the head came; response_reader_test reads ten responses in pieces of each size. The client of hibiscusd passes no header fields on and is left as it is.

--- a/packages/base/include/hibiscus/base/response_rules.hpp
+++ b/packages/base/include/hibiscus/base/response_rules.hpp
@@ -3,6 +3,7 @@
 #include "hibiscus/base/enum_names.hpp"
 
 #include <array>
+#include <string_view>
 
 /// What RFC 9110 and RFC 9112 ask a client to check of a response that a parser
 /// has accepted.
@@ -22,6 +23,10 @@
 /// accepts an upgrade, which the clients never ask for.
 response_kind classify_status(unsigned status);
 
+/// Returns true if a line of the head continues the field before it. RFC 9112,
+/// section 5.2, lets a proxy reject such a response.
+bool has_folded_line(std::string_view head);
+
 template <>
 struct enum_names<response_kind> {
     static constexpr std::array<enum_name<response_kind>, 3> table{{
--- a/packages/base/src/response_rules.cpp
+++ b/packages/base/src/response_rules.cpp
@@ -20,4 +20,9 @@
                                        : response_kind::final_response;
 }
 
+bool has_folded_line(std::string_view head) {
+    return head.find("\r\n ") != std::string_view::npos ||
+           head.find("\r\n\t") != std::string_view::npos;
+}
+
 } // namespace hibiscus::base
--- a/packages/base/test/response_rules_test.cpp
+++ b/packages/base/test/response_rules_test.cpp
@@ -20,6 +20,18 @@
     }
 }
 
+TEST(response_rules_test, folded_lines_are_found) {
+    for (const char* head : {"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n",
+                             "HTTP/1.1 200 OK\r\nA: b\r\n\tc\r\n\r\n",
+                             "HTTP/1.1 200 OK\r\n A: b\r\n\r\n"}) {
+        EXPECT_TRUE(has_folded_line(head)) << head;
+    }
+    for (const char* head : {"HTTP/1.1 200 OK\r\n\r\n", "",
+                             "HTTP/1.1 200 OK\r\nA:  b c\t\r\n\r\n"}) {
+        EXPECT_FALSE(has_folded_line(head)) << head;
+    }
+}
+
 } // namespace
 
 } // namespace hibiscus::base
--- a/packages/transport/src/response_reader.cpp
+++ b/packages/transport/src/response_reader.cpp
@@ -29,7 +29,7 @@
 
 void response_reader::reset() {
     input_.consume(input_.size());
-    interim_bytes_ = 0;
+    head_bytes_ = 0;
     start_parser();
 }
 
@@ -49,11 +49,12 @@
         const bool was_in_head = !parser_->is_header_done();
         beast::error_code error;
         const auto consumed = parser_->put(input_.data(), error);
-        input_.consume(consumed);
-        if (!error && was_in_head && parser_->is_header_done() &&
-            !accept_head(consumed)) {
+        if (was_in_head &&
+            !check_head(
+                {static_cast<const char*>(input_.data().data()), consumed})) {
             return false;
         }
+        input_.consume(consumed);
         if (error == http::error::need_more) {
             return input_.size() <= max_unparsed_bytes;
         }
@@ -67,14 +68,21 @@
     return true;
 }
 
-bool response_reader::accept_head(std::size_t bytes) {
+bool response_reader::check_head(std::string_view parsed) {
+    // The parser replaces folds, and takes a field only with all its lines.
+    if (base::has_folded_line(parsed)) {
+        return false;
+    }
+    head_bytes_ += parsed.size();
+    if (!parser_->is_header_done()) {
+        return true;
+    }
     switch (base::classify_status(parser_->get().result_int())) {
     case base::response_kind::malformed:
         return false;
     case base::response_kind::interim_response:
-        interim_bytes_ += bytes;
         start_parser();
-        return interim_bytes_ <= max_unparsed_bytes;
+        return head_bytes_ <= max_unparsed_bytes;
     case base::response_kind::final_response:
         break;
     }
--- a/packages/transport/src/response_reader.hpp
+++ b/packages/transport/src/response_reader.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace hibiscus::transport {
 
@@ -62,16 +63,16 @@
 private:
     void start_parser();
 
-    /// Called once a head of `bytes` is complete, before any of its body is
-    /// parsed. Returns false if it is no valid head.
-    bool accept_head(std::size_t bytes);
+    /// Called with each part of a head that was parsed, and with the last one
+    /// before any of the body is. Returns false if it is no valid head.
+    bool check_head(std::string_view parsed);
 
     using body_type = boost::beast::http::string_body;
 
     bool is_head_request_;
     boost::beast::flat_buffer input_;
-    /// The size of the interim responses so far.
-    std::size_t interim_bytes_ = 0;
+    /// The size of all heads so far, those of interim responses included.
+    std::size_t head_bytes_ = 0;
     std::optional<boost::beast::http::response_parser<body_type>> parser_;
 };
 
--- a/packages/transport/test/broken_response_test.cpp
+++ b/packages/transport/test/broken_response_test.cpp
@@ -281,6 +281,20 @@
     EXPECT_EQ(result.body, "hello");
 }
 
+// Guards against lines that are taken for a part of the field before.
+TEST_F(broken_response_test, a_folded_field_is_malformed) {
+    for (const std::string fold : {" more", "\tmore", " ", " X-Name: v"}) {
+        expect_broken(sized(ok + "X-Name: v\r\n" + fold + "\r\n", "hello"));
+        expect_broken(sized(ok + fold + "\r\n", "hello"));
+        expect_broken(
+            sized("HTTP/1.1 200 OK\r\n" + fold + "\r\nRequest-Id: {id}\r\n",
+                  "hello"));
+        expect_broken(sized(ok + "Transfer-Encoding: chunked\r\n" + fold +
+                                "\r\nX-Name: v\r\n",
+                            "hello"));
+    }
+}
+
 } // namespace
 
 } // namespace hibiscus::transport
