transport, net: a coding other than chunked is not taken for the body

Callers saw: a response with Transfer-Encoding gzip, "gzip, chunked", identity, an unknown word or several of them arrived as complete, with the coded bytes as its body and the field removed.

Cause: the parser takes codings that it doesn't know for none, or removes the outer one, chunked, and leaves the others to the client. RFC 9112, section 6.3, lets a body be read only if its codings are known; the clients ask for none (no TE field) and know chunked alone.

Evidence: broken_response_test.a_transfer_coding_other_than_chunked_is_broken and http_client_test.a_transfer_coding_other_than_chunked_is_no_answer failed (complete, coded bytes delivered) and pass now.

Why it works: before the body is parsed, each Transfer-Encoding field has to be exactly chunked, in a response of HTTP/1.1. Both clients ask the same function.

--- a/packages/base/include/hibiscus/base/response_rules.hpp
+++ b/packages/base/include/hibiscus/base/response_rules.hpp
@@ -2,6 +2,7 @@
 
 #include "hibiscus/base/enum_names.hpp"
 
+#include <algorithm>
 #include <array>
 #include <string_view>
 
@@ -27,6 +28,23 @@
 /// section 5.2, lets a proxy reject such a response.
 bool has_folded_line(std::string_view head);
 
+/// Returns true if a body with this Transfer-Encoding field can be read: it is
+/// chunked and has no other coding. `version` is 10 for HTTP/1.0, which has no
+/// codings, and 11 for HTTP/1.1.
+bool is_readable_coding(std::string_view field_value, unsigned version);
+
+/// Returns true if is_readable_coding() holds for all Transfer-Encoding fields
+/// of a message of Boost.Beast.
+template <class Message>
+bool has_readable_coding(const Message& message) {
+    const auto fields = message.equal_range("Transfer-Encoding");
+    return std::all_of(fields.first, fields.second, [&](const auto& field) {
+        const auto value = field.value();
+        return is_readable_coding({value.data(), value.size()},
+                                  message.version());
+    });
+}
+
 template <>
 struct enum_names<response_kind> {
     static constexpr std::array<enum_name<response_kind>, 3> table{{
--- a/packages/base/test/response_rules_test.cpp
+++ b/packages/base/test/response_rules_test.cpp
@@ -32,6 +32,16 @@
     }
 }
 
+TEST(response_rules_test, only_the_chunked_coding_can_be_read) {
+    EXPECT_TRUE(is_readable_coding("chunked", 11));
+    EXPECT_TRUE(is_readable_coding("Chunked", 11));
+    EXPECT_FALSE(is_readable_coding("chunked", 10));
+    for (const char* value : {"", "gzip", "gzip, chunked", "chunked, gzip",
+                              "chunked,", "chunked;q=1", "identity"}) {
+        EXPECT_FALSE(is_readable_coding(value, 11)) << value;
+    }
+}
+
 } // namespace
 
 } // namespace hibiscus::base
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -270,6 +270,10 @@
         case base::response_kind::final_response:
             break;
         }
+        if (!base::has_readable_coding(parser_->get())) {
+            finish(http_failure{delivery_status::lost});
+            return;
+        }
         http::async_read(
             *stream_, buffer_, *parser_,
             [self = shared_from_this()](beast::error_code e, std::size_t) {
--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -192,6 +192,27 @@
     }
 }
 
+// Guards against coded bytes that are taken for the body.
+TEST_F(http_client_test, a_transfer_coding_other_than_chunked_is_no_answer) {
+    const std::vector<std::string> codings{"gzip, chunked", "identity, chunked",
+                                           "gzip\r\nTransfer-Encoding: chunked",
+                                           "gzip\r\nContent-Length: 14"};
+    std::vector<script> scripts;
+    for (const auto& coding : codings) {
+        scripts.emplace_back([coding](tcp::socket socket) {
+            read_request(socket);
+            write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                              "\r\n\r\n4\r\nfour\r\n0\r\n\r\n");
+        });
+    }
+    serve(scripts);
+    for (const auto& coding : codings) {
+        EXPECT_EQ(status_of_failure(get(20000, connection_reuse::never)),
+                  delivery_status::lost)
+            << coding;
+    }
+}
+
 // A response without a length ends when the connection closes, so a truncated
 // response looks like a complete one.
 TEST_F(http_client_test, an_answer_without_a_length_is_no_answer) {
--- a/packages/transport/src/response_reader.cpp
+++ b/packages/transport/src/response_reader.cpp
@@ -87,7 +87,7 @@
         break;
     }
     parser_->eager(true);
-    return true;
+    return base::has_readable_coding(parser_->get());
 }
 
 bool response_reader::finish() {
--- a/packages/transport/test/broken_response_test.cpp
+++ b/packages/transport/test/broken_response_test.cpp
@@ -295,6 +295,28 @@
     }
 }
 
+// Guards against coded bytes that are taken for the body.
+TEST_F(broken_response_test, a_transfer_coding_other_than_chunked_is_broken) {
+    const std::string body = "\r\n5\r\nhello\r\n0\r\n\r\n";
+    for (const std::string codings :
+         {"Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked",
+          "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: identity",
+          "Transfer-Encoding: identity, chunked", "Transfer-Encoding: xchunked",
+          "Transfer-Encoding: chunked, chunked", "Transfer-Encoding: chunked,",
+          "Transfer-Encoding:", "Transfer-Encoding: \"chunked\"",
+          "Transfer-Encoding: chunked;q=1",
+          "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+          "Transfer-Encoding: gzip\r\nContent-Length: 15",
+          "Content-Length: 15\r\nTransfer-Encoding: gzip"}) {
+        expect_broken(ok + codings + "\r\n" + body, connection_end::shutdown);
+    }
+    expect_broken("HTTP/1.0 200 OK\r\nRequest-Id: {id}\r\n"
+                  "Transfer-Encoding: chunked\r\n" +
+                      body,
+                  connection_end::shutdown);
+}
+
 } // namespace
 
 } // namespace hibiscus::transport
