transport: no memory for lengths that a server only names

Callers saw: a head with Content-Length in one segment with the first bytes of its body ended the process, and each next owner of a job whose run got such a response.

Cause: the parser notices that the length is over the limit, but read eagerly: with bytes of the body in the same buffer it went on into the body, which overwrote the error, and string_body reserved the announced length. bad_alloc left the handler. Class: memory for a number that a peer names.

What this commit adds: the tests, and a body that holds what has arrived in place of one that reserves up to 64 MiB for an announced length. The data is passed on without another copy. Requests of callers had no such fault (413).

Exceptions of handlers still end the process: what they leave behind is not known, and no number that a peer names is allocated by now.

--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -213,6 +213,28 @@
     }
 }
 
+// Guards against memory for lengths that a server only names.
+TEST_F(http_client_test, an_answer_over_the_limit_is_no_answer) {
+    const std::vector<std::string> lengths{"67108865", "999999999999",
+                                           "18446744073709551615"};
+    std::vector<script> scripts;
+    for (const auto& length : lengths) {
+        for (const char* part : {"", "four"}) {
+            scripts.emplace_back([length, part](tcp::socket socket) {
+                read_request(socket);
+                write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + length +
+                                  "\r\n\r\n" + part);
+            });
+        }
+    }
+    serve(scripts);
+    for (std::size_t n = 0; n < scripts.size(); ++n) {
+        EXPECT_EQ(status_of_failure(get(20000, connection_reuse::never)),
+                  delivery_status::lost)
+            << n;
+    }
+}
+
 // A response without a length ends when the connection closes, so a truncated
 // response looks like a complete one.
 TEST_F(http_client_test, an_answer_without_a_length_is_no_answer) {
--- a/packages/transport/src/response_reader.cpp
+++ b/packages/transport/src/response_reader.cpp
@@ -5,7 +5,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <cstdint>
-#include <utility>
+#include <string>
 
 namespace hibiscus::transport {
 
@@ -106,8 +106,14 @@
     return head;
 }
 
-std::string response_reader::take_data() {
-    return std::exchange(parser_->get().body(), std::string());
+std::string_view response_reader::data() const {
+    const auto bytes = parser_->get().body().data();
+    return {static_cast<const char*>(bytes.data()), bytes.size()};
+}
+
+void response_reader::discard_data() {
+    auto& body = parser_->get().body();
+    body.consume(body.size());
 }
 
 } // namespace hibiscus::transport
--- a/packages/transport/src/response_reader.hpp
+++ b/packages/transport/src/response_reader.hpp
@@ -4,12 +4,11 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/dynamic_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <cstddef>
 #include <optional>
-#include <string>
 #include <string_view>
 
 namespace hibiscus::transport {
@@ -57,8 +56,9 @@
     /// Returns the head. Must not be called before it is complete.
     response_head head() const;
 
-    /// Returns the part of the body that has arrived since the last call.
-    std::string take_data();
+    /// Returns the part of the body that has arrived and was not discarded.
+    std::string_view data() const;
+    void discard_data();
 
 private:
     void start_parser();
@@ -67,7 +67,10 @@
     /// before any of the body is. Returns false if it is no valid head.
     bool check_head(std::string_view parsed);
 
-    using body_type = boost::beast::http::string_body;
+    /// Holds what has arrived. A string body would reserve the length that a
+    /// server announces.
+    using body_type =
+        boost::beast::http::basic_dynamic_body<boost::beast::flat_buffer>;
 
     bool is_head_request_;
     boost::beast::flat_buffer input_;
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -370,9 +370,9 @@
     }
 
     void deliver_data() {
-        const auto data = reader_.take_data();
-        if (!data.empty()) {
-            invoke_callback(callbacks_.on_data, std::string_view(data));
+        if (!reader_.data().empty()) {
+            invoke_callback(callbacks_.on_data, reader_.data());
+            reader_.discard_data();
         }
     }
 
--- a/packages/transport/test/broken_response_test.cpp
+++ b/packages/transport/test/broken_response_test.cpp
@@ -317,6 +317,24 @@
                   connection_end::shutdown);
 }
 
+// Guards against memory for lengths that a server only names.
+TEST_F(broken_response_test, a_length_over_the_limit_is_broken) {
+    const std::string part(1000, 'x');
+    for (const char* length : {"67108865", "1073741824", "999999999999",
+                               "9223372036854775807", "18446744073709551615"}) {
+        const auto field =
+            "Content-Length: " + std::string(length) + "\r\n\r\n";
+        for (const std::string status : {"200", "400", "500"}) {
+            const auto head = "HTTP/1.1 " + status + " Any\r\n";
+            expect_broken(head + "Request-Id: {id}\r\n" + field);
+            expect_broken(head + "Request-Id: {id}\r\n" + field + part);
+        }
+        const auto chunked = call(
+            ok + "Transfer-Encoding: chunked\r\n\r\nffffffffffff\r\n" + part);
+        EXPECT_EQ(chunked.outcome, call_outcome::broken);
+    }
+}
+
 } // namespace
 
 } // namespace hibiscus::transport
--- a/packages/transport/test/response_reader_test.cpp
+++ b/packages/transport/test/response_reader_test.cpp
@@ -40,7 +40,8 @@
         }
         if (reader.is_head_complete()) {
             result.status = reader.head().status;
-            result.body += reader.take_data();
+            result.body += reader.data();
+            reader.discard_data();
             result.complete = reader.is_complete();
         }
     }
