transport: events are searched for their end once

Callers saw (played here): one event without end in 60 streams kept the processor of the node busy, so that others had to wait.

Cause: each read searched all of the incomplete event again, in the assembler of events that are passed on and in the parser of those of runs: the time grows with the square of an event.

Why it works: what is left of earlier bytes has no end of an event (no line end in the parser), but for the first one or two bytes of one, so the search begins there.

--- a/packages/transport/src/event_stream.cpp
+++ b/packages/transport/src/event_stream.cpp
@@ -1,15 +1,26 @@
 #include "hibiscus/transport/event_stream.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace hibiscus::transport {
 
+namespace {
+
+/// An event ends with an empty line. Lines may end with LF or CRLF.
+constexpr std::array<std::string_view, 2> event_terminators{"\n\n", "\n\r\n"};
+constexpr std::size_t max_terminator_bytes = 3;
+
+} // namespace
+
 std::vector<stream_event> event_stream_parser::feed(std::string_view bytes) {
     std::vector<stream_event> events;
+    // What is left of earlier bytes has no line end.
+    auto search_from = partial_line_.size();
     partial_line_.append(bytes);
     std::size_t begin = 0;
     for (;;) {
-        const auto end = partial_line_.find('\n', begin);
+        const auto end = partial_line_.find('\n', search_from);
         if (end == std::string::npos) {
             break;
         }
@@ -19,6 +30,7 @@
         }
         parse_line(line, events);
         begin = end + 1;
+        search_from = begin;
     }
     partial_line_.erase(0, begin);
     return events;
@@ -61,13 +73,18 @@
 }
 
 complete_events event_assembler::feed(std::string_view bytes) {
+    // What is left of earlier bytes has no end of an event, but may have a part
+    // of one.
+    const auto search_from =
+        partial_event_.size() -
+        std::min(partial_event_.size(), max_terminator_bytes - 1);
     partial_event_.append(bytes);
-    // An event ends with an empty line. Lines may end with LF or CRLF.
+    const auto tail = std::string_view(partial_event_).substr(search_from);
     std::size_t end = 0;
-    for (const std::string_view terminator : {"\n\n", "\n\r\n"}) {
-        const auto position = partial_event_.rfind(terminator);
-        if (position != std::string::npos) {
-            end = std::max(end, position + terminator.size());
+    for (const auto terminator : event_terminators) {
+        const auto position = tail.rfind(terminator);
+        if (position != std::string_view::npos) {
+            end = std::max(end, search_from + position + terminator.size());
         }
     }
     complete_events result;
--- a/packages/transport/test/event_stream_test.cpp
+++ b/packages/transport/test/event_stream_test.cpp
@@ -41,6 +41,29 @@
               "id: 2\ndata: bc\n\n");
 }
 
+// Guards against an end of an event that is missed as it comes in two pieces.
+TEST(event_assembler_test, finds_an_end_that_comes_in_pieces) {
+    for (const std::string end : {"\n\n", "\n\r\n"}) {
+        for (std::size_t cut = 1; cut < end.size(); ++cut) {
+            event_assembler assembler;
+            const auto begin = "data: " + std::string(100, 'x');
+            EXPECT_EQ(assembler.feed(begin + end.substr(0, cut)).bytes, "");
+            EXPECT_EQ(assembler.held_bytes(), begin.size() + cut);
+            EXPECT_EQ(assembler.feed(end.substr(cut) + "d").bytes, begin + end);
+            EXPECT_EQ(assembler.held_bytes(), 1U);
+        }
+    }
+}
+
+// Guards against an event whose fields take more than its bytes.
+TEST(event_stream_parser_test, counts_what_an_incomplete_event_takes) {
+    event_stream_parser parser;
+    parser.feed("x\nx\nx\ndata: a");
+    EXPECT_GT(parser.held_bytes(), 3 * sizeof(std::string));
+    parser.feed("\n\nda");
+    EXPECT_EQ(parser.held_bytes(), 2U);
+}
+
 } // namespace
 
 } // namespace hibiscus::transport
