--- a/packages/entry/src/job_owner_orders.cpp
+++ b/packages/entry/src/job_owner_orders.cpp
@@ -10,6 +10,9 @@
 /// Timeout of a report request or a load order, in ms.
 constexpr base::millis order_timeout_ms = 800;
 
+/// Maximum size of a response to either, in bytes.
+constexpr std::uint64_t max_order_response_bytes = 256 * 1024;
+
 } // namespace
 
 void job_owner::order_weight_loads() {
@@ -130,6 +133,7 @@
     transport::upstream_call_options options;
     options.connect_timeout_ms = server_connect_timeout_ms;
     options.total_timeout_ms = order_timeout_ms;
+    options.max_body_bytes = max_order_response_bytes;
     transport::upstream_callbacks events;
     events.on_head = [response](const transport::response_head& h) {
         response->status = h.status;
--- a/testing/entry/entry_endless_response_test.cpp
+++ b/testing/entry/entry_endless_response_test.cpp
@@ -184,6 +184,21 @@
     expect_unharmed();
 }
 
+// Guards against reports that are kept whole.
+TEST_F(entry_endless_response_test, reports_of_servers) {
+    are_reports_endless_ = true;
+    start(unsigned_ok, "x");
+    for (int n = 0; n < caller_count; ++n) {
+        put_raw_server("more-" + std::to_string(n), "llm", true, *samplers_[0]);
+    }
+    ASSERT_TRUE(run_until([&] { return !job_owner().empty(); }));
+    store_.put("keyed.op", "version/m", R"({"model":"m","version":2})");
+    EXPECT_TRUE(
+        run_until([&] { return raw_.endless_bytes() > min_sent_bytes; }));
+    EXPECT_TRUE(run_until([&] { return is_lookup_answered(); }));
+    expect_unharmed();
+}
+
 // Guards against responses to reward calls that are kept whole.
 TEST_F(entry_endless_response_test, responses_to_reward_calls) {
     start(signed_ok, "x");
