entry: a late request that may outlast a stop is rejected

Cause: a stopping node takes what arrives until its servers have closed, at 3 s or, while its duties are not handed over, at 4.8 s, and exits at 6.8 s of 8. A request whose head came before and whose last byte came later was taken as well. Nothing compared the time limit of a request with what was left.

Why it works: from 2.5 s after the signal on, while callers are no longer directed here, a request is passed on only if its time limit ends before the process does. Otherwise 503 says so at once, while it is still true that it has not run; Retry-After is 0, as other nodes serve it. Until then requests are passed on whatever their limit: most end long before it. The times of a stop stand in shutdown_schedule, which is tested without a clock.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -60,19 +60,6 @@
 /// Interval between two log lines about the load on the store, in ms.
 constexpr base::millis store_load_interval_ms = 10000;
 
-/// Minimum time for which a node still serves requests after SIGTERM, in ms.
-/// Callers cache a response of the directory for two seconds, and some connect
-/// a little later.
-constexpr base::millis min_shutdown_ms = 3000;
-
-/// Part of the grace period that is reserved for the exit of the process, in
-/// ms.
-constexpr base::millis exit_margin_ms = 1200;
-
-/// Time before the exit deadline at which the servers stop listening and close
-/// idle connections at the latest, in ms. It is longer than most requests take.
-constexpr base::millis close_before_exit_ms = 2000;
-
 /// Interval between two checks whether a stopping node may exit, in ms.
 constexpr base::millis shutdown_poll_interval_ms = 50;
 
@@ -324,7 +311,7 @@
             return;
         }
         state_.stopping = true;
-        shutdown_started_at_ = state_.clock.now();
+        state_.stopping_since = state_.clock.now();
         state_.log.write(
             "stopping",
             {{"in_flight",
@@ -339,17 +326,14 @@
     }
 
     void advance_shutdown() {
-        const auto elapsed_ms = state_.clock.now() - shutdown_started_at_;
-        const auto exit_deadline_ms =
-            state_.settings.shutdown_grace_ms - exit_margin_ms;
-        const auto close_deadline_ms = exit_deadline_ms - close_before_exit_ms;
-        if (elapsed_ms >= close_deadline_ms ||
-            (handed_over_ && elapsed_ms >= min_shutdown_ms)) {
+        const auto now = state_.clock.now();
+        const auto schedule = state_.make_shutdown_schedule();
+        if (schedule.is_close_due(now, handed_over_)) {
             close_servers();
         }
         if ((handed_over_ && are_servers_closed()) ||
-            elapsed_ms >= exit_deadline_ms) {
-            finish_shutdown(elapsed_ms);
+            now >= schedule.exit_at()) {
+            finish_shutdown(now - state_.stopping_since);
             return;
         }
         run_after(shutdown_poll_interval_ms, [this] { advance_shutdown(); });
@@ -747,7 +731,6 @@
     transport::streaming_http_server readiness_server_;
     transport::streaming_http_server directory_server_;
     transport::streaming_http_server internal_server_;
-    base::millis shutdown_started_at_ = 0;
     bool handed_over_ = false;
     bool closing_servers_ = false;
 };
--- a/packages/entry/src/node_state.hpp
+++ b/packages/entry/src/node_state.hpp
@@ -9,6 +9,7 @@
 #include "hibiscus/telemetry/event_log.hpp"
 #include "hibiscus/telemetry/metrics.hpp"
 #include "hibiscus/transport/upstream.hpp"
+#include "shutdown_schedule.hpp"
 
 #include <optional>
 #include <random>
@@ -36,6 +37,8 @@
     std::mt19937 random_engine;
     /// Set once the node has received a stop signal.
     bool stopping = false;
+    /// When it received the signal, by the clock of the node.
+    base::millis stopping_since = 0;
 
     base::wall_clock_guard wall_clock;
 
@@ -45,6 +48,11 @@
         return wall_clock.true_time(base::read_clocks(clock));
     }
 
+    /// Returns the schedule of a stopping node. Its grace period may change.
+    shutdown_schedule make_shutdown_schedule() const {
+        return {stopping_since, settings.shutdown_grace_ms};
+    }
+
     /// Returns a random number in [0, 1).
     double random_fraction() {
         return std::uniform_real_distribution<double>(0, 1)(random_engine);
--- a/packages/entry/src/request_router.cpp
+++ b/packages/entry/src/request_router.cpp
@@ -15,6 +15,10 @@
 /// old to decide, in ms.
 constexpr base::millis configuration_retry_after_ms = 300;
 
+/// Retry-after time for callers of a node that stops, in ms. Other nodes serve
+/// them at once.
+constexpr base::millis stopping_retry_after_ms = 0;
+
 /// Timeout of requests without a deadline, in ms.
 constexpr base::millis default_deadline_ms = 10000;
 
@@ -134,9 +138,15 @@
                    std::move(response));
         return;
     }
-    forwarder_.forward_to_caller(
-        make_forward_request(call, *route, decision.holder, std::move(request)),
-        std::move(response));
+    auto forwarded =
+        make_forward_request(call, *route, decision.holder, std::move(request));
+    if (state_.stopping && !state_.make_shutdown_schedule().accepts(
+                               state_.clock.now(), forwarded.deadline)) {
+        reject(call.id, call.host, "stopping", *response,
+               adapter::not_run_response(stopping_retry_after_ms));
+        return;
+    }
+    forwarder_.forward_to_caller(std::move(forwarded), std::move(response));
 }
 
 void request_router::reject(const std::string& id, const std::string& host,
--- a/packages/entry/test/request_router_test.cpp
+++ b/packages/entry/test/request_router_test.cpp
@@ -214,6 +214,23 @@
     EXPECT_NE(harness_.call("DELETE /lots/of-nobody", "").status, 401);
 }
 
+// Guards against requests that a stopping node takes and can't answer.
+TEST_F(request_router_test,
+       a_late_request_is_rejected_if_it_may_outlast_a_stop) {
+    auto& state = harness_.state();
+    const auto grace_ms = state.settings.shutdown_grace_ms;
+    state.stopping = true;
+    state.stopping_since = state.clock.now() - grace_ms / 2;
+    const auto limit_field = [](base::millis ms) {
+        return "Deadline-Ms: " + std::to_string(ms) + "\r\n";
+    };
+    EXPECT_EQ(harness_.call("POST /open/x", limit_field(grace_ms)).status, 503);
+    EXPECT_TRUE(harness_.backend_requests().empty());
+    EXPECT_EQ(harness_.call("POST /open/x", limit_field(500)).status, 200);
+    state.stopping_since = state.clock.now();
+    EXPECT_EQ(harness_.call("POST /open/x", limit_field(grace_ms)).status, 200);
+}
+
 // Guards against a workspace that takes over the job of another one by
 // submitting its id.
 TEST_F(request_router_test, the_job_id_of_another_workspace_is_a_conflict) {
