--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -149,6 +149,7 @@
     const std::vector<std::string> statuses{"000", "099", "100", "101",
                                             "199", "600", "999"};
     std::vector<script> scripts;
+    scripts.reserve(statuses.size());
     for (const auto& status : statuses) {
         scripts.emplace_back([status](tcp::socket socket) {
             read_request(socket);
@@ -198,6 +199,7 @@
                                            "gzip\r\nTransfer-Encoding: chunked",
                                            "gzip\r\nContent-Length: 14"};
     std::vector<script> scripts;
+    scripts.reserve(codings.size());
     for (const auto& coding : codings) {
         scripts.emplace_back([coding](tcp::socket socket) {
             read_request(socket);
