batch, entry: a text with more events than tokens starts again

Callers saw (played here): servers that send events in order without end fill the memory of the node that owns the jobs.

Cause: nothing compared the events of a text with the tokens that its item may have, so that a text grew for as long as a server sent. Besides, a text that was discarded kept its memory: the assignment of an empty string leaves the buffer of the one before in place, as clear() does, also in what is kept of events and of bodies between two attempts.

Why it works: an event has a token at least, so a text with more events than max_total_tokens, which counts the prompt too, is not what the item asks for. It is discarded, its memory released, and the item starts again elsewhere. The account of responses now counts of a run only the incomplete event: texts in order are a part of their jobs, and long ones of many runs at once must not make each other fail.

--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -465,6 +465,7 @@
     bool is_unscored_text_due(const job_state& job, const item_row& row,
                               int min_events) const;
     void discard_output(item_row& row);
+    static bool has_too_many_events(const item_row& row);
     void cache_texts(const job_state& job);
     static std::set<std::string> incomplete_groups(const job_state& job);
     void add_speculative_job(const job_state& job);
--- a/packages/batch/src/item_scheduler.cpp
+++ b/packages/batch/src/item_scheduler.cpp
@@ -221,12 +221,20 @@
 }
 
 void item_scheduler::discard_output(item_row& row) {
-    row.output = {};
+    // An assignment would keep the memory of the text.
+    static_cast<void>(std::exchange(row.output, {}));
     row.saved_events = 0;
     row.saved_bytes = 0;
     ++row.epoch;
 }
 
+/// Returns true if the text has more events than the item may have tokens, so
+/// that it is not what the item asks for.
+bool item_scheduler::has_too_many_events(const item_row& row) {
+    return row.content.max_total_tokens > 0 &&
+           row.output.event_count > row.content.max_total_tokens;
+}
+
 void item_scheduler::discount_stall() {
     const auto now = clock_.now();
     const auto stall_ms = stall_detector_.tick(now);
@@ -396,6 +404,13 @@
     row.output.bytes += data;
     row.output.last_event = id;
     ++row.output.event_count;
+    if (has_too_many_events(row)) {
+        table_.on_failure(current.sampler);
+        cancel_run(run, "too_many_events", out);
+        discard_output(row);
+        requeue(row, retry_delay_ms);
+        return out;
+    }
     add_version(row.output.versions, current.version);
     row.fruitless_runs = 0;
     if (current.loss_count > 0) {
--- a/packages/batch/test/item_scheduler_fixture.hpp
+++ b/packages/batch/test/item_scheduler_fixture.hpp
@@ -53,6 +53,7 @@
         for (int n = 0; n < items; ++n) {
             item i;
             i.id = item_id("i" + std::to_string(n));
+            i.max_total_tokens = 100000;
             i.expected_output_tokens = 100 * (n + 1);
             if (reward) {
                 i.reward = reward_call{"r" + std::to_string(n), "h", "/p", ""};
--- a/packages/batch/test/item_scheduler_test.cpp
+++ b/packages/batch/test/item_scheduler_test.cpp
@@ -86,6 +86,28 @@
     EXPECT_EQ(ready[0].result.versions, (std::vector<weight_version>{1, 2}));
 }
 
+// Guards against texts that grow for as long as a server sends events.
+TEST_F(item_scheduler_test, a_text_with_more_events_than_tokens_starts_again) {
+    add_job(1);
+    const auto first = of_type<start_run>(scheduler_.tick(true)).front();
+    const auto max_events = first.content->max_total_tokens;
+    scheduler_.on_response_started(first.run, 1);
+    for (std::int64_t n = 1; n <= max_events; ++n) {
+        EXPECT_TRUE(
+            scheduler_.on_event(first.run, std::to_string(n), "e", {}).empty());
+    }
+    const auto stopped =
+        of_type<stop_run>(scheduler_.on_event(first.run, "one more", "e", {}));
+    ASSERT_EQ(stopped.size(), 1U);
+    EXPECT_EQ(stopped[0].reason, std::string("too_many_events"));
+    std::vector<start_run> next;
+    for (base::millis ms = 0; ms < 5000 && next.empty(); ms += tick_ms) {
+        next = of_type<start_run>(tick_for(tick_ms));
+    }
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].resume_after_event, "");
+}
+
 // Guards against runs that leave healthy servers because the owner stalled.
 TEST_F(item_scheduler_test, a_stalled_owner_considers_no_run_silent) {
     const auto starts = start_four_runs();
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -219,7 +219,8 @@
         repeat_promised_ = false;
         attempt_sent_at_ = state_.clock.now();
         head_ = {};
-        body_.clear();
+        // clear() would keep the memory, which is in no account by now.
+        static_cast<void>(std::exchange(body_, {}));
         event_assembler_.discard_partial_event();
         forwarding_stream_ = false;
         const auto* row = state_.samplers.find(server);
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -99,8 +99,6 @@
         int item_index = 0;
         batch::item_id request_id;
         int event_count = 0;
-        /// Size of the response so far.
-        std::size_t received_bytes = 0;
         base::millis started_at = 0;
     };
 
--- a/packages/entry/src/job_owner_runs.cpp
+++ b/packages/entry/src/job_owner_runs.cpp
@@ -115,9 +115,8 @@
             return;
         }
         auto& active = found->second;
-        active.received_bytes += data.size();
         const auto events_of_run = active.parser.feed(data);
-        active.call->keep(active.received_bytes + active.parser.held_bytes());
+        active.call->keep(active.parser.held_bytes());
         for (const auto& e : events_of_run) {
             ++found->second.event_count;
             apply_effects(scheduler_.on_event(
--- a/packages/transport/src/event_stream.cpp
+++ b/packages/transport/src/event_stream.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace hibiscus::transport {
 
@@ -100,7 +101,8 @@
 }
 
 void event_assembler::discard_partial_event() {
-    partial_event_.clear();
+    // clear() would keep the memory.
+    static_cast<void>(std::exchange(partial_event_, {}));
 }
 
 } // namespace hibiscus::transport
--- a/testing/entry/entry_endless_response_test.cpp
+++ b/testing/entry/entry_endless_response_test.cpp
@@ -184,6 +184,22 @@
     expect_unharmed();
 }
 
+// Guards against texts that grow for as long as a server sends events.
+TEST_F(entry_endless_response_test, events_of_a_run) {
+    start(signed_ok, [](std::size_t n) {
+        constexpr std::size_t events_per_piece = 64;
+        std::string piece;
+        for (std::size_t k = 1; k <= events_per_piece; ++k) {
+            piece += "id: " + std::to_string(n * events_per_piece + k) +
+                     "\ndata: " + std::string(kib, 'x') + "\n\n";
+        }
+        return piece;
+    });
+    run_job();
+    EXPECT_TRUE(run_until([&] { return is_lookup_answered(); }));
+    expect_unharmed();
+}
+
 // Guards against reports that are kept whole.
 TEST_F(entry_endless_response_test, reports_of_servers) {
     are_reports_endless_ = true;
