--- a/packages/transport/test/broken_response_test.cpp
+++ b/packages/transport/test/broken_response_test.cpp
@@ -1,4 +1,5 @@
 #include "hibiscus/transport/upstream.hpp"
+#include "support/concat.hpp"
 #include "support/raw_server.hpp"
 
 #include <gtest/gtest.h>
@@ -12,6 +13,7 @@
 namespace {
 
 namespace asio = boost::asio;
+using testing::concat;
 using testing::connection_end;
 using testing::raw_response;
 using testing::raw_server;
@@ -94,9 +96,10 @@
     for (const auto& bytes :
          {sized(ok, "hello"),
           sized("HTTP/1.0 200 OK\r\nRequest-Id: {id}\r\n", "hello"),
-          ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n" +
-              trailers,
-          ok + "Transfer-Encoding: Chunked\r\n\r\n5\r\nhello\r\n" + trailers}) {
+          concat({ok, "Transfer-Encoding: chunked\r\n\r\n",
+                  "2\r\nhe\r\n3;x=y\r\nllo\r\n", trailers}),
+          concat({ok, "Transfer-Encoding: Chunked\r\n\r\n", "5\r\nhello\r\n",
+                  trailers})}) {
         const auto result = call(bytes);
         EXPECT_EQ(result.outcome, call_outcome::complete) << bytes;
         EXPECT_EQ(result.status, 200);
@@ -167,7 +170,7 @@
          {"g\r\nhello\r\n", "-5\r\nhello\r\n", "\r\nhello\r\n",
           "5\r\nhelloo\r\n0\r\n", "fffffffffffffffff\r\nhello\r\n",
           "5\nhello\n"}) {
-        const auto result = call(chunked + "\r\n" + chunk + "0\r\n\r\n",
+        const auto result = call(concat({chunked, "\r\n", chunk, "0\r\n\r\n"}),
                                  connection_end::shutdown);
         EXPECT_EQ(result.outcome, call_outcome::broken) << chunk;
     }
@@ -233,7 +236,9 @@
         sized("HTTP/1.1 000 Trouble\r\nRequest-Id: {id}\r\n", "hello"));
     raw_response endless;
     endless.bytes = processing;
-    endless.endless_piece = [processing](std::size_t) { return processing; };
+    endless.endless_piece = [&](std::size_t) {
+        return std::string(processing);
+    };
     EXPECT_EQ(call(endless).outcome, call_outcome::broken);
 }
 
@@ -284,13 +289,14 @@
 // Guards against lines that are taken for a part of the field before.
 TEST_F(broken_response_test, a_folded_field_is_malformed) {
     for (const std::string fold : {" more", "\tmore", " ", " X-Name: v"}) {
-        expect_broken(sized(ok + "X-Name: v\r\n" + fold + "\r\n", "hello"));
-        expect_broken(sized(ok + fold + "\r\n", "hello"));
         expect_broken(
-            sized("HTTP/1.1 200 OK\r\n" + fold + "\r\nRequest-Id: {id}\r\n",
-                  "hello"));
-        expect_broken(sized(ok + "Transfer-Encoding: chunked\r\n" + fold +
-                                "\r\nX-Name: v\r\n",
+            sized(concat({ok, "X-Name: v\r\n", fold, "\r\n"}), "hello"));
+        expect_broken(sized(concat({ok, fold, "\r\n"}), "hello"));
+        expect_broken(sized(
+            concat({"HTTP/1.1 200 OK\r\n", fold, "\r\nRequest-Id: {id}\r\n"}),
+            "hello"));
+        expect_broken(sized(concat({ok, "Transfer-Encoding: chunked\r\n", fold,
+                                    "\r\nX-Name: v\r\n"}),
                             "hello"));
     }
 }
@@ -309,7 +315,8 @@
           "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
           "Transfer-Encoding: gzip\r\nContent-Length: 15",
           "Content-Length: 15\r\nTransfer-Encoding: gzip"}) {
-        expect_broken(ok + codings + "\r\n" + body, connection_end::shutdown);
+        expect_broken(concat({ok, codings, "\r\n", body}),
+                      connection_end::shutdown);
     }
     expect_broken("HTTP/1.0 200 OK\r\nRequest-Id: {id}\r\n"
                   "Transfer-Encoding: chunked\r\n" +
@@ -322,15 +329,15 @@
     const std::string part(1000, 'x');
     for (const char* length : {"67108865", "1073741824", "999999999999",
                                "9223372036854775807", "18446744073709551615"}) {
-        const auto field =
-            "Content-Length: " + std::string(length) + "\r\n\r\n";
+        const auto fields = concat(
+            {"Request-Id: {id}\r\nContent-Length: ", length, "\r\n\r\n"});
         for (const std::string status : {"200", "400", "500"}) {
-            const auto head = "HTTP/1.1 " + status + " Any\r\n";
-            expect_broken(head + "Request-Id: {id}\r\n" + field);
-            expect_broken(head + "Request-Id: {id}\r\n" + field + part);
+            const auto head = concat({"HTTP/1.1 ", status, " Any\r\n", fields});
+            expect_broken(head);
+            expect_broken(head + part);
         }
-        const auto chunked = call(
-            ok + "Transfer-Encoding: chunked\r\n\r\nffffffffffff\r\n" + part);
+        const auto chunked = call(concat(
+            {ok, "Transfer-Encoding: chunked\r\n\r\nffffffffffff\r\n", part}));
         EXPECT_EQ(chunked.outcome, call_outcome::broken);
     }
 }
--- a/testing/entry/entry_broken_response_test.cpp
+++ b/testing/entry/entry_broken_response_test.cpp
@@ -1,4 +1,5 @@
 #include "entry/entry_harness.hpp"
+#include "support/concat.hpp"
 #include "support/raw_server.hpp"
 
 #include <gtest/gtest.h>
@@ -49,12 +50,13 @@
     }
     const std::string chunked_body = "\r\n2\r\nhi\r\n0\r\n\r\n";
     for (const std::string coding : {"gzip", "gzip, chunked", "identity"}) {
-        responses.push_back(signed_ok + "Transfer-Encoding: " + coding +
-                            "\r\n" + chunked_body);
+        responses.push_back(concat(
+            {signed_ok, "Transfer-Encoding: ", coding, "\r\n", chunked_body}));
     }
     for (const std::string status : {"200", "400", "500"}) {
-        responses.push_back("HTTP/1.1 " + status + " Any\r\n" + signed_fields +
-                            "Content-Length: 999999999999\r\n\r\n" + events);
+        responses.push_back(
+            concat({"HTTP/1.1 ", status, " Any\r\n", signed_fields,
+                    "Content-Length: 999999999999\r\n\r\n", events}));
     }
     return responses;
 }
@@ -167,7 +169,7 @@
     const std::string upload(12 * 1024 * 1024, 'x');
     for (const base::millis delay_ms : {20, 50, 400}) {
         raw_response response;
-        response.bytes = signed_ok + "\r\n" + events;
+        response.bytes = concat({signed_ok, "\r\n", events});
         response.end = connection_end::reset;
         response.end_delay_ms = delay_ms;
         response.leaves_body_unread = true;
--- a/testing/entry/entry_endless_response_test.cpp
+++ b/testing/entry/entry_endless_response_test.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_harness.hpp"
 #include "entry/misbehaving_client.hpp"
+#include "support/concat.hpp"
 #include "support/raw_server.hpp"
 
 #include <gtest/gtest.h>
@@ -144,7 +145,8 @@
 // Guards against failures that are kept whole, in no account.
 TEST_F(entry_endless_response_test, bodies_of_failures) {
     for (const std::string status : {"400", "500"}) {
-        start("HTTP/1.1 " + status + " Any\r\n" + signed_fields + "\r\n", "x");
+        start(concat({"HTTP/1.1 ", status, " Any\r\n", signed_fields, "\r\n"}),
+              "x");
         run_callers("/plain-stream/x");
         EXPECT_TRUE(run_until([&] { return is_lookup_answered(); }));
         expect_unharmed();
