transport: malformed responses are counted

No fault of a caller: of a call that is broken nobody could see whether its connection had ended or the response was one that HTTP does not allow. The client counts the latter, and a node shows it as responses_malformed. broken_response_test.malformed_responses_are_counted.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -617,6 +617,8 @@
                             static_cast<double>(c.connections_reused));
         state_.counters.set("stray_bytes",
                             static_cast<double>(c.unsolicited_reads));
+        state_.counters.set("responses_malformed",
+                            static_cast<double>(c.malformed_responses));
         const auto& buffers = caller_server_.buffers();
         state_.counters.set("held_bytes", static_cast<double>(buffers.held()));
         state_.counters.set("held_bytes_peak",
--- a/packages/transport/include/hibiscus/transport/upstream.hpp
+++ b/packages/transport/include/hibiscus/transport/upstream.hpp
@@ -154,6 +154,8 @@
     /// Idle connections that had unread input, and responses that belonged to
     /// another request.
     std::uint64_t unsolicited_reads = 0;
+    /// Responses that HTTP does not allow, or that are larger than allowed.
+    std::uint64_t malformed_responses = 0;
 };
 
 /// An HTTP/1.1 client that reuses connections and streams responses. Must be
--- a/packages/transport/src/upstream.cpp
+++ b/packages/transport/src/upstream.cpp
@@ -275,6 +275,7 @@
         }
         nothing_received_ = false;
         if (!reader_.parse()) {
+            ++state_->counts.malformed_responses;
             finish(call_outcome::broken);
             return;
         }
--- a/packages/transport/test/broken_response_test.cpp
+++ b/packages/transport/test/broken_response_test.cpp
@@ -208,6 +208,13 @@
     }
 }
 
+TEST_F(broken_response_test, malformed_responses_are_counted) {
+    call(sized(ok, "hello"));
+    EXPECT_EQ(client_.counts().malformed_responses, 0U);
+    call(sized("HTTP/1.1 000 Trouble\r\nRequest-Id: {id}\r\n", "hello"));
+    EXPECT_EQ(client_.counts().malformed_responses, 1U);
+}
+
 // Guards against responses that are lost behind interim ones.
 TEST_F(broken_response_test, interim_responses_are_skipped) {
     const std::string processing = "HTTP/1.1 102 Processing\r\n\r\n";
