--- a/packages/entry/src/shutdown_schedule.cpp
+++ b/packages/entry/src/shutdown_schedule.cpp
@@ -1,5 +1,7 @@
 #include "shutdown_schedule.hpp"
 
+#include <algorithm>
+
 namespace hibiscus::entry {
 
 namespace {
@@ -25,16 +27,21 @@
 } // namespace
 
 bool shutdown_schedule::is_close_due(base::millis now, bool handed_over) const {
-    return now >= exit_at() - close_before_exit_ms ||
+    return now >= close_at() ||
            (handed_over && now - started_at_ >= min_serving_ms);
 }
 
+base::millis shutdown_schedule::close_at() const {
+    return exit_at() - close_before_exit_ms;
+}
+
 base::millis shutdown_schedule::exit_at() const {
     return started_at_ + grace_ms_ - exit_margin_ms;
 }
 
 bool shutdown_schedule::accepts(base::millis now, base::millis deadline) const {
-    return now - started_at_ < directed_ms || deadline < exit_at();
+    return now < std::min(started_at_ + directed_ms, close_at()) ||
+           deadline < exit_at();
 }
 
 } // namespace hibiscus::entry
--- a/packages/entry/src/shutdown_schedule.hpp
+++ b/packages/entry/src/shutdown_schedule.hpp
@@ -17,6 +17,9 @@
     /// another node has taken over the duties of this one.
     bool is_close_due(base::millis now, bool handed_over) const;
 
+    /// Returns when the servers close at the latest.
+    base::millis close_at() const;
+
     /// Returns when the process exits at the latest.
     base::millis exit_at() const;
 
--- a/packages/entry/test/shutdown_schedule_test.cpp
+++ b/packages/entry/test/shutdown_schedule_test.cpp
@@ -45,6 +45,8 @@
     const shutdown_schedule schedule(signal_at, 3000);
     EXPECT_TRUE(schedule.is_close_due(signal_at, false));
     EXPECT_EQ(schedule.exit_at(), signal_at + 1800);
+    EXPECT_FALSE(schedule.accepts(signal_at, signal_at + 5000));
+    EXPECT_TRUE(schedule.accepts(signal_at, signal_at + 1000));
 }
 
 } // namespace
