testing: lines without end and bodies that are passed on, with a real node

A node that a test starts again gets its ports only once the one before has ended: in one run on the second node of a test could not listen, as a process is started before the one that it replaces is ended. Traced to the order of an assignment in the test; the program has no part in it.

--- a/testing/entry/entry_endless_response_test.cpp
+++ b/testing/entry/entry_endless_response_test.cpp
@@ -48,6 +48,8 @@
         put_raw_server("llm-0", "llm", true, *samplers_[0]);
         put_raw_server("llm-1", "llm", true, *samplers_[1]);
         publish_configuration(1, route_timeout_ms);
+        // The node before has the ports until it has ended.
+        nodes_.clear();
         start_node("n1");
         ASSERT_TRUE(wait_until_ready("n1"));
         ASSERT_TRUE(run_until([&] { return is_lookup_answered(); }));
@@ -67,14 +69,19 @@
         return call("n1", "GET", "/look/x", {{"Request-Id", id}}).status == 200;
     }
 
-    /// Sends requests to a route at once, and runs until each has ended.
-    void run_callers(const std::string& target) {
+    /// Sends requests to a route at once.
+    void add_callers(const std::string& target) {
         for (int n = 0; n < caller_count; ++n) {
             callers_.push_back(std::make_unique<misbehaving_client>(
                 io_, base::endpoint{"127.0.0.1", ports_.at("n1").front()},
                 send_once(make_head("c" + std::to_string(n), target,
                                     "Content-Length: 0"))));
         }
+    }
+
+    /// Sends requests to a route at once, and runs until each has ended.
+    void run_callers(const std::string& target) {
+        add_callers(target);
         EXPECT_TRUE(run_until([&] {
             return std::all_of(callers_.begin(), callers_.end(),
                                [](const auto& c) {
@@ -154,6 +161,35 @@
     }
 }
 
+// Guards against lines that are kept until they end.
+TEST_F(entry_endless_response_test, heads_chunk_lines_and_trailers) {
+    const std::string chunked_head =
+        concat({"HTTP/1.1 200 OK\r\n", signed_fields,
+                "Transfer-Encoding: chunked\r\n"});
+    for (const auto& begin :
+         {std::string("x"), std::string("HTTP/1.1 200 "),
+          std::string("HTTP/1.1 200 OK\r\nX-Name: "),
+          std::string("HTTP/1.1 200 OK\r\nX-"),
+          chunked_head + "\r\n2;x=", chunked_head + "\r\n0\r\nX-Name: "}) {
+        start(begin, "x");
+        run_callers("/plain-stream/x");
+        EXPECT_TRUE(run_until([&] { return is_lookup_answered(); }));
+        expect_unharmed();
+        callers_.clear();
+    }
+}
+
+// Guards against bodies that are read faster than they can be passed on.
+TEST_F(entry_endless_response_test, bodies_that_are_passed_on) {
+    start(signed_ok, "x");
+    add_callers("/plain-stream/x");
+    EXPECT_TRUE(
+        run_until([&] { return raw_.endless_bytes() > min_sent_bytes; }));
+    EXPECT_TRUE(run_until([&] { return is_lookup_answered(); }));
+    callers_.clear();
+    expect_unharmed();
+}
+
 // Guards against bodies without a signature that are kept whole.
 TEST_F(entry_endless_response_test, bodies_without_a_signature) {
     start(unsigned_ok, "x");
