--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -57,6 +57,10 @@
     int cleared_losses = 0;
     /// How many of them a request explains that ends its servers at one point.
     int agreeing_losses = 0;
+    /// How many of `losses` were noticed only after the send had been given up,
+    /// and how many came before any event of the run.
+    int late_losses = 0;
+    int losses_without_events = 0;
     chance_evidence chance;
 };
 
@@ -364,6 +368,8 @@
 
     static int count(const request_row& row, loss_state state);
     static int count_losses(const request_row& row);
+    template <class Predicate>
+    static int count_losses(const request_row& row, Predicate predicate);
     static int cleared_losses_that_count(const request_row& row);
     enum class loss_filter { ended, ended_or_suspected };
     /// How many losses of a request agree with one point at which it may end
@@ -389,6 +395,7 @@
     static bool has_loss(const request_row& row, const server_process& process);
     static time_span span_of(const request_row& row);
     send_permission permission(const request_row& row) const;
+    loss_summary summarize(const request_row& row) const;
     bool has_unsettled_sends(const request_key& request) const;
     base::millis answerable_ms(const request_key& request,
                                base::millis sent_at) const;
--- a/packages/batch/include/hibiscus/batch/server_loss.hpp
+++ b/packages/batch/include/hibiscus/batch/server_loss.hpp
@@ -24,6 +24,8 @@
     /// something last came from it, to whatever request. It may have ended
     /// before the request was sent.
     std::optional<base::millis> silent_since = {};
+    /// Whether the server had begun to respond to the request.
+    bool has_response = false;
     /// For how long nothing had come from the process when the request was
     /// sent, in ms.
     base::millis quiet_ms = 0;
--- a/packages/batch/src/crash_ledger.cpp
+++ b/packages/batch/src/crash_ledger.cpp
@@ -34,8 +34,15 @@
 }
 
 int crash_ledger::count_losses(const request_row& row) {
-    return static_cast<int>(row.losses.size()) -
-           count(row, loss_state::sending);
+    return count_losses(row, [](const loss& /*l*/) { return true; });
+}
+
+template <class Predicate>
+int crash_ledger::count_losses(const request_row& row, Predicate predicate) {
+    return static_cast<int>(
+        std::count_if(row.losses.begin(), row.losses.end(), [&](const loss& l) {
+            return l.state != loss_state::sending && predicate(l);
+        }));
 }
 
 /// Cleared losses count once more when a further server is lost.
@@ -187,14 +194,21 @@
 
 loss_summary crash_ledger::summarize(const request_key& request) const {
     const auto found = rows_.find(request);
-    return found == rows_.end()
-               ? loss_summary{}
-               : loss_summary{count_losses(found->second),
-                              found->second.cleared_losses,
-                              find_agreement(found->second,
-                                             loss_filter::ended_or_suspected)
-                                  .most(),
-                              compare_with_chance(found->second)};
+    return found == rows_.end() ? loss_summary{} : summarize(found->second);
+}
+
+loss_summary crash_ledger::summarize(const request_row& row) const {
+    loss_summary summary;
+    summary.losses = count_losses(row);
+    summary.cleared_losses = row.cleared_losses;
+    summary.agreeing_losses =
+        find_agreement(row, loss_filter::ended_or_suspected).most();
+    summary.late_losses =
+        count_losses(row, [](const loss& l) { return l.is_late; });
+    summary.losses_without_events = count_losses(
+        row, [](const loss& l) { return l.progress.run_events == 0; });
+    summary.chance = compare_with_chance(row);
+    return summary;
 }
 
 bool crash_ledger::is_stored(const request_key& request) const {
--- a/packages/batch/src/item_scheduler_isolation.cpp
+++ b/packages/batch/src/item_scheduler_isolation.cpp
@@ -130,6 +130,7 @@
     server_loss lost{process_of(run), service,
                      static_cast<int>(table_.run_candidates(service).size()),
                      progress_of(run, row)};
+    lost.has_response = run.has_response;
     lost.quiet_ms = run.quiet_ms;
     const auto silence = clock_.now() - run.last_activity_at;
     if (run.has_response && silence > min_silence_ms) {
--- a/packages/batch/test/crash_ledger_abandoned_test.cpp
+++ b/packages/batch/test/crash_ledger_abandoned_test.cpp
@@ -88,6 +88,20 @@
     EXPECT_EQ(ledger_.permission(request_), send_permission::allowed);
 }
 
+TEST_F(abandoned_sends_test, a_summary_tells_late_losses_from_others) {
+    constexpr int run_events = 5;
+    abandon(2);
+    ledger_.on_ended(process("s0"));
+    auto noticed = make_loss(process("s1"));
+    noticed.progress.run_events = run_events;
+    ledger_.on_lost(request_, noticed);
+    ledger_.on_ended(process("s1"));
+    const auto summary = ledger_.summarize(request_);
+    EXPECT_EQ(summary.losses, 2);
+    EXPECT_EQ(summary.late_losses, 1);
+    EXPECT_EQ(summary.losses_without_events, 1);
+}
+
 // Guards against one end that counts as a loss and as an abandoned send.
 TEST_F(abandoned_sends_test, one_end_counts_once) {
     abandon(1);
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -1,6 +1,7 @@
 #include "hibiscus/entry/daemon.hpp"
 
 #include "batch_api.hpp"
+#include "build_id.hpp"
 #include "forwarder.hpp"
 #include "hibiscus/base/result.hpp"
 #include "hibiscus/membership/fleet_membership.hpp"
@@ -170,7 +171,8 @@
         }
         log_failed_accepts();
         state_.log.write(
-            "start", {{"zone", state_.settings.zone},
+            "start", {{"build", build_id},
+                      {"zone", state_.settings.zone},
                       {"callers", to_string(state_.settings.listen_callers)},
                       {"store", to_string(state_.settings.store)}});
         membership_.start();
--- a/packages/entry/src/forwarder.cpp
+++ b/packages/entry/src/forwarder.cpp
@@ -395,6 +395,7 @@
                                    request_.service,
                                    static_cast<int>(servers.size()),
                                    {0, 0, now - attempt_sent_at_}};
+        attempt.has_response = head_.status != 0;
         attempt.quiet_ms = server_quiet_ms_;
         return attempt;
     }
--- a/packages/entry/src/job_owner_crashes.cpp
+++ b/packages/entry/src/job_owner_crashes.cpp
@@ -39,6 +39,8 @@
                 {"losses", evidence.losses},
                 {"cleared", evidence.cleared_losses},
                 {"agreeing", evidence.agreeing_losses},
+                {"late", evidence.late_losses},
+                {"without_events", evidence.losses_without_events},
                 {"other_ends", evidence.chance.other_ends},
                 {"ratio", static_cast<std::int64_t>(std::min(
                               evidence.chance.ratio, max_logged_ratio))}});
@@ -67,6 +69,9 @@
                       {"run_events", loss.progress.run_events},
                       {"events", loss.progress.text_events},
                       {"silent", loss.silent_since.has_value()},
+                      {"silence_ms", loss.silence_ms},
+                      {"quiet_ms", loss.quiet_ms},
+                      {"responded", loss.has_response},
                       {"counts", report.counts},
                       {"losses", report.loss_count}});
 }
--- a/testing/entry/entry_path_test.cpp
+++ b/testing/entry/entry_path_test.cpp
@@ -140,6 +140,17 @@
     EXPECT_EQ(resolved.at("addresses").size(), 1U);
 }
 
+// Guards against logs of which nobody can tell what build wrote them.
+TEST_F(entry_path_test, the_first_line_of_a_node_names_its_build) {
+    publish_configuration();
+    start_node("n1");
+    ASSERT_TRUE(wait_until_ready("n1"));
+    EXPECT_TRUE(run_until([&] {
+        return has_logged("n1", {R"("event":"start")", R"("build":")"});
+    }));
+    EXPECT_FALSE(has_logged("n1", {R"("build":"")"}));
+}
+
 TEST_F(entry_path_test, a_node_without_a_configuration_denies_nothing) {
     // A node that has not read the configuration yet knows no routes. With 404
     // it would tell callers that their target does not exist.
