--- a/testing/entry/entry_silent_server_test.cpp
+++ b/testing/entry/entry_silent_server_test.cpp
@@ -6,6 +6,9 @@
 
 #include <chrono>
 #include <memory>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace hibiscus::testing {
 
@@ -71,9 +74,58 @@
         });
     }
 
+    bool finish_job(const std::string& job) {
+        return run_until(
+            [&] { return read_states("n2", job).size() == items_per_job; });
+    }
+
+    /// Ends up to `max_ends` servers under the first item that begins late: at
+    /// its third event there.
+    void end_servers_of_a_late_item(int max_ends) {
+        const auto submitted_at = std::chrono::steady_clock::now();
+        end_samplers_before_event([this, max_ends,
+                                   submitted_at](const std::string& id, int,
+                                                 int sent_events) {
+            const bool is_late =
+                std::chrono::steady_clock::now() - submitted_at > late_after;
+            const bool has_begun = !begun_items_.insert(id).second;
+            if (victim_.empty() && is_late && !has_begun) {
+                victim_ = id;
+            }
+            const bool ends = id == victim_ &&
+                              sent_events == events_before_end &&
+                              victim_ends_ < max_ends;
+            victim_ends_ += ends ? 1 : 0;
+            return ends;
+        });
+    }
+
+    /// Returns true if a node has chosen this server for the item under which
+    /// servers end.
+    bool was_placed_at(const fake_backend_server& server) const {
+        const std::vector<std::string> texts{R"("id":")" + victim_ + R"(")",
+                                             R"("server":")" + server.id() +
+                                                 R"(")"};
+        return has_logged("n1", texts) || has_logged("n2", texts);
+    }
+
+    /// Waits until nothing has come from any server for a while.
+    void wait_until_quiet() {
+        io_.restart();
+        io_.run_for(quiet_time);
+    }
+
     static constexpr const char* long_item = "i3";
 
+    /// The item under which servers end, and how many have.
+    std::string victim_;
+    int victim_ends_ = 0;
+
 private:
+    std::set<std::string> begun_items_;
+    static constexpr std::chrono::milliseconds late_after{150};
+    static constexpr std::chrono::milliseconds quiet_time{300};
+    static constexpr int events_before_end = 2;
     static constexpr int few_events = 5;
     static constexpr int long_item_events = 100;
     static constexpr int slow_event_ms = 40;
@@ -99,6 +151,26 @@
     EXPECT_LE(samplers_.back()->run_count() - runs_before, max_runs);
 }
 
+// Guards against an item that is held back for a server that never got it.
+TEST_F(entry_silent_server_test,
+       an_item_first_sent_to_a_silent_server_goes_on) {
+    constexpr int ends = 2;
+    add_samplers();
+    end_servers_at("no request");
+    renew_registrations();
+    start_nodes();
+    ASSERT_EQ(submit("n1", "job1", "i").status, 202);
+    ASSERT_TRUE(finish_job("job1"));
+    end_silently(*samplers_.front());
+    wait_until_quiet();
+    end_servers_of_a_late_item(ends);
+    ASSERT_EQ(submit("n1", "job2", "j").status, 202);
+    EXPECT_TRUE(finish_job("job2"));
+    EXPECT_EQ(victim_ends_, ends);
+    EXPECT_TRUE(was_placed_at(*samplers_.front()));
+    EXPECT_FALSE(is_quarantined(victim_));
+}
+
 } // namespace
 
 } // namespace hibiscus::testing
