--- a/packages/batch/include/hibiscus/batch/effects.hpp
+++ b/packages/batch/include/hibiscus/batch/effects.hpp
@@ -40,14 +40,14 @@
     /// the server has run the item.
     bool reuse_connection = true;
     /// Whether the item is sent once more if an idle connection ends. Not if
-    /// the server was active a moment ago or is checked: then it may have ended
-    /// under the item.
+    /// the server was active a moment ago, or if it is checked for an item with
+    /// losses: then it may have ended under the item.
     bool resend_if_stale = true;
     /// How far the run may go: servers ended at a point beyond it.
     std::optional<run_limit> limit = {};
-    /// Whether the server must show that it is alive before the item is sent.
-    /// Servers were lost under the item, so that the loss of one that had ended
-    /// before would count against it.
+    /// Whether the server must show that it is alive before the item is sent:
+    /// nothing has come from it for a while, or servers were lost under the
+    /// item. The loss of one that had ended before would count against it.
     bool check_server = false;
 };
 
--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -396,6 +396,7 @@
                      effects& out);
     item_row* find_item(const run_row& run);
     void discount_stall();
+    void note_failed_check(const samplers::sampler_id& server);
     void forget_heard_servers();
     void place_items(effects& out);
     void update_plan();
--- a/packages/batch/src/item_scheduler.cpp
+++ b/packages/batch/src/item_scheduler.cpp
@@ -243,6 +243,20 @@
     }
 }
 
+/// Avoids a server that has failed a check. All runs that wait for one check
+/// fail with it, but it is one failure of the server.
+void item_scheduler::note_failed_check(const samplers::sampler_id& server) {
+    const auto* row = table_.find(server);
+    if (row == nullptr) {
+        return;
+    }
+    if (row->blocked_until <= clock_.now()) {
+        table_.on_failure(server);
+    }
+    table_.on_silence(server);
+    unchecked_servers_.insert(server);
+}
+
 /// Removes the servers from which something has come since they failed a check.
 void item_scheduler::forget_heard_servers() {
     for (auto id = unchecked_servers_.begin();
@@ -358,6 +372,7 @@
     found->second.version = version;
     found->second.has_response = true;
     found->second.last_activity_at = clock_.now();
+    table_.on_heard(found->second.sampler);
     auto* item = find_item(found->second);
     item->last_served_at = clock_.now();
     item->failed_checks = 0;
@@ -387,6 +402,8 @@
     const auto now = clock_.now();
     if (current.event_count > 0) {
         table_.on_event(current.sampler, now - current.last_activity_at);
+    } else {
+        table_.on_heard(current.sampler);
     }
     current.last_activity_at = now;
     row.last_served_at = now;
@@ -470,9 +487,7 @@
         break;
     case run_outcome::no_sign:
         ++row.failed_checks;
-        table_.on_failure(ended_run.sampler);
-        table_.on_silence(ended_run.sampler);
-        unchecked_servers_.insert(ended_run.sampler);
+        note_failed_check(ended_run.sampler);
         requeue(row, 0);
         break;
     case run_outcome::not_run:
--- a/packages/batch/src/item_scheduler_isolation.cpp
+++ b/packages/batch/src/item_scheduler_isolation.cpp
@@ -36,7 +36,7 @@
             const auto* server = table_.find(lost.process.server);
             if (server != nullptr &&
                 server->registered.started_ms == lost.process.started_ms &&
-                server->last_event_at <= lost.lost_at) {
+                server->last_heard_at <= lost.lost_at) {
                 occupancy.doubtful.insert(lost.process.server);
             }
         }
@@ -119,8 +119,14 @@
 void item_scheduler::on_run_sent(run_number run) {
     const auto found = runs_.find(run);
     if (found != runs_.end()) {
-        found->second.sent_at = clock_.now();
-        found->second.is_sent = true;
+        auto& sent = found->second;
+        const auto* server = table_.find(sent.sampler);
+        sent.sent_at = clock_.now();
+        sent.last_activity_at = sent.sent_at;
+        sent.is_sent = true;
+        if (server != nullptr) {
+            sent.quiet_ms = sent.sent_at - server->last_sign_at();
+        }
     }
 }
 
--- a/packages/batch/src/item_scheduler_limits.hpp
+++ b/packages/batch/src/item_scheduler_limits.hpp
@@ -16,4 +16,8 @@
 /// A server that has sent nothing for less than this, in ms, is not silent.
 constexpr base::millis min_silence_ms = 300;
 
+/// A server that has sent nothing for longer than this, in ms, is checked
+/// before it gets an item.
+constexpr base::millis max_unheard_ms = 100;
+
 } // namespace hibiscus::batch
--- a/packages/batch/src/item_scheduler_moves.cpp
+++ b/packages/batch/src/item_scheduler_moves.cpp
@@ -88,7 +88,7 @@
     auto lost = loss_of(run, row);
     if (!run.has_response) {
         const auto* server = table_.find(run.sampler);
-        lost.silent_since = server == nullptr ? 0 : server->last_event_at;
+        lost.silent_since = server == nullptr ? 0 : server->last_heard_at;
         const bool has_restarted =
             server == nullptr ||
             server->registered.started_ms != run.server_started_ms;
--- a/packages/batch/src/item_scheduler_placement.cpp
+++ b/packages/batch/src/item_scheduler_placement.cpp
@@ -33,8 +33,8 @@
 /// those of all jobs, in ms. Longer than any job lasts.
 constexpr base::millis speculative_queue_offset_ms = 3600000;
 
-/// After this many servers that failed their checks, an item is sent without a
-/// check, in case that checks fail at sound servers.
+/// After this many servers that failed their checks, an item is sent once
+/// without a check, in case that checks fail at sound servers.
 constexpr int max_failed_checks = 8;
 
 /// Wanted slots per open item at the peak. More than one, since other trainers'
@@ -142,8 +142,15 @@
                                     loss_count};
         occupancy.add(*server, loss_count);
         const bool store_first = crashes_.needs_stored_send(request);
+        const bool needs_check =
+            loss_count > 0 || now - chosen.last_heard_at > max_unheard_ms;
         const bool check_server =
-            loss_count > 0 && row.failed_checks < max_failed_checks;
+            needs_check && row.failed_checks < max_failed_checks;
+        if (!check_server) {
+            row.failed_checks = 0;
+        }
+        const bool may_resend =
+            !was_active && !(check_server && loss_count > 0);
         added.limit = limit;
         added.quiet_ms = now - chosen.last_sign_at();
         added.is_sent = !store_first && !check_server;
@@ -170,7 +177,7 @@
             std::max<base::millis>(1000, job.first_seen_at +
                                              job.options.item_expiry_ms - now),
             store_first, !store_first && !row.needs_new_connection && may_reuse,
-            !was_active && !check_server, limit, check_server});
+            may_resend, limit, check_server});
     }
 }
 
--- a/packages/batch/test/item_scheduler_crash_test.cpp
+++ b/packages/batch/test/item_scheduler_crash_test.cpp
@@ -180,6 +180,9 @@
 // Guards against a server that had fallen silent before an item was sent there
 // and is held against the item.
 TEST_F(item_scheduler_test, a_server_that_fails_its_check_is_no_loss) {
+    for (const auto* id : {"a", "b"}) {
+        table_.on_heard(samplers::sampler_id(id));
+    }
     add_job(1);
     const auto first = of_type<start_run>(scheduler_.tick(true));
     ASSERT_EQ(first.size(), 1U);
@@ -207,6 +210,28 @@
     EXPECT_NE(next[0].sampler, checked->sampler);
 }
 
+// Guards against an item that is held back for a server that never got it.
+TEST_F(item_scheduler_test, a_first_send_to_a_quiet_server_is_checked) {
+    constexpr base::millis quiet_ms = 200;
+    for (const auto* id : {"a", "b"}) {
+        table_.on_heard(samplers::sampler_id(id));
+    }
+    tick_for(quiet_ms);
+    add_job(2);
+    const auto starts = of_type<start_run>(scheduler_.tick(true));
+    ASSERT_EQ(starts.size(), 2U);
+    for (const auto& r : starts) {
+        EXPECT_TRUE(r.check_server);
+        EXPECT_TRUE(of_type<report_loss>(
+                        scheduler_.on_run_ended(r.run, run_outcome::no_sign))
+                        .empty());
+        crashes_.on_ended({r.sampler, 0});
+    }
+    for (const auto* item : {"i0", "i1"}) {
+        EXPECT_EQ(crashes_.counted_losses({"", item}), 0);
+    }
+}
+
 // Guards against an item that is sent for ever though each run is stopped
 // before its first event.
 TEST_F(item_scheduler_test, limited_runs_without_events_are_given_up) {
--- a/packages/entry/src/job_owner.cpp
+++ b/packages/entry/src/job_owner.cpp
@@ -175,6 +175,7 @@
     reward_caller_.drop_all("owner_changed");
     crashes_.clear();
     delayed_runs_.clear();
+    server_checks_.clear();
     progress_keys_.clear();
     committer_.clear();
     loading_jobs_.clear();
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -86,6 +86,7 @@
     struct delayed_run {
         batch::start_run run;
         batch::request_key request;
+        batch::server_process process;
         bool is_server_checked = true;
     };
     struct active_run {
@@ -135,10 +136,12 @@
     void start_run(const batch::start_run& r);
     void send_run(const batch::start_run& r);
     void send_delayed_runs();
-    void check_server_of(const batch::start_run& r);
-    void on_server_checked(batch::run_number run_id,
+    void check_server(const batch::server_process& process);
+    bool is_other_process(const batch::server_process& process,
+                          const server_response& response) const;
+    void on_server_checked(const batch::server_process& process,
                            const server_response& response);
-    void give_up_delayed_run(const delayed_run& delayed);
+    void give_up_delayed_run(const delayed_run& delayed, bool is_misdirected);
     void log_stopped_run(const active_run& active, const char* reason);
     void log_suspected(const char* event,
                        const batch::suspected_request& request);
@@ -192,7 +195,8 @@
                          std::int64_t after_orders);
     void call_server(const samplers::sampler_id& id,
                      transport::upstream_request request,
-                     std::function<void(const server_response&)> done);
+                     std::function<void(const server_response&)> done,
+                     base::millis max_silence_ms = 0);
     bool is_journal_current() const;
     bool may_start_items() const;
     std::optional<batch::job_options>
@@ -214,6 +218,8 @@
     std::set<batch::job_id> loading_jobs_;
     std::map<batch::run_number, active_run> active_runs_;
     std::vector<delayed_run> delayed_runs_;
+    /// The server processes that are being checked for delayed runs.
+    std::set<batch::server_process> server_checks_;
     base::millis last_loss_append_at_ = 0;
     std::int64_t renewals_ = 0;
     base::node_id previous_owner_;
--- a/packages/entry/src/job_owner_crashes.cpp
+++ b/packages/entry/src/job_owner_crashes.cpp
@@ -19,7 +19,8 @@
 /// must not look silent.
 constexpr base::millis max_run_delay_ms = 500;
 
-/// Maximum time for which a run waits until its server passes its check, in ms.
+/// A server from which nothing comes for this long during a check fails it, in
+/// ms.
 constexpr base::millis max_check_ms = 300;
 
 /// Larger likelihood ratios are logged as this one.
@@ -201,32 +202,59 @@
                     });
 }
 
-/// Asks the server of a run for its report.
-void job_owner::check_server_of(const batch::start_run& r) {
+/// Asks the server of a run for its report, unless it is being asked. The call
+/// ends in any case, and stalls of this process don't count.
+void job_owner::check_server(const batch::server_process& process) {
+    if (!server_checks_.insert(process).second) {
+        return;
+    }
     auto request = adapter::make_report_request();
-    adapter::set_expected_server(request, r.sampler);
-    call_server(r.sampler, std::move(request),
-                [this, run = r.run](const server_response& response) {
-                    on_server_checked(run, response);
-                });
+    adapter::set_expected_server(request, process.server);
+    call_server(
+        process.server, std::move(request),
+        [this, process](const server_response& response) {
+            on_server_checked(process, response);
+        },
+        max_check_ms);
 }
 
-void job_owner::on_server_checked(batch::run_number run_id,
+/// Returns true if a response shows that another process than `process` listens
+/// at its address.
+bool job_owner::is_other_process(const batch::server_process& process,
+                                 const server_response& response) const {
+    const auto report = response.status == 200
+                            ? adapter::parse_report(response.body)
+                            : std::nullopt;
+    return response.status == adapter::misdirected_status ||
+           (report && report->started_ms != 0 && process.started_ms != 0 &&
+            report->started_ms != process.started_ms);
+}
+
+/// Settles the check of all runs that wait for this server process. Any
+/// response shows that the server is alive, also one that is no report.
+void job_owner::on_server_checked(const batch::server_process& process,
                                   const server_response& response) {
-    const auto found = std::find_if(
-        delayed_runs_.begin(), delayed_runs_.end(),
-        [run_id](const auto& delayed) { return delayed.run.run == run_id; });
-    if (found == delayed_runs_.end()) {
-        return;
+    server_checks_.erase(process);
+    const bool is_other = is_other_process(process, response);
+    const bool is_alive = response.status != 0 && !is_other;
+    const auto* row = state_.samplers.find(process.server);
+    if (is_alive && row != nullptr &&
+        row->registered.started_ms == process.started_ms) {
+        state_.samplers.on_heard(process.server);
     }
-    if (response.status == 200) {
-        found->is_server_checked = true;
-        send_delayed_runs();
-        return;
+    const auto waiting = std::exchange(delayed_runs_, {});
+    std::vector<delayed_run> failed;
+    for (auto delayed : waiting) {
+        const bool is_settled =
+            !delayed.is_server_checked && delayed.process == process;
+        delayed.is_server_checked =
+            delayed.is_server_checked || (is_settled && is_alive);
+        (is_settled && !is_alive ? failed : delayed_runs_).push_back(delayed);
+    }
+    for (const auto& delayed : failed) {
+        give_up_delayed_run(delayed, is_other);
     }
-    const auto delayed = *found;
-    delayed_runs_.erase(found);
-    give_up_delayed_run(delayed);
+    send_delayed_runs();
 }
 
 /// Sends the runs whose losses the store has and whose servers have passed
@@ -243,23 +271,27 @@
         }
         const bool is_stored = crashes_.is_stored(delayed.request);
         const bool is_ready = is_stored && delayed.is_server_checked;
-        const auto max_delay_ms =
-            delayed.is_server_checked ? max_run_delay_ms : max_check_ms;
+        const bool is_overdue =
+            delayed.is_server_checked &&
+            now - active->second.started_at > max_run_delay_ms;
         if (is_ready && may_start) {
             scheduler_.on_run_sent(delayed.run.run);
             send_run(delayed.run);
-        } else if (is_ready || now - active->second.started_at > max_delay_ms) {
-            give_up_delayed_run(delayed);
+        } else if (is_ready || is_overdue) {
+            give_up_delayed_run(delayed, false);
         } else {
             delayed_runs_.push_back(delayed);
         }
     }
 }
 
-void job_owner::give_up_delayed_run(const delayed_run& delayed) {
+/// `is_misdirected` is true if another server listens at the address.
+void job_owner::give_up_delayed_run(const delayed_run& delayed,
+                                    bool is_misdirected) {
     const auto active = active_runs_.find(delayed.run.run);
     if (active != active_runs_.end()) {
         active->second.has_failed_check = !delayed.is_server_checked;
+        active->second.misdirected = is_misdirected;
         on_run_ended(delayed.run.run, transport::call_outcome::not_sent);
     }
 }
--- a/packages/entry/src/job_owner_orders.cpp
+++ b/packages/entry/src/job_owner_orders.cpp
@@ -121,9 +121,12 @@
         });
 }
 
+/// Calls a server. With `max_silence_ms`, the call ends once nothing has come
+/// from the server for this long.
 void job_owner::call_server(const samplers::sampler_id& id,
                             transport::upstream_request request,
-                            std::function<void(const server_response&)> done) {
+                            std::function<void(const server_response&)> done,
+                            base::millis max_silence_ms) {
     auto response = std::make_shared<server_response>();
     const auto* row = state_.samplers.find(id);
     if (row == nullptr) {
@@ -133,6 +136,8 @@
     transport::upstream_call_options options;
     options.connect_timeout_ms = server_connect_timeout_ms;
     options.total_timeout_ms = order_timeout_ms;
+    options.idle_timeout_ms = max_silence_ms;
+    options.resend_if_stale = request.method == "GET";
     options.max_body_bytes = max_order_response_bytes;
     transport::upstream_callbacks events;
     events.on_head = [response](const transport::response_head& h) {
--- a/packages/entry/src/job_owner_runs.cpp
+++ b/packages/entry/src/job_owner_runs.cpp
@@ -80,10 +80,12 @@
         send_run(r);
         return;
     }
-    delayed_runs_.push_back(
-        {r, {r.workspace, r.content->id.str()}, !r.check_server});
+    delayed_runs_.push_back({r,
+                             {r.workspace, r.content->id.str()},
+                             {r.sampler, active.server_started_ms},
+                             !r.check_server});
     if (r.check_server) {
-        check_server_of(r);
+        check_server({r.sampler, active.server_started_ms});
     }
 }
 
@@ -156,6 +158,9 @@
     // connection closed. Resuming after the last event shows whether it was
     // complete.
     if (!active.call) {
+        if (active.misdirected) {
+            return batch::run_outcome::other_server;
+        }
         return active.has_failed_check ? batch::run_outcome::no_sign
                                        : batch::run_outcome::not_sent;
     }
--- a/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
+++ b/packages/samplers/include/hibiscus/samplers/sampler_table.hpp
@@ -73,6 +73,9 @@
     double mean_response_ms = 0;
     /// When the server last responded to a plain request; 0 if never.
     base::millis last_response_at = 0;
+    /// When an event, a response or a report last came from the server; 0 if
+    /// never.
+    base::millis last_heard_at = 0;
     /// When a request found the server silent; 0 if never.
     base::millis silence_noticed_at = 0;
     /// A number from 0 to 1 that differs between servers and between processes.
@@ -93,10 +96,9 @@
     /// ended would fail one after the other.
     bool may_reuse_connections() const { return consecutive_failures == 0; }
 
-    /// Returns when something last came from the server: an event, a response
-    /// or a registration.
+    /// Returns when something last came from the server or its registration.
     base::millis last_sign_at() const {
-        return std::max({last_event_at, last_response_at, registered_at});
+        return std::max(last_heard_at, registered_at);
     }
 
     /// Returns true if the server was found silent and nothing has come from it
@@ -214,6 +216,9 @@
     /// Called when an event arrived `ms` after the previous event of its run.
     void on_event(const sampler_id& id, base::millis ms);
 
+    /// Called when a report or the head of a response has come from a server.
+    void on_heard(const sampler_id& id);
+
     /// Records the version of a model that a response or an order showed a
     /// server to have. If the registered version is newer, it is lowered to
     /// this one until the next put().
--- a/packages/samplers/src/sampler_table.cpp
+++ b/packages/samplers/src/sampler_table.cpp
@@ -326,6 +326,7 @@
     if (auto* row = find(id)) {
         row->consecutive_failures = 0;
         row->last_response_at = clock_.now();
+        row->last_heard_at = row->last_response_at;
         update_mean(row->mean_response_ms, static_cast<double>(ms));
     }
 }
@@ -334,10 +335,17 @@
     if (auto* row = find(id)) {
         row->consecutive_failures = 0;
         row->last_event_at = clock_.now();
+        row->last_heard_at = row->last_event_at;
         update_mean(row->event_interval_ms, static_cast<double>(ms));
     }
 }
 
+void sampler_table::on_heard(const sampler_id& id) {
+    if (auto* row = find(id)) {
+        row->last_heard_at = clock_.now();
+    }
+}
+
 void sampler_table::set_observed_version(const sampler_id& id,
                                          const std::string& model,
                                          std::int64_t version) {
