--- a/packages/batch/include/hibiscus/batch/abandoned_sends.hpp
+++ b/packages/batch/include/hibiscus/batch/abandoned_sends.hpp
@@ -20,6 +20,10 @@
     /// The server has outlived the send if something comes from its process at
     /// this time or later.
     base::millis answerable_until = 0;
+    /// Whether the server had fallen silent before the request was sent and
+    /// nothing has come from it since the send was abandoned, so that its end
+    /// is no loss.
+    bool is_unseen = false;
 };
 
 /// Remembers sends that were abandoned: the server may still end under them, or
--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -186,7 +186,9 @@
     bool on_lost(const request_key& request, const server_loss& lost);
 
     /// Called when the sender has closed the connection of a request that the
-    /// server may still run, or that it may have ended under unnoticed.
+    /// server may still run, or that it may have ended under unnoticed. If
+    /// `last_seen.is_unseen` is set, the end of the server counts only if
+    /// something has come from it since.
     void on_abandoned(const request_key& request, const server_loss& last_seen);
 
     /// Returns true if a send of a request was no loss, since its server had
--- a/packages/batch/include/hibiscus/batch/item_scheduler.hpp
+++ b/packages/batch/include/hibiscus/batch/item_scheduler.hpp
@@ -366,6 +366,8 @@
         std::optional<run_limit> limit = {};
         /// For how long nothing had come from the server before, in ms.
         base::millis quiet_ms = 0;
+        /// Whether the server had fallen silent before the item was sent.
+        bool was_silent = false;
     };
 
     /// The servers by the runs that they have, while any item has losses.
@@ -411,7 +413,7 @@
     void move_runs(effects& out);
     bool is_silent(const run_row& run,
                    samplers::run_placement& placement) const;
-    void add_silent_loss(const run_row& run, const item_row& row, effects& out);
+    void add_silent_loss(run_row& run, const item_row& row, effects& out);
     void move_silent_runs(effects& out);
     void move_slow_runs(effects& out);
     void move_long_runs(effects& out);
@@ -444,11 +446,12 @@
     static request_key reward_of(const job_state& job, const item_row& row);
     static server_process process_of(const run_row& run);
     server_loss loss_of(const run_row& run, const item_row& row) const;
+    bool is_unseen(const run_row& run) const;
     run_progress progress_of(const run_row& run, const item_row& row) const;
     void clear_losses(run_row& run, const job_state& job, const item_row& row,
                       effects& out);
     void abandon_run(const run_row& run);
-    void add_loss(const job_id& id, int item_index, bool is_reward,
+    bool add_loss(const job_id& id, int item_index, bool is_reward,
                   const server_loss& lost, effects& out);
     void quarantine(const job_id& id, int item_index, bool is_reward,
                     effects& out);
--- a/packages/batch/include/hibiscus/batch/server_loss.hpp
+++ b/packages/batch/include/hibiscus/batch/server_loss.hpp
@@ -30,6 +30,10 @@
     /// sent, in ms.
     base::millis quiet_ms = 0;
 
+    /// Whether the server had fallen silent before the request was sent, and
+    /// nothing has come from it since, as far as the sender knows.
+    bool is_unseen = false;
+
     /// Takes the last `ms` of the run for silence.
     void exclude_silence(base::millis ms) {
         silence_ms = std::min(ms, progress.run_ms);
--- a/packages/batch/src/abandoned_sends.cpp
+++ b/packages/batch/src/abandoned_sends.cpp
@@ -20,7 +20,7 @@
     for (auto entry = sends_.begin(); entry != sends_.end();) {
         auto& sends = entry->second;
         sends.erase(std::remove_if(sends.begin(), sends.end(),
-                                   [&](const abandoned_send& send) {
+                                   [&](abandoned_send& send) {
                                        return predicate(entry->first, send);
                                    }),
                     sends.end());
@@ -33,7 +33,8 @@
                           base::millis answerable_ms) {
     auto& sends = sends_[request];
     const auto now = clock_.now();
-    const abandoned_send added{last_seen, sent_at, now, now + answerable_ms};
+    const abandoned_send added{last_seen, sent_at, now, now + answerable_ms,
+                               last_seen.is_unseen};
     const auto known =
         std::find_if(sends.begin(), sends.end(), [&](const auto& send) {
             return send.last_seen.process == last_seen.process;
@@ -41,7 +42,9 @@
     if (known == sends.end()) {
         sends.push_back(added);
     } else {
+        const bool is_unseen = known->is_unseen && added.is_unseen;
         *known = added;
+        known->is_unseen = is_unseen;
     }
 }
 
@@ -92,9 +95,11 @@
 abandoned_sends::on_sign_of_life(const server_process& process,
                                  base::millis time) {
     std::set<request_key> outlived;
-    erase_if([&](const request_key& request, const abandoned_send& send) {
-        const bool is_outlived =
-            send.last_seen.process == process && time >= send.answerable_until;
+    erase_if([&](const request_key& request, abandoned_send& send) {
+        const bool is_there = send.last_seen.process == process;
+        send.is_unseen =
+            send.is_unseen && !(is_there && time > send.abandoned_at);
+        const bool is_outlived = is_there && time >= send.answerable_until;
         if (is_outlived) {
             outlived.insert(request);
         }
--- a/packages/batch/src/crash_ledger.cpp
+++ b/packages/batch/src/crash_ledger.cpp
@@ -281,7 +281,7 @@
 
 bool crash_ledger::on_lost(const request_key& request,
                            const server_loss& lost) {
-    if (had_fallen_silent(lost)) {
+    if (lost.is_unseen || had_fallen_silent(lost)) {
         doubtful_sends_.insert(request);
         return false;
     }
--- a/packages/batch/src/crash_ledger_abandoned.cpp
+++ b/packages/batch/src/crash_ledger_abandoned.cpp
@@ -114,11 +114,15 @@
     }
 }
 
-/// Counts the abandoned sends to a process that has ended, unless the request
-/// has a loss there. How far the server had come with them is not known, and
-/// the end may have come at any time in which the send was answerable for it.
+/// Counts the abandoned sends to a process that has ended, unless it had fallen
+/// silent before them or the request has a loss there. How far the server had
+/// come with them is not known, and the end may have come at any time in which
+/// the send was answerable for it.
 void crash_ledger::count_abandoned(const server_process& process) {
     for (const auto& [request, send] : abandoned_.take(process)) {
+        if (send.is_unseen) {
+            continue;
+        }
         const auto& lost = send.last_seen;
         auto& row = rows_[request];
         if (has_loss(row, process)) {
--- a/packages/batch/src/item_scheduler_isolation.cpp
+++ b/packages/batch/src/item_scheduler_isolation.cpp
@@ -130,6 +130,16 @@
     }
 }
 
+/// Returns true if the server of a run had fallen silent before and nothing has
+/// come from it since.
+bool item_scheduler::is_unseen(const run_row& run) const {
+    const auto server = table_.rows().find(run.sampler);
+    const bool was_heard =
+        run.has_response || (server != table_.rows().end() &&
+                             server->second.last_heard_at >= run.sent_at);
+    return run.was_silent && !was_heard;
+}
+
 server_loss item_scheduler::loss_of(const run_row& run,
                                     const item_row& row) const {
     const auto& service = jobs_.at(run.job).options.service;
@@ -161,12 +171,15 @@
     const auto request = request_of(jobs_.at(run.job), *row);
     crashes_.on_survived(request, process_of(run));
     if (run.is_sent && row->state != item_state::committed) {
-        crashes_.on_abandoned(request, loss_of(run, *row));
+        auto last_seen = loss_of(run, *row);
+        last_seen.is_unseen = is_unseen(run);
+        crashes_.on_abandoned(request, last_seen);
     }
 }
 
-/// Counts a loss of an item or of its reward call, if it is one.
-void item_scheduler::add_loss(const job_id& id, int item_index, bool is_reward,
+/// Counts a loss of an item or of its reward call, if it is one. Returns
+/// whether it is.
+bool item_scheduler::add_loss(const job_id& id, int item_index, bool is_reward,
                               const server_loss& lost, effects& out) {
     const auto& job = jobs_.at(id);
     const auto& row = job.items[static_cast<std::size_t>(item_index)];
@@ -174,6 +187,7 @@
     const bool counts = crashes_.on_lost(request, lost);
     out.push_back(report_loss{id, item_index, request.request_id, is_reward,
                               lost, counts, crashes_.counted_losses(request)});
+    return counts;
 }
 
 /// Clears the losses of an item whose run has gone past them.
--- a/packages/batch/src/item_scheduler_moves.cpp
+++ b/packages/batch/src/item_scheduler_moves.cpp
@@ -83,9 +83,10 @@
 
 /// Counts a silent run as a loss unless only the run is silent: its server
 /// still sends events of others.
-void item_scheduler::add_silent_loss(const run_row& run, const item_row& row,
+void item_scheduler::add_silent_loss(run_row& run, const item_row& row,
                                      effects& out) {
     auto lost = loss_of(run, row);
+    lost.is_unseen = is_unseen(run);
     if (!run.has_response) {
         const auto* server = table_.find(run.sampler);
         lost.silent_since = server == nullptr ? 0 : server->last_heard_at;
@@ -97,7 +98,7 @@
             return;
         }
     }
-    add_loss(run.job, run.item_index, false, lost, out);
+    run.was_silent = !add_loss(run.job, run.item_index, false, lost, out);
 }
 
 void item_scheduler::move_silent_runs(effects& out) {
@@ -110,7 +111,7 @@
     }
     for (const auto run : silent) {
         ++counts_.silent_runs;
-        const auto& row = runs_.at(run);
+        auto& row = runs_.at(run);
         const auto* item = find_item(row);
         if (item != nullptr) {
             add_silent_loss(row, *item, out);
--- a/packages/batch/src/item_scheduler_placement.cpp
+++ b/packages/batch/src/item_scheduler_placement.cpp
@@ -152,6 +152,8 @@
         const bool may_resend =
             !was_active && !(check_server && loss_count > 0);
         added.limit = limit;
+        added.was_silent =
+            !check_server && chosen.silence_noticed_at > chosen.last_heard_at;
         added.quiet_ms = now - chosen.last_sign_at();
         added.is_sent = !store_first && !check_server;
         if (store_first) {
--- a/packages/batch/test/crash_ledger_abandoned_test.cpp
+++ b/packages/batch/test/crash_ledger_abandoned_test.cpp
@@ -18,6 +18,12 @@
         }
     }
 
+    void abandon_at_a_silent_server() {
+        auto last_seen = make_loss(process("s0"));
+        last_seen.is_unseen = true;
+        ledger_.on_abandoned(request_, last_seen);
+    }
+
     void register_server(const std::string& id, bool draining = false) {
         samplers::registration r;
         r.service = samplers::service_name("engines");
@@ -40,6 +46,34 @@
     EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
 }
 
+// Guards against a send to a silent server that counts once that server is
+// known to have ended.
+TEST_F(abandoned_sends_test, a_server_that_was_silent_before_does_not_count) {
+    abandon_at_a_silent_server();
+    ledger_.on_ended(process("s0"));
+    EXPECT_EQ(ledger_.loss_count(request_), 0);
+    EXPECT_TRUE(ledger_.is_empty());
+}
+
+// Guards against ends that are missed, of servers that had stopped for a while
+// only.
+TEST_F(abandoned_sends_test, a_silent_server_that_goes_on_and_ends_counts) {
+    abandon_at_a_silent_server();
+    time_->advance(1);
+    ledger_.on_alive(process("s0"));
+    ledger_.on_ended(process("s0"));
+    EXPECT_EQ(ledger_.loss_count(request_), 1);
+}
+
+// Guards against a send that a server has read and that is forgotten for a
+// later one that it has not.
+TEST_F(abandoned_sends_test, an_earlier_send_to_a_server_that_read_it_counts) {
+    abandon(1);
+    abandon_at_a_silent_server();
+    ledger_.on_ended(process("s0"));
+    EXPECT_EQ(ledger_.loss_count(request_), 1);
+}
+
 TEST_F(abandoned_sends_test, servers_that_live_on_do_not_count) {
     abandon(3);
     time_->advance(outlived_ms);
--- a/packages/batch/test/item_scheduler_crash_test.cpp
+++ b/packages/batch/test/item_scheduler_crash_test.cpp
@@ -232,6 +232,70 @@
     }
 }
 
+/// Items that are sent to servers from which nothing comes.
+class silent_servers_test : public item_scheduler_test {
+protected:
+    /// Sends what is placed and returns the next loss that is reported.
+    std::optional<report_loss> wait_for_loss() {
+        constexpr int max_ticks = 160;
+        for (int n = 0; n < max_ticks; ++n) {
+            const auto all = tick_for(tick_ms);
+            for (const auto& r : of_type<start_run>(all)) {
+                scheduler_.on_run_sent(r.run);
+            }
+            const auto losses = of_type<report_loss>(all);
+            if (!losses.empty()) {
+                return losses.front();
+            }
+        }
+        return std::nullopt;
+    }
+};
+
+// Guards against a send to a silent server that counts later, as an abandoned
+// one.
+TEST_F(silent_servers_test, a_send_to_a_silent_server_is_no_late_loss) {
+    table_.remove(samplers::sampler_id("b"));
+    add_job(1);
+    const auto first = wait_for_loss();
+    ASSERT_TRUE(first);
+    EXPECT_TRUE(first->counts);
+    scheduler_.remove_job(job_);
+    renew_registrations();
+    add_job(1, true, 1, "k", 0, "w");
+    const auto second = wait_for_loss();
+    ASSERT_TRUE(second);
+    EXPECT_FALSE(second->counts);
+    crashes_.on_ended({second->loss.process.server, 0});
+    EXPECT_TRUE(crashes_.take_late_losses().empty());
+    EXPECT_EQ(crashes_.counted_losses({"w", "i0"}), 0);
+}
+
+// Guards against an item that is held back for servers that have failed their
+// checks, once it is sent without one.
+TEST_F(silent_servers_test, an_unchecked_send_to_a_silent_server_is_no_loss) {
+    constexpr int max_ticks = 2000;
+    constexpr base::millis quiet_ms = 200;
+    tick_for(quiet_ms);
+    add_job(1);
+    std::optional<start_run> unchecked;
+    for (int n = 0; n < max_ticks && !unchecked; ++n) {
+        for (const auto& r : of_type<start_run>(tick_for(tick_ms))) {
+            if (!r.check_server) {
+                unchecked = r;
+                continue;
+            }
+            scheduler_.on_run_ended(r.run, run_outcome::no_sign);
+        }
+    }
+    ASSERT_TRUE(unchecked);
+    scheduler_.on_run_sent(unchecked->run);
+    const auto loss = wait_for_loss();
+    ASSERT_TRUE(loss);
+    EXPECT_FALSE(loss->counts);
+    EXPECT_EQ(crashes_.counted_losses({"", "i0"}), 0);
+}
+
 // Guards against an item that is sent for ever though each run is stopped
 // before its first event.
 TEST_F(item_scheduler_test, limited_runs_without_events_are_given_up) {
