--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -197,9 +197,10 @@
         return doubtful_sends_.count(request) != 0;
     }
 
-    /// Looks which servers have outlived the sends that were abandoned there.
-    /// Called often.
-    void settle_abandoned(const samplers::sampler_table& servers);
+    /// Looks which servers have outlived the sends that were abandoned there,
+    /// and which have registered again after they were taken for ended. Called
+    /// often.
+    void read_registrations(const samplers::sampler_table& servers);
 
     /// An abandoned send that turned out to be a loss.
     struct late_loss {
@@ -229,6 +230,14 @@
     /// Called when a server process is known to have ended.
     void on_ended(const server_process& process);
 
+    /// Returns true if a server process counts as ended.
+    bool is_taken_for_ended(const server_process& process) const;
+
+    /// Called when a server process has responded to a call that began at
+    /// `asked_at`. If it had been taken for ended before, it has not ended, and
+    /// its losses are removed.
+    void on_responded(const server_process& process, base::millis asked_at);
+
     /// Called when a server process turned out to have outlived all that
     /// happened up to `time`. Its losses until then were broken connections
     /// only, and so are later ones unless it fell silent.
@@ -249,7 +258,8 @@
 
     /// Returns the server processes to check: those of requests that wait for
     /// it and, as these are compared with them, those that were lost at about
-    /// the same time. Each is returned once in `check_interval_ms`.
+    /// the same time; and those that were taken for ended and have registered
+    /// again. Each is returned once in `check_interval_ms`.
     std::vector<lost_process> take_due_checks();
 
     /// What has to be stored of a request.
@@ -320,6 +330,12 @@
         bool ended = false;
         /// Whether a request has noticed the end, so that the time is exact.
         bool is_noticed = false;
+        /// When the process was taken for ended.
+        base::millis ended_at = 0;
+        /// When the process last registered after that; 0 if it has not.
+        base::millis registered_again_at = 0;
+        /// Whether it has not been checked since it last registered.
+        bool is_check_due = false;
         /// When a connection last broke off there, if one did.
         std::optional<base::millis> broke_at = {};
     };
@@ -404,6 +420,9 @@
     bool had_broken_off(const server_process& process, base::millis time) const;
     bool has_loss_of(const request_key& request, const server_process& process,
                      base::millis sent_at) const;
+    void settle_abandoned(const samplers::sampler_table& servers);
+    void find_registered_again(const samplers::sampler_table& servers);
+    void set_ended(process_row& row);
     void count_abandoned(const server_process& process);
     void on_sign_of_life(const server_process& process, base::millis time);
     void add_checks_of_abandoned(
@@ -431,7 +450,7 @@
     bool needs_checks(const request_row& row) const;
     void add_registered_ends();
     using check_times = std::map<server_process, base::millis>;
-    void add_due_check(const server_process& process, base::millis lost_at,
+    bool add_due_check(const server_process& process, base::millis lost_at,
                        const check_times& checked_before,
                        std::vector<lost_process>& due);
     static bool is_urgent(const request_row& row);
--- a/packages/batch/src/crash_ledger.cpp
+++ b/packages/batch/src/crash_ledger.cpp
@@ -290,8 +290,10 @@
     abandoned_.erase(request, lost.process);
     auto& process = processes_[lost.process];
     if (!process.is_noticed) {
-        process = {lost.service, lost.server_count, clock_.now(), process.ended,
-                   true,         process.broke_at};
+        process.service = lost.service;
+        process.server_count = lost.server_count;
+        process.lost_at = clock_.now();
+        process.is_noticed = true;
         ++process_changes_;
     }
     if (!lost.silent_since && lost.silence_ms == 0) {
@@ -366,10 +368,16 @@
     }
 }
 
+void crash_ledger::set_ended(process_row& row) {
+    row.ended = true;
+    row.ended_at = clock_.now();
+    ++process_changes_;
+}
+
 void crash_ledger::on_ended(const server_process& process) {
     const auto lost = processes_.find(process);
-    if (lost != processes_.end() && !std::exchange(lost->second.ended, true)) {
-        ++process_changes_;
+    if (lost != processes_.end() && !lost->second.ended) {
+        set_ended(lost->second);
     }
     for (auto& [request, row] : rows_) {
         for (auto& l : row.losses) {
@@ -382,6 +390,57 @@
     count_abandoned(process);
 }
 
+bool crash_ledger::is_taken_for_ended(const server_process& process) const {
+    const auto found = processes_.find(process);
+    return found != processes_.end() && found->second.ended;
+}
+
+void crash_ledger::on_responded(const server_process& process,
+                                base::millis asked_at) {
+    const auto found = processes_.find(process);
+    if (found == processes_.end() || !found->second.ended ||
+        found->second.ended_at >= asked_at) {
+        return;
+    }
+    for (auto& [request, row] : rows_) {
+        const auto end = std::remove_if(
+            row.losses.begin(), row.losses.end(), [&](const loss& l) {
+                return l.process == process && l.state == loss_state::ended;
+            });
+        if (end != row.losses.end()) {
+            row.losses.erase(end, row.losses.end());
+            mark_changed(row);
+        }
+    }
+    processes_.erase(found);
+    ++process_changes_;
+}
+
+/// Notes which processes have registered after they were taken for ended. The
+/// store may have executed a write of an ended process late, so they are
+/// checked.
+void crash_ledger::find_registered_again(
+    const samplers::sampler_table& servers) {
+    for (auto& [process, lost] : processes_) {
+        const auto found = servers.rows().find(process.server);
+        if (!lost.ended || found == servers.rows().end()) {
+            continue;
+        }
+        const auto& row = found->second;
+        if (!row.unlisted && row.registered.started_ms == process.started_ms &&
+            row.registered_at >
+                std::max(lost.ended_at, lost.registered_again_at)) {
+            lost.registered_again_at = row.registered_at;
+            lost.is_check_due = true;
+        }
+    }
+}
+
+void crash_ledger::read_registrations(const samplers::sampler_table& servers) {
+    settle_abandoned(servers);
+    find_registered_again(servers);
+}
+
 void crash_ledger::on_alive(const server_process& process, base::millis time) {
     on_sign_of_life(process, time);
     bool has_later_loss = false;
@@ -491,9 +550,10 @@
                  l.is_progress_known});
             note_progress(row, l.progress);
             if (l.server_count > 0) {
-                processes_.try_emplace(
-                    l.process, process_row{l.service, l.server_count,
-                                           clock_.now(), l.ended, false});
+                processes_.try_emplace(l.process,
+                                       process_row{l.service, l.server_count,
+                                                   clock_.now(), l.ended, false,
+                                                   clock_.now()});
             }
         }
         mark_changed(row);
--- a/packages/batch/src/crash_ledger_abandoned.cpp
+++ b/packages/batch/src/crash_ledger_abandoned.cpp
@@ -142,9 +142,8 @@
             ended.server_count = lost.server_count;
         }
         if (!ended.ended) {
-            ended.ended = true;
             ended.lost_at = clock_.now();
-            ++process_changes_;
+            set_ended(ended);
         }
         late_losses_.push_back({request, process,
                                 clock_.now() - send.abandoned_at,
--- a/packages/batch/src/crash_ledger_chance.cpp
+++ b/packages/batch/src/crash_ledger_chance.cpp
@@ -359,8 +359,9 @@
         const server_process process{end->server, end->started_ms};
         const bool is_new =
             processes_
-                .try_emplace(process, process_row{end->service, 0,
-                                                  end->ended_at, true, false})
+                .try_emplace(process,
+                             process_row{end->service, 0, end->ended_at, true,
+                                         false, clock_.now()})
                 .second;
         process_changes_ += is_new ? 1 : 0;
         on_ended(process);
@@ -390,11 +391,18 @@
         }
     }
     add_checks_of_abandoned(checked_before, due);
+    for (auto& [process, lost] : processes_) {
+        if (lost.is_check_due &&
+            add_due_check(process, lost.lost_at, checked_before, due)) {
+            lost.is_check_due = false;
+        }
+    }
     return due;
 }
 
 /// Adds the check of a server process unless it was checked a moment ago.
-void crash_ledger::add_due_check(const server_process& process,
+/// Returns whether it was added.
+bool crash_ledger::add_due_check(const server_process& process,
                                  base::millis lost_at,
                                  const check_times& checked_before,
                                  std::vector<lost_process>& due) {
@@ -402,10 +410,13 @@
     const auto before = checked_before.find(process);
     const bool is_due = before == checked_before.end() ||
                         now - before->second >= check_interval_ms;
-    if (checked_at_.emplace(process, is_due ? now : before->second).second &&
-        is_due) {
+    const bool is_added =
+        checked_at_.emplace(process, is_due ? now : before->second).second &&
+        is_due;
+    if (is_added) {
         due.push_back({process, lost_at});
     }
+    return is_added;
 }
 
 } // namespace hibiscus::batch
--- a/packages/batch/src/item_scheduler.cpp
+++ b/packages/batch/src/item_scheduler.cpp
@@ -277,7 +277,7 @@
     has_new_evidence_ =
         std::exchange(evidence_number_, crashes_.evidence_number()) !=
         evidence_number_;
-    crashes_.settle_abandoned(table_);
+    crashes_.read_registrations(table_);
     for (const auto& late : crashes_.take_late_losses()) {
         out.push_back(report_late_loss{late});
     }
--- a/packages/batch/test/crash_ledger_abandoned_test.cpp
+++ b/packages/batch/test/crash_ledger_abandoned_test.cpp
@@ -80,7 +80,7 @@
     for (const auto* id : {"s0", "s1", "s2"}) {
         register_server(id);
     }
-    ledger_.settle_abandoned(table_);
+    ledger_.read_registrations(table_);
     for (const auto* id : {"s0", "s1", "s2"}) {
         ledger_.on_ended(process(id));
     }
@@ -91,7 +91,7 @@
 TEST_F(abandoned_sends_test, a_sign_of_life_at_once_settles_nothing) {
     abandon(1);
     register_server("s0");
-    ledger_.settle_abandoned(table_);
+    ledger_.read_registrations(table_);
     ledger_.on_ended(process("s0"));
     EXPECT_EQ(ledger_.loss_count(request_), 1);
 }
@@ -99,7 +99,7 @@
 TEST_F(abandoned_sends_test, servers_that_drain_do_not_count) {
     abandon(1);
     register_server("s0", true);
-    ledger_.settle_abandoned(table_);
+    ledger_.read_registrations(table_);
     ledger_.on_ended(process("s0"));
     EXPECT_EQ(ledger_.loss_count(request_), 0);
 }
--- a/packages/entry/src/job_owner.hpp
+++ b/packages/entry/src/job_owner.hpp
@@ -156,7 +156,7 @@
                       base::millis alive_until);
     void request_start_time(const batch::crash_ledger::lost_process& check);
     void on_start_time(const batch::crash_ledger::lost_process& check,
-                       const server_response& response);
+                       base::millis asked_at, const server_response& response);
     void store_losses_if_due();
     void append_losses();
     void on_run_ended(batch::run_number run_id,
--- a/packages/entry/src/job_owner_crashes.cpp
+++ b/packages/entry/src/job_owner_crashes.cpp
@@ -112,11 +112,14 @@
     const auto verdict = batch::judge_by_registration(
         state_.samplers.find(check.process.server), check.process, lost_ms,
         state_.settings.server_renewal_ms);
-    if (verdict == batch::server_verdict::unknown) {
+    const bool has_returned = verdict != batch::server_verdict::ended &&
+                              crashes_.is_taken_for_ended(check.process);
+    if (verdict == batch::server_verdict::unknown || has_returned) {
         request_start_time(check);
-        return;
     }
-    settle_check(check, verdict, "registration", check.lost_at);
+    if (verdict != batch::server_verdict::unknown) {
+        settle_check(check, verdict, "registration", check.lost_at);
+    }
 }
 
 void job_owner::settle_check(const batch::crash_ledger::lost_process& check,
@@ -145,12 +148,14 @@
     auto request = adapter::make_report_request();
     adapter::set_expected_server(request, check.process.server);
     call_server(check.process.server, std::move(request),
-                [this, check](const server_response& response) {
-                    on_start_time(check, response);
+                [this, check, asked_at = state_.clock.now()](
+                    const server_response& response) {
+                    on_start_time(check, asked_at, response);
                 });
 }
 
 void job_owner::on_start_time(const batch::crash_ledger::lost_process& check,
+                              base::millis asked_at,
                               const server_response& response) {
     const auto report = response.status == 200
                             ? adapter::parse_report(response.body)
@@ -166,6 +171,10 @@
         verdict = batch::server_verdict::alive;
     }
     settle_check(check, verdict, "report", state_.clock.now());
+    if (report && report->started_ms != 0 &&
+        report->started_ms == check.process.started_ms) {
+        crashes_.on_responded(check.process, asked_at);
+    }
 }
 
 /// Stores the losses that a request waits for at once, others now and then.
