testing: stand-ins bear a call for a report before a run

The relay took no limit on a connection that begins with a call for a report, and runs use that connection now: it takes the limit at the first other request. The raw server answers one request for each connection, but its report left the connection open: the report says that it closes.

--- a/testing/entry/cutting_relay.cpp
+++ b/testing/entry/cutting_relay.cpp
@@ -56,15 +56,15 @@
             });
     }
 
-    /// Takes the next limit, unless the connection begins with a call for a
+    /// Takes the next limit with the first request that is no call for a
     /// report.
     void take_limit(std::string_view request) {
-        const bool is_first = !std::exchange(has_request_, true);
-        if (is_first && !limits_->empty() &&
-            request.substr(0, report_call.size()) != report_call) {
-            limit_ = limits_->front();
-            limits_->pop_front();
+        if (request.substr(0, report_call.size()) == report_call ||
+            std::exchange(has_request_, true) || limits_->empty()) {
+            return;
         }
+        limit_ = limits_->front();
+        limits_->pop_front();
     }
 
     void pass_on_response() {
--- a/testing/entry/cutting_relay.hpp
+++ b/testing/entry/cutting_relay.hpp
@@ -14,8 +14,8 @@
 namespace hibiscus::testing {
 
 /// Passes connections on to a server. The first connections end after so many
-/// bytes from the server: one for each limit, in their order. Those that begin
-/// with a call for a report take no limit.
+/// bytes from the server: one for each limit, in their order. Calls for reports
+/// and what is sent for them don't count.
 class cutting_relay {
 public:
     cutting_relay(boost::asio::io_context& io, base::endpoint server,
--- a/testing/entry/entry_broken_response_test.cpp
+++ b/testing/entry/entry_broken_response_test.cpp
@@ -135,8 +135,11 @@
     raw_response respond(const std::string& head) {
         if (head.find(" /report ") != std::string::npos) {
             raw_response report;
-            report.bytes = with_length("HTTP/1.1 200 OK\r\n", R"({"seq":0,
-                "busy":false,"models":[{"name":"m","version":1}]})");
+            // The raw server answers one request for each connection.
+            report.bytes =
+                with_length("HTTP/1.1 200 OK\r\nConnection: close\r\n",
+                            R"({"seq":0, "busy":false,
+                            "models":[{"name":"m","version":1}]})");
             return report;
         }
         ++answered_;
