--- a/packages/batch/src/crash_ledger_chance.cpp
+++ b/packages/batch/src/crash_ledger_chance.cpp
@@ -19,6 +19,9 @@
 /// send, in ms. A silent server is noticed in this time.
 constexpr base::millis max_suspect_wait_ms = 1200;
 
+/// The same if the other send has begun within max_suspect_wait_ms, in ms.
+constexpr base::millis max_late_suspect_wait_ms = 2 * max_suspect_wait_ms;
+
 /// The end of a server is noticed up to this time earlier or later than that of
 /// another one with the same cause, in ms.
 constexpr base::millis coincidence_ms = 25;
@@ -319,11 +322,19 @@
 /// Returns true if another request that may end its servers is being sent. It
 /// may turn out to explain the other ends.
 bool crash_ledger::is_suspect_being_sent(const request_row& row) const {
-    return clock_.now() < span_of(row).end + max_suspect_wait_ms &&
-           std::any_of(rows_.begin(), rows_.end(), [&](const auto& other) {
-               return &other.second != &row &&
-                      count(other.second, loss_state::sending) > 0;
-           });
+    const auto now = clock_.now();
+    const auto waits_since = span_of(row).end;
+    const auto is_awaited = [&](const loss& l) {
+        const bool is_recent = now < l.sent_at + max_suspect_wait_ms;
+        return l.state == loss_state::sending &&
+               now < waits_since + (is_recent ? max_late_suspect_wait_ms
+                                              : max_suspect_wait_ms);
+    };
+    return std::any_of(rows_.begin(), rows_.end(), [&](const auto& other) {
+        const auto& losses = other.second.losses;
+        return &other.second != &row &&
+               std::any_of(losses.begin(), losses.end(), is_awaited);
+    });
 }
 
 /// Returns true if it is not known yet of all servers that were lost in the
--- a/packages/batch/test/wait_simulation.hpp
+++ b/packages/batch/test/wait_simulation.hpp
@@ -214,6 +214,7 @@
             for (const auto& f : std::exchange(deferred_, {})) {
                 f();
             }
+            end_failed_checks();
             end_servers();
             renew_entries();
             advance_loads();
@@ -297,6 +298,7 @@
     static constexpr base::millis load_ms = 900;
     static constexpr base::millis restart_ms = 150;
     static constexpr base::millis renewal_interval_ms = 1200;
+    static constexpr base::millis max_check_ms = 300;
 
     static samplers::service_name service() {
         return samplers::service_name("engines");
@@ -342,6 +344,10 @@
                         now() + event_interval_ms,
                         skipped_events + 1,
                         now()};
+        if (r.check_server && (s.frozen || s.is_silent || !s.alive)) {
+            failed_checks_.emplace(now() + max_check_ms, r.run);
+            return;
+        }
         scheduler_.on_run_sent(r.run);
         if (s.frozen || s.is_silent) {
             return;
@@ -368,6 +374,16 @@
         }
     }
 
+    /// Ends the runs whose servers have not responded to their checks.
+    void end_failed_checks() {
+        while (!failed_checks_.empty() &&
+               failed_checks_.begin()->first <= now()) {
+            const auto run = failed_checks_.begin()->second;
+            failed_checks_.erase(failed_checks_.begin());
+            end_run(run, run_outcome::no_sign);
+        }
+    }
+
     void end_run(run_number run, run_outcome outcome) {
         if (runs_.count(run) != 0) {
             forget_run(run);
@@ -643,6 +659,8 @@
     std::map<run_number, simulated_run> runs_;
     std::map<std::string, std::int64_t> announced_versions_;
     std::deque<std::function<void()>> deferred_;
+    /// The runs whose servers fail their checks, by the time of that.
+    std::multimap<base::millis, run_number> failed_checks_;
     std::map<item_key, base::millis> waiting_since_;
     std::map<item_id, server_end_row> server_ends_;
     int ending_items_ = 0;
