testing: servers that pause and go on

Real-node tests of processes that are taken for ended, as their registrations expired while they were paused, and go on.

--- a/testing/entry/entry_silent_server_test.cpp
+++ b/testing/entry/entry_silent_server_test.cpp
@@ -48,14 +48,42 @@
     /// Its registration expires.
     void end_silently(fake_backend_server& server) {
         constexpr int down_ms = 60000;
-        constexpr std::chrono::milliseconds expiry{3600};
         server.end_process(down_ms, true, true, [] {});
-        auto timer = std::make_shared<boost::asio::steady_timer>(io_, expiry);
-        timer->async_wait([this, timer, id = server.id()](const auto& error) {
-            if (!error) {
-                store_.put("keyed.servers", id, "");
-            }
-        });
+        expire_registration(server.id());
+    }
+
+    /// Pauses the server of the long item, and each further one that gets it
+    /// until so many are paused that it is held back. Their registrations
+    /// expire.
+    void pause_servers_of_long_item() {
+        for (auto& server : samplers_) {
+            server->observe_streams({[this, &server](const std::string& id) {
+                                         if (id == long_item &&
+                                             paused_servers_.size() <
+                                                 max_server_ends) {
+                                             pause(*server);
+                                         }
+                                     },
+                                     {}});
+        }
+        pause(*server_of_long_item());
+    }
+
+    /// Waits until the calls that ask the paused servers for their reports have
+    /// timed out.
+    void wait_until_checks_end() {
+        constexpr std::chrono::milliseconds max_check_time{1200};
+        io_.restart();
+        io_.run_for(max_check_time);
+    }
+
+    /// Lets the paused processes go on and register again.
+    void resume_servers() {
+        for (auto* server : paused_servers_) {
+            server->resume();
+            store_.put("keyed.servers", server->id(),
+                       server->make_registration("llm", true));
+        }
     }
 
     /// Silences all servers but the slow one.
@@ -79,6 +107,17 @@
             [&] { return read_states("n2", job).size() == items_per_job; });
     }
 
+    /// Submits a job and waits until one of its reward calls has lost so many
+    /// connections that it waits.
+    bool wait_for_lost_calls(const std::string& job,
+                             const std::string& prefix) {
+        return submit("n1", job, prefix).status == 202 && run_until([&] {
+                   return has_logged(job_owner(),
+                                     {"server_lost", "\"" + job + "\"",
+                                      "\"reward\"", "\"losses\":3"});
+               });
+    }
+
     /// Ends up to `max_ends` servers under the first item that begins late: at
     /// its third event there.
     void end_servers_of_a_late_item(int max_ends) {
@@ -121,7 +160,27 @@
     std::string victim_;
     int victim_ends_ = 0;
 
+    std::vector<fake_backend_server*> paused_servers_;
+
 private:
+    void pause(fake_backend_server& server) {
+        server.pause();
+        paused_servers_.push_back(&server);
+        expire_registration(server.id());
+    }
+
+    /// Removes the registration of a server that sends no more, as the store
+    /// does after three missed renewals.
+    void expire_registration(const std::string& id) {
+        constexpr std::chrono::milliseconds expiry{3600};
+        auto timer = std::make_shared<boost::asio::steady_timer>(io_, expiry);
+        timer->async_wait([this, timer, id](const auto& error) {
+            if (!error) {
+                store_.put("keyed.servers", id, "");
+            }
+        });
+    }
+
     std::set<std::string> begun_items_;
     static constexpr std::chrono::milliseconds late_after{150};
     static constexpr std::chrono::milliseconds quiet_time{300};
@@ -171,6 +230,42 @@
     EXPECT_FALSE(is_quarantined(victim_));
 }
 
+// Guards against an item that stays held back for servers that were taken for
+// ended, as their registrations had expired, and go on.
+TEST_F(entry_silent_server_test, an_item_of_servers_that_return_goes_on) {
+    run_to_the_last_item();
+    pause_servers_of_long_item();
+    ASSERT_TRUE(run_until([&] { return is_quarantined("\"i3\""); }));
+    ASSERT_EQ(paused_servers_.size(), max_server_ends);
+    wait_until_checks_end();
+    ASSERT_EQ(read_states("n2", "job1").count(long_item), 0U);
+    resume_servers();
+    EXPECT_TRUE(finish_long_item());
+    for (const auto* server : paused_servers_) {
+        EXPECT_EQ(server->end_count(), 0);
+    }
+}
+
+// Guards against reward calls that wait long for a server that was taken for
+// ended before and goes on: it reports nothing, only registers.
+TEST_F(entry_silent_server_test, reward_calls_of_a_returned_server_go_on) {
+    renew_registrations();
+    start_nodes();
+    lookup_server_.set_aborting_responses(true);
+    ASSERT_TRUE(wait_for_lost_calls("job1", "i"));
+    lookup_server_.pause();
+    store_.put("keyed.servers", "app-0", "");
+    ASSERT_TRUE(run_until([&] {
+        return has_logged(job_owner(), {"server_checked", "app-0", "ended"});
+    }));
+    lookup_server_.resume();
+    store_.put("keyed.servers", "app-0",
+               lookup_server_.make_registration("app", false));
+    ASSERT_TRUE(wait_for_lost_calls("job2", "j"));
+    lookup_server_.set_aborting_responses(false);
+    EXPECT_TRUE(finish_job("job2"));
+}
+
 } // namespace
 
 } // namespace hibiscus::testing
--- a/testing/entry/fake_backend_server.cpp
+++ b/testing/entry/fake_backend_server.cpp
@@ -75,6 +75,13 @@
     end();
 }
 
+void fake_backend_server::resume() {
+    is_paused_ = false;
+    for (const auto& step : std::exchange(held_steps_, {})) {
+        step();
+    }
+}
+
 int fake_backend_server::event_count_of(const std::string& id) const {
     return choose_event_count_ ? choose_event_count_(id) : events_;
 }
@@ -177,6 +184,11 @@
 
 void fake_backend_server::handle(const transport::inbound_request& request,
                                  const response_writer_ptr& writer) {
+    if (is_paused_) {
+        held_steps_.emplace_back(
+            [this, request, writer] { handle(request, writer); });
+        return;
+    }
     const auto id = header_value(request, "Request-Id");
     const auto expected = header_value(request, "Expect-Instance");
     if (!expected.empty() && expected != id_) {
@@ -297,14 +309,21 @@
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(
         io_, std::chrono::milliseconds(service_time_ms_));
-    timer->async_wait([timer, respond](auto error) {
-        if (!error) {
+    timer->async_wait([this, timer, respond](auto error) {
+        if (!error && is_paused_) {
+            held_steps_.emplace_back(respond);
+        } else if (!error) {
             respond();
         }
     });
 }
 
 void fake_backend_server::send_events(stream s, int event_number) {
+    if (is_paused_) {
+        held_steps_.emplace_back(
+            [this, s, event_number] { send_events(s, event_number); });
+        return;
+    }
     if (*s.is_dropped) {
         return;
     }
--- a/testing/entry/fake_backend_server.hpp
+++ b/testing/entry/fake_backend_server.hpp
@@ -127,6 +127,13 @@
     /// is sent on them, and new ones get no response until it starts again.
     void end_silently() { ends_silently_ = true; }
 
+    /// Pauses the process: its connections stay open and new ones are accepted,
+    /// but nothing is sent on them until resume().
+    void pause() { is_paused_ = true; }
+
+    /// Lets the paused process go on, first with what it has received.
+    void resume();
+
     /// Returns how often the process of the server has ended.
     int end_count() const { return end_count_; }
 
@@ -140,8 +147,9 @@
     /// sampler also registers its model.
     std::string make_registration(const std::string& service, bool is_sampler);
 
-    /// Returns true unless the process has ended and not started again.
-    bool is_running() const { return is_running_; }
+    /// Returns true unless the process is paused, or has ended and not started
+    /// again.
+    bool is_running() const { return is_running_ && !is_paused_; }
 
 private:
     using response_writer_ptr = std::shared_ptr<transport::response_writer>;
@@ -212,6 +220,9 @@
     /// Number of registrations of the process.
     std::int64_t registration_count_ = 0;
     bool ends_silently_ = false;
+    bool is_paused_ = false;
+    /// What the paused process has to do when it goes on.
+    std::vector<std::function<void()>> held_steps_;
     std::unique_ptr<transport::streaming_http_server> server_;
     /// Processes that have ended silently.
     std::vector<std::unique_ptr<transport::streaming_http_server>>
