--- a/packages/batch/include/hibiscus/batch/crash_ledger.hpp
+++ b/packages/batch/include/hibiscus/batch/crash_ledger.hpp
@@ -76,7 +76,8 @@
 ///
 /// A connection that broke off is a loss until it is known whether its server
 /// has ended. A request is sent while it has few losses, whatever their cause;
-/// with max_server_ends losses it waits until they are checked.
+/// with max_server_ends losses, cleared ones included, it waits until they are
+/// checked.
 ///
 /// A send whose sender closed the connection is a loss if the server process
 /// ends before it has outlived the send. A request with so many sends of that
@@ -258,8 +259,9 @@
 
     /// Returns the server processes to check: those of requests that wait for
     /// it and, as these are compared with them, those that were lost at about
-    /// the same time; and those that were taken for ended and have registered
-    /// again. Each is returned once in `check_interval_ms`.
+    /// the same time; those of cleared losses that are not known to have ended;
+    /// and those that were taken for ended and have registered again. Each is
+    /// returned once in `check_interval_ms`.
     std::vector<lost_process> take_due_checks();
 
     /// What has to be stored of a request.
@@ -359,10 +361,21 @@
         }
     };
 
+    /// A loss that a later run has gone past.
+    struct cleared_loss {
+        server_process process;
+        /// Whether the process is known to have ended.
+        bool ended = false;
+        /// As for loss.
+        base::millis lost_at = 0;
+        bool is_silent = false;
+    };
+
+    using check_times = std::map<server_process, base::millis>;
+
     struct request_row {
         std::vector<loss> losses;
-        int cleared_losses = 0;
-        std::set<server_process> cleared_processes;
+        std::vector<cleared_loss> cleared;
         /// The farthest that any run has come: in the text, and in the events
         /// and the time since its start.
         run_progress farthest;
@@ -375,11 +388,11 @@
         std::uint64_t change = 0;
         std::uint64_t stored_change = 0;
 
-        bool is_empty() const { return losses.empty() && cleared_losses == 0; }
+        bool is_empty() const { return losses.empty() && cleared.empty(); }
+        int cleared_losses() const { return static_cast<int>(cleared.size()); }
         void clear() {
             losses.clear();
-            cleared_losses = 0;
-            cleared_processes.clear();
+            cleared.clear();
             farthest = {};
         }
     };
@@ -423,6 +436,10 @@
     void settle_abandoned(const samplers::sampler_table& servers);
     void find_registered_again(const samplers::sampler_table& servers);
     void set_ended(process_row& row);
+    template <class Predicate>
+    void erase_losses(const server_process& process, Predicate is_none);
+    void add_checks_of_cleared(const check_times& checked_before,
+                               std::vector<lost_process>& due);
     void count_abandoned(const server_process& process);
     void on_sign_of_life(const server_process& process, base::millis time);
     void add_checks_of_abandoned(
@@ -449,7 +466,6 @@
     static bool is_stuck(const request_row& row);
     bool needs_checks(const request_row& row) const;
     void add_registered_ends();
-    using check_times = std::map<server_process, base::millis>;
     bool add_due_check(const server_process& process, base::millis lost_at,
                        const check_times& checked_before,
                        std::vector<lost_process>& due);
--- a/packages/batch/src/crash_ledger.cpp
+++ b/packages/batch/src/crash_ledger.cpp
@@ -49,7 +49,7 @@
 int crash_ledger::cleared_losses_that_count(const request_row& row) {
     return row.losses.empty()
                ? 0
-               : std::max(0, row.cleared_losses - max_uncounted_losses);
+               : std::max(0, row.cleared_losses() - max_uncounted_losses);
 }
 
 /// Return true if no run has gone past a loss: in the text, or in the events or
@@ -86,7 +86,12 @@
             found.in_time += agrees_in_time(row, l) ? 1 : 0;
         }
     }
-    found.losses += found.losses == 0 ? 0 : row.cleared_losses;
+    if (found.losses > 0) {
+        found.losses += static_cast<int>(std::count_if(
+            row.cleared.begin(), row.cleared.end(), [&](const auto& l) {
+                return l.ended || filter == loss_filter::ended_or_suspected;
+            }));
+    }
     return found;
 }
 
@@ -152,7 +157,7 @@
         if (losses_against(row, loss_filter::ended) < max_server_ends) {
             return send_permission::waits;
         }
-        if (count(row, loss_state::ended) + row.cleared_losses >=
+        if (count(row, loss_state::ended) + row.cleared_losses() >=
             max_ends_by_chance) {
             return send_permission::quarantined;
         }
@@ -200,7 +205,7 @@
 loss_summary crash_ledger::summarize(const request_row& row) const {
     loss_summary summary;
     summary.losses = count_losses(row);
-    summary.cleared_losses = row.cleared_losses;
+    summary.cleared_losses = row.cleared_losses();
     summary.agreeing_losses =
         find_agreement(row, loss_filter::ended_or_suspected).most();
     summary.late_losses =
@@ -323,7 +328,7 @@
     auto& row = found->second;
     note_progress(row, progress);
     const int required =
-        required_events(row.cleared_losses + count_losses(row));
+        required_events(row.cleared_losses() + count_losses(row));
     const auto end = std::stable_partition(
         row.losses.begin(), row.losses.end(), [&](const loss& l) {
             return l.state == loss_state::sending ||
@@ -332,10 +337,10 @@
     const auto cleared = static_cast<int>(row.losses.end() - end);
     if (cleared > 0) {
         std::for_each(end, row.losses.end(), [&](const loss& l) {
-            row.cleared_processes.insert(l.process);
+            row.cleared.push_back({l.process, l.state == loss_state::ended,
+                                   l.lost_at, l.is_silent});
         });
         row.losses.erase(end, row.losses.end());
-        row.cleared_losses += cleared;
         mark_changed(row);
     }
     return cleared;
@@ -386,10 +391,39 @@
                 mark_changed(row);
             }
         }
+        for (auto& l : row.cleared) {
+            l.ended = l.ended || l.process == process;
+        }
     }
     count_abandoned(process);
 }
 
+/// Removes the losses at a process for which `is_none` returns true. It gets
+/// whether the process is known to have ended, when the loss was noticed, and
+/// whether the process fell silent.
+template <class Predicate>
+void crash_ledger::erase_losses(const server_process& process,
+                                Predicate is_none) {
+    for (auto& [request, row] : rows_) {
+        const auto losses = std::remove_if(
+            row.losses.begin(), row.losses.end(), [&](const loss& l) {
+                return l.process == process && l.state != loss_state::sending &&
+                       is_none(l.state == loss_state::ended, l.lost_at,
+                               l.is_silent);
+            });
+        const auto cleared = std::remove_if(
+            row.cleared.begin(), row.cleared.end(), [&](const auto& l) {
+                return l.process == process &&
+                       is_none(l.ended, l.lost_at, l.is_silent);
+            });
+        if (losses != row.losses.end() || cleared != row.cleared.end()) {
+            row.losses.erase(losses, row.losses.end());
+            row.cleared.erase(cleared, row.cleared.end());
+            mark_changed(row);
+        }
+    }
+}
+
 bool crash_ledger::is_taken_for_ended(const server_process& process) const {
     const auto found = processes_.find(process);
     return found != processes_.end() && found->second.ended;
@@ -402,16 +436,8 @@
         found->second.ended_at >= asked_at) {
         return;
     }
-    for (auto& [request, row] : rows_) {
-        const auto end = std::remove_if(
-            row.losses.begin(), row.losses.end(), [&](const loss& l) {
-                return l.process == process && l.state == loss_state::ended;
-            });
-        if (end != row.losses.end()) {
-            row.losses.erase(end, row.losses.end());
-            mark_changed(row);
-        }
-    }
+    erase_losses(process, [](bool has_ended, base::millis /*lost_at*/,
+                             bool /*is_silent*/) { return has_ended; });
     processes_.erase(found);
     ++process_changes_;
 }
@@ -444,22 +470,12 @@
 void crash_ledger::on_alive(const server_process& process, base::millis time) {
     on_sign_of_life(process, time);
     bool has_later_loss = false;
-    for (auto& [request, row] : rows_) {
-        const auto end = std::remove_if(
-            row.losses.begin(), row.losses.end(), [&](const loss& l) {
-                const bool is_suspected =
-                    l.process == process && l.state == loss_state::suspected;
-                const bool is_cleared =
-                    is_suspected && (l.lost_at <= time || !l.is_silent);
-                has_later_loss =
-                    has_later_loss || (is_suspected && !is_cleared);
-                return is_cleared;
-            });
-        if (end != row.losses.end()) {
-            row.losses.erase(end, row.losses.end());
-            mark_changed(row);
-        }
-    }
+    erase_losses(
+        process, [&](bool has_ended, base::millis lost_at, bool is_silent) {
+            const bool is_later = lost_at > time && is_silent;
+            has_later_loss = has_later_loss || (!has_ended && is_later);
+            return !has_ended && !is_later;
+        });
     const auto lost = processes_.find(process);
     if (lost != processes_.end() && !lost->second.ended && !has_later_loss) {
         processes_.erase(lost);
@@ -481,12 +497,10 @@
 
 loss_record crash_ledger::make_record(const request_key& request,
                                       const request_row& row) const {
-    loss_record record{
-        request,
-        {},
-        row.cleared_losses,
-        {row.cleared_processes.begin(), row.cleared_processes.end()},
-        row.farthest};
+    loss_record record{request, {}, row.cleared_losses(), {}, row.farthest};
+    for (const auto& l : row.cleared) {
+        record.cleared_processes.push_back(l.process);
+    }
     for (const auto& l : row.losses) {
         const auto process = processes_.find(l.process);
         const auto lost =
@@ -539,9 +553,14 @@
     for (const auto& [tag, record] : stored) {
         auto& row = rows_[record.request];
         row = {};
-        row.cleared_losses = record.cleared_losses;
-        row.cleared_processes = {record.cleared_processes.begin(),
-                                 record.cleared_processes.end()};
+        for (const auto& process : record.cleared_processes) {
+            row.cleared.push_back({process, false, clock_.now()});
+        }
+        // A record may have more cleared losses than processes: two at one.
+        while (row.cleared_losses() <
+               std::min(record.cleared_losses, max_ends_by_chance)) {
+            row.cleared.push_back({{}, true, clock_.now()});
+        }
         row.farthest = record.farthest;
         for (const auto& l : record.losses) {
             row.losses.push_back(
--- a/packages/batch/src/crash_ledger_chance.cpp
+++ b/packages/batch/src/crash_ledger_chance.cpp
@@ -139,9 +139,9 @@
 
 bool crash_ledger::has_loss(const request_row& row,
                             const server_process& process) {
-    return row.cleared_processes.count(process) != 0 ||
-           std::any_of(row.losses.begin(), row.losses.end(),
-                       [&](const loss& l) { return l.process == process; });
+    const auto is_there = [&](const auto& l) { return l.process == process; };
+    return std::any_of(row.cleared.begin(), row.cleared.end(), is_there) ||
+           std::any_of(row.losses.begin(), row.losses.end(), is_there);
 }
 
 crash_ledger::time_span crash_ledger::span_of(const request_row& row) {
@@ -401,6 +401,7 @@
             }
         }
     }
+    add_checks_of_cleared(checked_before, due);
     add_checks_of_abandoned(checked_before, due);
     for (auto& [process, lost] : processes_) {
         if (lost.is_check_due &&
@@ -411,6 +412,19 @@
     return due;
 }
 
+/// Adds the checks of servers that a cleared loss still takes for ended. A
+/// server that is ending may respond a moment longer.
+void crash_ledger::add_checks_of_cleared(const check_times& checked_before,
+                                         std::vector<lost_process>& due) {
+    for (const auto& [request, row] : rows_) {
+        for (const auto& l : row.cleared) {
+            if (!l.ended && clock_.now() - l.lost_at >= check_interval_ms) {
+                add_due_check(l.process, l.lost_at, checked_before, due);
+            }
+        }
+    }
+}
+
 /// Adds the check of a server process unless it was checked a moment ago.
 /// Returns whether it was added.
 bool crash_ledger::add_due_check(const server_process& process,
--- a/packages/batch/test/crash_ledger_test.cpp
+++ b/packages/batch/test/crash_ledger_test.cpp
@@ -132,6 +132,36 @@
     int losses_ = 0;
 };
 
+// Guards against a request that is held back for broken connections to servers
+// that have not ended.
+TEST_F(agreeing_losses_test, a_cleared_loss_of_a_living_server_does_not_count) {
+    constexpr int more_events = 40;
+    const auto living = process("living");
+    ledger_.on_lost(request_, make_loss(living));
+    ASSERT_EQ(ledger_.on_progress(request_, {more_events, more_events}), 1);
+    text_events_ = more_events;
+    lose_after({3242, 375, 268});
+    EXPECT_EQ(ledger_.permission(request_), send_permission::waits);
+    const auto due = ledger_.take_due_checks();
+    ASSERT_EQ(due.size(), 1U);
+    EXPECT_EQ(due[0].process, living);
+    ledger_.on_alive(living);
+    store_all();
+    EXPECT_EQ(ledger_.summarize(request_).cleared_losses, 0);
+    EXPECT_EQ(ledger_.permission(request_), send_permission::allowed);
+}
+
+TEST_F(agreeing_losses_test, a_cleared_loss_of_a_server_that_ended_counts) {
+    constexpr int more_events = 40;
+    const auto ended = process("ended");
+    ledger_.on_lost(request_, make_loss(ended));
+    ASSERT_EQ(ledger_.on_progress(request_, {more_events, more_events}), 1);
+    text_events_ = more_events;
+    ledger_.on_ended(ended);
+    lose_after({3242, 375, 268});
+    EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
+}
+
 // Guards against requests that are held back since their longest run came
 // first.
 TEST_F(agreeing_losses_test, a_long_run_speaks_against_shorter_ones) {
