testing: the step soak draws broken streams and keeps logs of failed seeds

The soak prints the longest time for which an item of a step was at no server. That is a measure, not a check: late notice of a silent server and full slots have a part in it. The folder of a failed seed is kept; it was erased when the next seed began.

--- a/testing/entry/entry_harness.hpp
+++ b/testing/entry/entry_harness.hpp
@@ -82,7 +82,9 @@
             print_log_tails();
         }
         // HIBISCUS_KEEP keeps the settings and logs of the nodes.
-        if (std::getenv("HIBISCUS_KEEP") == nullptr) { // NOLINT
+        const bool keeps_all =
+            std::getenv("HIBISCUS_KEEP") != nullptr; // NOLINT
+        if (!keeps_files_ && !keeps_all) {
             std::filesystem::remove_all(work_dir_);
         }
     }
@@ -302,7 +304,11 @@
     std::vector<std::unique_ptr<fake_backend_server>> samplers_;
     fake_backend_server lookup_server_{io_, "app-0", events_per_run,
                                        event_interval_ms};
+    /// Keeps the settings and logs of the nodes.
+    void keep_files() { keeps_files_ = true; }
+
     std::string work_dir_;
+    bool keeps_files_ = false;
     /// Lines that are appended to the settings of the nodes that are started.
     std::string extra_settings_;
     port_reservations reserved_ports_;
--- a/testing/soak/step_soak_test.cpp
+++ b/testing/soak/step_soak_test.cpp
@@ -1,13 +1,41 @@
 #include "entry/entry_harness.hpp"
+#include "hibiscus/base/enum_names.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <random>
 #include <set>
+#include <stdexcept>
+
+namespace hibiscus::testing {
+
+/// Which faults a run draws, and how often.
+enum class fault_mix {
+    even,
+    /// Servers break off all their streams, most of the time, and faults follow
+    /// one another within a second.
+    broken_streams,
+};
+
+} // namespace hibiscus::testing
+
+namespace hibiscus::base {
+
+template <>
+struct enum_names<testing::fault_mix> {
+    static constexpr std::array<enum_name<testing::fault_mix>, 2> table{{
+        {testing::fault_mix::even, "even"},
+        {testing::fault_mix::broken_streams, "broken_streams"},
+    }};
+};
+
+} // namespace hibiscus::base
 
 namespace hibiscus::testing {
 
@@ -55,8 +83,8 @@
 /// that no step runs out of time while one of its items is at no server.
 class step_soak_run : private entry_harness {
 public:
-    explicit step_soak_run(unsigned seed)
-        : random_(seed), has_node_faults_(seed % 2 == 0) {}
+    step_soak_run(unsigned seed, fault_mix mix)
+        : random_(seed), mix_(mix), has_node_faults_(seed % 2 == 0) {}
 
     /// Returns the items that were held back, one a line.
     std::string run(int step_count) {
@@ -78,8 +106,11 @@
             advance(clock_.now() < end);
         }
         if (!violations_.empty()) {
+            keep_files();
             std::cout << "logs: " << work_dir_ << std::endl;
         }
+        std::cout << "longest time at no server: " << longest_away_ms_
+                  << " ms, " << longest_away_item_ << std::endl;
         return violations_;
     }
 
@@ -306,6 +337,7 @@
         if (timed_out) {
             check_items(step);
         }
+        measure_items(step);
         step.over = true;
         for (const auto& group : step.groups) {
             if (step.items_left.at(group) > 0) {
@@ -380,6 +412,37 @@
         }
     }
 
+    void measure_items(const soak_step& step) {
+        for (const auto& group : step.groups) {
+            for (int n = 0; n < items_per_group; ++n) {
+                measure_item(step, group + "-" + std::to_string(n));
+            }
+        }
+    }
+
+    /// Notes for how long an item of a step was at no server, whatever became
+    /// of the step.
+    void measure_item(const soak_step& step, const std::string& id) {
+        const auto& item = items_[id];
+        auto away_since = std::max(step.accepted_at, steady_since());
+        for (const auto& stay : item.stays) {
+            note_time_away(id, away_since, stay.begin);
+            away_since =
+                std::max(away_since, stay.end < 0 ? clock_.now() : stay.end);
+        }
+        if (!item.finished) {
+            note_time_away(id, away_since, clock_.now());
+        }
+    }
+
+    void note_time_away(const std::string& id, base::millis begin,
+                        base::millis end) {
+        if (end - begin > longest_away_ms_) {
+            longest_away_ms_ = end - begin;
+            longest_away_item_ = id;
+        }
+    }
+
     /// Ends some servers; they start again after `down_ms`.
     void end_servers(int count, int down_ms, bool silently, bool changes_id) {
         for (int n = 0; n < count; ++n) {
@@ -425,12 +488,24 @@
         }
     }
 
+    base::millis draw_fault_pause() {
+        return mix_ == fault_mix::even ? 300 + random_below(max_fault_pause_ms)
+                                       : random_below(max_short_pause_ms);
+    }
+
+    int draw_fault() {
+        constexpr int break_streams = 6;
+        return mix_ == fault_mix::broken_streams && random_below(3) != 0
+                   ? break_streams
+                   : random_below(has_node_faults_ ? 14 : 10);
+    }
+
     void inject_fault() {
         const int duration_ms = 200 + random_below(5000);
         const int count = 1 + random_below(3);
-        next_fault_at_ = clock_.now() + 300 + random_below(max_fault_pause_ms);
+        next_fault_at_ = clock_.now() + draw_fault_pause();
         const auto name = random_node();
-        const int kind = random_below(has_node_faults_ ? 14 : 10);
+        const int kind = draw_fault();
         std::cout << "fault " << kind << " x" << count << " " << duration_ms
                   << " ms at " << clock_.now() << std::endl;
         switch (kind) {
@@ -492,10 +567,12 @@
 
     static constexpr int normal_event_ms = 41;
     static constexpr int max_fault_pause_ms = 4000;
+    static constexpr int max_short_pause_ms = 900;
     /// The servers of one availability zone.
     static constexpr std::ptrdiff_t max_down_servers = server_count / 3;
 
     std::mt19937 random_;
+    fault_mix mix_;
     base::clock clock_;
     /// Whether nodes and the store are disturbed, too.
     bool has_node_faults_;
@@ -510,8 +587,23 @@
     base::millis next_fault_at_ = 0;
     base::millis disturbed_until_ = 0;
     std::string violations_;
+    /// The longest time for which an item of a step was at no server in steady
+    /// state.
+    base::millis longest_away_ms_ = 0;
+    std::string longest_away_item_;
 };
 
+/// Reads the mix from HIBISCUS_SOAK_MIX: `even` unless it is set.
+fault_mix read_fault_mix() {
+    const auto* name = std::getenv("HIBISCUS_SOAK_MIX"); // NOLINT
+    const auto mix = name == nullptr ? std::optional(fault_mix::even)
+                                     : base::from_name<fault_mix>(name);
+    if (!mix) {
+        throw std::invalid_argument("HIBISCUS_SOAK_MIX: " + std::string(name));
+    }
+    return *mix;
+}
+
 TEST(step_soak_test, no_step_runs_out_of_time_for_an_item_at_no_server) {
     const auto* seed_variable = std::getenv("HIBISCUS_SOAK_SEED");   // NOLINT
     const auto* count_variable = std::getenv("HIBISCUS_SOAK_SEEDS"); // NOLINT
@@ -520,8 +612,9 @@
     const int seed_count =
         count_variable == nullptr ? 1 : std::atoi(count_variable);
     constexpr int steps = 8;
+    const auto mix = read_fault_mix();
     for (int seed = first_seed; seed < first_seed + seed_count; ++seed) {
-        step_soak_run run(static_cast<unsigned>(seed));
+        step_soak_run run(static_cast<unsigned>(seed), mix);
         EXPECT_EQ(run.run(steps), "") << "HIBISCUS_SOAK_SEED=" << seed;
         std::cout << "seed " << seed << " finished" << std::endl;
     }
