--- a/packages/batch/test/crash_ledger_abandoned_test.cpp
+++ b/packages/batch/test/crash_ledger_abandoned_test.cpp
@@ -46,8 +46,7 @@
     EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
 }
 
-// Guards against a send to a silent server that counts once that server is
-// known to have ended.
+// Guards against a send to a silent server that counts once it has ended.
 TEST_F(abandoned_sends_test, a_server_that_was_silent_before_does_not_count) {
     abandon_at_a_silent_server();
     ledger_.on_ended(process("s0"));
@@ -55,8 +54,7 @@
     EXPECT_TRUE(ledger_.is_empty());
 }
 
-// Guards against ends that are missed, of servers that had stopped for a while
-// only.
+// Guards against ends that are missed after a server had only paused.
 TEST_F(abandoned_sends_test, a_silent_server_that_goes_on_and_ends_counts) {
     abandon_at_a_silent_server();
     time_->advance(1);
@@ -65,8 +63,7 @@
     EXPECT_EQ(ledger_.loss_count(request_), 1);
 }
 
-// Guards against a send that a server has read and that is forgotten for a
-// later one that it has not.
+// Guards against a send that is forgotten for a later one to the same server.
 TEST_F(abandoned_sends_test, an_earlier_send_to_a_server_that_read_it_counts) {
     abandon(1);
     abandon_at_a_silent_server();
--- a/packages/batch/test/crash_ledger_returned_test.cpp
+++ b/packages/batch/test/crash_ledger_returned_test.cpp
@@ -33,8 +33,7 @@
     samplers::sampler_table table_{clock_};
 };
 
-// Guards against a request that stays quarantined for servers that had lost
-// their registrations and go on.
+// Guards against a request that stays quarantined for servers that go on.
 TEST_F(returned_process_test, a_process_that_responds_again_has_not_ended) {
     ASSERT_EQ(ledger_.permission(request_), send_permission::quarantined);
     register_server("s0");
--- a/packages/batch/test/crash_ledger_test.cpp
+++ b/packages/batch/test/crash_ledger_test.cpp
@@ -132,8 +132,7 @@
     int losses_ = 0;
 };
 
-// Guards against a request that is held back for broken connections to servers
-// that have not ended.
+// Guards against a request that is held back for servers that have not ended.
 TEST_F(agreeing_losses_test, a_cleared_loss_of_a_living_server_does_not_count) {
     constexpr int more_events = 40;
     const auto living = process("living");
--- a/packages/batch/test/item_scheduler_crash_test.cpp
+++ b/packages/batch/test/item_scheduler_crash_test.cpp
@@ -252,8 +252,7 @@
     }
 };
 
-// Guards against a send to a silent server that counts later, as an abandoned
-// one.
+// Guards against a send to a silent server that counts as an abandoned one.
 TEST_F(silent_servers_test, a_send_to_a_silent_server_is_no_late_loss) {
     table_.remove(samplers::sampler_id("b"));
     add_job(1);
@@ -271,8 +270,7 @@
     EXPECT_EQ(crashes_.counted_losses({"w", "i0"}), 0);
 }
 
-// Guards against an item that is held back for servers that have failed their
-// checks, once it is sent without one.
+// Guards against an unchecked send to a silent server that counts.
 TEST_F(silent_servers_test, an_unchecked_send_to_a_silent_server_is_no_loss) {
     constexpr int max_ticks = 2000;
     constexpr base::millis quiet_ms = 200;
--- a/testing/entry/entry_silent_server_test.cpp
+++ b/testing/entry/entry_silent_server_test.cpp
@@ -230,8 +230,7 @@
     EXPECT_FALSE(is_quarantined(victim_));
 }
 
-// Guards against an item that stays held back for servers that were taken for
-// ended, as their registrations had expired, and go on.
+// Guards against an item that stays held back for servers that go on.
 TEST_F(entry_silent_server_test, an_item_of_servers_that_return_goes_on) {
     run_to_the_last_item();
     pause_servers_of_long_item();
@@ -246,8 +245,7 @@
     }
 }
 
-// Guards against reward calls that wait long for a server that was taken for
-// ended before and goes on: it reports nothing, only registers.
+// Guards against reward calls that wait for a server which had only paused.
 TEST_F(entry_silent_server_test, reward_calls_of_a_returned_server_go_on) {
     renew_registrations();
     start_nodes();
