--- a/packages/batch/src/crash_ledger.cpp
+++ b/packages/batch/src/crash_ledger.cpp
@@ -557,9 +557,12 @@
             row.cleared.push_back({process, false, clock_.now()});
         }
         // A record may have more cleared losses than processes: two at one.
+        cleared_loss further;
+        further.ended = true;
+        further.lost_at = clock_.now();
         while (row.cleared_losses() <
                std::min(record.cleared_losses, max_ends_by_chance)) {
-            row.cleared.push_back({{}, true, clock_.now()});
+            row.cleared.push_back(further);
         }
         row.farthest = record.farthest;
         for (const auto& l : record.losses) {
