--- a/packages/batch/test/crash_ledger_test.cpp
+++ b/packages/batch/test/crash_ledger_test.cpp
@@ -128,17 +128,22 @@
         store_all();
     }
 
+    /// Loses a connection to a server, and clears that loss by a later run.
+    void lose_and_go_on(const server_process& lost) {
+        constexpr int more_events = 40;
+        ledger_.on_lost(request_, make_loss(lost));
+        ASSERT_EQ(ledger_.on_progress(request_, {more_events, more_events}), 1);
+        text_events_ = more_events;
+    }
+
     int text_events_ = 0;
     int losses_ = 0;
 };
 
 // Guards against a request that is held back for servers that have not ended.
 TEST_F(agreeing_losses_test, a_cleared_loss_of_a_living_server_does_not_count) {
-    constexpr int more_events = 40;
     const auto living = process("living");
-    ledger_.on_lost(request_, make_loss(living));
-    ASSERT_EQ(ledger_.on_progress(request_, {more_events, more_events}), 1);
-    text_events_ = more_events;
+    lose_and_go_on(living);
     lose_after({3242, 375, 268});
     EXPECT_EQ(ledger_.permission(request_), send_permission::waits);
     const auto due = ledger_.take_due_checks();
@@ -151,11 +156,8 @@
 }
 
 TEST_F(agreeing_losses_test, a_cleared_loss_of_a_server_that_ended_counts) {
-    constexpr int more_events = 40;
     const auto ended = process("ended");
-    ledger_.on_lost(request_, make_loss(ended));
-    ASSERT_EQ(ledger_.on_progress(request_, {more_events, more_events}), 1);
-    text_events_ = more_events;
+    lose_and_go_on(ended);
     ledger_.on_ended(ended);
     lose_after({3242, 375, 268});
     EXPECT_EQ(ledger_.permission(request_), send_permission::quarantined);
